--- /dev/null
+++ b/crates/core/src/id.rs
@@ -0,0 +1,9 @@
+//! Identifiers shared by all parts.
+
+mod incarnation;
+mod names;
+mod request_id;
+
+pub use incarnation::Incarnation;
+pub use names::{DomainName, NodeName, RegionName, ServiceName};
+pub use request_id::RequestId;
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,2 @@
+//! Stub.
+fn main() {}
