--- /dev/null
+++ b/crates/node/src/clock.rs
@@ -0,0 +1,30 @@
+//! The clock of a process, passed in wherever time is read.
+
+use std::sync::Arc;
+use std::time::{Instant, SystemTime};
+
+/// Source of time at the edge of the process.
+pub trait Clock: Send + Sync {
+    /// Monotonic time, for deadlines and ages.
+    fn now(&self) -> Instant;
+
+    /// Time of day, only for stamps that people read.
+    fn wall(&self) -> SystemTime;
+}
+
+/// A clock shared by all tasks of a process.
+pub type SharedClock = Arc<dyn Clock>;
+
+/// The clock of the operating system.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
--- /dev/null
+++ b/crates/node/src/data/report.rs
@@ -0,0 +1,64 @@
+//! State of a host as others hear of it.
+
+use coltsfootport_core::admission::Level;
+use coltsfootport_core::class::Class;
+use coltsfootport_core::id::{Incarnation, NodeName};
+use coltsfootport_core::once::Tick;
+
+use crate::wire::ReportFrame;
+
+/// State of a host, sent with every reply and greeting.
+#[derive(Clone, Debug)]
+pub struct HostReport {
+    /// Name of the node.
+    pub node: NodeName,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Its monotonic tick.
+    pub tick: Tick,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Calls at its target.
+    pub in_flight: u32,
+    /// Calls that wait.
+    pub queued: u32,
+    /// Its concurrency limit.
+    pub limit: u32,
+    /// Admission level of the operation's subtree.
+    pub level: Level,
+    /// Revision of the newest published entry that it holds.
+    pub revision: u64,
+}
+
+impl From<&HostReport> for ReportFrame {
+    fn from(report: &HostReport) -> Self {
+        Self {
+            node: report.node.0.clone(),
+            incarnation: report.incarnation.0,
+            tick: report.tick.0,
+            leaving: report.leaving,
+            in_flight: report.in_flight,
+            queued: report.queued,
+            limit: report.limit,
+            level_class: report.level.class.0,
+            level_bucket: report.level.bucket,
+            revision: report.revision,
+        }
+    }
+}
+
+impl From<ReportFrame> for HostReport {
+    fn from(frame: ReportFrame) -> Self {
+        Self {
+            node: NodeName(frame.node),
+            incarnation: Incarnation(frame.incarnation),
+            tick: Tick(frame.tick),
+            leaving: frame.leaving,
+            in_flight: frame.in_flight,
+            queued: frame.queued,
+            limit: frame.limit,
+            level: Level { class: Class(frame.level_class), bucket: frame.level_bucket },
+            revision: frame.revision,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/gate.rs
@@ -0,0 +1,15 @@
+//! The gate: one task that decides which calls its target runs, and keeps every call in flight here.
+
+mod context;
+mod flight;
+mod guard;
+mod handle;
+mod message;
+mod task;
+
+pub use context::ContextHandle;
+pub use flight::{Flight, FlightKey, FlightPhase};
+pub use guard::FlightGuard;
+pub use handle::GateHandle;
+pub use message::{Admittance, Departure, Entered, FlightEnd, GateMessage, GateStatus, Parent};
+pub use task::{Gate, GateSetup};
--- /dev/null
+++ b/crates/node/src/gate/flight.rs
@@ -0,0 +1,60 @@
+//! A call that is in flight at this node.
+
+use std::time::Instant;
+
+use coltsfootport_core::admission::CallKey;
+use coltsfootport_core::allowance::Allowance;
+use coltsfootport_core::class::Class;
+use coltsfootport_core::collections::Set;
+use coltsfootport_core::id::RequestId;
+use coltsfootport_core::once::RecordKey;
+use slotmap::new_key_type;
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+
+use super::Entered;
+
+new_key_type! {
+    /// Key of a call in flight.
+    pub struct FlightKey;
+}
+
+/// How far a call in flight has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlightPhase {
+    /// It waits for admission.
+    Queued,
+    /// It may go to the target.
+    Admitted,
+    /// Its first byte may have reached the target.
+    Dispatched,
+}
+
+/// A call that is in flight at this node.
+#[derive(Debug)]
+pub struct Flight {
+    /// Request on whose behalf it runs.
+    pub request: RequestId,
+    /// Its class.
+    pub class: Class,
+    /// Name of its class.
+    pub class_name: SmolStr,
+    /// Its operation.
+    pub operation: SmolStr,
+    /// When its answer is of no more use.
+    pub deadline: Instant,
+    /// Hops above it.
+    pub depth: u8,
+    /// Retries that its subtree may still make.
+    pub allowance: Allowance,
+    /// Its place in admission.
+    pub call: CallKey,
+    /// Its record, where it runs at most once.
+    pub record: Option<RecordKey>,
+    /// How far it has come.
+    pub phase: FlightPhase,
+    /// Where its admission is awaited, until it is decided.
+    pub reply: Option<oneshot::Sender<Entered>>,
+    /// Fingerprints of its target's own calls that failed; a repeat of one is a retry.
+    pub failed_calls: Set<u64>,
+}
--- /dev/null
+++ b/crates/node/src/gate/handle.rs
@@ -0,0 +1,118 @@
+//! Sends messages to the gate.
+
+use std::sync::Arc;
+
+use coltsfootport_core::admission::Level;
+use coltsfootport_core::error_kind::ErrorKind;
+use coltsfootport_core::once::{Refusal, Token, Try};
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, oneshot};
+
+use super::{
+    Admittance, ContextHandle, Departure, Entered, FlightEnd, FlightKey, GateMessage, GateStatus,
+    Parent,
+};
+use crate::data::{Answer, HostReport, Refused};
+
+/// Handle to the gate; every method waits for the gate's word.
+#[derive(Clone, Debug)]
+pub struct GateHandle {
+    tx: mpsc::UnboundedSender<GateMessage>,
+}
+
+impl GateHandle {
+    /// A handle that sends into `tx`.
+    pub fn new(tx: mpsc::UnboundedSender<GateMessage>) -> Self {
+        Self { tx }
+    }
+
+    /// Asks to run a call; waits while it is queued.
+    pub async fn enter(&self, admittance: Admittance) -> Entered {
+        self.ask(|reply| GateMessage::Enter(Box::new(admittance), reply))
+            .await
+            .unwrap_or(Entered::Refused(Refused::from(ErrorKind::NotReady)))
+    }
+
+    /// The last check right before the first byte goes to the target.
+    pub async fn dispatch(&self, flight: FlightKey) -> Result<(), ErrorKind> {
+        self.ask(|reply| GateMessage::Dispatch(flight, reply))
+            .await
+            .unwrap_or(Err(ErrorKind::NotReady))
+    }
+
+    /// Reports the end of a call in flight.
+    pub async fn finish(&self, flight: FlightKey, end: FlightEnd) -> Option<Departure> {
+        self.ask(|reply| GateMessage::Finish(flight, end, reply)).await
+    }
+
+    /// State for a reply about a call that never was in flight.
+    pub async fn report(&self, operation: SmolStr) -> Option<HostReport> {
+        self.ask(|reply| GateMessage::Report(operation, reply)).await
+    }
+
+    /// The call in flight that a context handle names.
+    pub async fn parent(&self, handle: ContextHandle) -> Option<Parent> {
+        self.ask(|reply| GateMessage::Parent(handle, reply)).await.flatten()
+    }
+
+    /// A part of the allowance for one attempt of a target's own call.
+    pub async fn grant(&self, flight: FlightKey) -> u16 {
+        self.ask(|reply| GateMessage::Grant(flight, reply)).await.unwrap_or(0)
+    }
+
+    /// Returns what an attempt left of its part.
+    pub fn give_back(&self, flight: FlightKey, granted: u16, left: u16) {
+        let _ = self.tx.send(GateMessage::GiveBack { flight, granted, left });
+    }
+
+    /// Takes one retry out of the allowance.
+    pub async fn spend(&self, flight: FlightKey) -> bool {
+        self.ask(|reply| GateMessage::Spend(flight, reply)).await.unwrap_or(false)
+    }
+
+    /// Whether a target's own call repeats one that failed.
+    pub async fn is_repeat(&self, flight: FlightKey, fingerprint: u64) -> bool {
+        self.ask(|reply| GateMessage::IsRepeat(flight, fingerprint, reply)).await.unwrap_or(true)
+    }
+
+    /// Notes that a target's own call failed.
+    pub fn own_call_failed(&self, flight: FlightKey, fingerprint: u64) {
+        let _ = self.tx.send(GateMessage::OwnCallFailed(flight, fingerprint));
+    }
+
+    /// Notes the admission level heard below an operation of this target.
+    pub fn level_below(&self, flight: FlightKey, level: Level) {
+        let _ = self.tx.send(GateMessage::LevelBelow(flight, level));
+    }
+
+    /// Refuses all tries of a token up to a number for good.
+    pub async fn refuse(&self, token: Token, up_to: Try) -> Refusal<Arc<Answer>> {
+        self.ask(|reply| GateMessage::Refuse(Box::new(token), up_to, reply))
+            .await
+            .unwrap_or(Refusal::Unknown)
+    }
+
+    /// Lets the node take work.
+    pub fn ready(&self) {
+        let _ = self.tx.send(GateMessage::Ready);
+    }
+
+    /// Begins to leave and waits until nothing is in flight.
+    pub async fn leave(&self) {
+        self.ask(GateMessage::Leave).await;
+    }
+
+    /// Figures for people and metrics.
+    pub async fn status(&self) -> Option<GateStatus> {
+        self.ask(GateMessage::Status).await
+    }
+
+    async fn ask<T, M>(&self, message: M) -> Option<T>
+    where
+        M: FnOnce(oneshot::Sender<T>) -> GateMessage,
+    {
+        let (reply, answer) = oneshot::channel();
+        self.tx.send(message(reply)).ok()?;
+        answer.await.ok()
+    }
+}
--- /dev/null
+++ b/crates/node/src/http.rs
@@ -0,0 +1,15 @@
+//! HTTP/1.1 towards callers and targets.
+
+mod body;
+mod connection;
+mod headers;
+mod listener;
+mod pool;
+mod respond;
+
+pub use body::{BodyError, read_whole};
+pub use connection::CallerConnection;
+pub use headers::{end_to_end, names};
+pub use listener::{Listener, ListenerLimits};
+pub use pool::{PoolHandle, PooledSender, TargetPool};
+pub use respond::{HttpAnswer, answer_target, json, refuse};
--- /dev/null
+++ b/crates/node/src/http/listener.rs
@@ -0,0 +1,104 @@
+//! Accepts HTTP connections and hands each request to a handler.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+use super::{CallerConnection, HttpAnswer};
+
+/// Limits of a listener, all of which bound memory that a caller can take.
+#[derive(Clone, Copy, Debug)]
+pub struct ListenerLimits {
+    /// Connections at a time; further ones wait in the kernel's queue.
+    pub connections: usize,
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Time in which a head must arrive.
+    pub header_timeout: Duration,
+}
+
+/// A listener for callers or for the node's own target.
+#[derive(Debug)]
+pub struct Listener {
+    socket: TcpListener,
+    limits: ListenerLimits,
+    closing: watch::Receiver<bool>,
+}
+
+impl Listener {
+    /// A listener on a bound socket which winds its connections up when `closing` turns true.
+    pub fn new(socket: TcpListener, limits: ListenerLimits, closing: watch::Receiver<bool>) -> Self {
+        Self { socket, limits, closing }
+    }
+
+    /// Serves until `closing` turns true; connections still open then finish their requests.
+    pub async fn run<H, F>(mut self, handler: H)
+    where
+        H: Fn(Request<Incoming>, CallerConnection) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<HttpAnswer>> + Send,
+    {
+        let room = Arc::new(Semaphore::new(self.limits.connections));
+        loop {
+            let Ok(permit) = Arc::clone(&room).acquire_owned().await else { return };
+            let accepted = tokio::select! {
+                accepted = self.socket.accept() => accepted,
+                _ = self.closing.wait_for(|closing| *closing) => return,
+            };
+            let Ok((stream, _)) = accepted else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let connection = serve(stream, self.limits, self.closing.clone(), handler.clone());
+            tokio::spawn(async move {
+                connection.await;
+                drop(permit);
+            });
+        }
+    }
+}
+
+/// Pause after a failed accept, as when the process has no file descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// The smallest buffer that hyper takes.
+const LEAST_HEADER_BYTES: usize = 8192;
+
+async fn serve<H, F>(
+    stream: TcpStream,
+    limits: ListenerLimits,
+    mut closing: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, CallerConnection) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<HttpAnswer>> + Send,
+{
+    let _ = stream.set_nodelay(true);
+    let connection = CallerConnection::new(stream);
+    let io = TokioIo::new(connection.clone());
+    let service = service_fn(move |req| {
+        let answer = handler(req, connection.clone());
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.header_bytes.max(LEAST_HEADER_BYTES));
+    let mut serving = pin!(builder.serve_connection(io, service));
+    tokio::select! {
+        _ = serving.as_mut() => return,
+        _ = closing.wait_for(|closing| *closing) => {}
+    }
+    serving.as_mut().graceful_shutdown();
+    let _ = serving.await;
+}
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,13 @@
+//! QUIC between nodes: mutual TLS, one stream for each call or control message.
+
+mod endpoint;
+mod hub;
+mod link;
+mod server;
+mod tls;
+
+pub use endpoint::{bind, PeerEndpoint};
+pub use hub::{Hub, HubHandle};
+pub use link::{Link, LinkError};
+pub use server::{PeerServer, PeerServices};
+pub use tls::{TlsError, TlsMaterial};
--- /dev/null
+++ b/crates/node/src/peers/link.rs
@@ -0,0 +1,95 @@
+//! One connection to a peer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use quinn::{Connection, VarInt};
+
+use crate::data::{Call, Reply};
+use crate::recorder::Recorder;
+use crate::wire::{
+    CallFrame, ControlReply, ControlRequest, FrameError, PeerReply, PeerRequest, read_body,
+    read_head, write_frame,
+};
+
+/// Limits of what is read from a peer, in bytes.
+#[derive(Clone, Copy, Debug)]
+pub struct FrameLimits {
+    /// Largest head.
+    pub head: usize,
+    /// Largest body.
+    pub body: usize,
+}
+
+/// A connection to a peer; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Link {
+    connection: Connection,
+    limits: FrameLimits,
+}
+
+/// Why an exchange with a peer failed.
+#[derive(Debug, thiserror::Error)]
+pub enum LinkError {
+    /// Nothing was sent: the peer can't be reached.
+    #[error("the peer can't be reached")]
+    NotSent,
+    /// Something may have been sent and no whole reply came.
+    #[error("contact was lost: {0}")]
+    Lost(#[from] FrameError),
+}
+
+impl Link {
+    /// Wraps an open connection.
+    pub fn new(connection: Connection, limits: FrameLimits) -> Self {
+        Self { connection, limits }
+    }
+
+    /// Whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.connection.close_reason().is_some()
+    }
+
+    /// Ends the connection.
+    pub fn close(&self) {
+        self.connection.close(VarInt::from_u32(0), b"closed");
+    }
+
+    /// Sends a call and waits for its whole reply; dropping the future cancels the call at the host.
+    pub async fn call(&self, call: &Call, recorder: &Recorder) -> Result<Reply, LinkError> {
+        let (mut tx, mut rx) = self.connection.open_bi().await.map_err(|_| LinkError::NotSent)?;
+        let stamp = recorder.stamp();
+        let frame = CallFrame::new(call, stamp.into(), recorder.now());
+        let head = PeerRequest::Call(Box::new(frame));
+        write_frame(&mut tx, &head, call.body.clone()).await?;
+        let head: PeerReply = read_head(&mut rx, self.limits.head).await?;
+        let PeerReply::Call(frame) = head else { return Err(FrameError::Malformed.into()) };
+        recorder.observe(frame.stamp.into());
+        let body = read_body(&mut rx, frame.body_len, self.limits.body).await?;
+        Ok(frame.into_reply(body)?)
+    }
+
+    /// Sends a control request and waits at most `patience` for its reply.
+    pub async fn control(
+        &self,
+        request: ControlRequest,
+        patience: Duration,
+    ) -> Result<ControlReply, LinkError> {
+        tokio::time::timeout(patience, self.exchange(request))
+            .await
+            .unwrap_or(Err(LinkError::Lost(FrameError::Cut)))
+    }
+
+    async fn exchange(&self, request: ControlRequest) -> Result<ControlReply, LinkError> {
+        let (mut tx, mut rx) = self.connection.open_bi().await.map_err(|_| LinkError::NotSent)?;
+        let _ = tx.set_priority(CONTROL_PRIORITY);
+        write_frame(&mut tx, &PeerRequest::Control(request), Bytes::new()).await?;
+        match read_head(&mut rx, self.limits.body).await? {
+            PeerReply::Control(reply) => Ok(reply),
+            PeerReply::Call(_) => Err(FrameError::Malformed.into()),
+        }
+    }
+}
+
+/// Control messages go before calls on a connection, so that load does not delay them.
+const CONTROL_PRIORITY: i32 = 1;
--- /dev/null
+++ b/crates/node/src/recorder.rs
@@ -0,0 +1,104 @@
+//! Records events of this node in its time line.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use coltsfootport_core::id::{NodeName, RequestId};
+use coltsfootport_core::invariant::Invariant;
+use coltsfootport_core::timeline::{Event, Filter, Hlc, Record, Ring, Stamp};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::clock::SharedClock;
+use crate::metrics::Metrics;
+
+/// Records events; cheap to clone.
+///
+/// The hybrid logical clock is the one piece of state that tasks share: a stamp must be had at the place where a message is
+/// written, and asking a task for it would cost each call two more switches.
+#[derive(Clone)]
+pub struct Recorder {
+    node: NodeName,
+    clock: SharedClock,
+    hlc: Arc<Mutex<Hlc>>,
+    metrics: Metrics,
+    tx: mpsc::UnboundedSender<RecorderMessage>,
+}
+
+/// The task that owns the ring of events.
+#[derive(Debug)]
+pub struct RecorderTask {
+    ring: Ring,
+    rx: mpsc::UnboundedReceiver<RecorderMessage>,
+}
+
+#[derive(Debug)]
+enum RecorderMessage {
+    Record(Record),
+    Select(Filter, oneshot::Sender<Vec<Record>>),
+}
+
+impl Recorder {
+    /// A recorder and the task behind it, which keeps the last `capacity` events.
+    pub fn new(
+        node: NodeName,
+        clock: SharedClock,
+        metrics: Metrics,
+        capacity: usize,
+    ) -> (Self, RecorderTask) {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let hlc = Arc::new(Mutex::new(Hlc::new()));
+        let recorder = Self { node, clock, hlc, metrics, tx };
+        (recorder, RecorderTask { ring: Ring::new(capacity), rx })
+    }
+
+    /// Records an event now.
+    pub fn record(&self, request: Option<RequestId>, event: Event) {
+        let at = self.stamp();
+        let record = Record { at, node: self.node.clone(), request, event };
+        let _ = self.tx.send(RecorderMessage::Record(record));
+    }
+
+    /// A stamp for a message that leaves now.
+    pub fn stamp(&self) -> Stamp {
+        let wall = self.clock.wall();
+        self.hlc.lock().unwrap_or_else(PoisonError::into_inner).tick(wall)
+    }
+
+    /// Takes note of a stamp that a peer sent.
+    pub fn observe(&self, peer: Stamp) {
+        let wall = self.clock.wall();
+        self.hlc.lock().unwrap_or_else(PoisonError::into_inner).observe(peer, wall);
+    }
+
+    /// Reports a breached invariant: counted, recorded, and fatal in builds for tests.
+    pub fn breach(&self, invariant: Invariant) {
+        self.metrics.breached(invariant);
+        self.record(None, Event::InvariantBreached { invariant });
+        if cfg!(debug_assertions) {
+            eprintln!("invariant breached: {}", invariant.as_str());
+            std::process::abort();
+        }
+    }
+
+    /// The recorded events that pass a filter.
+    pub async fn select(&self, filter: Filter) -> Vec<Record> {
+        let (reply, records) = oneshot::channel();
+        if self.tx.send(RecorderMessage::Select(filter, reply)).is_err() {
+            return Vec::new();
+        }
+        records.await.unwrap_or_default()
+    }
+}
+
+impl RecorderTask {
+    /// Runs until every recorder is gone.
+    pub async fn run(mut self) {
+        while let Some(message) = self.rx.recv().await {
+            match message {
+                RecorderMessage::Record(record) => self.ring.push(record),
+                RecorderMessage::Select(filter, reply) => {
+                    let _ = reply.send(self.ring.select(filter));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/wire.rs
@@ -0,0 +1,15 @@
+//! Messages between nodes and their framing on a QUIC stream.
+
+mod answer_frame;
+mod call_frame;
+mod control;
+mod frame;
+mod header_frame;
+
+pub use answer_frame::{ReplyFrame, ReportFrame, VerdictFrame};
+pub use call_frame::{CallFrame, OnceFrame};
+pub use control::{ControlReply, ControlRequest, EntryFrame, HelloFrame, RefusalFrame, VersionFrame};
+pub use frame::{
+    FrameError, PeerReply, PeerRequest, checksum, read_body, read_head, write_frame,
+};
+pub use header_frame::HeaderFrame;
--- /dev/null
+++ b/crates/node/src/wire/answer_frame.rs
@@ -0,0 +1,139 @@
+//! A host's reply to a call.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfootport_core::error_kind::ErrorKind;
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::{FrameError, HeaderFrame, checksum};
+use crate::data::{Answer, AttemptId, HostReport, Refused, Reply, Verdict};
+
+/// Head of a reply; the body of an answer follows it on the stream.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReplyFrame {
+    /// Hybrid logical clock of the host.
+    pub stamp: u64,
+    /// The attempt that this reply belongs to.
+    pub attempt: u64,
+    /// Retry allowance that the subtree did not use.
+    pub allowance_left: u16,
+    /// What came of the call.
+    pub verdict: VerdictFrame,
+    /// State of the host, for routing and shedding.
+    pub report: ReportFrame,
+    /// Length of the body in bytes.
+    pub body_len: u32,
+    /// CRC-32 of the body.
+    pub body_crc: u32,
+}
+
+/// What came of a call.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum VerdictFrame {
+    /// The target answered.
+    Answered {
+        /// HTTP status.
+        status: u16,
+        /// End-to-end headers.
+        headers: Vec<HeaderFrame>,
+        /// Whether the answer was kept from an earlier try.
+        replayed: bool,
+    },
+    /// The host answers in place of the target.
+    Refused {
+        /// Why.
+        kind: ErrorKind,
+        /// When a new try is welcome, in milliseconds.
+        retry_after_ms: u32,
+    },
+}
+
+/// State of a host as sent with every reply.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReportFrame {
+    /// Name of the node.
+    pub node: SmolStr,
+    /// Its incarnation.
+    pub incarnation: u128,
+    /// Its monotonic tick in milliseconds.
+    pub tick: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Calls at its target.
+    pub in_flight: u32,
+    /// Calls that wait.
+    pub queued: u32,
+    /// Its concurrency limit.
+    pub limit: u32,
+    /// Admission level of the operation's subtree: class.
+    pub level_class: u8,
+    /// Admission level of the operation's subtree: bucket.
+    pub level_bucket: u8,
+    /// Revision of the newest entry that it holds.
+    pub revision: u64,
+}
+
+impl ReplyFrame {
+    /// The frame of a reply.
+    pub fn new(reply: &Reply, stamp: u64) -> Self {
+        let body = reply.body();
+        Self {
+            stamp,
+            attempt: reply.attempt.0,
+            allowance_left: reply.allowance_left,
+            verdict: VerdictFrame::from(&reply.verdict),
+            report: ReportFrame::from(&reply.report),
+            body_len: body.len() as u32,
+            body_crc: checksum(&body),
+        }
+    }
+
+    /// The reply; a body that is cut short or changed on the way is refused.
+    pub fn into_reply(self, body: Bytes) -> Result<Reply, FrameError> {
+        if body.len() != self.body_len as usize || checksum(&body) != self.body_crc {
+            return Err(FrameError::Checksum);
+        }
+        Ok(Reply {
+            attempt: AttemptId(self.attempt),
+            allowance_left: self.allowance_left,
+            verdict: self.verdict.into_verdict(body)?,
+            report: HostReport::from(self.report),
+        })
+    }
+}
+
+impl VerdictFrame {
+    fn into_verdict(self, body: Bytes) -> Result<Verdict, FrameError> {
+        match self {
+            Self::Answered { status, headers, replayed } => Ok(Verdict::Answered(Answer {
+                status: StatusCode::from_u16(status).map_err(|_| FrameError::Malformed)?,
+                headers: HeaderFrame::into_map(headers)?,
+                body,
+                replayed,
+            })),
+            Self::Refused { kind, retry_after_ms } => Ok(Verdict::Refused(Refused {
+                kind,
+                retry_after: Duration::from_millis(retry_after_ms.into()),
+            })),
+        }
+    }
+}
+
+impl From<&Verdict> for VerdictFrame {
+    fn from(verdict: &Verdict) -> Self {
+        match verdict {
+            Verdict::Answered(answer) => Self::Answered {
+                status: answer.status.as_u16(),
+                headers: HeaderFrame::from_map(&answer.headers),
+                replayed: answer.replayed,
+            },
+            Verdict::Refused(refused) => Self::Refused {
+                kind: refused.kind,
+                retry_after_ms: refused.retry_after.as_millis() as u32,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/wire/call_frame.rs
@@ -0,0 +1,134 @@
+//! A call as it travels from its entry to its host.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use coltsfootport_core::class::Class;
+use coltsfootport_core::id::{RequestId, ServiceName};
+use coltsfootport_core::once::{Token, Try};
+use http::Method;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::{FrameError, HeaderFrame, checksum};
+use crate::data::{AttemptId, Call, OnceCall};
+
+/// Head of a call; the body follows it on the stream.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CallFrame {
+    /// Hybrid logical clock of the sender.
+    pub stamp: u64,
+    /// Request on whose behalf the call is made.
+    pub request: u128,
+    /// Attempt, echoed by the answer.
+    pub attempt: u64,
+    /// Service to run it.
+    pub service: SmolStr,
+    /// HTTP method.
+    pub method: SmolStr,
+    /// Path and query for the target.
+    pub path: String,
+    /// End-to-end headers.
+    pub headers: Vec<HeaderFrame>,
+    /// Rank of the class.
+    pub class: u8,
+    /// Name of the class.
+    pub class_name: SmolStr,
+    /// Name of the operation, for levels of its subtree.
+    pub operation: SmolStr,
+    /// Time left in microseconds when the frame was written.
+    pub remaining_us: u64,
+    /// Retry allowance granted to the host's subtree.
+    pub allowance: u16,
+    /// Hops above this one.
+    pub depth: u8,
+    /// Whether the call may run more than once.
+    pub idempotent: bool,
+    /// Revision of the service's document that the sender acted on.
+    pub revision: u64,
+    /// The token that binds the call to one run.
+    pub once: Option<OnceFrame>,
+    /// Length of the body in bytes.
+    pub body_len: u32,
+    /// CRC-32 of the body.
+    pub body_crc: u32,
+}
+
+/// Token and try of a call that runs at most once.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct OnceFrame {
+    /// The token itself; its seal was checked where it entered the fleet.
+    pub token: Token,
+    /// Number of the sending.
+    pub number: u32,
+}
+
+impl CallFrame {
+    /// The frame of a call, with its time left measured at `now`.
+    pub fn new(call: &Call, stamp: u64, now: Instant) -> Self {
+        Self {
+            stamp,
+            request: call.request.0,
+            attempt: call.attempt.0,
+            service: call.service.0.clone(),
+            method: SmolStr::new(call.method.as_str()),
+            path: call.path.to_string(),
+            headers: HeaderFrame::from_map(&call.headers),
+            class: call.class.0,
+            class_name: call.class_name.clone(),
+            operation: call.operation.clone(),
+            remaining_us: micros(call.deadline.saturating_duration_since(now)),
+            allowance: call.allowance,
+            depth: call.depth,
+            idempotent: call.idempotent,
+            revision: call.revision,
+            once: call.once.as_ref().map(OnceFrame::from),
+            body_len: call.body.len() as u32,
+            body_crc: checksum(&call.body),
+        }
+    }
+
+    /// The call, its deadline counted from `arrived`.
+    pub fn into_call(self, body: Bytes, arrived: Instant) -> Result<Call, FrameError> {
+        if usize::from(self.class) >= Class::COUNT {
+            return Err(FrameError::Malformed);
+        }
+        if body.len() != self.body_len as usize || checksum(&body) != self.body_crc {
+            return Err(FrameError::Checksum);
+        }
+        Ok(Call {
+            request: RequestId(self.request),
+            attempt: AttemptId(self.attempt),
+            service: ServiceName(self.service),
+            method: Method::try_from(self.method.as_str()).map_err(|_| FrameError::Malformed)?,
+            path: self.path,
+            headers: HeaderFrame::into_map(self.headers)?,
+            class: Class(self.class),
+            class_name: self.class_name,
+            operation: self.operation,
+            deadline: arrived + Duration::from_micros(self.remaining_us),
+            allowance: self.allowance,
+            depth: self.depth,
+            idempotent: self.idempotent,
+            revision: self.revision,
+            once: self.once.map(OnceCall::from),
+            body,
+        })
+    }
+}
+
+impl From<&OnceCall> for OnceFrame {
+    fn from(once: &OnceCall) -> Self {
+        Self { token: once.token.clone(), number: once.number.0 }
+    }
+}
+
+impl From<OnceFrame> for OnceCall {
+    fn from(frame: OnceFrame) -> Self {
+        Self { token: frame.token, number: Try(frame.number) }
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
