At-most-once: tokens, the table of their home, minting and sealing

Cause: calls which may not be repeated need an identity that one process alone decides on, as nothing may be written to a store. A token names one incarnation of one node; its table keeps what became of the token for longer than it takes the token.

Changed in the error table: bad-token said "not run", yet a node that lacks a rotated key can't know that; it says unknown now. answer-gone (ran, 410) is new for answers too large to keep.

A refusal that finds no room for a record raises a floor by age for a group of tokens in place of being dropped, as a dropped one would let a delayed copy run after "not run".

--- a/crates/core/src/error_kind.rs
+++ b/crates/core/src/error_kind.rs
@@ -13,10 +13,12 @@
     UnknownService,
     /// A body or header is above its limit.
     TooLarge,
-    /// A token is forged, malformed or names another service.
+    /// A token is forged, malformed, sealed by a key that this node lacks, or names another service.
     BadToken,
     /// A token is older than the retention of its home.
     TokenExpired,
+    /// The token's request ran, and its answer was too large to be kept for a repeat.
+    AnswerGone,
     /// A non-idempotent operation came with a plain key; a token is needed.
     TokenRequired,
     /// This try of the token was refused for good by its home.
@@ -55,10 +57,14 @@
     /// The HTTP status of the answer.
     pub status: u16,
     /// What is said about whether the request ran.
+    ///
+    /// [`Outcome::NotRun`] holds for a call without a token, and for a call with one where the token's home says so. An
+    /// entry that answers a call with a token by itself takes [`crate::once::Identity::outcome_unsent`].
     pub outcome: Outcome,
     /// Whether the hop that sees this error may send the call elsewhere, allowance permitting.
     ///
-    /// Where `outcome` is [`Outcome::Unknown`] only idempotent calls are sent again.
+    /// Where `outcome` is [`Outcome::Unknown`] only idempotent calls are sent again. A call with a token is never moved
+    /// to another target, whatever this says: see [`crate::once::Identity`].
     pub hop_may_retry: bool,
     /// Whether the answer tells the caller when to come back.
     pub retry_after: bool,
@@ -66,12 +72,13 @@
 
 impl ErrorKind {
     /// Every kind, for tests and printed tables.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::BadRequest,
         Self::UnknownService,
         Self::TooLarge,
         Self::BadToken,
         Self::TokenExpired,
+        Self::AnswerGone,
         Self::TokenRequired,
         Self::TokenRefused,
         Self::HomeLost,
@@ -91,13 +98,16 @@
 
     /// The row of the answer table for this kind.
     pub const fn rule(self) -> AnswerRule {
-        use Outcome::{NotRun, Unknown};
+        use Outcome::{NotRun, Ran, Unknown};
         match self {
             Self::BadRequest => row(400, NotRun, false, false),
             Self::UnknownService => row(404, NotRun, false, false),
             Self::TooLarge => row(413, NotRun, false, false),
-            Self::BadToken => row(403, NotRun, false, false),
+            // A node that lacks a rotated key can't tell a forged token from one that ran elsewhere,
+            // and a token of another service may have run there: "not run" would be a guess.
+            Self::BadToken => row(403, Unknown, false, false),
             Self::TokenExpired => row(410, Unknown, false, false),
+            Self::AnswerGone => row(410, Ran, false, false),
             Self::TokenRequired => row(428, NotRun, false, false),
             Self::TokenRefused => row(409, NotRun, false, false),
             Self::HomeLost => row(503, Unknown, false, false),
@@ -124,6 +134,7 @@
             Self::TooLarge => "too-large",
             Self::BadToken => "bad-token",
             Self::TokenExpired => "token-expired",
+            Self::AnswerGone => "answer-gone",
             Self::TokenRequired => "token-required",
             Self::TokenRefused => "token-refused",
             Self::HomeLost => "home-lost",
@@ -144,5 +155,10 @@
 }
 
 const fn row(status: u16, outcome: Outcome, hop_may_retry: bool, retry_after: bool) -> AnswerRule {
-    AnswerRule { status, outcome, hop_may_retry, retry_after }
+    AnswerRule {
+        status,
+        outcome,
+        hop_may_retry,
+        retry_after,
+    }
 }
--- /dev/null
+++ b/crates/core/src/once/config.rs
@@ -0,0 +1,37 @@
+//! Settings of the table of a home.
+
+use std::time::Duration;
+
+/// Bounds of a home's table in records, bytes and time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OnceConfig {
+    /// Most tokens whose call waits, runs or ran; at this number new tokens are refused.
+    pub capacity: usize,
+    /// Most tokens kept only because tries of them were refused. Beyond it refused tokens go into the floors, which
+    /// refuse some unused tokens along with them.
+    pub burn_capacity: usize,
+    /// Number of floors; more floors refuse fewer unused tokens. Each takes 8 bytes.
+    pub floors: usize,
+    /// Age from which a token is refused, by the home's clock.
+    pub retention: Duration,
+    /// Time for which a record is kept beyond its token's retention.
+    pub record_margin: Duration,
+    /// Most bytes of all kept answers together.
+    pub answer_bytes: usize,
+    /// Largest answer that is kept, in bytes.
+    pub answer_limit: usize,
+}
+
+impl Default for OnceConfig {
+    fn default() -> Self {
+        Self {
+            capacity: 65_536,
+            burn_capacity: 32_768,
+            floors: 4_096,
+            retention: Duration::from_secs(120),
+            record_margin: Duration::from_secs(10),
+            answer_bytes: 16 * 1024 * 1024,
+            answer_limit: 256 * 1024,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/once/table.rs
@@ -0,0 +1,312 @@
+//! The table of a home: which tokens run, ran or never will.
+
+use std::time::Instant;
+
+use crate::error_kind::ErrorKind;
+use crate::id::Incarnation;
+use crate::invariant::Invariant;
+use crate::once::floors::Floors;
+use crate::once::record::{Record, State};
+use crate::once::records::Records;
+use crate::once::{AnswerSize, Arrival, OnceConfig, RecordKey, Refusal, Tick, Token, Try};
+
+/// Decides at a home which call of a token goes to the target, at most one for each token.
+///
+/// Every call that bears a token goes through [`arrive`](Self::arrive) before any other check of the home may refuse
+/// it, because only what the table has recorded stays refused.
+#[derive(Clone, Debug)]
+pub struct OnceTable<A> {
+    cfg: OnceConfig,
+    incarnation: Incarnation,
+    started: Instant,
+    /// The latest time that the table acted on.
+    latest: Tick,
+    records: Records<A>,
+    floors: Floors,
+    breach: Option<Invariant>,
+}
+
+impl<A> OnceTable<A>
+where
+    A: Clone + AnswerSize,
+{
+    /// The empty table of an incarnation that starts now.
+    pub fn new(cfg: OnceConfig, incarnation: Incarnation, started: Instant) -> Self {
+        let floors = Floors::new(cfg.floors);
+        Self {
+            cfg,
+            incarnation,
+            started,
+            latest: Tick(0),
+            records: Records::new(),
+            floors,
+            breach: None,
+        }
+    }
+
+    /// The incarnation whose tokens run here.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// The home's time at `now`, to be told to other nodes on every message.
+    pub fn tick(&self, now: Instant) -> Tick {
+        Tick::at(self.started, now).max(self.latest)
+    }
+
+    /// Takes in a call that bears `token`.
+    pub fn arrive(&mut self, token: &Token, number: Try, now: Instant) -> Arrival<A> {
+        let tick = self.advance(now);
+        let number = number.max(Try::FIRST);
+        if let Err(kind) = self.check(token, tick) {
+            return Arrival::Refused(kind);
+        }
+        if let Some(key) = self.records.key_of(token.id) {
+            return self.arrive_again(key, number);
+        }
+        if self.floors.refuses(token) {
+            return Arrival::Refused(ErrorKind::TokenRefused);
+        }
+        if !self.has_room() {
+            self.record_burn(token, number);
+            return Arrival::Refused(ErrorKind::TableFull);
+        }
+        Arrival::Run(self.records.insert(Record::waiting(token, number)))
+    }
+
+    /// Allows the call to go to the target, right before its first byte is written.
+    ///
+    /// `deadline` is the latest of all callers that wait for the answer. After an error nothing goes to the target, the
+    /// key is closed, and the error is true for every try that arrived.
+    ///
+    /// The check stands here and not at arrival alone because a process may sleep in between: a call that went out
+    /// after its caller was told "not run" would show as a second bid.
+    pub fn dispatch(
+        &mut self,
+        key: RecordKey,
+        deadline: Instant,
+        now: Instant,
+    ) -> Result<(), ErrorKind> {
+        self.advance(now);
+        let Some(record) = self.records.get_mut(key) else {
+            return Err(ErrorKind::AnswerLost);
+        };
+        match record.state {
+            State::Waiting => {}
+            State::Burned => return Err(ErrorKind::TokenRefused),
+            State::Running | State::Ran(_) | State::AnswerGone | State::Lost => {
+                self.breach = Some(Invariant::DispatchedTwice);
+                return Err(ErrorKind::AnswerLost);
+            }
+        }
+        if record.is_refused() {
+            self.close_as_burned(key);
+            return Err(ErrorKind::TokenRefused);
+        }
+        if now >= deadline {
+            self.close_as_burned(key);
+            return Err(ErrorKind::ExpiredBeforeDispatch);
+        }
+        record.state = State::Running;
+        Ok(())
+    }
+
+    /// Takes in the whole answer of a dispatched call.
+    pub fn answered(&mut self, key: RecordKey, answer: A, now: Instant) {
+        self.advance(now);
+        let Some(record) = self.records.get_mut(key) else {
+            return;
+        };
+        if !matches!(record.state, State::Running | State::Lost) {
+            return;
+        }
+        record.state = State::AnswerGone;
+        if self.can_keep(&answer) {
+            self.records.keep_answer(key, answer);
+        }
+    }
+
+    /// Takes in that the answer of a dispatched call will never be whole.
+    pub fn lost(&mut self, key: RecordKey, now: Instant) {
+        self.advance(now);
+        let Some(record) = self.records.get_mut(key) else {
+            return;
+        };
+        if record.is_live() {
+            record.state = State::Lost;
+        }
+    }
+
+    /// Takes in that the call was shed or cancelled before its dispatch.
+    ///
+    /// Refuses every try that arrived for good, so that all of their callers may be told "not run". A higher try may
+    /// run. Of a call that was dispatched this is the same as [`lost`](Self::lost).
+    pub fn withdrawn(&mut self, key: RecordKey, now: Instant) {
+        self.advance(now);
+        let Some(record) = self.records.get_mut(key) else {
+            return;
+        };
+        match record.state {
+            State::Waiting => self.close_as_burned(key),
+            State::Running => record.state = State::Lost,
+            State::Ran(_) | State::AnswerGone | State::Lost | State::Burned => {}
+        }
+    }
+
+    /// Refuses all tries up to `up_to` for good, for an entry that lost contact, unless the call has run.
+    pub fn refuse(&mut self, token: &Token, up_to: Try, now: Instant) -> Refusal<A> {
+        let tick = self.advance(now);
+        let up_to = up_to.max(Try::FIRST);
+        if token.incarnation != self.incarnation {
+            return Refusal::Unknown;
+        }
+        if let Some(key) = self.records.key_of(token.id) {
+            return self.refuse_recorded(key, up_to);
+        }
+        if self.check(token, tick).is_err() {
+            return Refusal::Unknown;
+        }
+        if !self.floors.refuses(token) {
+            self.record_burn(token, up_to);
+        }
+        Refusal::RefusedForGood
+    }
+
+    /// Drops the records whose tokens have expired, except those whose call waits or runs.
+    pub fn expire(&mut self, now: Instant) {
+        self.advance(now);
+        self.drop_due();
+    }
+
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there is no record.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Size of all kept answers in bytes.
+    pub fn answer_bytes(&self) -> usize {
+        self.records.answer_bytes()
+    }
+
+    /// The invariant that was broken since this was last asked.
+    pub fn take_breach(&mut self) -> Option<Invariant> {
+        self.breach.take()
+    }
+
+    /// Moves the table's time on; it never goes back.
+    ///
+    /// A task may take the time, sleep, and hand it in after another task has expired records by a later time. By its
+    /// old time a token whose record is gone would look young, and its call would run a second time.
+    fn advance(&mut self, now: Instant) -> Tick {
+        self.latest = self.tick(now);
+        self.latest
+    }
+
+    fn check(&self, token: &Token, tick: Tick) -> Result<(), ErrorKind> {
+        if token.incarnation != self.incarnation {
+            return Err(ErrorKind::HomeLost);
+        }
+        if token.tick > tick {
+            return Err(ErrorKind::BadToken);
+        }
+        if tick.since(token.tick) > self.cfg.retention {
+            return Err(ErrorKind::TokenExpired);
+        }
+        Ok(())
+    }
+
+    fn arrive_again(&mut self, key: RecordKey, number: Try) -> Arrival<A> {
+        let Some(record) = self.records.get_mut(key) else {
+            return Arrival::Refused(ErrorKind::AnswerLost);
+        };
+        match &record.state {
+            State::Running => Arrival::Join(key),
+            State::Ran(answer) => Arrival::Replay(answer.clone()),
+            State::AnswerGone => Arrival::Refused(ErrorKind::AnswerGone),
+            State::Lost => Arrival::Refused(ErrorKind::AnswerLost),
+            State::Waiting => {
+                record.seen = record.seen.max(number);
+                if record.is_refused() {
+                    return Arrival::Refused(ErrorKind::TokenRefused);
+                }
+                Arrival::Join(key)
+            }
+            State::Burned if number <= record.burned => Arrival::Refused(ErrorKind::TokenRefused),
+            State::Burned => self.run_higher(key, number),
+        }
+    }
+
+    /// Runs a try above the refused ones.
+    fn run_higher(&mut self, key: RecordKey, number: Try) -> Arrival<A> {
+        if self.has_room()
+            && let Some(key) = self.records.revive(key, number)
+        {
+            return Arrival::Run(key);
+        }
+        if let Some(record) = self.records.get_mut(key) {
+            record.burn(number);
+        }
+        Arrival::Refused(ErrorKind::TableFull)
+    }
+
+    fn refuse_recorded(&mut self, key: RecordKey, up_to: Try) -> Refusal<A> {
+        let Some(record) = self.records.get_mut(key) else {
+            return Refusal::Unknown;
+        };
+        match &record.state {
+            State::Running => Refusal::Running,
+            State::Ran(answer) => Refusal::Ran(answer.clone()),
+            State::AnswerGone => Refusal::AnswerGone,
+            State::Lost => Refusal::Unknown,
+            State::Waiting | State::Burned => {
+                record.burn(up_to);
+                Refusal::RefusedForGood
+            }
+        }
+    }
+
+    /// Refuses tries of a token without a record.
+    fn record_burn(&mut self, token: &Token, up_to: Try) {
+        if self.records.burned() < self.cfg.burn_capacity {
+            self.records.insert(Record::burned(token, up_to));
+            return;
+        }
+        self.floors.raise(token.id, token.tick);
+    }
+
+    /// Closes a call that waits; its token goes into the floors if there is no room for one more burned record.
+    fn close_as_burned(&mut self, key: RecordKey) {
+        if self.records.burned() < self.cfg.burn_capacity {
+            self.records.close_as_burned(key);
+            return;
+        }
+        if let Some(record) = self.records.remove(key) {
+            self.floors.raise(record.id, record.tick);
+        }
+    }
+
+    fn has_room(&mut self) -> bool {
+        if self.records.used() < self.cfg.capacity {
+            return true;
+        }
+        self.drop_due();
+        self.records.used() < self.cfg.capacity
+    }
+
+    fn drop_due(&mut self) {
+        let keep = self.cfg.retention.saturating_add(self.cfg.record_margin);
+        let tick = self.latest;
+        self.records.remove_due(|minted| tick.since(minted) > keep);
+    }
+
+    fn can_keep(&self, answer: &A) -> bool {
+        let size = answer.answer_size();
+        size <= self.cfg.answer_limit
+            && self.records.answer_bytes().saturating_add(size) <= self.cfg.answer_bytes
+    }
+}
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -7,9 +7,9 @@
 /// Whether the target ran a request, as told to its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Outcome {
-    /// The target ran the request and the answer is the target's own.
+    /// The target ran the request; the answer is the target's own, unless the error kind says that it was not kept.
     Ran,
-    /// The request did not run and never will under this token and try.
+    /// The request did not run and never will under this token and any try up to this one.
     NotRun,
     /// The request may or may not have run.
     Unknown,
