--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -1,1 +1,14 @@
-//! Stub.
+//! Choice of the peer that a call is sent to.
+
+mod config;
+mod ejection;
+mod load;
+mod peer;
+mod router;
+mod service;
+mod subset;
+
+pub use config::RoutingConfig;
+pub use load::LoadReport;
+pub use peer::{PeerKey, PeerView, RouteResult};
+pub use router::Router;
