Add lifecycle, membership and dissemination decisions

Cause: the node needs the decisions about its own life, the fleet it sees and the entries it holds. Ruled out: a clock or sockets in these modules; time and random numbers are passed in.

--- a/crates/core/src/dissemination.rs
+++ b/crates/core/src/dissemination.rs
@@ -1,1 +1,22 @@
-//! Stub.
+//! How published entries reach every node: copies, digests, readers of the platform and gossip between nodes.
+
+mod digest;
+mod entry;
+mod gossip;
+mod in_force;
+mod pulls;
+mod reader;
+mod rendezvous;
+mod replica;
+mod start_up;
+mod traffic;
+
+pub use digest::{Comparison, Digest};
+pub use entry::{Entry, Key, KeyVersion, Revision};
+pub use gossip::{GossipConfig, GossipPlan, PushForm};
+pub use in_force::{InForce, Offer, Rejected, Version};
+pub use pulls::{PullConfig, Pulls, Retry};
+pub use reader::{NextRead, ReaderConfig, ReaderPolicy};
+pub use replica::{Applied, Replica, Verdict};
+pub use start_up::{StartUp, StartUpConfig};
+pub use traffic::{Traffic, TrafficModel};
--- /dev/null
+++ b/crates/core/src/dissemination/entry.rs
@@ -0,0 +1,88 @@
+//! Published entries and their revisions.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Name of a published entry, such as `documents/bidding`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Key(pub SmolStr);
+
+impl From<&str> for Key {
+    fn from(text: &str) -> Self {
+        Self(SmolStr::new(text))
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Position of a write in the platform's store; grows by one with each accepted write, 0 is before the first.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+impl Revision {
+    /// The revision of the write after this one.
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// One published entry, as answered by `GET /config`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Name of the entry.
+    pub key: Key,
+    /// Revision of the write that made it.
+    pub revision: Revision,
+    /// Text of the entry.
+    #[serde(with = "shared_text")]
+    pub value: Arc<str>,
+}
+
+/// Which versions of an entry a node holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyVersion {
+    /// Name of the entry.
+    pub key: Key,
+    /// Revision of the newest version held.
+    pub revision: Revision,
+    /// Revision of the version in force, where the newest one was found invalid and an earlier one is known.
+    pub fallback: Option<Revision>,
+}
+
+/// Text behind an `Arc`, without the `rc` feature of serde.
+mod shared_text {
+    use std::sync::Arc;
+
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub(super) fn serialize<S>(text: &Arc<str>, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serializer.serialize_str(text)
+    }
+
+    pub(super) fn deserialize<'de, D>(deserializer: D) -> Result<Arc<str>, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        String::deserialize(deserializer).map(Arc::from)
+    }
+}
--- /dev/null
+++ b/crates/core/src/dissemination/traffic.rs
@@ -0,0 +1,88 @@
+//! Estimate of what dissemination costs a node, in bytes a second.
+
+use super::{GossipConfig, PushForm};
+
+/// Bytes around one message: IP, UDP and QUIC headers, the frame and a share of the acknowledgements.
+const MESSAGE_OVERHEAD: f64 = 100.0;
+
+/// A digest with the sender's name, incarnation, state, tick and age of the last read.
+const DIGEST: f64 = 80.0;
+
+/// Key and revision of one entry.
+const NOTICE: f64 = 40.0;
+
+/// One entry of the list of instances.
+const LIST_ENTRY: f64 = 70.0;
+
+/// A handshake with certificates of both sides.
+const HANDSHAKE: f64 = 5_000.0;
+
+const SECONDS_A_DAY: f64 = 86_400.0;
+
+/// Load of which the cost is estimated.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TrafficModel {
+    /// Accepted changes of entries a day.
+    pub changes_per_day: f64,
+    /// Mean size of a value in bytes.
+    pub value_bytes: usize,
+    /// Changes of the list of instances a day.
+    pub list_changes_per_day: f64,
+}
+
+impl Default for TrafficModel {
+    /// 6,000 changes a day; 150 nodes replaced and 2 lost, each seen as leaving, gone, new.
+    fn default() -> Self {
+        Self {
+            changes_per_day: 6_000.0,
+            value_bytes: 2_048,
+            list_changes_per_day: 456.0,
+        }
+    }
+}
+
+/// Bytes a second that one node sends for control, on average over the fleet; it receives as many.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Traffic {
+    /// Digests and their answers, with the handshakes of digests to distant nodes.
+    pub digests: f64,
+    /// News of entries, and their pulls.
+    pub entries: f64,
+    /// News of the list of instances.
+    pub list: f64,
+}
+
+impl Traffic {
+    /// All of it.
+    pub fn total(&self) -> f64 {
+        self.digests + self.entries + self.list
+    }
+}
+
+impl TrafficModel {
+    /// What a node sends under this load.
+    pub fn estimate(&self, cfg: &GossipConfig) -> Traffic {
+        let peers = (1 + cfg.own_domain + cfg.other_domains) as f64;
+        let digest_rate = 1.0 / cfg.digest_interval.as_secs_f64();
+        let handshake_rate = digest_rate / f64::from(cfg.wander_every.max(1));
+        let value = self.value_bytes as f64;
+        let form = if self.value_bytes <= cfg.whole_up_to {
+            PushForm::Whole
+        } else {
+            PushForm::Notice
+        };
+        let per_change = match form {
+            PushForm::Whole => peers * (MESSAGE_OVERHEAD + NOTICE + value),
+            PushForm::Notice => {
+                let pull = 2.0 * (MESSAGE_OVERHEAD + NOTICE) + value;
+                peers * (MESSAGE_OVERHEAD + NOTICE) + pull
+            }
+        };
+        let per_list_change = peers * (MESSAGE_OVERHEAD + NOTICE + LIST_ENTRY);
+        Traffic {
+            digests: 2.0 * digest_rate * (MESSAGE_OVERHEAD + DIGEST) + handshake_rate * HANDSHAKE,
+            entries: per_change * self.changes_per_day / SECONDS_A_DAY,
+            list: per_list_change * self.list_changes_per_day / SECONDS_A_DAY,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/entry.rs
@@ -0,0 +1,36 @@
+//! One instance as the platform lists it.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{DomainName, NodeName, RegionName, ServiceName};
+
+/// State of an instance in the platform's list, which lags.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ListedState {
+    /// The instance is to receive work.
+    Live,
+    /// The instance is about to be taken away.
+    Leaving,
+}
+
+/// One instance with the addresses of its node, as answered by `GET /instances`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceEntry {
+    /// Name of the node beside the instance.
+    pub node: NodeName,
+    /// Service of the instance.
+    pub service: ServiceName,
+    /// Failure domain of the instance.
+    pub domain: DomainName,
+    /// Region that holds the failure domain.
+    pub region: RegionName,
+    /// Address of the node's listener for peers.
+    pub peer: SocketAddr,
+    /// Address of the node's listener for operators.
+    pub operators: SocketAddr,
+    /// State as the platform lists it.
+    pub state: ListedState,
+}
