Team documents, node settings and the checker of both

Cause: other parts need the Document and Settings types. Ruled out: serde derive for reading, because it stops at the first fault and loses positions of semantic faults.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod error_kind;
 pub mod id;
 pub mod invariant;
+pub mod jsonc;
 pub mod lifecycle;
 pub mod membership;
 pub mod once;
--- /dev/null
+++ b/crates/node/src/commands.rs
@@ -0,0 +1,3 @@
+//! The commands of the program, one module each.
+
+pub mod check;
--- /dev/null
+++ b/crates/node/src/commands/check.rs
@@ -0,0 +1,59 @@
+//! `check`: finds every fault in a document or in settings, before anybody publishes it.
+
+use std::io::{self, Write};
+use std::path::Path;
+
+use coltsfootport_core::document::Document;
+use coltsfootport_core::jsonc::Fault;
+
+use crate::config::Settings;
+
+/// Exit code of a text without faults.
+pub const EXIT_OK: i32 = 0;
+
+/// Exit code of a text with faults.
+pub const EXIT_FAULTS: i32 = 1;
+
+/// What a text is checked as.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CheckKind {
+    /// The document of a service.
+    Document,
+    /// The settings of a node.
+    Settings,
+}
+
+/// Checks `text`, prints each fault to standard error as `file:line:column: key: message` and answers the exit code.
+///
+/// A fault of settings for which a default would serve counts as well: it is better mended than warned of at each start.
+pub fn run(kind: CheckKind, path: &Path, text: &str) -> i32 {
+    let faults = find_faults(kind, text);
+    // Standard error may be closed; the exit code still tells the result.
+    let _ = print(path, &faults, &mut io::stderr().lock());
+    match faults.is_empty() {
+        true => EXIT_OK,
+        false => EXIT_FAULTS,
+    }
+}
+
+/// Every fault of `text`, in its order.
+pub fn find_faults(kind: CheckKind, text: &str) -> Vec<Fault> {
+    match kind {
+        CheckKind::Document => Document::parse(text).err().unwrap_or_default(),
+        CheckKind::Settings => match Settings::parse(text) {
+            Ok(loaded) => loaded.warnings,
+            Err(faults) => faults,
+        },
+    }
+}
+
+/// Writes one line for each fault.
+pub fn print<W>(path: &Path, faults: &[Fault], out: &mut W) -> io::Result<()>
+where
+    W: Write,
+{
+    for fault in faults {
+        writeln!(out, "{}:{fault}", path.display())?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/config.rs
@@ -0,0 +1,43 @@
+//! The settings of a node: JSON with comments, one module for each section.
+
+mod admission;
+mod advertise;
+mod fleet_key;
+mod limits;
+mod listen;
+mod loaded;
+mod log;
+mod node;
+mod once;
+mod platform;
+mod retries;
+mod routing;
+mod runtime;
+mod secret;
+mod settings;
+mod shutdown;
+mod spread;
+mod target;
+mod timeline;
+mod tls;
+
+pub use admission::{AdmissionMode, AdmissionSettings};
+pub use advertise::AdvertiseSettings;
+pub use fleet_key::FleetKey;
+pub use limits::LimitsSettings;
+pub use listen::ListenSettings;
+pub use loaded::Loaded;
+pub use log::{LogFormat, LogLevel, LogSettings};
+pub use node::NodeSettings;
+pub use once::OnceSettings;
+pub use platform::PlatformSettings;
+pub use retries::RetriesSettings;
+pub use routing::RoutingSettings;
+pub use runtime::RuntimeSettings;
+pub use secret::Secret;
+pub use settings::Settings;
+pub use shutdown::ShutdownSettings;
+pub use spread::SpreadSettings;
+pub use target::TargetSettings;
+pub use timeline::TimelineSettings;
+pub use tls::TlsSettings;
--- /dev/null
+++ b/crates/node/src/config/admission.rs
@@ -0,0 +1,106 @@
+//! Section `admission`: which calls the node lets through to its target.
+
+use std::time::Duration;
+
+use coltsfootport_core::jsonc::{FaultKind, Need, Section};
+
+/// How the limit of concurrent calls is found.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AdmissionMode {
+    /// No limit: every call goes to the target. For comparison only.
+    Off,
+    /// The initial limit, never changed.
+    Static,
+    /// A limit learnt from delays and completions.
+    #[default]
+    Adaptive,
+}
+
+/// Admission of calls to the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionSettings {
+    /// How the limit is found.
+    pub mode: AdmissionMode,
+    /// Concurrent calls at the start.
+    pub initial_limit: u32,
+    /// Lowest limit that is ever learnt.
+    pub min_limit: u32,
+    /// Highest limit that is ever learnt.
+    pub max_limit: u32,
+    /// Most calls that wait for their turn.
+    pub queue_length: u32,
+    /// Whether calls are shed by class and request before the limit is reached.
+    pub level_shedding: bool,
+    /// Whether a call is refused that can't finish in its remaining time.
+    pub deadline_check: bool,
+    /// Time over which the limit of a target that has just started rises to its full value.
+    pub cold_start: Duration,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self {
+            mode: AdmissionMode::Adaptive,
+            initial_limit: 32,
+            min_limit: 2,
+            max_limit: 2048,
+            queue_length: 64,
+            level_shedding: true,
+            deadline_check: true,
+            cold_start: Duration::from_secs(2),
+        }
+    }
+}
+
+impl AdmissionSettings {
+    const MODES: [(&str, AdmissionMode); 3] = [
+        ("off", AdmissionMode::Off),
+        ("static", AdmissionMode::Static),
+        ("adaptive", AdmissionMode::Adaptive),
+    ];
+
+    pub(super) fn read(mut section: Section<'_, '_>, default: Self) -> Self {
+        let settings = Self {
+            mode: section.choice("mode", &Self::MODES, default.mode),
+            initial_limit: section.integer("initial_limit", 1..=65_535, default.initial_limit),
+            min_limit: section.integer("min_limit", 1..=65_535, default.min_limit),
+            max_limit: section.integer("max_limit", 1..=65_535, default.max_limit),
+            queue_length: section.integer("queue_length", 0..=65_535, default.queue_length),
+            level_shedding: section.boolean("level_shedding", default.level_shedding),
+            deadline_check: section.boolean("deadline_check", default.deadline_check),
+            cold_start: section.millis("cold_start_ms", 0..=600_000, default.cold_start),
+        };
+        let settings = settings.with_ordered_limits(&mut section);
+        section.finish();
+        settings
+    }
+
+    /// Puts the default limits in place of limits that contradict each other.
+    fn with_ordered_limits(self, section: &mut Section<'_, '_>) -> Self {
+        if self.min_limit <= self.initial_limit && self.initial_limit <= self.max_limit {
+            return self;
+        }
+        let message = format!(
+            "min_limit {} <= initial_limit {} <= max_limit {} doesn't hold; the defaults serve",
+            self.min_limit, self.initial_limit, self.max_limit
+        );
+        section.fault(
+            "initial_limit",
+            Need::Optional,
+            FaultKind::OutOfRange,
+            message,
+        );
+        let Self {
+            initial_limit,
+            min_limit,
+            max_limit,
+            ..
+        } = Self::default();
+        Self {
+            initial_limit,
+            min_limit,
+            max_limit,
+            ..self
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/config/fleet_key.rs
@@ -0,0 +1,58 @@
+//! One entry of `fleet_keys`: a key that authenticates tokens and contexts.
+
+use coltsfootport_core::jsonc::{Item, Section};
+
+use super::Secret;
+
+/// A key shared by all nodes of the fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FleetKey {
+    /// Number that names the key within the fleet.
+    pub id: u8,
+    /// The key, 16 to 64 bytes.
+    pub secret: Secret<Vec<u8>>,
+}
+
+impl FleetKey {
+    /// Shortest key, in bytes: one that can't be found by trying.
+    const MIN_BYTES: usize = 16;
+
+    /// Longest key, in bytes: the block of SHA-256, above which a key is hashed first.
+    const MAX_BYTES: usize = 64;
+
+    pub(super) fn read(mut section: Section<'_, '_>) -> Option<Self> {
+        let id = section
+            .required("id")
+            .and_then(|item| item.integer(1..=255));
+        let secret = section.required("secret_hex").and_then(read_secret);
+        section.finish();
+        Some(Self {
+            id: id?,
+            secret: secret?,
+        })
+    }
+}
+
+fn read_secret(item: Item<'_, '_>) -> Option<Secret<Vec<u8>>> {
+    item.parsed(|text| {
+        let lengths = FleetKey::MIN_BYTES..=FleetKey::MAX_BYTES;
+        match decode_hex(text).filter(|bytes| lengths.contains(&bytes.len())) {
+            Some(bytes) => Ok(Secret::new(bytes)),
+            None => Err(format!(
+                "a secret has {} to {} bytes, each as two hexadecimal digits",
+                FleetKey::MIN_BYTES,
+                FleetKey::MAX_BYTES
+            )),
+        }
+    })
+}
+
+fn decode_hex(text: &str) -> Option<Vec<u8>> {
+    if !text.len().is_multiple_of(2) || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return None;
+    }
+    (0..text.len())
+        .step_by(2)
+        .map(|start| u8::from_str_radix(&text[start..start + 2], 16).ok())
+        .collect()
+}
--- /dev/null
+++ b/crates/node/src/config/log.rs
@@ -0,0 +1,58 @@
+//! Section `log`: the log on standard error.
+
+use coltsfootport_core::jsonc::Section;
+
+/// How a log record is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One JSON object a line, for collectors.
+    #[default]
+    Json,
+    /// Coloured text, for people.
+    Terminal,
+}
+
+/// The least important record that is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LogLevel {
+    /// What keeps the node from working.
+    Error,
+    /// What an operator should look at.
+    Warning,
+    /// Changes of state, such as documents and membership.
+    #[default]
+    Info,
+    /// Decisions on single calls.
+    Debug,
+}
+
+/// The log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LogSettings {
+    /// How a record is written.
+    pub format: LogFormat,
+    /// The least important record that is written.
+    pub level: LogLevel,
+}
+
+impl LogSettings {
+    const FORMATS: [(&str, LogFormat); 2] =
+        [("json", LogFormat::Json), ("terminal", LogFormat::Terminal)];
+
+    const LEVELS: [(&str, LogLevel); 4] = [
+        ("error", LogLevel::Error),
+        ("warning", LogLevel::Warning),
+        ("info", LogLevel::Info),
+        ("debug", LogLevel::Debug),
+    ];
+
+    pub(super) fn read(mut section: Section<'_, '_>) -> Self {
+        let default = Self::default();
+        let settings = Self {
+            format: section.choice("format", &Self::FORMATS, default.format),
+            level: section.choice("level", &Self::LEVELS, default.level),
+        };
+        section.finish();
+        settings
+    }
+}
--- /dev/null
+++ b/crates/node/src/config/runtime.rs
@@ -0,0 +1,21 @@
+//! Section `runtime`: threads of the process.
+
+use coltsfootport_core::jsonc::Section;
+
+/// Threads of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RuntimeSettings {
+    /// Worker threads; 0 runs everything on the main thread.
+    pub worker_threads: u32,
+}
+
+impl RuntimeSettings {
+    pub(super) fn read(mut section: Section<'_, '_>) -> Self {
+        let default = Self::default();
+        let settings = Self {
+            worker_threads: section.integer("worker_threads", 0..=64, default.worker_threads),
+        };
+        section.finish();
+        settings
+    }
+}
--- /dev/null
+++ b/crates/node/src/config/target.rs
@@ -0,0 +1,67 @@
+//! Section `target`: the target beside the node.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use coltsfootport_core::jsonc::{Item, Section};
+use smol_str::SmolStr;
+
+/// The target beside the node and what is known of it; the sizes are hints for the start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetSettings {
+    /// Address of the target's HTTP listener.
+    pub address: SocketAddr,
+    /// Calls that the target works on at a time.
+    pub slots: u32,
+    /// Most connections that the node holds open to the target.
+    pub connections: u32,
+    /// Longest time to open a connection.
+    pub connect_timeout: Duration,
+    /// Path of the target's health endpoint; absent where it has none.
+    pub health_path: Option<SmolStr>,
+    /// Time that the target takes from its start to full speed.
+    pub cold_start: Duration,
+}
+
+impl Default for TargetSettings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0),
+            slots: 64,
+            connections: 256,
+            connect_timeout: Duration::from_millis(250),
+            health_path: None,
+            cold_start: Duration::from_secs(2),
+        }
+    }
+}
+
+impl TargetSettings {
+    pub(super) fn read(mut section: Section<'_, '_>) -> Option<Self> {
+        let default = Self::default();
+        let address = section.required("address").and_then(Item::peer_address);
+        let slots = section.integer("slots", 1..=10_000, default.slots);
+        let connections = section.integer("connections", 1..=65_535, default.connections);
+        let timeout = default.connect_timeout;
+        let connect_timeout = section.millis("connect_timeout_ms", 1..=10_000, timeout);
+        let health_path = section.optional("health_path").and_then(read_path);
+        let cold_start = section.millis("cold_start_ms", 0..=600_000, default.cold_start);
+        section.finish();
+        let address = address?;
+        Some(Self {
+            address,
+            slots,
+            connections,
+            connect_timeout,
+            health_path,
+            cold_start,
+        })
+    }
+}
+
+fn read_path(item: Item<'_, '_>) -> Option<SmolStr> {
+    item.parsed(|text| match text.starts_with('/') {
+        true => Ok(SmolStr::new(text)),
+        false => Err("a path starts with \"/\"".to_owned()),
+    })
+}
--- /dev/null
+++ b/crates/node/src/config/timeline.rs
@@ -0,0 +1,27 @@
+//! Section `timeline`: the ring of events.
+
+use coltsfootport_core::jsonc::Section;
+
+/// The bounded ring of events that `timeline` merges over all nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimelineSettings {
+    /// Events that are kept; the oldest ones go first.
+    pub capacity: u32,
+}
+
+impl Default for TimelineSettings {
+    fn default() -> Self {
+        Self { capacity: 4096 }
+    }
+}
+
+impl TimelineSettings {
+    pub(super) fn read(mut section: Section<'_, '_>) -> Self {
+        let default = Self::default();
+        let settings = Self {
+            capacity: section.integer("capacity", 16..=1_000_000, default.capacity),
+        };
+        section.finish();
+        settings
+    }
+}
