Command line, logs, metrics and the operators listener

Cause: the data path needs names to count, log and answer by. Ruled out: salvo's JSON and query extraction, which would hide the faults of parameters.

--- /dev/null
+++ b/crates/node/src/cli/help.rs
@@ -0,0 +1,15 @@
+//! Text at the end of `--help`.
+
+use std::fmt::Write;
+
+use crate::exit::Exit;
+
+/// The table of exit codes.
+pub(super) fn exit_codes() -> String {
+    let mut text = String::from("Exit codes:");
+    for exit in Exit::ALL {
+        // Writing to a string can't fail.
+        let _ = write!(text, "\n    {:>2}  {}", exit.code(), exit.meaning());
+    }
+    text
+}
--- /dev/null
+++ b/crates/node/src/commands.rs
@@ -0,0 +1,3 @@
+//! The commands, each with a function `run` that the binary calls.
+
+pub mod check;
--- /dev/null
+++ b/crates/node/src/exit.rs
@@ -0,0 +1,72 @@
+//! The exit codes of every command.
+
+use std::process::ExitCode;
+
+/// How a command ended, as told to the shell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// All went well; for `call`: the request ran and its status is below 400.
+    Ok,
+    /// The command failed for another reason than those below.
+    Failed,
+    /// The command line is wrong.
+    Usage,
+    /// The checked document or settings are invalid.
+    Invalid,
+    /// At least one operators address gave no usable answer; what the others said is printed.
+    Unreachable,
+    /// `call`: the request ran and its status is 400 or above.
+    RanWithError,
+    /// `call`: the request did not run and never will.
+    NotRun,
+    /// `call`: the request may or may not have run.
+    Unknown,
+}
+
+impl Exit {
+    /// Every code.
+    pub const ALL: [Self; 8] = [
+        Self::Ok,
+        Self::Failed,
+        Self::Usage,
+        Self::Invalid,
+        Self::Unreachable,
+        Self::RanWithError,
+        Self::NotRun,
+        Self::Unknown,
+    ];
+
+    /// The process's exit code.
+    pub const fn code(self) -> u8 {
+        match self {
+            Self::Ok => 0,
+            Self::Failed => 1,
+            Self::Usage => 2,
+            Self::Invalid => 3,
+            Self::Unreachable => 4,
+            Self::RanWithError => 10,
+            Self::NotRun => 11,
+            Self::Unknown => 12,
+        }
+    }
+
+    /// The meaning, for `--help` and the operators' page.
+    pub const fn meaning(self) -> &'static str {
+        match self {
+            Self::Ok => "all went well; call: the request ran, status below 400",
+            Self::Failed => "the command failed for another reason",
+            Self::Usage => "the command line is wrong",
+            Self::Invalid => "check: the document or the settings are invalid",
+            Self::Unreachable => "status, timeline: an operators address gave no usable answer",
+            Self::RanWithError => "call: the request ran, status 400 or above",
+            Self::NotRun => "call: the request did not run and never will",
+            Self::Unknown => "call: the request may or may not have run",
+        }
+    }
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit.code())
+    }
+}
--- /dev/null
+++ b/crates/node/src/metrics/calls.rs
@@ -0,0 +1,168 @@
+//! Metrics of calls.
+
+use std::time::Duration;
+
+use coltsfootport_core::class::Class;
+use coltsfootport_core::error_kind::ErrorKind;
+use coltsfootport_core::outcome::Outcome;
+use prometheus::{Error, Histogram, IntCounter, IntCounterVec, IntGaugeVec, Registry};
+
+use super::build;
+
+/// Upper bounds in seconds; 0.61 ms is what the fleet may add to 99 of 100 calls.
+const ADDED_BUCKETS: [f64; 12] = [
+    0.000_05, 0.000_1, 0.000_2, 0.000_3, 0.000_4, 0.000_61, 0.001, 0.002, 0.005, 0.02, 0.1, 1.0,
+];
+
+/// Label of answers that the target made.
+const NO_ERROR: &str = "none";
+
+/// Where a call arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Listener {
+    /// From a caller outside the graph.
+    Callers,
+    /// From the own target.
+    Egress,
+    /// From a peer.
+    Peers,
+}
+
+/// Where a call in flight is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Stage {
+    /// Sent to a peer and not yet answered.
+    AtPeers,
+    /// Dispatched to the own target and not yet answered.
+    AtTarget,
+}
+
+/// Calls, retries and the time added to them.
+#[derive(Clone, Debug)]
+pub struct CallMetrics {
+    answered: IntCounterVec,
+    retries: IntCounterVec,
+    allowance_spent: IntCounter,
+    in_flight: IntGaugeVec,
+    added: Histogram,
+    without_context: IntCounter,
+    late_answers: IntCounter,
+}
+
+impl CallMetrics {
+    pub(super) fn new(reg: &Registry) -> Result<Self, Error> {
+        let metrics = Self {
+            answered: build::counters(
+                reg,
+                "calls_total",
+                "Calls answered, by listener, rank of class, outcome and error kind.",
+                &["listener", "class", "outcome", "error"],
+            )?,
+            retries: build::counters(
+                reg,
+                "retries_total",
+                "Attempts that this node sent again, by the error before.",
+                &["error"],
+            )?,
+            allowance_spent: build::counter(
+                reg,
+                "allowance_spent_total",
+                "Retry allowance that was used up or did not come back.",
+            )?,
+            in_flight: build::gauges(reg, "in_flight", "Calls in flight, by stage.", &["stage"])?,
+            added: build::histogram(
+                reg,
+                "added_seconds",
+                "Time that this node added to a call, without the target's and the peer's.",
+                &ADDED_BUCKETS,
+            )?,
+            without_context: build::counter(
+                reg,
+                "egress_without_context_total",
+                "Calls of the own target that carried no context and began new requests.",
+            )?,
+            late_answers: build::counter(
+                reg,
+                "late_answers_total",
+                "Answers to attempts that this node had given up, dropped.",
+            )?,
+        };
+        for stage in [Stage::AtPeers, Stage::AtTarget] {
+            metrics.set_in_flight(stage, 0);
+        }
+        Ok(metrics)
+    }
+
+    /// Counts an answer; `error` is absent where the target made it.
+    pub fn answered(
+        &self,
+        listener: Listener,
+        class: Class,
+        outcome: Outcome,
+        error: Option<ErrorKind>,
+    ) {
+        const RANKS: [&str; Class::COUNT] = ["0", "1", "2", "3", "4", "5", "6", "7"];
+        let rank = RANKS[usize::from(class.0).min(Class::COUNT - 1)];
+        let error = error.map_or(NO_ERROR, ErrorKind::as_str);
+        let labels = [listener.as_str(), rank, outcome.as_str(), error];
+        self.answered.with_label_values(&labels).inc();
+    }
+
+    /// Counts an attempt that is sent again after `error`.
+    pub fn retried(&self, error: ErrorKind) {
+        self.retries.with_label_values(&[error.as_str()]).inc();
+    }
+
+    /// Counts retry allowance that was used up or did not come back.
+    pub fn allowance_spent(&self, retries: u64) {
+        self.allowance_spent.inc_by(retries);
+    }
+
+    /// Sets the number of calls at a stage.
+    pub fn set_in_flight(&self, stage: Stage, calls: usize) {
+        self.in_flight
+            .with_label_values(&[stage.as_str()])
+            .set(gauge_value(calls));
+    }
+
+    /// Notes the time that this node added to one call.
+    pub fn added(&self, time: Duration) {
+        self.added.observe(time.as_secs_f64());
+    }
+
+    /// Counts a call of the own target that carried no context.
+    pub fn without_context(&self) {
+        self.without_context.inc();
+    }
+
+    /// Counts an answer to an attempt that was given up.
+    pub fn late_answer(&self) {
+        self.late_answers.inc();
+    }
+}
+
+impl Listener {
+    /// The label in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Egress => "egress",
+            Self::Peers => "peers",
+        }
+    }
+}
+
+impl Stage {
+    /// The label in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::AtPeers => "at-peers",
+            Self::AtTarget => "at-target",
+        }
+    }
+}
+
+/// A count as the value of a gauge.
+pub(super) fn gauge_value(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/metrics/control.rs
@@ -0,0 +1,91 @@
+//! Metrics of the traffic between nodes other than calls.
+
+use prometheus::{Error, IntCounterVec, Registry};
+
+use super::build;
+
+/// Kind of a control message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ControlKind {
+    /// First message of a connection.
+    Hello,
+    /// Load, level and lifecycle of a node.
+    Report,
+    /// What revisions a node holds.
+    Digest,
+    /// Documents and instance lists.
+    Documents,
+    /// Refusal of a token by its home.
+    Burn,
+    /// Cancellation of a call.
+    Cancel,
+}
+
+/// Traffic between nodes other than calls.
+#[derive(Clone, Debug)]
+pub struct ControlMetrics {
+    sent: IntCounterVec,
+    received: IntCounterVec,
+}
+
+impl ControlMetrics {
+    pub(super) fn new(reg: &Registry) -> Result<Self, Error> {
+        let metrics = Self {
+            sent: build::counters(
+                reg,
+                "control_sent_bytes_total",
+                "Bytes of control messages sent to peers, by kind.",
+                &["kind"],
+            )?,
+            received: build::counters(
+                reg,
+                "control_received_bytes_total",
+                "Bytes of control messages received from peers, by kind.",
+                &["kind"],
+            )?,
+        };
+        for kind in ControlKind::ALL {
+            metrics.sent(kind, 0);
+            metrics.received(kind, 0);
+        }
+        Ok(metrics)
+    }
+
+    /// Counts bytes sent.
+    pub fn sent(&self, kind: ControlKind, bytes: usize) {
+        self.sent
+            .with_label_values(&[kind.as_str()])
+            .inc_by(bytes as u64);
+    }
+
+    /// Counts bytes received.
+    pub fn received(&self, kind: ControlKind, bytes: usize) {
+        self.received
+            .with_label_values(&[kind.as_str()])
+            .inc_by(bytes as u64);
+    }
+}
+
+impl ControlKind {
+    /// Every kind.
+    pub const ALL: [Self; 6] = [
+        Self::Hello,
+        Self::Report,
+        Self::Digest,
+        Self::Documents,
+        Self::Burn,
+        Self::Cancel,
+    ];
+
+    /// The label in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Hello => "hello",
+            Self::Report => "report",
+            Self::Digest => "digest",
+            Self::Documents => "documents",
+            Self::Burn => "burn",
+            Self::Cancel => "cancel",
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/metrics/documents.rs
@@ -0,0 +1,108 @@
+//! Metrics of documents and of the platform.
+
+use coltsfootport_core::id::ServiceName;
+use prometheus::{Error, IntCounterVec, IntGauge, IntGaugeVec, Registry};
+
+use super::build;
+
+/// How a read of the platform ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum PlatformRead {
+    /// It brought something newer.
+    News,
+    /// It brought nothing newer.
+    Nothing,
+    /// It failed or came too late.
+    Failed,
+}
+
+/// Documents and reads of the platform.
+#[derive(Clone, Debug)]
+pub struct DocumentMetrics {
+    in_force: IntGaugeVec,
+    rejected: IntCounterVec,
+    store: IntGauge,
+    reads: IntCounterVec,
+    reader: IntGauge,
+}
+
+impl DocumentMetrics {
+    pub(super) fn new(reg: &Registry) -> Result<Self, Error> {
+        let metrics = Self {
+            in_force: build::gauges(
+                reg,
+                "document_revision",
+                "Revision of the document in force, by service.",
+                &["service"],
+            )?,
+            rejected: build::counters(
+                reg,
+                "documents_rejected_total",
+                "Invalid revisions of a document, by service.",
+                &["service"],
+            )?,
+            store: build::gauge(
+                reg,
+                "platform_revision",
+                "Revision of the configuration service, as last read or heard of.",
+            )?,
+            reads: build::counters(
+                reg,
+                "platform_reads_total",
+                "Calls to the platform, by their end.",
+                &["end"],
+            )?,
+            reader: build::gauge(
+                reg,
+                "platform_reader",
+                "1 while this node reads the platform for its failure domain.",
+            )?,
+        };
+        for end in PlatformRead::ALL {
+            metrics.reads.with_label_values(&[end.as_str()]).inc_by(0);
+        }
+        Ok(metrics)
+    }
+
+    /// Sets the revision in force of a service's document.
+    pub fn set_in_force(&self, service: &ServiceName, revision: u64) {
+        let revision = i64::try_from(revision).unwrap_or(i64::MAX);
+        self.in_force
+            .with_label_values(&[service.as_str()])
+            .set(revision);
+    }
+
+    /// Counts an invalid revision of a service's document.
+    pub fn rejected(&self, service: &ServiceName) {
+        self.rejected.with_label_values(&[service.as_str()]).inc();
+    }
+
+    /// Sets the revision of the configuration service.
+    pub fn set_platform_revision(&self, revision: u64) {
+        self.store.set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a call to the platform.
+    pub fn read(&self, end: PlatformRead) {
+        self.reads.with_label_values(&[end.as_str()]).inc();
+    }
+
+    /// Sets whether this node reads the platform for its failure domain.
+    pub fn set_reader(&self, reader: bool) {
+        self.reader.set(i64::from(reader));
+    }
+}
+
+impl PlatformRead {
+    /// Every end.
+    pub const ALL: [Self; 3] = [Self::News, Self::Nothing, Self::Failed];
+
+    /// The label in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::News => "news",
+            Self::Nothing => "nothing",
+            Self::Failed => "failed",
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/metrics/faults.rs
@@ -0,0 +1,97 @@
+//! Metrics of rejected input and breached invariants.
+
+use coltsfootport_core::invariant::Invariant;
+use prometheus::{Error, IntCounterVec, Registry};
+
+use super::build;
+
+/// Input that was rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Rejected {
+    /// A frame that is malformed, too long or fails its checksum.
+    Frame,
+    /// A peer's certificate that is not of the fleet.
+    Certificate,
+    /// A token that is forged or malformed.
+    Token,
+}
+
+/// Rejected input and breached invariants.
+#[derive(Clone, Debug)]
+pub struct FaultMetrics {
+    breaches: IntCounterVec,
+    rejected: IntCounterVec,
+    stamps: IntCounterVec,
+}
+
+impl FaultMetrics {
+    pub(super) fn new(reg: &Registry) -> Result<Self, Error> {
+        let metrics = Self {
+            breaches: build::counters(
+                reg,
+                "invariant_breaches_total",
+                "Breaches of an invariant: each one is a defect of coltsfootport.",
+                &["invariant"],
+            )?,
+            rejected: build::counters(
+                reg,
+                "rejected_total",
+                "Input from outside that was rejected, by what it was.",
+                &["what"],
+            )?,
+            stamps: build::counters(
+                reg,
+                "clock_stamps_ignored_total",
+                "Time line stamps of a peer that lay too far ahead, by peer.",
+                &["peer"],
+            )?,
+        };
+        for invariant in Invariant::ALL {
+            metrics
+                .breaches
+                .with_label_values(&[invariant.as_str()])
+                .inc_by(0);
+        }
+        for what in Rejected::ALL {
+            metrics
+                .rejected
+                .with_label_values(&[what.as_str()])
+                .inc_by(0);
+        }
+        Ok(metrics)
+    }
+
+    /// Counts a breach.
+    pub fn breached(&self, invariant: Invariant) {
+        self.breaches.with_label_values(&[invariant.as_str()]).inc();
+    }
+
+    /// Breaches of an invariant since the start.
+    pub fn breaches(&self, invariant: Invariant) -> u64 {
+        self.breaches.with_label_values(&[invariant.as_str()]).get()
+    }
+
+    /// Counts rejected input.
+    pub fn rejected(&self, what: Rejected) {
+        self.rejected.with_label_values(&[what.as_str()]).inc();
+    }
+
+    /// Counts a peer's stamp that was ignored.
+    pub fn stamp_ignored(&self, peer: &str) {
+        self.stamps.with_label_values(&[peer]).inc();
+    }
+}
+
+impl Rejected {
+    /// Everything that can be rejected.
+    pub const ALL: [Self; 3] = [Self::Frame, Self::Certificate, Self::Token];
+
+    /// The label in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Frame => "frame",
+            Self::Certificate => "certificate",
+            Self::Token => "token",
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/metrics/tokens.rs
@@ -0,0 +1,85 @@
+//! Metrics of idempotency tokens.
+
+use prometheus::{Error, IntCounterVec, IntGauge, Registry};
+
+use super::build;
+use super::calls::gauge_value;
+
+/// What happened to a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum TokenEvent {
+    /// Handed to a caller.
+    Minted,
+    /// Seen for the first time at its home, and let through.
+    Begun,
+    /// Answered again from memory.
+    Replayed,
+    /// Joined to its running call.
+    Joined,
+    /// Refused for good up to a try.
+    Burned,
+}
+
+/// Idempotency tokens.
+#[derive(Clone, Debug)]
+pub struct TokenMetrics {
+    events: IntCounterVec,
+    kept: IntGauge,
+    capacity: IntGauge,
+}
+
+impl TokenMetrics {
+    pub(super) fn new(reg: &Registry) -> Result<Self, Error> {
+        let metrics = Self {
+            events: build::counters(reg, "tokens_total", "Events of tokens.", &["event"])?,
+            kept: build::gauge(reg, "once_table_size", "Tokens that are remembered.")?,
+            capacity: build::gauge(
+                reg,
+                "once_table_capacity",
+                "Tokens that can be remembered; a full table refuses new ones.",
+            )?,
+        };
+        for event in TokenEvent::ALL {
+            metrics
+                .events
+                .with_label_values(&[event.as_str()])
+                .inc_by(0);
+        }
+        Ok(metrics)
+    }
+
+    /// Counts an event of `tokens` tokens.
+    pub fn count(&self, event: TokenEvent, tokens: u64) {
+        self.events
+            .with_label_values(&[event.as_str()])
+            .inc_by(tokens);
+    }
+
+    /// Sets the fill of the table.
+    pub fn set_table(&self, kept: usize, capacity: usize) {
+        self.kept.set(gauge_value(kept));
+        self.capacity.set(gauge_value(capacity));
+    }
+}
+
+impl TokenEvent {
+    /// Every event.
+    pub const ALL: [Self; 5] = [
+        Self::Minted,
+        Self::Begun,
+        Self::Replayed,
+        Self::Joined,
+        Self::Burned,
+    ];
+
+    /// The label in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Minted => "minted",
+            Self::Begun => "begun",
+            Self::Replayed => "replayed",
+            Self::Joined => "joined",
+            Self::Burned => "burned",
+        }
+    }
+}
