--- a/crates/node/src/commands.rs
+++ b/crates/node/src/commands.rs
@@ -1,3 +1,3 @@
-//! The commands of the program, one module each.
+//! The commands, each with a function `run` that the binary calls.
 
 pub mod check;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,4 +1,21 @@
-//! The coltsfootport node as a library, so that tests can load settings and start a node in their own process.
+//! The coltsfootport node and its commands: overload control beside each target instance.
 
+pub mod cli;
+pub mod clock;
 pub mod commands;
 pub mod config;
+pub mod data;
+pub mod entry;
+pub mod exit;
+pub mod gate;
+pub mod host;
+pub mod http;
+pub mod log;
+pub mod metrics;
+pub mod node;
+pub mod operators;
+pub mod peers;
+pub mod recorder;
+pub mod routes;
+pub mod spread;
+pub mod wire;
