Stand-in platform and stand-in target

Cause: tests of nodes need a platform that can go stale and a target that can be overloaded, cancelled and counted. Ruled out: shared state behind locks; each stand-in is one owner task that is asked by messages, so that counts and slots are seen in one order. A pooled client of our own: hyper-util's hands back only requests that never left.

--- /dev/null
+++ b/crates/rig/src/http.rs
@@ -0,0 +1,13 @@
+//! Small HTTP server and client on top of hyper, shared by the stand-ins.
+
+mod answer;
+mod answer_body;
+mod client;
+mod query;
+mod server;
+
+pub use self::answer::{Answer, Handled, empty, json, read_body, text};
+pub use self::answer_body::{AnswerBody, TruncatedBody};
+pub use self::client::{Client, ClientAnswer, ClientCall};
+pub use self::query::Query;
+pub use self::server::{Server, bind};
--- /dev/null
+++ b/crates/rig/src/platform/owner.rs
@@ -0,0 +1,217 @@
+//! The task that owns the platform's state.
+
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::platform::state::{ConfigStore, InstanceStore};
+use crate::platform::{
+    ConfigAnswer, Counts, FaultRequest, FaultScope, Faulty, Instance, InstancesAnswer, Seed, Seen,
+    Written,
+};
+
+/// Commands that wait for the owner at most.
+const QUEUE: usize = 1024;
+
+/// A read call while it is open.
+#[derive(Clone, Copy, Debug)]
+pub struct Call {
+    /// Serial number of the call.
+    pub serial: u64,
+    /// The revision that the reader has seen.
+    pub after: u64,
+}
+
+/// Which list a read call asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadKind {
+    /// `GET /config`.
+    Config,
+    /// `GET /instances`.
+    Instances,
+}
+
+/// What a read call is answered at this moment.
+#[derive(Debug)]
+pub enum ReadAnswer {
+    /// The configuration service.
+    Config(ConfigAnswer),
+    /// The instance list.
+    Instances(InstancesAnswer),
+    /// Nothing is newer; a watch waits on, a read takes this.
+    Unchanged(Box<ReadAnswer>),
+    /// No answer.
+    Down {
+        /// Whether the connection is closed without an answer.
+        drop: bool,
+    },
+}
+
+/// Messages to the owner.
+#[derive(Debug)]
+pub enum Command {
+    /// A read call arrived; answered with its serial number.
+    Begin {
+        kind: ReadKind,
+        waits: bool,
+        reply: oneshot::Sender<u64>,
+    },
+    /// What does this call see now?
+    Read {
+        kind: ReadKind,
+        call: Call,
+        reply: oneshot::Sender<ReadAnswer>,
+    },
+    /// A read call was answered `503` or dropped.
+    Failed,
+    /// Write a key.
+    PutKey {
+        key: SmolStr,
+        value: SmolStr,
+        reply: oneshot::Sender<Written>,
+    },
+    /// Replace the instance list.
+    PutInstances {
+        instances: Vec<Instance>,
+        reply: oneshot::Sender<Written>,
+    },
+    /// Begin or end a fault.
+    Fault(FaultRequest),
+    /// The counts so far.
+    Counts(oneshot::Sender<Counts>),
+}
+
+/// The way to the owner.
+#[derive(Clone, Debug)]
+pub struct OwnerHandle {
+    /// Commands for the owner.
+    pub tx: mpsc::Sender<Command>,
+    /// Raised with each write and fault, so that waiting calls look again.
+    pub changes: watch::Receiver<u64>,
+}
+
+/// Starts the owner; it ends with its last handle.
+pub fn start(seed: Seed) -> OwnerHandle {
+    let (tx, rx) = mpsc::channel(QUEUE);
+    let (changed, changes) = watch::channel(0);
+    tokio::spawn(Owner::new(seed, changed).run(rx));
+    OwnerHandle { tx, changes }
+}
+
+struct Owner {
+    config: Faulty<ConfigStore>,
+    instances: Faulty<InstanceStore>,
+    counts: Counts,
+    changed: watch::Sender<u64>,
+}
+
+impl Owner {
+    fn new(seed: Seed, changed: watch::Sender<u64>) -> Self {
+        let mut config = ConfigStore::default();
+        for entry in seed.config {
+            config.write(entry.key, entry.value);
+        }
+        let mut instances = InstanceStore::default();
+        if !seed.instances.is_empty() {
+            instances.write(seed.instances);
+        }
+        Self {
+            config: Faulty::new(config),
+            instances: Faulty::new(instances),
+            counts: Counts::default(),
+            changed,
+        }
+    }
+
+    async fn run(mut self, mut rx: mpsc::Receiver<Command>) {
+        while let Some(command) = rx.recv().await {
+            self.on_command(command);
+        }
+    }
+
+    /// Replies go to nobody where the caller is gone, which is no fault.
+    fn on_command(&mut self, command: Command) {
+        match command {
+            Command::Begin { kind, waits, reply } => {
+                let _ = reply.send(self.begin(kind, waits));
+            }
+            Command::Read { kind, call, reply } => {
+                let _ = reply.send(self.read(kind, call));
+            }
+            Command::Failed => self.counts.failed += 1,
+            Command::PutKey { key, value, reply } => {
+                let revision = self.config.current_mut().write(key, value);
+                self.notify();
+                let _ = reply.send(Written { revision });
+            }
+            Command::PutInstances { instances, reply } => {
+                let revision = self.instances.current_mut().write(instances);
+                self.notify();
+                let _ = reply.send(Written { revision });
+            }
+            Command::Fault(fault) => {
+                self.set_fault(fault);
+                self.notify();
+            }
+            Command::Counts(reply) => {
+                let _ = reply.send(self.counts);
+            }
+        }
+    }
+
+    fn begin(&mut self, kind: ReadKind, waits: bool) -> u64 {
+        self.counts.calls += 1;
+        match waits {
+            true => self.counts.watches += 1,
+            false => self.counts.reads += 1,
+        }
+        // The serial counts the calls of one kind, so that a flap alternates for each kind by itself.
+        let serial = match kind {
+            ReadKind::Config => &mut self.counts.config,
+            ReadKind::Instances => &mut self.counts.instances,
+        };
+        *serial += 1;
+        *serial
+    }
+
+    fn read(&self, kind: ReadKind, call: Call) -> ReadAnswer {
+        match kind {
+            ReadKind::Config => match self.config.seen_by(call.serial) {
+                Seen::Down { drop } => ReadAnswer::Down { drop },
+                Seen::State(store) => config_answer(store, call.after),
+            },
+            ReadKind::Instances => match self.instances.seen_by(call.serial) {
+                Seen::Down { drop } => ReadAnswer::Down { drop },
+                Seen::State(store) => instances_answer(store, call.after),
+            },
+        }
+    }
+
+    fn set_fault(&mut self, fault: FaultRequest) {
+        if fault.scope != FaultScope::Instances {
+            self.config.set(fault.mode, fault.drop);
+        }
+        if fault.scope != FaultScope::Config {
+            self.instances.set(fault.mode, fault.drop);
+        }
+    }
+
+    fn notify(&self) {
+        self.changed.send_modify(|serial| *serial += 1);
+    }
+}
+
+fn config_answer(store: &ConfigStore, after: u64) -> ReadAnswer {
+    let answer = store.read(after);
+    match answer.entries.is_empty() {
+        true => ReadAnswer::Unchanged(Box::new(ReadAnswer::Config(answer))),
+        false => ReadAnswer::Config(answer),
+    }
+}
+
+fn instances_answer(store: &InstanceStore, after: u64) -> ReadAnswer {
+    let answer = ReadAnswer::Instances(store.read(after));
+    match store.is_newer(after) {
+        true => answer,
+        false => ReadAnswer::Unchanged(Box::new(answer)),
+    }
+}
--- /dev/null
+++ b/crates/rig/src/target/downstream.rs
@@ -0,0 +1,58 @@
+//! A call to a further service, as text `METHOD /service/path`.
+
+use std::fmt;
+use std::str::FromStr;
+
+use http::Method;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::error::RigError;
+
+/// One call that a target makes for each of its own calls.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Downstream {
+    /// The method.
+    pub method: Method,
+    /// `/{service}/{path}`.
+    pub path: SmolStr,
+}
+
+impl FromStr for Downstream {
+    type Err = RigError;
+
+    fn from_str(s: &str) -> Result<Self, RigError> {
+        let malformed = || RigError::Settings(format!("{s:?} is not of the form METHOD /path"));
+        let (method, path) = s.trim().split_once(' ').ok_or_else(malformed)?;
+        let method = method.parse().map_err(|_| malformed())?;
+        let path = path.trim();
+        if !path.starts_with('/') || path.contains(char::is_whitespace) {
+            return Err(malformed());
+        }
+        Ok(Self {
+            method,
+            path: path.into(),
+        })
+    }
+}
+
+impl TryFrom<String> for Downstream {
+    type Error = RigError;
+
+    fn try_from(s: String) -> Result<Self, RigError> {
+        s.parse()
+    }
+}
+
+impl From<Downstream> for String {
+    fn from(downstream: Downstream) -> Self {
+        downstream.to_string()
+    }
+}
+
+impl fmt::Display for Downstream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.method, self.path)
+    }
+}
--- /dev/null
+++ b/crates/rig/src/target/egress.rs
@@ -0,0 +1,139 @@
+//! Calls of a target to further services, through its node's egress listener.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue};
+use smol_str::SmolStr;
+use tokio::task::JoinSet;
+
+use crate::http::{Client, ClientAnswer, ClientCall};
+use crate::target::{Downstream, DownstreamEcho, DownstreamMode, Echo, KEY_HEADER, Settings};
+
+/// The header that a target copies into its own calls.
+pub const CONTEXT_HEADER: &str = "coltsfootport-context";
+
+/// The header with what is known about whether a call ran.
+const OUTCOME_HEADER: &str = "coltsfootport-outcome";
+
+/// What calls to further services take over from the call they are made for.
+#[derive(Clone, Debug, Default)]
+pub struct Origin {
+    /// The call's `x-rig-key`.
+    pub key: SmolStr,
+    /// The call's `coltsfootport-context`.
+    pub context: Option<HeaderValue>,
+}
+
+/// The way to further services.
+#[derive(Clone, Debug)]
+pub struct Egress {
+    client: Client,
+    addr: Option<SocketAddr>,
+}
+
+impl Egress {
+    /// Calls through the egress listener at `addr`.
+    pub fn new(client: Client, addr: Option<SocketAddr>) -> Self {
+        Self { client, addr }
+    }
+
+    /// Makes every call to further services that the settings name.
+    pub async fn call_all(&self, origin: &Origin, settings: &Settings) -> Vec<DownstreamEcho> {
+        match settings.downstream_mode {
+            DownstreamMode::Sequential => self.call_in_turn(origin, settings).await,
+            DownstreamMode::Parallel => self.call_at_once(origin, settings).await,
+        }
+    }
+
+    async fn call_in_turn(&self, origin: &Origin, settings: &Settings) -> Vec<DownstreamEcho> {
+        let mut echoes = Vec::new();
+        for (index, downstream) in settings.downstream.iter().enumerate() {
+            let echo = self
+                .clone()
+                .call(downstream, origin.nested(index), settings)
+                .await;
+            let is_over = settings.downstream_required && !echo.is_success();
+            echoes.push(echo);
+            if is_over {
+                break;
+            }
+        }
+        echoes
+    }
+
+    /// The calls are tasks of a set that is dropped with the caller, so a cancel reaches each of them.
+    async fn call_at_once(&self, origin: &Origin, settings: &Settings) -> Vec<DownstreamEcho> {
+        let mut calls = JoinSet::new();
+        for (index, downstream) in settings.downstream.iter().cloned().enumerate() {
+            let (egress, origin, settings) = (self.clone(), origin.nested(index), settings.clone());
+            calls.spawn(async move { (index, egress.call(&downstream, origin, &settings).await) });
+        }
+        let mut echoes = vec![DownstreamEcho::default(); settings.downstream.len()];
+        while let Some(ended) = calls.join_next().await {
+            if let Ok((index, echo)) = ended {
+                echoes[index] = echo;
+            }
+        }
+        echoes
+    }
+
+    async fn call(
+        self,
+        downstream: &Downstream,
+        origin: Origin,
+        settings: &Settings,
+    ) -> DownstreamEcho {
+        let mut echo = DownstreamEcho {
+            path: downstream.path.clone(),
+            ..DownstreamEcho::default()
+        };
+        let Some(addr) = self.addr else {
+            return echo;
+        };
+        let call = ClientCall {
+            headers: origin.headers(),
+            timeout: Duration::from_millis(settings.downstream_timeout_ms),
+            ..ClientCall::new(addr, downstream.method.clone(), downstream.path.as_str())
+        };
+        while echo.sent <= settings.downstream_retries && !echo.is_success() {
+            echo.sent += 1;
+            match self.client.send(call.clone()).await {
+                Ok(answer) => note_answer(&mut echo, &answer),
+                Err(_) => echo.status = 0,
+            }
+        }
+        echo
+    }
+}
+
+impl Origin {
+    fn nested(&self, index: usize) -> Self {
+        Self {
+            key: Echo::downstream_key(&self.key, index),
+            context: self.context.clone(),
+        }
+    }
+
+    fn headers(&self) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        if let Some(context) = &self.context {
+            headers.insert(CONTEXT_HEADER, context.clone());
+        }
+        if let Some(key) = HeaderValue::from_str(&self.key)
+            .ok()
+            .filter(|key| !key.is_empty())
+        {
+            headers.insert(KEY_HEADER, key);
+        }
+        headers
+    }
+}
+
+fn note_answer(echo: &mut DownstreamEcho, answer: &ClientAnswer) {
+    echo.status = answer.status.as_u16();
+    echo.outcome = answer.header(OUTCOME_HEADER).map(SmolStr::from);
+    if answer.status.is_success() {
+        echo.echo = serde_json::from_slice(&answer.body).ok();
+    }
+}
