--- a/crates/core/src/dissemination.rs
+++ b/crates/core/src/dissemination.rs
@@ -9,7 +9,7 @@
 mod rendezvous;
 mod replica;
 mod start_up;
-mod traffic;
+pub mod traffic;
 
 pub use digest::{Comparison, Digest};
 pub use entry::{Entry, Key, KeyVersion, Revision};
--- a/crates/core/src/dissemination/traffic.rs
+++ b/crates/core/src/dissemination/traffic.rs
@@ -3,19 +3,19 @@
 use super::{GossipConfig, PushForm};
 
 /// Bytes around one message: IP, UDP and QUIC headers, the frame and a share of the acknowledgements.
-const MESSAGE_OVERHEAD: f64 = 100.0;
+pub const MESSAGE_OVERHEAD: f64 = 100.0;
 
 /// A digest with the sender's name, incarnation, state, tick and age of the last read.
-const DIGEST: f64 = 80.0;
+pub const DIGEST_BYTES: f64 = 80.0;
 
 /// Key and revision of one entry.
-const NOTICE: f64 = 40.0;
+pub const NOTICE_BYTES: f64 = 40.0;
 
 /// One entry of the list of instances.
-const LIST_ENTRY: f64 = 70.0;
+pub const LIST_ENTRY_BYTES: f64 = 70.0;
 
 /// A handshake with certificates of both sides.
-const HANDSHAKE: f64 = 5_000.0;
+pub const HANDSHAKE_BYTES: f64 = 5_000.0;
 
 const SECONDS_A_DAY: f64 = 86_400.0;
 
@@ -72,15 +72,16 @@
             PushForm::Notice
         };
         let per_change = match form {
-            PushForm::Whole => peers * (MESSAGE_OVERHEAD + NOTICE + value),
+            PushForm::Whole => peers * (MESSAGE_OVERHEAD + NOTICE_BYTES + value),
             PushForm::Notice => {
-                let pull = 2.0 * (MESSAGE_OVERHEAD + NOTICE) + value;
-                peers * (MESSAGE_OVERHEAD + NOTICE) + pull
+                let pull = 2.0 * (MESSAGE_OVERHEAD + NOTICE_BYTES) + value;
+                peers * (MESSAGE_OVERHEAD + NOTICE_BYTES) + pull
             }
         };
-        let per_list_change = peers * (MESSAGE_OVERHEAD + NOTICE + LIST_ENTRY);
+        let per_list_change = peers * (MESSAGE_OVERHEAD + NOTICE_BYTES + LIST_ENTRY_BYTES);
         Traffic {
-            digests: 2.0 * digest_rate * (MESSAGE_OVERHEAD + DIGEST) + handshake_rate * HANDSHAKE,
+            digests: 2.0 * digest_rate * (MESSAGE_OVERHEAD + DIGEST_BYTES)
+                + handshake_rate * HANDSHAKE_BYTES,
             entries: per_change * self.changes_per_day / SECONDS_A_DAY,
             list: per_list_change * self.list_changes_per_day / SECONDS_A_DAY,
         }
--- a/crates/core/src/lifecycle/machine.rs
+++ b/crates/core/src/lifecycle/machine.rs
@@ -116,6 +116,8 @@
     }
 
     /// Work goes to the target. Returns the invariant that this breaks, if any; the work must then not be sent.
+    ///
+    /// A dispatch before the node serves is reported as the same breach: work is taken outside of the time for it.
     pub fn dispatched(&mut self) -> Option<Invariant> {
         // Dispatch of work that arrived after the announcement is a defect of the node's own checks: the call could be
         // cut off by the end of the process. Counting admitted work shows it here, before the first byte is sent.
