--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,7 @@
 //! The settings of a node: JSON with comments, one module for each section.
 
 mod admission;
+mod convert;
 mod advertise;
 mod fleet_key;
 mod limits;
--- /dev/null
+++ b/crates/node/src/config/convert.rs
@@ -0,0 +1,101 @@
+//! Settings as the core's decisions take them.
+
+use std::time::Duration;
+
+use coltsfootport_core::admission::{self, AdmissionConfig};
+use coltsfootport_core::allowance::{Backoff, EdgeBudgetConfig};
+use coltsfootport_core::lifecycle::LifecycleConfig;
+use coltsfootport_core::once::{FleetKey, OnceConfig};
+use coltsfootport_core::routing::RoutingConfig;
+
+use super::{
+    AdmissionMode, AdmissionSettings, OnceSettings, RetriesSettings, Settings, ShutdownSettings,
+};
+
+impl From<&AdmissionSettings> for AdmissionConfig {
+    fn from(settings: &AdmissionSettings) -> Self {
+        Self {
+            mode: settings.mode.into(),
+            initial_limit: settings.initial_limit,
+            min_limit: settings.min_limit,
+            max_limit: settings.max_limit,
+            queue_length: settings.queue_length as usize,
+            level_shedding: settings.level_shedding,
+            deadline_check: settings.deadline_check,
+            cold_start: settings.cold_start,
+            ..Self::default()
+        }
+    }
+}
+
+impl From<AdmissionMode> for admission::AdmissionMode {
+    fn from(mode: AdmissionMode) -> Self {
+        match mode {
+            AdmissionMode::Off => Self::Off,
+            AdmissionMode::Static => Self::Static,
+            AdmissionMode::Adaptive => Self::Adaptive,
+        }
+    }
+}
+
+impl From<&OnceSettings> for OnceConfig {
+    fn from(settings: &OnceSettings) -> Self {
+        Self {
+            capacity: settings.capacity as usize,
+            retention: settings.retention,
+            record_margin: settings.record_margin,
+            answer_limit: settings.answer_bytes as usize,
+            ..Self::default()
+        }
+    }
+}
+
+impl From<&ShutdownSettings> for LifecycleConfig {
+    fn from(settings: &ShutdownSettings) -> Self {
+        Self {
+            announce_for: settings.announce,
+            announce_every: ANNOUNCE_EVERY,
+            drain_limit: settings.drain,
+        }
+    }
+}
+
+impl From<&RetriesSettings> for EdgeBudgetConfig {
+    fn from(settings: &RetriesSettings) -> Self {
+        Self {
+            ratio: settings.edge_ratio,
+            burst: settings.edge_burst.into(),
+            ..Self::default()
+        }
+    }
+}
+
+impl From<&RetriesSettings> for Backoff {
+    fn from(settings: &RetriesSettings) -> Self {
+        Self { base: settings.backoff, ..Self::default() }
+    }
+}
+
+impl From<&Settings> for RoutingConfig {
+    fn from(settings: &Settings) -> Self {
+        let subset = settings.routing.subset as usize;
+        Self {
+            node: settings.node.name.clone(),
+            domain: settings.node.domain.clone(),
+            region: settings.node.region.clone(),
+            subset_min: subset,
+            ejection_failures: settings.routing.eject_failures,
+            ejection_share: settings.routing.eject_share,
+            ejection_time: settings.routing.eject_time,
+            ..Self::default()
+        }
+    }
+}
+
+impl From<&super::FleetKey> for FleetKey {
+    fn from(key: &super::FleetKey) -> Self {
+        Self { id: key.id, secret: key.secret.expose().clone() }
+    }
+}
+
+const ANNOUNCE_EVERY: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/crates/node/src/entry.rs
@@ -0,0 +1,18 @@
+//! The entry's side of a call: what it is, where it goes, and what its caller is told.
+
+mod budget;
+mod dispatcher;
+mod inbound;
+mod origin;
+mod outcome;
+mod pinned;
+mod service;
+mod tokens;
+
+pub use budget::Budget;
+pub use dispatcher::{Dispatcher, DispatcherSetup};
+pub use inbound::Inbound;
+pub use origin::Origin;
+pub use outcome::Outgoing;
+pub use service::{EntryLimits, EntryService};
+pub use tokens::TokenIssuer;
--- /dev/null
+++ b/crates/node/src/entry/budget.rs
@@ -0,0 +1,47 @@
+//! Where an entry takes retries from.
+
+use coltsfootport_core::allowance::Allowance;
+use coltsfootport_core::invariant::Invariant;
+
+use crate::gate::{FlightKey, GateHandle};
+
+/// The retry allowance that pays for a call.
+///
+/// A request from outside brings its own. A call of this node's target draws on the call in flight that it serves, whose
+/// allowance stays at the gate, so that many calls of one target share it.
+#[derive(Debug)]
+pub enum Budget {
+    /// The allowance of a new request.
+    Own(Allowance),
+    /// The allowance of a call in flight at this node.
+    Flight(GateHandle, FlightKey),
+}
+
+impl Budget {
+    /// Takes out the part for one attempt.
+    pub async fn grant(&mut self) -> u16 {
+        match self {
+            Self::Own(allowance) => allowance.grant(),
+            Self::Flight(gate, flight) => gate.grant(*flight).await,
+        }
+    }
+
+    /// Takes back what an attempt left of its part.
+    pub fn give_back(&mut self, granted: u16, left: u16) -> Result<(), Invariant> {
+        match self {
+            Self::Own(allowance) => allowance.give_back(granted, left),
+            Self::Flight(gate, flight) => {
+                gate.give_back(*flight, granted, left);
+                Ok(())
+            }
+        }
+    }
+
+    /// Takes out one retry; false where none is left.
+    pub async fn spend(&mut self) -> bool {
+        match self {
+            Self::Own(allowance) => allowance.spend(),
+            Self::Flight(gate, flight) => gate.spend(*flight).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/inbound.rs
@@ -0,0 +1,79 @@
+//! A call as read from a caller.
+
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfootport_core::error_kind::ErrorKind;
+use coltsfootport_core::id::ServiceName;
+use coltsfootport_core::once::Try;
+use http::{HeaderMap, HeaderName, Method, Uri};
+use rustc_hash::FxHasher;
+
+use crate::http::names;
+
+/// A call as read from a caller, before it is classified.
+#[derive(Clone, Debug)]
+pub struct Inbound {
+    /// Service to run it.
+    pub service: ServiceName,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query for the target.
+    pub path: String,
+    /// All headers, internal ones included.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Inbound {
+    /// Splits `/{service}/{path}` into the service and the target's path.
+    pub fn split(uri: &Uri) -> Result<(ServiceName, String), ErrorKind> {
+        let whole = uri.path_and_query().map(|path| path.as_str()).ok_or(ErrorKind::BadRequest)?;
+        let rest = whole.strip_prefix('/').ok_or(ErrorKind::BadRequest)?;
+        let end = rest.find(['/', '?']).unwrap_or(rest.len());
+        let (service, path) = rest.split_at(end);
+        if service.is_empty() {
+            return Err(ErrorKind::BadRequest);
+        }
+        let path = if path.starts_with('/') { path.to_owned() } else { format!("/{path}") };
+        Ok((ServiceName::from(service), path))
+    }
+
+    /// The caller's time limit, where it names one.
+    pub fn time_limit(&self) -> Result<Option<Duration>, ErrorKind> {
+        let Some(text) = self.text(&names::DEADLINE)? else { return Ok(None) };
+        let millis: u64 = text.parse().map_err(|_| ErrorKind::BadRequest)?;
+        Ok(Some(Duration::from_millis(millis)))
+    }
+
+    /// The number of the sending, 1 where none is given.
+    pub fn number(&self) -> Result<Try, ErrorKind> {
+        let Some(text) = self.text(&names::TRY)? else { return Ok(Try(1)) };
+        match text.parse() {
+            Ok(number) if number > 0 => Ok(Try(number)),
+            _ => Err(ErrorKind::BadRequest),
+        }
+    }
+
+    /// The text of a header that may be given once.
+    pub fn text(&self, name: &HeaderName) -> Result<Option<&str>, ErrorKind> {
+        let mut values = self.headers.get_all(name).iter();
+        let Some(value) = values.next() else { return Ok(None) };
+        if values.next().is_some() {
+            return Err(ErrorKind::BadRequest);
+        }
+        value.to_str().map(Some).map_err(|_| ErrorKind::BadRequest)
+    }
+
+    /// Equal for calls that ask for the same thing, so that a target's own retry is known as one.
+    pub fn fingerprint(&self) -> u64 {
+        let mut hasher = FxHasher::default();
+        self.service.hash(&mut hasher);
+        self.method.hash(&mut hasher);
+        self.path.hash(&mut hasher);
+        self.body.hash(&mut hasher);
+        hasher.finish()
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/pinned.rs
@@ -0,0 +1,111 @@
+//! Calls that run at one home or nowhere.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootport_core::error_kind::ErrorKind;
+use coltsfootport_core::once::{Refusal, Try};
+use coltsfootport_core::routing::RouteResult;
+use http::StatusCode;
+
+use super::Budget;
+use super::dispatcher::{Attempt, Dispatcher, with_time};
+use crate::data::{Answer, Call, OnceCall, Refused, Verdict};
+use crate::routes::Route;
+use crate::wire::{ControlReply, ControlRequest, HeaderFrame, RefusalFrame};
+
+impl Dispatcher {
+    /// Sends a call whose token its caller holds; it never moves to another home.
+    ///
+    /// Were it moved, the caller's next try with the same token would reach the first home, hear "not run", and the request
+    /// would have run at the second.
+    pub async fn send_pinned(&self, mut call: Call, once: OnceCall, budget: &mut Budget) -> Verdict {
+        call.once = Some(once.clone());
+        loop {
+            let Some(route) = self.setup.routes.home(&once.token).await else {
+                return self.never_sent(&once);
+            };
+            match self.attempt(&mut call, route, budget).await {
+                Attempt::Replied(reply) => return reply.verdict,
+                Attempt::NotSent => return self.never_sent(&once),
+                // The home knows the token and this try, so sending it again joins the first or hears its answer.
+                Attempt::Lost if self.may_repeat(&call, budget).await => {}
+                Attempt::Lost | Attempt::Expired => return self.settle(&call).await,
+            }
+        }
+    }
+
+    /// Asks the home what became of a call after contact was lost, and has it refuse the call if it did not run.
+    pub(super) async fn settle(&self, call: &Call) -> Verdict {
+        let Some(once) = &call.once else { return Verdict::from(ErrorKind::AnswerLost) };
+        let refusal = self.ask_home(once).await;
+        match refusal {
+            Refusal::Ran(answer) => {
+                Verdict::Answered(Answer { replayed: true, ..(*answer).clone() })
+            }
+            Refusal::RefusedForGood => {
+                Verdict::Refused(with_time(Refused::from(ErrorKind::TokenRefused)))
+            }
+            Refusal::AnswerGone => Verdict::from(ErrorKind::AnswerGone),
+            Refusal::Running => Verdict::from(ErrorKind::ExpiredInFlight),
+            Refusal::Unknown => Verdict::from(ErrorKind::HomeLost),
+        }
+    }
+
+    async fn ask_home(&self, once: &OnceCall) -> Refusal<Arc<Answer>> {
+        let Some(route) = self.setup.routes.home(&once.token).await else {
+            return Refusal::Unknown;
+        };
+        let refusal = self.refuse_at(&route, once).await.unwrap_or(Refusal::Unknown);
+        route.guard.done(RouteResult::Cancelled, None);
+        refusal
+    }
+
+    async fn refuse_at(&self, route: &Route, once: &OnceCall) -> Option<Refusal<Arc<Answer>>> {
+        if route.node == self.setup.node {
+            return Some(self.setup.host.refuse(once.token.clone(), once.number).await);
+        }
+        let asking = async {
+            let link = self.setup.hub.link(&route.node, route.address).await?;
+            let request =
+                ControlRequest::Refuse { token: once.token.clone(), up_to: once.number.0 };
+            match link.control(request, REFUSE_PATIENCE).await.ok()? {
+                ControlReply::Refuse(frame) => refusal(frame),
+                _ => None,
+            }
+        };
+        tokio::time::timeout(REFUSE_PATIENCE, asking).await.ok().flatten()
+    }
+
+    /// The verdict where this try has not left this node.
+    ///
+    /// An earlier try may have left another node, so only a first try is known not to have run.
+    fn never_sent(&self, once: &OnceCall) -> Verdict {
+        if once.number <= Try(1) {
+            return Verdict::Refused(with_time(Refused::from(ErrorKind::NoTarget)));
+        }
+        Verdict::from(ErrorKind::HomeLost)
+    }
+
+    async fn may_repeat(&self, call: &Call, budget: &mut Budget) -> bool {
+        self.setup.clock.now() < call.deadline && budget.spend().await
+    }
+}
+
+/// How long a home is asked; a caller that was given up hears so at once.
+const REFUSE_PATIENCE: Duration = Duration::from_millis(250);
+
+fn refusal(frame: RefusalFrame) -> Option<Refusal<Arc<Answer>>> {
+    Some(match frame {
+        RefusalFrame::Running => Refusal::Running,
+        RefusalFrame::Ran { status, headers, body } => Refusal::Ran(Arc::new(Answer {
+            status: StatusCode::from_u16(status).ok()?,
+            headers: HeaderFrame::into_map(headers).ok()?,
+            body: body.into(),
+            replayed: true,
+        })),
+        RefusalFrame::AnswerGone => Refusal::AnswerGone,
+        RefusalFrame::Unknown => Refusal::Unknown,
+        RefusalFrame::RefusedForGood => Refusal::RefusedForGood,
+    })
+}
--- /dev/null
+++ b/crates/node/src/entry/tokens.rs
@@ -0,0 +1,97 @@
+//! Handing out idempotency tokens.
+
+use std::sync::Arc;
+
+use coltsfootport_core::class::Class;
+use coltsfootport_core::error_kind::ErrorKind;
+use coltsfootport_core::id::ServiceName;
+use coltsfootport_core::once::{KeyRing, Token};
+use coltsfootport_core::routing::RouteResult;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::peers::HubHandle;
+use crate::routes::{Choice, PickRequest, Route, RoutesHandle};
+
+/// Hands out tokens whose homes this node has heard from.
+#[derive(Clone, Debug)]
+pub struct TokenIssuer {
+    routes: RoutesHandle,
+    hub: HubHandle,
+    keys: Arc<KeyRing>,
+}
+
+/// The answer to a request for tokens.
+#[derive(Clone, Debug, Serialize)]
+pub struct TokenPage {
+    /// Sealed tokens.
+    pub tokens: Vec<SmolStr>,
+}
+
+/// Most tokens handed out at once.
+pub const MOST_TOKENS: usize = 256;
+
+impl TokenIssuer {
+    /// An issuer that seals with the fleet's keys.
+    pub fn new(routes: RoutesHandle, hub: HubHandle, keys: Arc<KeyRing>) -> Self {
+        Self { routes, hub, keys }
+    }
+
+    /// Opens a sealed token of a service.
+    pub fn open(&self, text: &str, service: &ServiceName) -> Result<Token, ErrorKind> {
+        let token = self.keys.open(text)?;
+        if token.service == *service { Ok(token) } else { Err(ErrorKind::BadToken) }
+    }
+
+    /// Up to `count` tokens of a service, spread over its homes.
+    pub async fn issue(&self, service: &ServiceName, count: usize) -> Result<TokenPage, ErrorKind> {
+        let mut tokens = Vec::new();
+        for _ in 0..count.min(MOST_TOKENS) {
+            match self.issue_one(service).await {
+                Some(token) => tokens.push(token),
+                None if tokens.is_empty() => return Err(ErrorKind::NoTarget),
+                None => break,
+            }
+        }
+        Ok(TokenPage { tokens })
+    }
+
+    /// One sealed token of a service.
+    pub async fn issue_one(&self, service: &ServiceName) -> Option<SmolStr> {
+        for _ in 0..HOMES_TRIED {
+            let Choice::Go(route) = self.routes.pick(pick_for(service)).await else { return None };
+            if let Some(token) = self.mint(route, service).await {
+                return Some(self.keys.seal(&token));
+            }
+        }
+        None
+    }
+
+    /// A token of the host that a route leads to, which is contacted if it was not heard yet.
+    pub async fn mint_at(&self, route: &Route, service: &ServiceName) -> Option<Token> {
+        if let Some(token) = self.routes.mint(&route.node, service).await {
+            return Some(token);
+        }
+        self.hub.link(&route.node, route.address).await?;
+        self.routes.mint(&route.node, service).await
+    }
+
+    async fn mint(&self, route: Route, service: &ServiceName) -> Option<Token> {
+        let token = self.mint_at(&route, service).await;
+        let result = if token.is_some() { RouteResult::Cancelled } else { RouteResult::Lost };
+        route.guard.done(result, None);
+        token
+    }
+}
+
+const HOMES_TRIED: usize = 3;
+
+fn pick_for(service: &ServiceName) -> PickRequest {
+    PickRequest {
+        service: service.clone(),
+        operation: SmolStr::default(),
+        class: Class::HIGHEST,
+        bucket: 0,
+        excluded: Vec::new(),
+    }
+}
--- a/crates/node/src/gate/message.rs
+++ b/crates/node/src/gate/message.rs
@@ -78,6 +78,8 @@
     pub request: RequestId,
     /// Its class.
     pub class: Class,
+    /// Name of its class.
+    pub class_name: SmolStr,
     /// When its answer is of no more use.
     pub deadline: Instant,
     /// Hops above the target's own calls.
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -170,8 +170,8 @@
 
     fn enter(&mut self, admittance: Admittance, reply: oneshot::Sender<Entered>) {
         let now = self.clock.now();
-        if !self.lifecycle.may_accept() {
-            self.refuse_entry(&admittance, reply, self.closed_kind());
+        if !self.lifecycle.may_accept() && !self.is_running(&admittance, now) {
+            self.enter_closed(&admittance, reply, now);
             return;
         }
         let record = match self.arrive(&admittance, now) {
@@ -193,6 +193,37 @@
         self.admit(admittance, record, reply, now);
     }
 
+    fn is_running(&mut self, admittance: &Admittance, now: Instant) -> bool {
+        let Some(once) = &admittance.once else { return false };
+        matches!(self.once.refuse(&once.token, once.number, now), Refusal::Running)
+    }
+
+    /// Answers a call while no new work is taken.
+    ///
+    /// A token's try is refused for good before its caller hears "not run": while the node is still starting, an older try
+    /// could otherwise arrive after it became ready, and run. An answer kept from before is still given.
+    fn enter_closed(
+        &mut self,
+        admittance: &Admittance,
+        reply: oneshot::Sender<Entered>,
+        now: Instant,
+    ) {
+        let refusal = match &admittance.once {
+            None => Refusal::RefusedForGood,
+            Some(once) => self.once.refuse(&once.token, once.number, now),
+        };
+        match refusal {
+            Refusal::Ran(answer) => {
+                let _ = reply.send(Entered::Replayed(answer));
+            }
+            Refusal::RefusedForGood => self.refuse_entry(admittance, reply, self.closed_kind()),
+            Refusal::AnswerGone => self.refuse_entry(admittance, reply, ErrorKind::AnswerGone),
+            Refusal::Running | Refusal::Unknown => {
+                self.refuse_entry(admittance, reply, ErrorKind::HomeLost);
+            }
+        }
+    }
+
     fn admit(
         &mut self,
         admittance: Admittance,
@@ -425,6 +456,7 @@
             flight: handle.flight,
             request: flight.request,
             class: flight.class,
+            class_name: flight.class_name.clone(),
             deadline: flight.deadline,
             depth: flight.depth.saturating_add(1),
         })
--- /dev/null
+++ b/crates/node/src/host/runner.rs
@@ -0,0 +1,175 @@
+//! Runs a call at this node's target.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootport_core::error_kind::ErrorKind;
+use coltsfootport_core::id::Incarnation;
+use coltsfootport_core::once::{Refusal, Token, Try};
+use coltsfootport_core::timeline::Event;
+use tokio::sync::oneshot;
+
+use super::{TargetClient, TargetError};
+use crate::clock::SharedClock;
+use crate::data::{Answer, AttemptId, Call, HostReport, Refused, Reply, Verdict};
+use crate::gate::{
+    Admittance, ContextHandle, Departure, Entered, FlightEnd, FlightGuard, GateHandle,
+};
+use crate::recorder::Recorder;
+
+/// What a host is made of.
+#[derive(Clone)]
+pub struct HostSetup {
+    /// The gate in front of the target.
+    pub gate: GateHandle,
+    /// The target.
+    pub target: TargetClient,
+    /// This run of the node.
+    pub incarnation: Incarnation,
+    /// The process's clock.
+    pub clock: SharedClock,
+    /// Where events are recorded.
+    pub recorder: Recorder,
+}
+
+/// Runs calls at this node's target; cheap to clone.
+#[derive(Clone)]
+pub struct Host {
+    setup: Arc<HostSetup>,
+}
+
+impl Host {
+    /// A host.
+    pub fn new(setup: HostSetup) -> Self {
+        Self { setup: Arc::new(setup) }
+    }
+
+    /// Runs a call and answers with its reply; dropping the future cancels the call.
+    ///
+    /// A call that runs at most once is not cancelled after its dispatch: its answer is kept for the caller's next try.
+    pub async fn run(&self, call: Call) -> Option<Reply> {
+        let event = Event::Received {
+            service: call.service.clone(),
+            class: call.class,
+            depth: call.depth,
+            allowance: call.allowance,
+        };
+        self.setup.recorder.record(Some(call.request), event);
+        match self.setup.gate.enter(Admittance::from(&call)).await {
+            Entered::Admitted(guard) if call.once.is_some() => self.run_detached(call, guard).await,
+            Entered::Admitted(guard) => {
+                let (attempt, deadline) = (call.attempt, call.deadline);
+                Some(self.execute(call, guard, deadline, None).await?.into_reply(attempt))
+            }
+            Entered::Replayed(answer) => {
+                let answer = Answer { replayed: true, ..(*answer).clone() };
+                self.aside(&call, Verdict::Answered(answer)).await
+            }
+            Entered::Refused(refused) => self.aside(&call, Verdict::Refused(refused)).await,
+        }
+    }
+
+    /// The state of this host outside of any call.
+    pub async fn report(&self) -> Option<HostReport> {
+        self.setup.gate.report(Default::default()).await
+    }
+
+    /// Refuses all tries of a token of this node up to a number for good.
+    pub async fn refuse(&self, token: Token, up_to: Try) -> Refusal<Arc<Answer>> {
+        self.setup.gate.refuse(token, up_to).await
+    }
+
+    /// A reply about a call that never was in flight; its whole allowance goes back.
+    async fn aside(&self, call: &Call, verdict: Verdict) -> Option<Reply> {
+        let report = self.setup.gate.report(call.operation.clone()).await?;
+        Some(Reply { attempt: call.attempt, allowance_left: call.allowance, verdict, report })
+    }
+
+    /// Runs a call in a task of its own, so that its answer is kept even where its caller goes.
+    async fn run_detached(&self, call: Call, guard: FlightGuard) -> Option<Reply> {
+        let (reply, replied) = oneshot::channel();
+        let host = self.clone();
+        let attempt = call.attempt;
+        let patience = call.deadline + ONCE_GRACE;
+        tokio::spawn(async move {
+            let done = host.execute(call, guard, patience, Some(&reply)).await;
+            let _ = reply.send(done);
+        });
+        Some(replied.await.ok()??.into_reply(attempt))
+    }
+
+    async fn execute(
+        &self,
+        call: Call,
+        guard: FlightGuard,
+        patience: Instant,
+        caller: Option<&oneshot::Sender<Option<Executed>>>,
+    ) -> Option<Executed> {
+        let connection = self.setup.target.connection().await;
+        let Some(connection) = connection else {
+            return self.withdraw(guard, ErrorKind::NoTarget).await;
+        };
+        let context = ContextHandle::new(self.setup.incarnation, guard.key());
+        let now = self.setup.clock.now();
+        let req = match self.setup.target.request(&call, context, now) {
+            Ok(req) => req,
+            Err(kind) => return self.withdraw(guard, kind).await,
+        };
+        if caller.is_some_and(oneshot::Sender::is_closed) {
+            return self.withdraw(guard, ErrorKind::Cancelled).await;
+        }
+        if let Err(kind) = self.setup.gate.dispatch(guard.key()).await {
+            return self.withdraw(guard, kind).await;
+        }
+        let exchange = self.setup.target.exchange(connection, req);
+        let done = tokio::time::timeout_at(patience.into(), exchange).await;
+        match done.unwrap_or(Err(TargetError::Lost(ErrorKind::ExpiredInFlight))) {
+            Ok(answer) => self.answered(guard, answer).await,
+            // The dispatch stands recorded, so that this token can't be sent again; the caller hears "unknown", which is
+            // more careful than the truth.
+            Err(TargetError::NotSent) => self.lose(guard, ErrorKind::TargetFailed).await,
+            Err(TargetError::Lost(kind)) => self.lose(guard, kind).await,
+        }
+    }
+
+    async fn answered(&self, guard: FlightGuard, answer: Arc<Answer>) -> Option<Executed> {
+        let end = FlightEnd::Answered(Arc::clone(&answer));
+        let departure = self.setup.gate.finish(guard.release(), end).await?;
+        Some(Executed { verdict: Verdict::Answered((*answer).clone()), departure })
+    }
+
+    async fn lose(&self, guard: FlightGuard, kind: ErrorKind) -> Option<Executed> {
+        let departure = self.setup.gate.finish(guard.release(), FlightEnd::Lost(kind)).await?;
+        Some(Executed { verdict: Verdict::Refused(Refused::from(kind)), departure })
+    }
+
+    async fn withdraw(&self, guard: FlightGuard, kind: ErrorKind) -> Option<Executed> {
+        let end = FlightEnd::Withdrawn(kind);
+        let departure = self.setup.gate.finish(guard.release(), end).await?;
+        let refused = Refused { kind, retry_after: WITHDRAWN_RETRY_AFTER };
+        Some(Executed { verdict: Verdict::Refused(refused), departure })
+    }
+}
+
+/// How long past its deadline the answer of a call that runs at most once is still waited for, to be kept.
+const ONCE_GRACE: Duration = Duration::from_secs(10);
+
+const WITHDRAWN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// A call that was in flight and has ended.
+#[derive(Debug)]
+struct Executed {
+    verdict: Verdict,
+    departure: Departure,
+}
+
+impl Executed {
+    fn into_reply(self, attempt: AttemptId) -> Reply {
+        Reply {
+            attempt,
+            allowance_left: self.departure.allowance_left,
+            verdict: self.verdict,
+            report: self.departure.report,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,7 @@
+//! Starts the tasks of a node and runs until it is stopped.
+
+mod desk;
+mod life;
+mod start;
+
+pub use start::{NodeError, run};
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -6,8 +6,8 @@
 mod server;
 mod tls;
 
-pub use endpoint::{bind, PeerEndpoint};
+pub use endpoint::bind;
 pub use hub::{Hub, HubHandle};
-pub use link::{Link, LinkError};
+pub use link::{FrameLimits, Link, LinkError};
 pub use server::{PeerServer, PeerServices};
 pub use tls::{TlsError, TlsMaterial};
--- a/crates/node/src/peers/endpoint.rs
+++ b/crates/node/src/peers/endpoint.rs
@@ -8,20 +8,13 @@
 
 use super::{TlsError, TlsMaterial};
 
-/// Endpoint for both directions on one UDP port.
-#[derive(Clone, Debug)]
-pub struct PeerEndpoint {
-    /// The endpoint itself.
-    pub endpoint: Endpoint,
-}
-
-/// Binds the peers' listener.
+/// Binds the peers' listener, an endpoint for both directions on one UDP port.
 pub fn bind(
     address: SocketAddr,
     tls: &TlsMaterial,
     streams: u32,
     idle: Duration,
-) -> Result<PeerEndpoint, TlsError> {
+) -> Result<Endpoint, TlsError> {
     let transport = Arc::new(transport(streams, idle));
     let mut server = ServerConfig::with_crypto(Arc::new(tls.server()?));
     server.transport_config(Arc::clone(&transport));
@@ -30,7 +23,7 @@
     let mut endpoint =
         Endpoint::server(server, address).map_err(|e| TlsError::Refused(e.to_string()))?;
     endpoint.set_default_client_config(client);
-    Ok(PeerEndpoint { endpoint })
+    Ok(endpoint)
 }
 
 /// Bytes of one stream that may be on their way unread; bounds the memory that a peer can take.
--- a/crates/node/src/peers/hub.rs
+++ b/crates/node/src/peers/hub.rs
@@ -8,19 +8,18 @@
 use quinn::Endpoint;
 use tokio::sync::{mpsc, oneshot};
 
-use super::Link;
-use super::link::FrameLimits;
+use super::server::serve_connection;
+use super::{Link, PeerServices};
 use crate::data::HostReport;
 use crate::wire::{ControlReply, ControlRequest, HelloFrame};
 
 /// The task that owns the connections to peers and opens them when they are first needed.
-#[derive(Debug)]
 pub struct Hub {
     endpoint: Endpoint,
-    limits: FrameLimits,
+    services: PeerServices,
+    inbound: Vec<Link>,
     connect_timeout: Duration,
     slots: Map<NodeName, Slot>,
-    heard: mpsc::UnboundedSender<HostReport>,
     tx: mpsc::UnboundedSender<HubMessage>,
     rx: mpsc::UnboundedReceiver<HubMessage>,
 }
@@ -36,6 +35,8 @@
     Get(NodeName, SocketAddr, oneshot::Sender<Option<Link>>),
     Opened(NodeName, SocketAddr, Option<Link>),
     Forget(NodeName),
+    Accepted(Link),
+    TellAll(ControlRequest, Duration),
 }
 
 #[derive(Debug)]
@@ -45,17 +46,17 @@
 }
 
 impl Hub {
-    /// The task and its handle; every greeting of a peer goes to `heard`.
+    /// The task and its handle; streams that peers open on these connections are served by `services`.
     pub fn new(
         endpoint: Endpoint,
-        limits: FrameLimits,
+        services: PeerServices,
         connect_timeout: Duration,
-        heard: mpsc::UnboundedSender<HostReport>,
     ) -> (Self, HubHandle) {
         let (tx, rx) = mpsc::unbounded_channel();
         let handle = HubHandle { tx: tx.clone() };
         let slots = Map::default();
-        (Self { endpoint, limits, connect_timeout, slots, heard, tx, rx }, handle)
+        let inbound = Vec::new();
+        (Self { endpoint, services, inbound, connect_timeout, slots, tx, rx }, handle)
     }
 
     /// Runs until the process ends.
@@ -67,10 +68,29 @@
                 HubMessage::Forget(node) => {
                     self.slots.remove(&node);
                 }
+                HubMessage::Accepted(link) => self.accepted(link),
+                HubMessage::TellAll(request, patience) => self.tell_all(request, patience),
             }
         }
     }
 
+    fn accepted(&mut self, link: Link) {
+        self.inbound.retain(|link| !link.is_closed());
+        self.inbound.push(link);
+    }
+
+    /// Tells everybody who has a connection here, in either direction.
+    fn tell_all(&self, request: ControlRequest, patience: Duration) {
+        let opened = self.slots.values().filter_map(|slot| match slot {
+            Slot::Open(_, link) => Some(link),
+            Slot::Opening(..) => None,
+        });
+        for link in opened.chain(&self.inbound).filter(|link| !link.is_closed()) {
+            let (link, request) = (link.clone(), request.clone());
+            tokio::spawn(async move { link.control(request, patience).await });
+        }
+    }
+
     fn get(&mut self, node: NodeName, address: SocketAddr, reply: oneshot::Sender<Option<Link>>) {
         match self.slots.get_mut(&node) {
             Some(Slot::Open(at, link)) if *at == address && !link.is_closed() => {
@@ -88,9 +108,8 @@
             self.endpoint.clone(),
             node.clone(),
             address,
-            self.limits,
+            self.services.clone(),
             self.connect_timeout,
-            self.heard.clone(),
         );
         let tx = self.tx.clone();
         tokio::spawn(async move {
@@ -122,6 +141,16 @@
         link.await.ok().flatten()
     }
 
+    /// Takes note of a connection that a peer opened.
+    pub fn accepted(&self, link: Link) {
+        let _ = self.tx.send(HubMessage::Accepted(link));
+    }
+
+    /// Tells everybody who has a connection to this node, without waiting for replies.
+    pub fn tell_all(&self, request: ControlRequest, patience: Duration) {
+        let _ = self.tx.send(HubMessage::TellAll(request, patience));
+    }
+
     /// Closes the connection to a peer that has gone.
     pub fn forget(&self, node: &NodeName) {
         let _ = self.tx.send(HubMessage::Forget(node.clone()));
@@ -132,17 +161,17 @@
     endpoint: Endpoint,
     node: NodeName,
     address: SocketAddr,
-    limits: FrameLimits,
+    services: PeerServices,
     patience: Duration,
-    heard: mpsc::UnboundedSender<HostReport>,
 ) -> Option<Link> {
     // The certificate must be that of the named node: an address that the platform's lagging list still gives to a replaced
     // node would otherwise reach another one under its name.
     let connecting = endpoint.connect(address, node.as_str()).ok()?;
     let connection = tokio::time::timeout(patience, connecting).await.ok()?.ok()?;
-    let link = Link::new(connection, limits);
+    let link = Link::new(connection.clone(), services.limits);
     let greeting = link.control(ControlRequest::Greet, patience).await.ok()?;
     let ControlReply::Hello(HelloFrame { report, .. }) = greeting else { return None };
-    let _ = heard.send(HostReport::from(report));
+    services.routes.heard(HostReport::from(report));
+    tokio::spawn(serve_connection(connection, services));
     Some(link)
 }
--- a/crates/node/src/peers/link.rs
+++ b/crates/node/src/peers/link.rs
@@ -59,12 +59,12 @@
     pub async fn call(&self, call: &Call, recorder: &Recorder) -> Result<Reply, LinkError> {
         let (mut tx, mut rx) = self.connection.open_bi().await.map_err(|_| LinkError::NotSent)?;
         let stamp = recorder.stamp();
-        let frame = CallFrame::new(call, stamp.into(), recorder.now());
+        let frame = CallFrame::new(call, stamp, recorder.now());
         let head = PeerRequest::Call(Box::new(frame));
         write_frame(&mut tx, &head, call.body.clone()).await?;
         let head: PeerReply = read_head(&mut rx, self.limits.head).await?;
         let PeerReply::Call(frame) = head else { return Err(FrameError::Malformed.into()) };
-        recorder.observe(frame.stamp.into());
+        recorder.observe(frame.stamp);
         let body = read_body(&mut rx, frame.body_len, self.limits.body).await?;
         Ok(frame.into_reply(body)?)
     }
--- a/crates/node/src/recorder.rs
+++ b/crates/node/src/recorder.rs
@@ -1,6 +1,7 @@
 //! Records events of this node in its time line.
 
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
 
 use coltsfootport_core::id::{NodeName, RequestId};
 use coltsfootport_core::invariant::Invariant;
@@ -9,6 +10,7 @@
 
 use crate::clock::SharedClock;
 use crate::metrics::Metrics;
+use crate::operators::TimelinePage;
 
 /// Records events; cheap to clone.
 ///
@@ -33,7 +35,7 @@
 #[derive(Debug)]
 enum RecorderMessage {
     Record(Record),
-    Select(Filter, oneshot::Sender<Vec<Record>>),
+    Select(Filter, oneshot::Sender<TimelinePage>),
 }
 
 impl Recorder {
@@ -71,7 +73,7 @@
 
     /// Reports a breached invariant: counted, recorded, and fatal in builds for tests.
     pub fn breach(&self, invariant: Invariant) {
-        self.metrics.breached(invariant);
+        self.metrics.faults.breached(invariant);
         self.record(None, Event::InvariantBreached { invariant });
         if cfg!(debug_assertions) {
             eprintln!("invariant breached: {}", invariant.as_str());
@@ -79,11 +81,16 @@
         }
     }
 
+    /// The time of the process's clock.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
     /// The recorded events that pass a filter.
-    pub async fn select(&self, filter: Filter) -> Vec<Record> {
+    pub async fn select(&self, filter: Filter) -> TimelinePage {
         let (reply, records) = oneshot::channel();
         if self.tx.send(RecorderMessage::Select(filter, reply)).is_err() {
-            return Vec::new();
+            return TimelinePage::default();
         }
         records.await.unwrap_or_default()
     }
@@ -96,7 +103,8 @@
             match message {
                 RecorderMessage::Record(record) => self.ring.push(record),
                 RecorderMessage::Select(filter, reply) => {
-                    let _ = reply.send(self.ring.select(filter));
+                    let records = self.ring.select(filter);
+                    let _ = reply.send(TimelinePage { records, dropped: self.ring.dropped() });
                 }
             }
         }
--- /dev/null
+++ b/crates/node/src/routes.rs
@@ -0,0 +1,11 @@
+//! Where calls go: one task that owns routing, levels heard from hosts, retry budgets and token minting.
+
+mod attempt_guard;
+mod handle;
+mod message;
+mod task;
+
+pub use attempt_guard::AttemptGuard;
+pub use handle::RoutesHandle;
+pub use message::{AttemptEnd, Choice, PeerLoad, PickRequest, Route, RoutesMessage};
+pub use task::{Routes, RoutesSetup};
--- /dev/null
+++ b/crates/node/src/routes/handle.rs
@@ -0,0 +1,60 @@
+//! Sends messages to the routes task.
+
+use coltsfootport_core::id::{NodeName, ServiceName};
+use coltsfootport_core::once::Token;
+use tokio::sync::{mpsc, oneshot};
+
+use super::{Choice, PeerLoad, PickRequest, Route, RoutesMessage};
+use crate::data::HostReport;
+
+/// Handle to the routes task.
+#[derive(Clone, Debug)]
+pub struct RoutesHandle {
+    tx: mpsc::UnboundedSender<RoutesMessage>,
+}
+
+impl RoutesHandle {
+    /// A handle that sends into `tx`.
+    pub fn new(tx: mpsc::UnboundedSender<RoutesMessage>) -> Self {
+        Self { tx }
+    }
+
+    /// Chooses a host for an attempt.
+    pub async fn pick(&self, request: PickRequest) -> Choice {
+        self.ask(|reply| RoutesMessage::Pick(request, reply)).await.unwrap_or(Choice::Nobody)
+    }
+
+    /// The host that a token names, where it is listed.
+    pub async fn home(&self, token: &Token) -> Option<Route> {
+        self.ask(|reply| RoutesMessage::Home(token.clone(), reply)).await.flatten()
+    }
+
+    /// Takes note of what a host told about itself.
+    pub fn heard(&self, report: HostReport) {
+        let _ = self.tx.send(RoutesMessage::Heard(report));
+    }
+
+    /// A fresh token of a home that was heard before.
+    pub async fn mint(&self, home: &NodeName, service: &ServiceName) -> Option<Token> {
+        self.ask(|reply| RoutesMessage::Mint(home.clone(), service.clone(), reply)).await.flatten()
+    }
+
+    /// Takes one retry out of the budget of a service.
+    pub async fn spend_retry(&self, service: &ServiceName) -> bool {
+        self.ask(|reply| RoutesMessage::SpendRetry(service.clone(), reply)).await.unwrap_or(false)
+    }
+
+    /// State of all peers.
+    pub async fn peers(&self) -> Vec<PeerLoad> {
+        self.ask(RoutesMessage::Peers).await.unwrap_or_default()
+    }
+
+    async fn ask<T, M>(&self, message: M) -> Option<T>
+    where
+        M: FnOnce(oneshot::Sender<T>) -> RoutesMessage,
+    {
+        let (reply, answer) = oneshot::channel();
+        self.tx.send(message(reply)).ok()?;
+        answer.await.ok()
+    }
+}
--- /dev/null
+++ b/crates/node/src/routes/task.rs
@@ -0,0 +1,256 @@
+//! The task that owns routing.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use coltsfootport_core::admission::{LevelBoard, LevelBoardConfig};
+use coltsfootport_core::allowance::{
+    EdgeBudget, EdgeBudgetConfig, RetryAfterConfig, TargetState, retry_after,
+};
+use coltsfootport_core::collections::Map;
+use coltsfootport_core::id::{Incarnation, NodeName, ServiceName};
+use coltsfootport_core::once::{Minter, Token};
+use coltsfootport_core::routing::{LoadReport, PeerKey, RouteResult, Router, RoutingConfig};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::{
+    AttemptEnd, AttemptGuard, Choice, PeerLoad, PickRequest, Route, RoutesHandle, RoutesMessage,
+};
+use crate::clock::SharedClock;
+use crate::data::HostReport;
+use crate::spread::{Published, Word};
+
+/// What the routes task is made of.
+pub struct RoutesSetup {
+    /// Settings of routing.
+    pub routing: RoutingConfig,
+    /// Settings of the retry budgets.
+    pub budget: EdgeBudgetConfig,
+    /// Whether levels heard from hosts are acted on.
+    pub level_shedding: bool,
+    /// The process's clock.
+    pub clock: SharedClock,
+    /// What is published, with the list of instances.
+    pub published: watch::Receiver<Arc<Published>>,
+    /// Where words of nodes about themselves go.
+    pub words: mpsc::UnboundedSender<Word>,
+}
+
+/// The task that owns routing, levels, budgets and minting.
+pub struct Routes {
+    router: Router,
+    levels: LevelBoard,
+    level_shedding: bool,
+    budget: EdgeBudgetConfig,
+    budgets: Map<ServiceName, EdgeBudget>,
+    minter: Minter,
+    addresses: Map<NodeName, SocketAddr>,
+    told: Map<NodeName, Told>,
+    rng: SmallRng,
+    clock: SharedClock,
+    published: watch::Receiver<Arc<Published>>,
+    words: mpsc::UnboundedSender<Word>,
+    tx: mpsc::UnboundedSender<RoutesMessage>,
+    rx: mpsc::UnboundedReceiver<RoutesMessage>,
+}
+
+/// What a node last told about itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Told {
+    incarnation: Incarnation,
+    leaving: bool,
+}
+
+impl Routes {
+    /// The task and its handle.
+    pub fn new(setup: RoutesSetup) -> (Self, RoutesHandle) {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let routes = Self {
+            router: Router::new(setup.routing),
+            levels: LevelBoard::new(LevelBoardConfig::default()),
+            level_shedding: setup.level_shedding,
+            budget: setup.budget,
+            budgets: Map::default(),
+            minter: Minter::new(),
+            addresses: Map::default(),
+            told: Map::default(),
+            rng: SmallRng::from_os_rng(),
+            clock: setup.clock,
+            published: setup.published,
+            words: setup.words,
+            tx: tx.clone(),
+            rx,
+        };
+        (routes, RoutesHandle::new(tx))
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        self.take_published();
+        loop {
+            tokio::select! {
+                biased;
+                changed = self.published.changed() => match changed {
+                    Ok(()) => self.take_published(),
+                    Err(_) => return,
+                },
+                message = self.rx.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn take_published(&mut self) {
+        let published = Arc::clone(&self.published.borrow_and_update());
+        let now = self.clock.now();
+        self.addresses =
+            published.nodes.iter().map(|node| (node.view.node.clone(), node.peer)).collect();
+        self.router.update(published.nodes.iter().map(|node| node.view.clone()).collect(), now);
+    }
+
+    fn handle(&mut self, message: RoutesMessage) {
+        match message {
+            RoutesMessage::Pick(request, reply) => {
+                let _ = reply.send(self.pick(request));
+            }
+            RoutesMessage::Home(token, reply) => {
+                let _ = reply.send(self.home(&token));
+            }
+            RoutesMessage::Done(end) => self.done(end),
+            RoutesMessage::Heard(report) => self.heard(&report),
+            RoutesMessage::Mint(home, service, reply) => {
+                let _ = reply.send(self.minter.mint(&home, &service));
+            }
+            RoutesMessage::SpendRetry(service, reply) => self.spend_retry(service, reply),
+            RoutesMessage::Peers(reply) => {
+                let _ = reply.send(self.peers());
+            }
+        }
+    }
+
+    fn pick(&mut self, request: PickRequest) -> Choice {
+        let now = self.clock.now();
+        if let Some(shed) = self.shed_early(&request, now) {
+            return shed;
+        }
+        let picked =
+            self.router.pick(&request.service, &request.excluded, now, &mut self.rng);
+        let Some(key) = picked else { return Choice::Nobody };
+        match self.route(key, request.service, request.operation, now) {
+            Some(route) => Choice::Go(route),
+            None => Choice::Nobody,
+        }
+    }
+
+    /// Refuses here what would die further down, before any work is spent on it.
+    fn shed_early(&mut self, request: &PickRequest, now: Instant) -> Option<Choice> {
+        let edge = edge(&request.service, &request.operation);
+        if !self.level_shedding || self.levels.admits(&edge, request.class, request.bucket, now) {
+            return None;
+        }
+        let target = TargetState { level: self.levels.level(&edge, now), ..IDLE_TARGET };
+        let cfg = RetryAfterConfig::default();
+        Some(Choice::Shed(retry_after(&cfg, &target, request.class, &mut self.rng)))
+    }
+
+    fn home(&mut self, token: &Token) -> Option<Route> {
+        let key = self.router.key_of(&token.home)?;
+        self.route(key, token.service.clone(), SmolStr::default(), self.clock.now())
+    }
+
+    fn route(
+        &mut self,
+        key: PeerKey,
+        service: ServiceName,
+        operation: SmolStr,
+        now: Instant,
+    ) -> Option<Route> {
+        let node = self.router.peer(key)?.node.clone();
+        let address = *self.addresses.get(&node)?;
+        self.router.sent(key, now);
+        let guard = AttemptGuard::new(key, service, operation, self.tx.clone());
+        Some(Route { node, address, guard })
+    }
+
+    fn done(&mut self, end: AttemptEnd) {
+        let now = self.clock.now();
+        let load = end.report.as_ref().map(LoadReport::from).unwrap_or_default();
+        self.router.done(end.peer, end.result, load, now);
+        if end.result == RouteResult::Served {
+            self.budget_of(end.service.clone(), now).success();
+        }
+        let Some(report) = end.report else { return };
+        self.levels.heard(&edge(&end.service, &end.operation), report.level, now);
+        self.heard(&report);
+    }
+
+    fn heard(&mut self, report: &HostReport) {
+        self.minter.heard(report.node.clone(), report.incarnation, report.tick);
+        let told = Told { incarnation: report.incarnation, leaving: report.leaving };
+        if self.told.get(&report.node) == Some(&told) {
+            return;
+        }
+        self.told.insert(report.node.clone(), told);
+        if report.leaving {
+            self.router.leaving(&report.node, report.incarnation);
+        }
+        let _ = self.words.send(Word::from(report));
+    }
+
+    fn spend_retry(&mut self, service: ServiceName, reply: oneshot::Sender<bool>) {
+        let now = self.clock.now();
+        let spent = self.budget_of(service, now).try_spend(now);
+        let _ = reply.send(spent);
+    }
+
+    fn budget_of(&mut self, service: ServiceName, now: Instant) -> &mut EdgeBudget {
+        let cfg = &self.budget;
+        self.budgets.entry(service).or_insert_with(|| EdgeBudget::new(cfg.clone(), now))
+    }
+
+    fn peers(&self) -> Vec<PeerLoad> {
+        let now = self.clock.now();
+        self.addresses.keys().filter_map(|node| self.peer_load(node, now)).collect()
+    }
+
+    fn peer_load(&self, node: &NodeName, now: Instant) -> Option<PeerLoad> {
+        let key = self.router.key_of(node)?;
+        let view = self.router.peer(key)?;
+        Some(PeerLoad {
+            node: node.clone(),
+            service: view.service.clone(),
+            leaving: view.leaving || self.told.get(node).is_some_and(|told| told.leaving),
+            in_flight: self.router.in_flight(key),
+            ejected: self.router.is_ejected(key, now),
+        })
+    }
+}
+
+/// A target of which nothing but its level is known.
+const IDLE_TARGET: TargetState = TargetState {
+    level: coltsfootport_core::admission::Level::OPEN,
+    queued: 0,
+    limit: 1,
+    service_time: std::time::Duration::ZERO,
+};
+
+/// Levels are kept by operation, so that an overload below one operation does not shed others of the same service.
+fn edge(service: &ServiceName, operation: &SmolStr) -> ServiceName {
+    let mut name = String::with_capacity(service.as_str().len() + operation.len() + 1);
+    name.push_str(service.as_str());
+    name.push(' ');
+    name.push_str(operation);
+    ServiceName::from(name.as_str())
+}
+
+impl From<&HostReport> for LoadReport {
+    fn from(report: &HostReport) -> Self {
+        Self { in_flight: report.in_flight, queued: report.queued, limit: report.limit }
+    }
+}
--- /dev/null
+++ b/crates/node/src/spread/word.rs
@@ -0,0 +1,30 @@
+//! What a node tells about itself.
+
+use coltsfootport_core::id::{Incarnation, NodeName};
+use coltsfootport_core::membership::{NodeState, Tick};
+
+use crate::data::HostReport;
+
+/// A node's word about its own state, which goes before the lagging list.
+#[derive(Clone, Debug)]
+pub struct Word {
+    /// The node.
+    pub node: NodeName,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its state.
+    pub state: NodeState,
+    /// When it was told, by the node's own tick.
+    pub tick: Tick,
+}
+
+impl From<&HostReport> for Word {
+    fn from(report: &HostReport) -> Self {
+        Self {
+            node: report.node.clone(),
+            incarnation: report.incarnation,
+            state: if report.leaving { NodeState::Leaving } else { NodeState::Serving },
+            tick: Tick(report.tick.0),
+        }
+    }
+}
--- a/crates/node/src/wire/answer_frame.rs
+++ b/crates/node/src/wire/answer_frame.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use coltsfootport_core::error_kind::ErrorKind;
 use http::StatusCode;
+use coltsfootport_core::timeline::Stamp;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -15,7 +16,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ReplyFrame {
     /// Hybrid logical clock of the host.
-    pub stamp: u64,
+    pub stamp: Stamp,
     /// The attempt that this reply belongs to.
     pub attempt: u64,
     /// Retry allowance that the subtree did not use.
--- a/crates/node/src/wire/call_frame.rs
+++ b/crates/node/src/wire/call_frame.rs
@@ -7,6 +7,7 @@
 use coltsfootport_core::id::{RequestId, ServiceName};
 use coltsfootport_core::once::{Token, Try};
 use http::Method;
+use coltsfootport_core::timeline::Stamp;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -17,7 +18,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct CallFrame {
     /// Hybrid logical clock of the sender.
-    pub stamp: u64,
+    pub stamp: Stamp,
     /// Request on whose behalf the call is made.
     pub request: u128,
     /// Attempt, echoed by the answer.
@@ -65,7 +66,7 @@
 
 impl CallFrame {
     /// The frame of a call, with its time left measured at `now`.
-    pub fn new(call: &Call, stamp: u64, now: Instant) -> Self {
+    pub fn new(call: &Call, stamp: Stamp, now: Instant) -> Self {
         Self {
             stamp,
             request: call.request.0,
--- a/crates/node/src/wire/control.rs
+++ b/crates/node/src/wire/control.rs
@@ -4,6 +4,7 @@
 
 use coltsfootport_core::dissemination::{Digest, Entry, Key, KeyVersion, Revision};
 use coltsfootport_core::once::Token;
+use coltsfootport_core::timeline::Stamp;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -12,8 +13,10 @@
 /// A control request; it has a lane of its own that overload does not shed.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ControlRequest {
-    /// First message of a connection and every announcement of a changed state.
-    Hello(HelloFrame),
+    /// Asks who the peer is; the first message of a connection.
+    Greet,
+    /// Tells a changed state of the sender, as when it begins to leave.
+    Announce(HelloFrame),
     /// Asks the home of a token to refuse all its tries up to a number for good.
     Refuse {
         /// The token.
@@ -32,7 +35,7 @@
 /// The reply to a control request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ControlReply {
-    /// Greeting of the other side.
+    /// Who the asked node is.
     Hello(HelloFrame),
     /// What the home says of the token.
     Refuse(RefusalFrame),
@@ -48,7 +51,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct HelloFrame {
     /// Hybrid logical clock of the sender.
-    pub stamp: u64,
+    pub stamp: Stamp,
     /// State of the sender.
     pub report: ReportFrame,
 }
@@ -67,6 +70,8 @@
         /// Body.
         body: Vec<u8>,
     },
+    /// It ran and its answer was not kept.
+    AnswerGone,
     /// Nothing certain is known.
     Unknown,
     /// No try up to the number ran or will run.
@@ -80,6 +85,8 @@
     pub key: SmolStr,
     /// Its revision.
     pub revision: u64,
+    /// Revision in force where the newest was rejected.
+    pub fallback: Option<u64>,
 }
 
 /// A published entry.
@@ -115,12 +122,12 @@
 
 impl From<&KeyVersion> for VersionFrame {
     fn from(version: &KeyVersion) -> Self {
-        Self { key: version.key.0.clone(), revision: version.revision.0 }
+        Self { key: version.key.0.clone(), revision: version.revision.0, fallback: version.fallback.map(|r| r.0) }
     }
 }
 
 impl From<VersionFrame> for KeyVersion {
     fn from(frame: VersionFrame) -> Self {
-        Self { key: Key(frame.key), revision: Revision(frame.revision) }
+        Self { key: Key(frame.key), revision: Revision(frame.revision), fallback: frame.fallback.map(Revision) }
     }
 }
