--- a/crates/core/src/jsonc.rs
+++ b/crates/core/src/jsonc.rs
@@ -9,6 +9,7 @@
 mod section;
 mod shape;
 mod text;
+mod words;
 
 pub use fault::{Fault, FaultKind};
 pub use faults::Faults;
--- a/crates/core/src/jsonc/item.rs
+++ b/crates/core/src/jsonc/item.rs
@@ -8,10 +8,7 @@
 use jsonc_parser::ast::Value;
 use jsonc_parser::common::Ranged;
 
-use super::{FaultKind, Faults, Need, Place, Section, nearest};
-
-/// Longest name of a node, service, domain, region or class, in bytes.
-const MAX_NAME_BYTES: usize = 64;
+use super::{FaultKind, Faults, Need, Place, Section, nearest, words};
 
 /// The value of a key or an element of a list.
 ///
@@ -58,33 +55,17 @@
 
     /// A name: 1 to 64 letters, digits, `-`, `_` and `.`, which is safe in paths, headers and labels.
     pub fn name(self) -> Option<&'t str> {
-        self.parsed(|text| match is_name(text) {
-            true => Ok(text),
-            false => Err(format!(
-                "a name has 1 to {MAX_NAME_BYTES} letters, digits, \"-\", \"_\" and \".\" and \
-                 starts with a letter or digit"
-            )),
-        })
+        self.parsed(words::name)
     }
 
-    /// An IP address with a port.
+    /// An IP number with a port, to listen at.
     pub fn address(self) -> Option<SocketAddr> {
-        self.parsed(|text| {
-            text.parse().map_err(|_| {
-                "an address is an IP number and a port, as in \"10.0.0.7:7101\"".to_owned()
-            })
-        })
+        self.parsed(words::address)
     }
 
-    /// An IP address with a port that can be connected to.
+    /// An IP number with a port, to connect to.
     pub fn peer_address(self) -> Option<SocketAddr> {
-        self.parsed(|text| match text.parse::<SocketAddr>() {
-            Ok(address) if address.port() > 0 && !address.ip().is_unspecified() => Ok(address),
-            _ => Err(
-                "the IP number and port of one listener are expected, as in \"10.0.0.7:7101\""
-                    .to_owned(),
-            ),
-        })
+        self.parsed(words::peer_address)
     }
 
     /// A whole number of a range.
@@ -237,13 +218,6 @@
     }
 }
 
-fn is_name(text: &str) -> bool {
-    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
-    (1..=MAX_NAME_BYTES).contains(&text.len())
-        && text.bytes().all(allowed)
-        && text.as_bytes()[0].is_ascii_alphanumeric()
-}
-
 fn type_name(value: &Value<'_>) -> &'static str {
     match value {
         Value::StringLit(_) => "a text",
--- a/crates/node/src/config/advertise.rs
+++ b/crates/node/src/config/advertise.rs
@@ -17,8 +17,12 @@
 
 impl AdvertiseSettings {
     pub(super) fn read(mut section: Section<'_, '_>) -> Self {
-        let peers = section.optional_strict("peers").and_then(Item::address);
-        let operators = section.optional_strict("operators").and_then(Item::address);
+        let peers = section
+            .optional_strict("peers")
+            .and_then(Item::peer_address);
+        let operators = section
+            .optional_strict("operators")
+            .and_then(Item::peer_address);
         section.finish();
         Self { peers, operators }
     }
--- a/crates/node/src/config/tls.rs
+++ b/crates/node/src/config/tls.rs
@@ -1,6 +1,10 @@
 //! Section `tls`: certificates of the fleet, as PEM text because instances have no disks.
 
-use coltsfootport_core::jsonc::{Item, Section};
+use coltsfootport_core::jsonc::{FaultKind, Item, Need, Section};
+use rustls::crypto::ring::sign::any_supported_type;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::sign::CertifiedKey;
+use rustls::{Error, InconsistentKeys, RootCertStore};
 
 use super::Secret;
 
@@ -17,33 +21,79 @@
 
 impl TlsSettings {
     pub(super) fn read(mut section: Section<'_, '_>) -> Option<Self> {
-        let ca_pem = section.required("ca_pem").and_then(read_certificates);
+        let ca_pem = section.required("ca_pem").and_then(read_authorities);
         let cert_pem = section.required("cert_pem").and_then(read_certificates);
         let key_pem = section.required("key_pem").and_then(read_private_key);
+        if let (Some(cert_pem), Some(key_pem)) = (&cert_pem, &key_pem)
+            && !is_pair(cert_pem, key_pem)
+        {
+            // Taken as it is, the node would start and every peer would refuse its connections.
+            let message = "the certificate and the private key are no pair";
+            section.fault("key_pem", Need::Required, FaultKind::Invalid, message);
+        }
         section.finish();
+        let key_pem = Secret::new(key_pem?.to_owned());
         Some(Self {
-            ca_pem: ca_pem?,
-            cert_pem: cert_pem?,
-            key_pem: key_pem?,
+            ca_pem: ca_pem?.to_owned(),
+            cert_pem: cert_pem?.to_owned(),
+            key_pem,
         })
     }
 }
 
-fn read_certificates(item: Item<'_, '_>) -> Option<String> {
+fn read_authorities<'t>(item: Item<'t, '_>) -> Option<&'t str> {
+    item.parsed(|text| {
+        let authorities = parse_certificates(text)?;
+        let mut store = RootCertStore::empty();
+        let (_, refused) = store.add_parsable_certificates(authorities);
+        match refused {
+            0 => Ok(text),
+            _ => Err(format!(
+                "{refused} of the certificates can't be used as an authority"
+            )),
+        }
+    })
+}
+
+fn read_certificates<'t>(item: Item<'t, '_>) -> Option<&'t str> {
+    item.parsed(|text| parse_certificates(text).map(|_| text))
+}
+
+fn read_private_key<'t>(item: Item<'t, '_>) -> Option<&'t str> {
     item.parsed(|text| {
-        let certificates: Result<Vec<_>, _> = rustls_pemfile::certs(&mut text.as_bytes()).collect();
-        match certificates {
-            Ok(list) if !list.is_empty() => Ok(text.to_owned()),
-            _ => Err("the text holds no certificate in PEM form".to_owned()),
+        let key = parse_private_key(text)?;
+        match any_supported_type(&key) {
+            Ok(_) => Ok(text),
+            Err(_) => Err("the private key is of no supported type".to_owned()),
         }
     })
 }
 
-fn read_private_key(item: Item<'_, '_>) -> Option<Secret<String>> {
-    item.parsed(
-        |text| match rustls_pemfile::private_key(&mut text.as_bytes()) {
-            Ok(Some(_)) => Ok(Secret::new(text.to_owned())),
-            _ => Err("the text holds no private key in PEM form".to_owned()),
-        },
-    )
+fn parse_certificates(text: &str) -> Result<Vec<CertificateDer<'static>>, String> {
+    let list: Result<Vec<_>, _> = rustls_pemfile::certs(&mut text.as_bytes()).collect();
+    match list {
+        Ok(list) if !list.is_empty() => Ok(list),
+        _ => Err("the text holds no certificate in PEM form".to_owned()),
+    }
+}
+
+fn parse_private_key(text: &str) -> Result<PrivateKeyDer<'static>, String> {
+    match rustls_pemfile::private_key(&mut text.as_bytes()) {
+        Ok(Some(key)) => Ok(key),
+        _ => Err("the text holds no private key in PEM form".to_owned()),
+    }
+}
+
+/// Whether a private key belongs to the first of the certificates.
+fn is_pair(cert_pem: &str, key_pem: &str) -> bool {
+    let (Ok(chain), Ok(key)) = (parse_certificates(cert_pem), parse_private_key(key_pem)) else {
+        return false;
+    };
+    let Ok(key) = any_supported_type(&key) else {
+        return false;
+    };
+    match CertifiedKey::new(chain, key).keys_match() {
+        Ok(()) | Err(Error::InconsistentKeys(InconsistentKeys::Unknown)) => true,
+        Err(_) => false,
+    }
 }
