--- a/crates/core/src/jsonc/fault.rs
+++ b/crates/core/src/jsonc/fault.rs
@@ -23,6 +23,8 @@
     Duplicate,
     /// The entry can never take effect, because other entries take everything that it matches.
     Unreachable,
+    /// Further faults, which are counted and not listed.
+    Unlisted,
 }
 
 /// One fault, with its position in the text and the key that it concerns.
--- a/crates/core/src/jsonc/faults.rs
+++ b/crates/core/src/jsonc/faults.rs
@@ -2,10 +2,17 @@
 
 use super::{Fault, FaultKind, Need};
 
+/// Most faults that are listed; the rest is counted.
+///
+/// A megabyte of garbled keys has tens of thousands of faults. Finding the place and the nearest key of each would keep
+/// every node busy for minutes on one published text, seen as calls that time out on all instances at once.
+const MAX_LISTED: usize = 100;
+
 /// Collects faults by byte offset while a text is read.
 #[derive(Debug, Default)]
 pub struct Faults {
     list: Vec<(usize, Fault)>,
+    unlisted: usize,
     fatal: bool,
 }
 
@@ -29,6 +36,10 @@
     ) where
         M: Into<String>,
     {
+        if self.is_full() {
+            self.unlisted += 1;
+            return;
+        }
         let (key, message) = (key.to_owned(), message.into());
         self.list.push((
             offset,
@@ -58,9 +69,27 @@
         self.list.is_empty()
     }
 
-    /// The faults in the order of `text`, with lines and columns.
+    /// Whether further faults are only counted.
+    pub(super) fn is_full(&self) -> bool {
+        self.list.len() >= MAX_LISTED
+    }
+
+    /// The faults in the order of `text`, with lines and columns; the last one counts those that are not listed.
     pub fn into_list(mut self, text: &str) -> Vec<Fault> {
         self.list.sort_by_key(|(offset, _)| *offset);
+        if self.unlisted > 0 {
+            let (key, message) = (String::new(), format!("{} further faults", self.unlisted));
+            let kind = FaultKind::Unlisted;
+            let fault = Fault {
+                line: 0,
+                column: 0,
+                key,
+                kind,
+                message,
+                hint: None,
+            };
+            self.list.push((text.len(), fault));
+        }
         self.list
             .into_iter()
             .map(|(offset, fault)| {
--- a/crates/core/src/jsonc/section.rs
+++ b/crates/core/src/jsonc/section.rs
@@ -7,6 +7,8 @@
 use jsonc_parser::ast::{Object, ObjectProp, ObjectPropName};
 use jsonc_parser::common::Ranged;
 
+use crate::collections::Set;
+
 use super::{FaultKind, Faults, Item, Need, Place, nearest};
 
 /// An object that remembers which keys were asked for, so that all others can be reported.
@@ -129,20 +131,22 @@
     ///
     /// To be called when every known key has been read.
     pub fn finish(self) {
-        for (index, property) in self.object.properties.iter().enumerate() {
+        let mut seen = Set::default();
+        for property in &self.object.properties {
             let key = property.name.as_str();
             let path = join(&self.path, key);
             let offset = name_offset(property);
             if !self.known.contains(&key) {
-                let hint = nearest(key, &self.known).map(str::to_owned);
-                let message = "unknown key";
+                let near = if self.faults.is_full() {
+                    None
+                } else {
+                    nearest(key, &self.known)
+                };
+                let (kind, hint) = (FaultKind::UnknownKey, near.map(str::to_owned));
                 self.faults
-                    .push_with_hint(offset, &path, FaultKind::UnknownKey, message, hint);
+                    .push_with_hint(offset, &path, kind, "unknown key", hint);
             }
-            if self.object.properties[..index]
-                .iter()
-                .any(|earlier| earlier.name.as_str() == key)
-            {
+            if !seen.insert(key) {
                 let message = "the key stands twice in this object; the first one counts";
                 self.faults
                     .push(offset, &path, FaultKind::DuplicateKey, message);
--- a/crates/core/tests/document.rs
+++ b/crates/core/tests/document.rs
@@ -388,6 +388,23 @@
     assert!(Document::parse(&harmless.replace("BRACKETS", &brackets)).is_ok());
 }
 
+/// Symptom: calls time out on all instances for minutes after a document is published.
+/// Sequence: a text with tens of thousands of unknown keys is published; each node looks up place and nearest key of each.
+/// Cause: the number of faults that are worked out had no bound.
+#[test]
+fn faults_beyond_a_hundred_are_counted_and_not_listed() {
+    let keys: Vec<String> = (0..50_000)
+        .map(|number| format!("\"clas{number}\": 1"))
+        .collect();
+    let text = format!("{{ {} }}", keys.join(",\n"));
+    let faults = Document::parse(&text).expect_err("refused");
+    assert_eq!(faults.len(), 101);
+    assert_eq!(
+        (faults[100].kind, faults[100].message.as_str()),
+        (Unlisted, "49902 further faults")
+    );
+}
+
 #[test]
 fn a_text_above_a_megabyte_is_refused() {
     let text = format!("{PROFILED}{}", " ".repeat(1024 * 1024));
