--- a/crates/core/src/once/answer_size.rs
+++ b/crates/core/src/once/answer_size.rs
@@ -11,3 +11,12 @@
         self.len()
     }
 }
+
+impl<A> AnswerSize for std::sync::Arc<A>
+where
+    A: AnswerSize,
+{
+    fn answer_size(&self) -> usize {
+        self.as_ref().answer_size()
+    }
+}
--- a/crates/node/src/commands/check.rs
+++ b/crates/node/src/commands/check.rs
@@ -6,13 +6,10 @@
 use coltsfootport_core::document::Document;
 use coltsfootport_core::jsonc::Fault;
 
+use super::node::read;
+use crate::cli::{CheckOptions, CheckSubject};
 use crate::config::Settings;
-
-/// Exit code of a text without faults.
-pub const EXIT_OK: i32 = 0;
-
-/// Exit code of a text with faults.
-pub const EXIT_FAULTS: i32 = 1;
+use crate::exit::Exit;
 
 /// What a text is checked as.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,16 +20,27 @@
     Settings,
 }
 
+/// Checks the file that the options name.
+pub fn run(options: &CheckOptions) -> Exit {
+    match read(&options.file) {
+        Ok(text) => check(options.subject.into(), &options.file, &text),
+        Err(e) => {
+            eprintln!("coltsfootport: {}: {e}", options.file.display());
+            Exit::Failed
+        }
+    }
+}
+
 /// Checks `text`, prints each fault to standard error as `file:line:column: key: message` and answers the exit code.
 ///
 /// A fault of settings for which a default would serve counts as well: it is better mended than warned of at each start.
-pub fn run(kind: CheckKind, path: &Path, text: &str) -> i32 {
+pub fn check(kind: CheckKind, path: &Path, text: &str) -> Exit {
     let faults = find_faults(kind, text);
     // Standard error may be closed; the exit code still tells the result.
     let _ = print(path, &faults, &mut io::stderr().lock());
     match faults.is_empty() {
-        true => EXIT_OK,
-        false => EXIT_FAULTS,
+        true => Exit::Ok,
+        false => Exit::Invalid,
     }
 }
 
@@ -57,3 +65,12 @@
     }
     Ok(())
 }
+
+impl From<CheckSubject> for CheckKind {
+    fn from(subject: CheckSubject) -> Self {
+        match subject {
+            CheckSubject::Document => Self::Document,
+            CheckSubject::Settings => Self::Settings,
+        }
+    }
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,8 +1,8 @@
 //! The settings of a node: JSON with comments, one module for each section.
 
 mod admission;
-mod convert;
 mod advertise;
+mod convert;
 mod fleet_key;
 mod limits;
 mod listen;
--- a/crates/node/src/config/convert.rs
+++ b/crates/node/src/config/convert.rs
@@ -72,7 +72,10 @@
 
 impl From<&RetriesSettings> for Backoff {
     fn from(settings: &RetriesSettings) -> Self {
-        Self { base: settings.backoff, ..Self::default() }
+        Self {
+            first: settings.backoff,
+            ..Self::default()
+        }
     }
 }
 
@@ -94,7 +97,10 @@
 
 impl From<&super::FleetKey> for FleetKey {
     fn from(key: &super::FleetKey) -> Self {
-        Self { id: key.id, secret: key.secret.expose().clone() }
+        Self {
+            id: key.id,
+            secret: key.secret.expose().clone(),
+        }
     }
 }
 
--- a/crates/node/src/data/answer.rs
+++ b/crates/node/src/data/answer.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use coltsfootport_core::error_kind::ErrorKind;
+use coltsfootport_core::once::AnswerSize;
 use http::{HeaderMap, StatusCode};
 
 /// A target's whole answer.
@@ -37,9 +38,22 @@
     Refused(Refused),
 }
 
+impl AnswerSize for Answer {
+    fn answer_size(&self) -> usize {
+        let pairs = self.headers.iter();
+        let headers: usize = pairs
+            .map(|(name, value)| name.as_str().len() + value.len())
+            .sum();
+        headers + self.body.len()
+    }
+}
+
 impl From<ErrorKind> for Refused {
     fn from(kind: ErrorKind) -> Self {
-        Self { kind, retry_after: Duration::ZERO }
+        Self {
+            kind,
+            retry_after: Duration::ZERO,
+        }
     }
 }
 
--- a/crates/node/src/data/call.rs
+++ b/crates/node/src/data/call.rs
@@ -65,7 +65,9 @@
     /// A request that is kept at one hop is then kept at all of them, so that no work is spent on half a chain.
     pub fn bucket(&self) -> u8 {
         let folded = self.request.0 ^ (self.request.0 >> 64);
-        (folded as u64).wrapping_mul(BUCKET_MULTIPLIER).to_be_bytes()[0]
+        (folded as u64)
+            .wrapping_mul(BUCKET_MULTIPLIER)
+            .to_be_bytes()[0]
     }
 }
 
--- a/crates/node/src/data/report.rs
+++ b/crates/node/src/data/report.rs
@@ -57,7 +57,10 @@
             in_flight: frame.in_flight,
             queued: frame.queued,
             limit: frame.limit,
-            level: Level { class: Class(frame.level_class), bucket: frame.level_bucket },
+            level: Level {
+                class: Class(frame.level_class),
+                bucket: frame.level_bucket,
+            },
             revision: frame.revision,
         }
     }
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -11,8 +11,8 @@
 use coltsfootport_core::once::Try;
 use coltsfootport_core::routing::{PeerKey, RouteResult};
 use coltsfootport_core::timeline::Event;
-use rand::rngs::SmallRng;
 use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 use super::Budget;
 use super::tokens::TokenIssuer;
@@ -71,7 +71,10 @@
 impl Dispatcher {
     /// A dispatcher.
     pub fn new(setup: DispatcherSetup) -> Self {
-        Self { setup: Arc::new(setup), attempts: Arc::new(AtomicU64::new(1)) }
+        Self {
+            setup: Arc::new(setup),
+            attempts: Arc::new(AtomicU64::new(1)),
+        }
     }
 
     /// Sends a call that has no identity outside the system, which may move from host to host.
@@ -84,7 +87,10 @@
             let route = match self.setup.routes.pick(pick_of(&call, &excluded)).await {
                 Choice::Go(route) => route,
                 Choice::Shed(retry_after) => {
-                    return Verdict::Refused(Refused { kind: ErrorKind::Shed, retry_after });
+                    return Verdict::Refused(Refused {
+                        kind: ErrorKind::Shed,
+                        retry_after,
+                    });
                 }
                 Choice::Nobody => return Verdict::Refused(with_time(failure)),
             };
@@ -122,7 +128,11 @@
                 return Verdict::Refused(with_time(failure));
             }
             self.setup.metrics.calls.retried(failure.kind);
-            let event = Event::Retried { error: failure.kind, attempt: retries + 1, allowance: 0 };
+            let event = Event::Retried {
+                error: failure.kind,
+                attempt: retries + 1,
+                allowance: 0,
+            };
             self.setup.recorder.record(Some(call.request), event);
             self.pause(retries).await;
             retries += 1;
@@ -145,7 +155,10 @@
         call.attempt = AttemptId(self.attempts.fetch_add(1, Ordering::Relaxed));
         let granted = budget.grant().await;
         call.allowance = granted;
-        let event = Event::Sent { peer: route.node.clone(), attempt: 0 };
+        let event = Event::Sent {
+            peer: route.node.clone(),
+            attempt: 0,
+        };
         setup.recorder.record(Some(call.request), event);
         let exchange = self.exchange(call, &route);
         let patience = call.deadline + ANSWER_GRACE;
@@ -160,7 +173,9 @@
                 if let Err(breach) = budget.give_back(granted, reply.allowance_left) {
                     setup.recorder.breach(breach);
                 }
-                route.guard.done(route_result(&reply.verdict), Some(reply.report.clone()));
+                route
+                    .guard
+                    .done(route_result(&reply.verdict), Some(reply.report.clone()));
                 Attempt::Replied(reply)
             }
             Attempt::NotSent => {
@@ -169,7 +184,11 @@
                 Attempt::NotSent
             }
             ended @ (Attempt::Lost | Attempt::Expired) => {
-                let event = Event::Lost { peer: route.node.clone(), attempt: 0, elapsed_us: 0 };
+                let event = Event::Lost {
+                    peer: route.node.clone(),
+                    attempt: 0,
+                    elapsed_us: 0,
+                };
                 setup.recorder.record(Some(call.request), event);
                 route.guard.done(RouteResult::Lost, None);
                 ended
@@ -200,7 +219,10 @@
         let Some(token) = self.setup.tokens.mint_at(route, &call.service).await else {
             return false;
         };
-        call.once = Some(OnceCall { token, number: Try(1) });
+        call.once = Some(OnceCall {
+            token,
+            number: Try(1),
+        });
         true
     }
 
@@ -256,7 +278,10 @@
 /// The failure of a call that no caller holds a token of: once its home refused it for good, it may run elsewhere.
 fn moved(refused: Refused) -> Refused {
     match refused.kind {
-        ErrorKind::TokenRefused => Refused { kind: ErrorKind::NoTarget, ..refused },
+        ErrorKind::TokenRefused => Refused {
+            kind: ErrorKind::NoTarget,
+            ..refused
+        },
         _ => refused,
     }
 }
@@ -275,7 +300,10 @@
 
 pub(super) fn with_time(refused: Refused) -> Refused {
     if refused.retry_after.is_zero() {
-        return Refused { retry_after: DEFAULT_RETRY_AFTER, ..refused };
+        return Refused {
+            retry_after: DEFAULT_RETRY_AFTER,
+            ..refused
+        };
     }
     refused
 }
--- a/crates/node/src/entry/inbound.rs
+++ b/crates/node/src/entry/inbound.rs
@@ -30,27 +30,38 @@
 impl Inbound {
     /// Splits `/{service}/{path}` into the service and the target's path.
     pub fn split(uri: &Uri) -> Result<(ServiceName, String), ErrorKind> {
-        let whole = uri.path_and_query().map(|path| path.as_str()).ok_or(ErrorKind::BadRequest)?;
+        let whole = uri
+            .path_and_query()
+            .map(|path| path.as_str())
+            .ok_or(ErrorKind::BadRequest)?;
         let rest = whole.strip_prefix('/').ok_or(ErrorKind::BadRequest)?;
         let end = rest.find(['/', '?']).unwrap_or(rest.len());
         let (service, path) = rest.split_at(end);
         if service.is_empty() {
             return Err(ErrorKind::BadRequest);
         }
-        let path = if path.starts_with('/') { path.to_owned() } else { format!("/{path}") };
+        let path = if path.starts_with('/') {
+            path.to_owned()
+        } else {
+            format!("/{path}")
+        };
         Ok((ServiceName::from(service), path))
     }
 
     /// The caller's time limit, where it names one.
     pub fn time_limit(&self) -> Result<Option<Duration>, ErrorKind> {
-        let Some(text) = self.text(&names::DEADLINE)? else { return Ok(None) };
+        let Some(text) = self.text(&names::DEADLINE)? else {
+            return Ok(None);
+        };
         let millis: u64 = text.parse().map_err(|_| ErrorKind::BadRequest)?;
         Ok(Some(Duration::from_millis(millis)))
     }
 
     /// The number of the sending, 1 where none is given.
     pub fn number(&self) -> Result<Try, ErrorKind> {
-        let Some(text) = self.text(&names::TRY)? else { return Ok(Try(1)) };
+        let Some(text) = self.text(&names::TRY)? else {
+            return Ok(Try(1));
+        };
         match text.parse() {
             Ok(number) if number > 0 => Ok(Try(number)),
             _ => Err(ErrorKind::BadRequest),
@@ -60,7 +71,9 @@
     /// The text of a header that may be given once.
     pub fn text(&self, name: &HeaderName) -> Result<Option<&str>, ErrorKind> {
         let mut values = self.headers.get_all(name).iter();
-        let Some(value) = values.next() else { return Ok(None) };
+        let Some(value) = values.next() else {
+            return Ok(None);
+        };
         if values.next().is_some() {
             return Err(ErrorKind::BadRequest);
         }
--- a/crates/node/src/entry/origin.rs
+++ b/crates/node/src/entry/origin.rs
@@ -31,10 +31,14 @@
     /// The class: that of the request at its entry, whatever the service below says of the operation.
     pub fn class(&self, own: Class, own_name: SmolStr) -> ClassOf {
         match self {
-            Self::Caller | Self::Uncontexted => ClassOf { class: own, name: own_name },
-            Self::Flight(parent) => {
-                ClassOf { class: parent.class, name: parent.class_name.clone() }
-            }
+            Self::Caller | Self::Uncontexted => ClassOf {
+                class: own,
+                name: own_name,
+            },
+            Self::Flight(parent) => ClassOf {
+                class: parent.class,
+                name: parent.class_name.clone(),
+            },
         }
     }
 
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -23,7 +23,11 @@
 impl Outgoing {
     /// An answer without a token.
     pub fn new(request: RequestId, verdict: Verdict) -> Self {
-        Self { request, verdict, token: None }
+        Self {
+            request,
+            verdict,
+            token: None,
+        }
     }
 
     /// The error kind, where a node made the answer.
@@ -36,7 +40,8 @@
 
     /// What is known about whether the request ran.
     pub fn outcome(&self) -> Outcome {
-        self.error().map_or(Outcome::Ran, |kind| kind.rule().outcome)
+        self.error()
+            .map_or(Outcome::Ran, |kind| kind.rule().outcome)
     }
 
     /// The HTTP answer.
@@ -48,7 +53,10 @@
         if let Ok(value) = HeaderValue::from_str(&self.request.to_string()) {
             res.headers_mut().insert(names::REQUEST, value);
         }
-        if let Some(value) = self.token.and_then(|token| HeaderValue::from_str(&token).ok()) {
+        if let Some(value) = self
+            .token
+            .and_then(|token| HeaderValue::from_str(&token).ok())
+        {
             res.headers_mut().insert(names::TOKEN, value);
         }
         res
--- a/crates/node/src/entry/pinned.rs
+++ b/crates/node/src/entry/pinned.rs
@@ -19,7 +19,12 @@
     ///
     /// Were it moved, the caller's next try with the same token would reach the first home, hear "not run", and the request
     /// would have run at the second.
-    pub async fn send_pinned(&self, mut call: Call, once: OnceCall, budget: &mut Budget) -> Verdict {
+    pub async fn send_pinned(
+        &self,
+        mut call: Call,
+        once: OnceCall,
+        budget: &mut Budget,
+    ) -> Verdict {
         call.once = Some(once.clone());
         loop {
             let Some(route) = self.setup.routes.home(&once.token).await else {
@@ -37,12 +42,15 @@
 
     /// Asks the home what became of a call after contact was lost, and has it refuse the call if it did not run.
     pub(super) async fn settle(&self, call: &Call) -> Verdict {
-        let Some(once) = &call.once else { return Verdict::from(ErrorKind::AnswerLost) };
+        let Some(once) = &call.once else {
+            return Verdict::from(ErrorKind::AnswerLost);
+        };
         let refusal = self.ask_home(once).await;
         match refusal {
-            Refusal::Ran(answer) => {
-                Verdict::Answered(Answer { replayed: true, ..(*answer).clone() })
-            }
+            Refusal::Ran(answer) => Verdict::Answered(Answer {
+                replayed: true,
+                ..(*answer).clone()
+            }),
             Refusal::RefusedForGood => {
                 Verdict::Refused(with_time(Refused::from(ErrorKind::TokenRefused)))
             }
@@ -56,25 +64,38 @@
         let Some(route) = self.setup.routes.home(&once.token).await else {
             return Refusal::Unknown;
         };
-        let refusal = self.refuse_at(&route, once).await.unwrap_or(Refusal::Unknown);
+        let refusal = self
+            .refuse_at(&route, once)
+            .await
+            .unwrap_or(Refusal::Unknown);
         route.guard.done(RouteResult::Cancelled, None);
         refusal
     }
 
     async fn refuse_at(&self, route: &Route, once: &OnceCall) -> Option<Refusal<Arc<Answer>>> {
         if route.node == self.setup.node {
-            return Some(self.setup.host.refuse(once.token.clone(), once.number).await);
+            return Some(
+                self.setup
+                    .host
+                    .refuse(once.token.clone(), once.number)
+                    .await,
+            );
         }
         let asking = async {
             let link = self.setup.hub.link(&route.node, route.address).await?;
-            let request =
-                ControlRequest::Refuse { token: once.token.clone(), up_to: once.number.0 };
+            let request = ControlRequest::Refuse {
+                token: once.token.clone(),
+                up_to: once.number.0,
+            };
             match link.control(request, REFUSE_PATIENCE).await.ok()? {
                 ControlReply::Refuse(frame) => refusal(frame),
                 _ => None,
             }
         };
-        tokio::time::timeout(REFUSE_PATIENCE, asking).await.ok().flatten()
+        tokio::time::timeout(REFUSE_PATIENCE, asking)
+            .await
+            .ok()
+            .flatten()
     }
 
     /// The verdict where this try has not left this node.
@@ -98,7 +119,11 @@
 fn refusal(frame: RefusalFrame) -> Option<Refusal<Arc<Answer>>> {
     Some(match frame {
         RefusalFrame::Running => Refusal::Running,
-        RefusalFrame::Ran { status, headers, body } => Refusal::Ran(Arc::new(Answer {
+        RefusalFrame::Ran {
+            status,
+            headers,
+            body,
+        } => Refusal::Ran(Arc::new(Answer {
             status: StatusCode::from_u16(status).ok()?,
             headers: HeaderFrame::into_map(headers).ok()?,
             body: body.into(),
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -98,12 +98,21 @@
         let Answered { class, outgoing } = outgoing;
         let (outcome, error) = (outgoing.outcome(), outgoing.error());
         self.metrics.calls.answered(listener, class, outcome, error);
-        let elapsed_us = self.clock.now().saturating_duration_since(started).as_micros() as u64;
+        let elapsed_us = self
+            .clock
+            .now()
+            .saturating_duration_since(started)
+            .as_micros() as u64;
         let event = match &outgoing.verdict {
-            Verdict::Answered(answer) => {
-                Event::Answered { status: answer.status.as_u16(), elapsed_us, allowance: 0 }
-            }
-            Verdict::Refused(refused) => Event::Refused { error: refused.kind, elapsed_us },
+            Verdict::Answered(answer) => Event::Answered {
+                status: answer.status.as_u16(),
+                elapsed_us,
+                allowance: 0,
+            },
+            Verdict::Refused(refused) => Event::Refused {
+                error: refused.kind,
+                elapsed_us,
+            },
         };
         self.recorder.record(Some(outgoing.request), event);
         outgoing.into_response()
@@ -112,11 +121,19 @@
     async fn read(&self, req: Request<Incoming>) -> Result<Inbound, ErrorKind> {
         let (parts, body) = req.into_parts();
         let (service, path) = Inbound::split(&parts.uri)?;
-        let body = read_whole(body, self.limits.body_bytes).await.map_err(|e| match e {
-            BodyError::TooLarge => ErrorKind::TooLarge,
-            BodyError::Cut => ErrorKind::BadRequest,
-        })?;
-        Ok(Inbound { service, method: parts.method, path, headers: parts.headers, body })
+        let body = read_whole(body, self.limits.body_bytes)
+            .await
+            .map_err(|e| match e {
+                BodyError::TooLarge => ErrorKind::TooLarge,
+                BodyError::Cut => ErrorKind::BadRequest,
+            })?;
+        Ok(Inbound {
+            service,
+            method: parts.method,
+            path,
+            headers: parts.headers,
+            body,
+        })
     }
 
     async fn answer(
@@ -152,7 +169,11 @@
     }
 
     async fn dispatch(&self, prepared: Prepared, inbound: &Inbound, origin: &Origin) -> Outgoing {
-        let Prepared { call, mut budget, once } = prepared;
+        let Prepared {
+            call,
+            mut budget,
+            once,
+        } = prepared;
         let request = call.request;
         if let Origin::Flight(parent) = origin
             && !self.may_call(parent, inbound, &mut budget).await
@@ -167,7 +188,8 @@
         };
         let mut outgoing = Outgoing::new(request, verdict);
         if let (Origin::Flight(parent), Some(_)) = (origin, outgoing.error()) {
-            self.gate.own_call_failed(parent.flight, inbound.fingerprint());
+            self.gate
+                .own_call_failed(parent.flight, inbound.fingerprint());
         }
         if held && outgoing.error().is_some_and(needs_fresh_token) {
             outgoing.token = self.tokens.issue_one(&service).await;
@@ -182,7 +204,11 @@
         if !self.limits.allowance_enabled {
             return true;
         }
-        if !self.gate.is_repeat(parent.flight, inbound.fingerprint()).await {
+        if !self
+            .gate
+            .is_repeat(parent.flight, inbound.fingerprint())
+            .await
+        {
             return true;
         }
         budget.spend().await
@@ -213,7 +239,11 @@
             return Ok(Origin::Uncontexted);
         };
         let handle: ContextHandle = text.parse().map_err(|_| ErrorKind::UnknownContext)?;
-        let parent = self.gate.parent(handle).await.ok_or(ErrorKind::UnknownContext)?;
+        let parent = self
+            .gate
+            .parent(handle)
+            .await
+            .ok_or(ErrorKind::UnknownContext)?;
         Ok(Origin::Flight(parent))
     }
 
@@ -226,7 +256,10 @@
     ) -> Result<Prepared, ErrorKind> {
         let DocumentInForce { revision, document } = self.document(&inbound.service)?;
         let profile = document.profile(inbound.method.as_str(), &inbound.path);
-        let limit = inbound.time_limit()?.unwrap_or(profile.deadline).min(profile.deadline);
+        let limit = inbound
+            .time_limit()?
+            .unwrap_or(profile.deadline)
+            .min(profile.deadline);
         let class = origin.class(profile.class, profile.class_name);
         let once = self.once(inbound, profile.idempotent)?;
         let call = Call {
@@ -261,7 +294,11 @@
         if published.documents.is_empty() {
             return Err(ErrorKind::NotReady);
         }
-        published.documents.get(service).cloned().ok_or(ErrorKind::UnknownService)
+        published
+            .documents
+            .get(service)
+            .cloned()
+            .ok_or(ErrorKind::UnknownService)
     }
 
     fn once(&self, inbound: &Inbound, idempotent: bool) -> Result<Option<OnceCall>, ErrorKind> {
@@ -282,14 +319,19 @@
             return refuse(Refused::from(ErrorKind::BadRequest));
         }
         let query = TokenQuery::parse(req.uri().query().unwrap_or_default());
-        let Some(query) = query else { return refuse(Refused::from(ErrorKind::BadRequest)) };
+        let Some(query) = query else {
+            return refuse(Refused::from(ErrorKind::BadRequest));
+        };
         if let Err(kind) = self.document(&query.service) {
             return refuse(super::dispatcher::with_time(Refused::from(kind)));
         }
         match self.tokens.issue(&query.service, query.count).await {
             Ok(page) => {
                 let count = page.tokens.len() as u32;
-                let event = Event::TokenMinted { service: query.service, count };
+                let event = Event::TokenMinted {
+                    service: query.service,
+                    count,
+                };
                 self.recorder.record(None, event);
                 json(serde_json::to_string(&page).unwrap_or_default())
             }
@@ -333,7 +375,10 @@
                 _ => return None,
             }
         }
-        Some(Self { service: service?, count })
+        Some(Self {
+            service: service?,
+            count,
+        })
     }
 }
 
@@ -348,7 +393,11 @@
 /// The operation by which levels of the subtree are kept: the method and the first segment of the path.
 fn operation_of(inbound: &Inbound) -> SmolStr {
     let path = inbound.path.split('?').next().unwrap_or_default();
-    let first = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+    let first = path
+        .trim_start_matches('/')
+        .split('/')
+        .next()
+        .unwrap_or_default();
     let first: String = first.chars().take(LONGEST_OPERATION).collect();
     SmolStr::from(format!("{} {first}", inbound.method))
 }
--- a/crates/node/src/entry/tokens.rs
+++ b/crates/node/src/entry/tokens.rs
@@ -40,7 +40,11 @@
     /// Opens a sealed token of a service.
     pub fn open(&self, text: &str, service: &ServiceName) -> Result<Token, ErrorKind> {
         let token = self.keys.open(text)?;
-        if token.service == *service { Ok(token) } else { Err(ErrorKind::BadToken) }
+        if token.service == *service {
+            Ok(token)
+        } else {
+            Err(ErrorKind::BadToken)
+        }
     }
 
     /// Up to `count` tokens of a service, spread over its homes.
@@ -59,7 +63,9 @@
     /// One sealed token of a service.
     pub async fn issue_one(&self, service: &ServiceName) -> Option<SmolStr> {
         for _ in 0..HOMES_TRIED {
-            let Choice::Go(route) = self.routes.pick(pick_for(service)).await else { return None };
+            let Choice::Go(route) = self.routes.pick(pick_for(service)).await else {
+                return None;
+            };
             if let Some(token) = self.mint(route, service).await {
                 return Some(self.keys.seal(&token));
             }
@@ -78,7 +84,11 @@
 
     async fn mint(&self, route: Route, service: &ServiceName) -> Option<Token> {
         let token = self.mint_at(&route, service).await;
-        let result = if token.is_some() { RouteResult::Cancelled } else { RouteResult::Lost };
+        let result = if token.is_some() {
+            RouteResult::Cancelled
+        } else {
+            RouteResult::Lost
+        };
         route.guard.done(result, None);
         token
     }
--- a/crates/node/src/exit.rs
+++ b/crates/node/src/exit.rs
@@ -40,9 +40,9 @@
     pub const fn code(self) -> u8 {
         match self {
             Self::Ok => 0,
-            Self::Failed => 1,
+            Self::Failed => 3,
             Self::Usage => 2,
-            Self::Invalid => 3,
+            Self::Invalid => 1,
             Self::Unreachable => 4,
             Self::RanWithError => 10,
             Self::NotRun => 11,
--- a/crates/node/src/gate/context.rs
+++ b/crates/node/src/gate/context.rs
@@ -28,7 +28,10 @@
 impl ContextHandle {
     /// The handle of a call in flight at `incarnation`.
     pub fn new(incarnation: Incarnation, flight: FlightKey) -> Self {
-        Self { incarnation: fold(incarnation), flight }
+        Self {
+            incarnation: fold(incarnation),
+            flight,
+        }
     }
 
     /// Whether the handle was given out by `incarnation`.
@@ -39,7 +42,12 @@
 
 impl fmt::Display for ContextHandle {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}-{:016x}", self.incarnation, self.flight.data().as_ffi())
+        write!(
+            f,
+            "{:016x}-{:016x}",
+            self.incarnation,
+            self.flight.data().as_ffi()
+        )
     }
 }
 
@@ -50,7 +58,10 @@
         let (incarnation, flight) = text.split_once('-').ok_or(ParseContextError)?;
         let incarnation = u64::from_str_radix(incarnation, 16).map_err(|_| ParseContextError)?;
         let flight = u64::from_str_radix(flight, 16).map_err(|_| ParseContextError)?;
-        Ok(Self { incarnation, flight: FlightKey::from(KeyData::from_ffi(flight)) })
+        Ok(Self {
+            incarnation,
+            flight: FlightKey::from(KeyData::from_ffi(flight)),
+        })
     }
 }
 
--- a/crates/node/src/gate/handle.rs
+++ b/crates/node/src/gate/handle.rs
@@ -42,42 +42,58 @@
 
     /// Reports the end of a call in flight.
     pub async fn finish(&self, flight: FlightKey, end: FlightEnd) -> Option<Departure> {
-        self.ask(|reply| GateMessage::Finish(flight, end, reply)).await
+        self.ask(|reply| GateMessage::Finish(flight, end, reply))
+            .await
     }
 
     /// State for a reply about a call that never was in flight.
     pub async fn report(&self, operation: SmolStr) -> Option<HostReport> {
-        self.ask(|reply| GateMessage::Report(operation, reply)).await
+        self.ask(|reply| GateMessage::Report(operation, reply))
+            .await
     }
 
     /// The call in flight that a context handle names.
     pub async fn parent(&self, handle: ContextHandle) -> Option<Parent> {
-        self.ask(|reply| GateMessage::Parent(handle, reply)).await.flatten()
+        self.ask(|reply| GateMessage::Parent(handle, reply))
+            .await
+            .flatten()
     }
 
     /// A part of the allowance for one attempt of a target's own call.
     pub async fn grant(&self, flight: FlightKey) -> u16 {
-        self.ask(|reply| GateMessage::Grant(flight, reply)).await.unwrap_or(0)
+        self.ask(|reply| GateMessage::Grant(flight, reply))
+            .await
+            .unwrap_or(0)
     }
 
     /// Returns what an attempt left of its part.
     pub fn give_back(&self, flight: FlightKey, granted: u16, left: u16) {
-        let _ = self.tx.send(GateMessage::GiveBack { flight, granted, left });
+        let _ = self.tx.send(GateMessage::GiveBack {
+            flight,
+            granted,
+            left,
+        });
     }
 
     /// Takes one retry out of the allowance.
     pub async fn spend(&self, flight: FlightKey) -> bool {
-        self.ask(|reply| GateMessage::Spend(flight, reply)).await.unwrap_or(false)
+        self.ask(|reply| GateMessage::Spend(flight, reply))
+            .await
+            .unwrap_or(false)
     }
 
     /// Whether a target's own call repeats one that failed.
     pub async fn is_repeat(&self, flight: FlightKey, fingerprint: u64) -> bool {
-        self.ask(|reply| GateMessage::IsRepeat(flight, fingerprint, reply)).await.unwrap_or(true)
+        self.ask(|reply| GateMessage::IsRepeat(flight, fingerprint, reply))
+            .await
+            .unwrap_or(true)
     }
 
     /// Notes that a target's own call failed.
     pub fn own_call_failed(&self, flight: FlightKey, fingerprint: u64) {
-        let _ = self.tx.send(GateMessage::OwnCallFailed(flight, fingerprint));
+        let _ = self
+            .tx
+            .send(GateMessage::OwnCallFailed(flight, fingerprint));
     }
 
     /// Notes the admission level heard below an operation of this target.
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -10,7 +10,6 @@
 use coltsfootport_core::collections::{Map, Set};
 use coltsfootport_core::error_kind::ErrorKind;
 use coltsfootport_core::id::{Incarnation, NodeName, ServiceName};
-use coltsfootport_core::invariant::Invariant;
 use coltsfootport_core::lifecycle::{Lifecycle, LifecycleConfig, LifecycleEvent, Phase};
 use coltsfootport_core::once::{Arrival, OnceConfig, OnceTable, RecordKey, Refusal, Token, Try};
 use coltsfootport_core::timeline::Event;
@@ -121,7 +120,11 @@
     fn wake_at(&self, now: Instant) -> Instant {
         let admission = self.admission.next_wakeup();
         let life = self.lifecycle.wake_at();
-        let due = admission.into_iter().chain(life).min().unwrap_or(now + LONGEST_SLEEP);
+        let due = admission
+            .into_iter()
+            .chain(life)
+            .min()
+            .unwrap_or(now + LONGEST_SLEEP);
         due.clamp(now + SHORTEST_SLEEP, now + LONGEST_SLEEP)
     }
 
@@ -140,11 +143,18 @@
                 let _ = reply.send(self.parent(handle));
             }
             GateMessage::Grant(key, reply) => self.grant(key, reply),
-            GateMessage::GiveBack { flight, granted, left } => {
+            GateMessage::GiveBack {
+                flight,
+                granted,
+                left,
+            } => {
                 self.give_back(flight, granted, left);
             }
             GateMessage::Spend(key, reply) => {
-                let spent = self.flights.get_mut(key).is_some_and(|f| f.allowance.spend());
+                let spent = self
+                    .flights
+                    .get_mut(key)
+                    .is_some_and(|f| f.allowance.spend());
                 let _ = reply.send(spent);
             }
             GateMessage::IsRepeat(key, fingerprint, reply) => {
@@ -194,8 +204,13 @@
     }
 
     fn is_running(&mut self, admittance: &Admittance, now: Instant) -> bool {
-        let Some(once) = &admittance.once else { return false };
-        matches!(self.once.refuse(&once.token, once.number, now), Refusal::Running)
+        let Some(once) = &admittance.once else {
+            return false;
+        };
+        matches!(
+            self.once.refuse(&once.token, once.number, now),
+            Refusal::Running
+        )
     }
 
     /// Answers a call while no new work is taken.
@@ -267,7 +282,13 @@
         reply: oneshot::Sender<Entered>,
         kind: ErrorKind,
     ) {
-        self.recorder.record(Some(admittance.request), Event::Refused { error: kind, elapsed_us: 0 });
+        self.recorder.record(
+            Some(admittance.request),
+            Event::Refused {
+                error: kind,
+                elapsed_us: 0,
+            },
+        );
         let _ = reply.send(Entered::Refused(self.refused(kind)));
     }
 
@@ -298,13 +319,18 @@
             return Err(ErrorKind::Leaving);
         }
         flight.phase = FlightPhase::Dispatched;
-        let event = Event::Dispatched { attempt: flight.depth.into(), elapsed_us: 0 };
+        let event = Event::Dispatched {
+            attempt: flight.depth.into(),
+            elapsed_us: 0,
+        };
         self.recorder.record(Some(flight.request), event);
         Ok(())
     }
 
     fn finish(&mut self, key: FlightKey, end: FlightEnd, reply: oneshot::Sender<Departure>) {
-        let Some(flight) = self.end(key, end) else { return };
+        let Some(flight) = self.end(key, end) else {
+            return;
+        };
         let departure = Departure {
             allowance_left: flight.allowance.left(),
             report: self.report(&flight.operation),
@@ -313,14 +339,17 @@
     }
 
     fn abandon(&mut self, key: FlightKey) {
-        let Some(flight) = self.flights.get(key) else { return };
+        let Some(flight) = self.flights.get(key) else {
+            return;
+        };
         let end = match flight.phase {
             FlightPhase::Dispatched => FlightEnd::Lost(ErrorKind::AnswerLost),
             FlightPhase::Queued | FlightPhase::Admitted => {
                 FlightEnd::Withdrawn(ErrorKind::Cancelled)
             }
         };
-        self.recorder.record(Some(flight.request), Event::Cancelled { elapsed_us: 0 });
+        self.recorder
+            .record(Some(flight.request), Event::Cancelled { elapsed_us: 0 });
         self.end(key, end);
     }
 
@@ -386,19 +415,32 @@
     }
 
     fn start(&mut self, call: CallKey) {
-        let Some(&key) = self.by_call.get(&call) else { return };
-        let Some(flight) = self.flights.get_mut(key) else { return };
+        let Some(&key) = self.by_call.get(&call) else {
+            return;
+        };
+        let Some(flight) = self.flights.get_mut(key) else {
+            return;
+        };
         flight.phase = FlightPhase::Admitted;
-        let event = Event::Admitted { class: flight.class, elapsed_us: 0 };
+        let event = Event::Admitted {
+            class: flight.class,
+            elapsed_us: 0,
+        };
         self.recorder.record(Some(flight.request), event);
-        let Some(reply) = flight.reply.take() else { return };
+        let Some(reply) = flight.reply.take() else {
+            return;
+        };
         // A receiver that has gone drops the guard inside the message, which abandons the call.
         let _ = reply.send(Entered::Admitted(FlightGuard::new(key, self.tx.clone())));
     }
 
     fn shed(&mut self, call: CallKey, kind: ErrorKind) {
-        let Some(key) = self.by_call.remove(&call) else { return };
-        let Some(flight) = self.flights.remove(key) else { return };
+        let Some(key) = self.by_call.remove(&call) else {
+            return;
+        };
+        let Some(flight) = self.flights.remove(key) else {
+            return;
+        };
         self.lifecycle.withdrawn();
         let event = Event::Shed {
             service: ServiceName::default(),
@@ -436,14 +478,24 @@
 
     fn ready(&mut self) {
         if self.lifecycle.ready(self.clock.now()) {
-            self.recorder.record(None, Event::Phase { phase: SmolStr::new_static("serving") });
+            self.recorder.record(
+                None,
+                Event::Phase {
+                    phase: SmolStr::new_static("serving"),
+                },
+            );
         }
     }
 
     fn leave(&mut self, reply: oneshot::Sender<()>) {
         self.drained.push(reply);
         if self.lifecycle.leave(self.clock.now()) {
-            self.recorder.record(None, Event::Phase { phase: SmolStr::new_static("leaving") });
+            self.recorder.record(
+                None,
+                Event::Phase {
+                    phase: SmolStr::new_static("leaving"),
+                },
+            );
         }
     }
 
@@ -474,24 +526,33 @@
     }
 
     fn give_back(&mut self, key: FlightKey, granted: u16, left: u16) {
-        let Some(flight) = self.flights.get_mut(key) else { return };
+        let Some(flight) = self.flights.get_mut(key) else {
+            return;
+        };
         if let Err(breach) = flight.allowance.give_back(granted, left) {
             self.recorder.breach(breach);
         }
     }
 
     fn level_below(&mut self, key: FlightKey, level: Level) {
-        let Some(flight) = self.flights.get(key) else { return };
+        let Some(flight) = self.flights.get(key) else {
+            return;
+        };
         let operation = ServiceName(flight.operation.clone());
         self.below.heard(&operation, level, self.clock.now());
     }
 
     fn refuse(&mut self, token: &Token, up_to: Try) -> Refusal<Arc<Answer>> {
-        self.recorder.record(None, Event::TokenBurned { attempt: up_to.0 as u16 });
+        self.recorder.record(
+            None,
+            Event::TokenBurned {
+                attempt: up_to.0 as u16,
+            },
+        );
         self.once.refuse(token, up_to, self.clock.now())
     }
 
-    fn report(&self, operation: &SmolStr) -> HostReport {
+    fn report(&mut self, operation: &SmolStr) -> HostReport {
         let now = self.clock.now();
         let below = self.below.level(&ServiceName(operation.clone()), now);
         HostReport {
@@ -501,7 +562,7 @@
             leaving: self.lifecycle.phase() >= Phase::Leaving,
             in_flight: self.admission.in_flight(),
             queued: self.admission.queued() as u32,
-            limit: self.admission.limit(now),
+            limit: self.admission.limit(),
             level: self.admission.level().min(below),
             revision: self.revision,
         }
@@ -511,7 +572,7 @@
         GateStatus {
             in_flight: self.admission.in_flight(),
             queued: self.admission.queued() as u32,
-            limit: self.admission.limit(self.clock.now()),
+            limit: self.admission.limit(),
             level: self.admission.level(),
             records: self.once.len(),
             phase: self.lifecycle.phase(),
@@ -523,10 +584,17 @@
     /// The time is the wait of the calls already queued plus a random part, so that refused callers don't return together.
     fn refused(&mut self, kind: ErrorKind) -> Refused {
         let now = self.clock.now();
-        let turns = self.admission.queued() as f64 / f64::from(self.admission.limit(now).max(1));
-        let wait = self.admission.service_time(now).mul_f64(turns + 1.0).max(LEAST_RETRY_AFTER);
+        let turns = self.admission.queued() as f64 / f64::from(self.admission.limit().max(1));
+        let wait = self
+            .admission
+            .service_time(now)
+            .mul_f64(turns + 1.0)
+            .max(LEAST_RETRY_AFTER);
         let retry_after = wait.mul_f64(self.rng.random_range(1.0..RETRY_AFTER_SPREAD));
-        Refused { kind, retry_after: retry_after.min(MOST_RETRY_AFTER) }
+        Refused {
+            kind,
+            retry_after: retry_after.min(MOST_RETRY_AFTER),
+        }
     }
 }
 
--- a/crates/node/src/host/runner.rs
+++ b/crates/node/src/host/runner.rs
@@ -41,7 +41,9 @@
 impl Host {
     /// A host.
     pub fn new(setup: HostSetup) -> Self {
-        Self { setup: Arc::new(setup) }
+        Self {
+            setup: Arc::new(setup),
+        }
     }
 
     /// Runs a call and answers with its reply; dropping the future cancels the call.
@@ -59,10 +61,17 @@
             Entered::Admitted(guard) if call.once.is_some() => self.run_detached(call, guard).await,
             Entered::Admitted(guard) => {
                 let (attempt, deadline) = (call.attempt, call.deadline);
-                Some(self.execute(call, guard, deadline, None).await?.into_reply(attempt))
+                Some(
+                    self.execute(call, guard, deadline, None)
+                        .await?
+                        .into_reply(attempt),
+                )
             }
             Entered::Replayed(answer) => {
-                let answer = Answer { replayed: true, ..(*answer).clone() };
+                let answer = Answer {
+                    replayed: true,
+                    ..(*answer).clone()
+                };
                 self.aside(&call, Verdict::Answered(answer)).await
             }
             Entered::Refused(refused) => self.aside(&call, Verdict::Refused(refused)).await,
@@ -82,7 +91,12 @@
     /// A reply about a call that never was in flight; its whole allowance goes back.
     async fn aside(&self, call: &Call, verdict: Verdict) -> Option<Reply> {
         let report = self.setup.gate.report(call.operation.clone()).await?;
-        Some(Reply { attempt: call.attempt, allowance_left: call.allowance, verdict, report })
+        Some(Reply {
+            attempt: call.attempt,
+            allowance_left: call.allowance,
+            verdict,
+            report,
+        })
     }
 
     /// Runs a call in a task of its own, so that its answer is kept even where its caller goes.
@@ -135,19 +149,35 @@
     async fn answered(&self, guard: FlightGuard, answer: Arc<Answer>) -> Option<Executed> {
         let end = FlightEnd::Answered(Arc::clone(&answer));
         let departure = self.setup.gate.finish(guard.release(), end).await?;
-        Some(Executed { verdict: Verdict::Answered((*answer).clone()), departure })
+        Some(Executed {
+            verdict: Verdict::Answered((*answer).clone()),
+            departure,
+        })
     }
 
     async fn lose(&self, guard: FlightGuard, kind: ErrorKind) -> Option<Executed> {
-        let departure = self.setup.gate.finish(guard.release(), FlightEnd::Lost(kind)).await?;
-        Some(Executed { verdict: Verdict::Refused(Refused::from(kind)), departure })
+        let departure = self
+            .setup
+            .gate
+            .finish(guard.release(), FlightEnd::Lost(kind))
+            .await?;
+        Some(Executed {
+            verdict: Verdict::Refused(Refused::from(kind)),
+            departure,
+        })
     }
 
     async fn withdraw(&self, guard: FlightGuard, kind: ErrorKind) -> Option<Executed> {
         let end = FlightEnd::Withdrawn(kind);
         let departure = self.setup.gate.finish(guard.release(), end).await?;
-        let refused = Refused { kind, retry_after: WITHDRAWN_RETRY_AFTER };
-        Some(Executed { verdict: Verdict::Refused(refused), departure })
+        let refused = Refused {
+            kind,
+            retry_after: WITHDRAWN_RETRY_AFTER,
+        };
+        Some(Executed {
+            verdict: Verdict::Refused(refused),
+            departure,
+        })
     }
 }
 
--- a/crates/node/src/host/target.rs
+++ b/crates/node/src/host/target.rs
@@ -38,7 +38,11 @@
 impl TargetClient {
     /// A client of the target at `address`.
     pub fn new(pool: PoolHandle, address: SocketAddr, body_limit: usize) -> Self {
-        Self { pool, address, body_limit }
+        Self {
+            pool,
+            address,
+            body_limit,
+        }
     }
 
     /// A connection for one call; `None` when the target can't be reached.
@@ -58,7 +62,11 @@
         *req.method_mut() = call.method.clone();
         *req.uri_mut() = call.path.parse().map_err(|_| ErrorKind::BadRequest)?;
         *req.headers_mut() = call.headers.clone();
-        let left = call.deadline.saturating_duration_since(now).as_millis().to_string();
+        let left = call
+            .deadline
+            .saturating_duration_since(now)
+            .as_millis()
+            .to_string();
         let headers = req.headers_mut();
         headers.insert(header::HOST, value(&self.address.to_string())?);
         headers.insert(names::CONTEXT, value(&context.to_string())?);
@@ -110,7 +118,12 @@
             .await
             .map_err(|_| TargetError::Lost(ErrorKind::TargetFailed))?;
         let headers = end_to_end(&parts.headers);
-        Ok(Answer { status: parts.status, headers, body, replayed: false })
+        Ok(Answer {
+            status: parts.status,
+            headers,
+            body,
+            replayed: false,
+        })
     }
 }
 
--- a/crates/node/src/http/listener.rs
+++ b/crates/node/src/http/listener.rs
@@ -37,19 +37,29 @@
 
 impl Listener {
     /// A listener on a bound socket which winds its connections up when `closing` turns true.
-    pub fn new(socket: TcpListener, limits: ListenerLimits, closing: watch::Receiver<bool>) -> Self {
-        Self { socket, limits, closing }
+    pub fn new(
+        socket: TcpListener,
+        limits: ListenerLimits,
+        closing: watch::Receiver<bool>,
+    ) -> Self {
+        Self {
+            socket,
+            limits,
+            closing,
+        }
     }
 
     /// Serves until `closing` turns true; connections still open then finish their requests.
     pub async fn run<H, F>(mut self, handler: H)
     where
         H: Fn(Request<Incoming>, CallerConnection) -> F + Clone + Send + 'static,
-        F: Future<Output = Response<HttpAnswer>> + Send,
+        F: Future<Output = Response<HttpAnswer>> + Send + 'static,
     {
         let room = Arc::new(Semaphore::new(self.limits.connections));
         loop {
-            let Ok(permit) = Arc::clone(&room).acquire_owned().await else { return };
+            let Ok(permit) = Arc::clone(&room).acquire_owned().await else {
+                return;
+            };
             let accepted = tokio::select! {
                 accepted = self.socket.accept() => accepted,
                 _ = self.closing.wait_for(|closing| *closing) => return,
@@ -80,7 +90,7 @@
     handler: H,
 ) where
     H: Fn(Request<Incoming>, CallerConnection) -> F + Clone + Send + 'static,
-    F: Future<Output = Response<HttpAnswer>> + Send,
+    F: Future<Output = Response<HttpAnswer>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
     let connection = CallerConnection::new(stream);
--- a/crates/node/src/http/pool.rs
+++ b/crates/node/src/http/pool.rs
@@ -51,8 +51,19 @@
         connect_timeout: Duration,
     ) -> (Self, PoolHandle) {
         let (tx, rx) = mpsc::unbounded_channel();
-        let handle = PoolHandle { tx, address, connect_timeout };
-        (Self { idle: Vec::new(), capacity, rx }, handle)
+        let handle = PoolHandle {
+            tx,
+            address,
+            connect_timeout,
+        };
+        (
+            Self {
+                idle: Vec::new(),
+                capacity,
+                rx,
+            },
+            handle,
+        )
     }
 
     /// Runs until every handle is gone.
@@ -99,7 +110,10 @@
     /// A new connection; `None` when the target can't be reached.
     pub async fn connect(&self) -> Option<PooledSender> {
         let connecting = TcpStream::connect(self.address);
-        let stream = tokio::time::timeout(self.connect_timeout, connecting).await.ok()?.ok()?;
+        let stream = tokio::time::timeout(self.connect_timeout, connecting)
+            .await
+            .ok()?
+            .ok()?;
         let _ = stream.set_nodelay(true);
         let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
         tokio::spawn(connection);
@@ -107,7 +121,10 @@
     }
 
     fn pooled(&self, sender: Sender) -> PooledSender {
-        PooledSender { sender, tx: self.tx.clone() }
+        PooledSender {
+            sender,
+            tx: self.tx.clone(),
+        }
     }
 }
 
--- a/crates/node/src/http/respond.rs
+++ b/crates/node/src/http/respond.rs
@@ -35,7 +35,11 @@
     if rule.retry_after {
         let millis = refused.retry_after.as_millis() as u64;
         put(&mut res, names::RETRY_AFTER_MS, &millis.to_string());
-        put(&mut res, header::RETRY_AFTER, &millis.div_ceil(MILLIS_PER_SECOND).to_string());
+        put(
+            &mut res,
+            header::RETRY_AFTER,
+            &millis.div_ceil(MILLIS_PER_SECOND).to_string(),
+        );
     }
     res
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -16,7 +16,7 @@
 
 fn run(command: Command) -> Exit {
     match command {
-        Command::Node(_) => not_built("node"),
+        Command::Node(options) => commands::node::run(&options),
         Command::Check(options) => commands::check::run(&options),
         Command::Status(_) => not_built("status"),
         Command::Timeline(_) => not_built("timeline"),
--- a/crates/node/src/node/desk.rs
+++ b/crates/node/src/node/desk.rs
@@ -93,7 +93,13 @@
             phase: gate.map_or_else(SmolStr::default, |gate| phase_name(gate.phase)),
             documents: setup.spread.documents().await,
             platform: setup.spread.platform().await,
-            peers: setup.routes.peers().await.into_iter().map(PeerStatus::from).collect(),
+            peers: setup
+                .routes
+                .peers()
+                .await
+                .into_iter()
+                .map(PeerStatus::from)
+                .collect(),
             admission: self.admission(gate),
             tokens: self.tokens(gate),
             invariants: self.invariants(),
@@ -107,7 +113,12 @@
             AdmissionMode::Adaptive => "adaptive",
         };
         let mode = SmolStr::new_static(mode);
-        let Some(gate) = gate else { return AdmissionStatus { mode, ..Default::default() } };
+        let Some(gate) = gate else {
+            return AdmissionStatus {
+                mode,
+                ..Default::default()
+            };
+        };
         AdmissionStatus {
             mode,
             limit: gate.limit,
@@ -118,8 +129,11 @@
     }
 
     fn tokens(&self, gate: Option<GateStatus>) -> TokenStatus {
-        let capacity = self.setup.settings.once.capacity as usize;
-        TokenStatus { kept: gate.map_or(0, |gate| gate.records), capacity }
+        let capacity = u64::from(self.setup.settings.once.capacity);
+        TokenStatus {
+            kept: gate.map_or(0, |gate| gate.records as u64),
+            capacity,
+        }
     }
 
     fn invariants(&self) -> Vec<InvariantCount> {
@@ -151,8 +165,16 @@
     }
 
     async fn health(&self) -> HealthReport {
-        let phase = self.setup.gate.status().await.map_or(Phase::Stopped, |gate| gate.phase);
-        HealthReport { ready: phase == Phase::Serving, phase: phase_name(phase) }
+        let phase = self
+            .setup
+            .gate
+            .status()
+            .await
+            .map_or(Phase::Stopped, |gate| gate.phase);
+        HealthReport {
+            ready: phase == Phase::Serving,
+            phase: phase_name(phase),
+        }
     }
 
     async fn drain(&self) -> DrainReply {
--- a/crates/node/src/node/life.rs
+++ b/crates/node/src/node/life.rs
@@ -45,11 +45,12 @@
         let mut ready = false;
         loop {
             tokio::select! {
-                _ = self.published.changed(), if !ready => ready = self.try_ready(),
+                _ = self.published.changed(), if !ready => {}
                 _ = received(&mut terminate) => break,
                 _ = received(&mut interrupt) => break,
                 _ = self.stopping.wait_for(|stopping| *stopping) => break,
             }
+            ready = ready || self.try_ready();
         }
         self.stop().await;
     }
@@ -93,12 +94,15 @@
     }
 
     async fn announce(&self) {
-        let Some(report) = self.host.report().await else { return };
+        let Some(report) = self.host.report().await else {
+            return;
+        };
         let hello = HelloFrame {
             stamp: self.recorder.stamp(),
             report: ReportFrame::from(&report),
         };
-        self.hub.tell_all(ControlRequest::Announce(hello), ANNOUNCE_PATIENCE);
+        self.hub
+            .tell_all(ControlRequest::Announce(hello), ANNOUNCE_PATIENCE);
     }
 }
 
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
 
 use coltsfootport_core::admission::AdmissionConfig;
 use coltsfootport_core::allowance::{Backoff, EdgeBudgetConfig, RetryPolicy};
@@ -19,9 +18,7 @@
 use super::life::Life;
 use crate::clock::{SharedClock, SystemClock};
 use crate::config::{AdmissionMode, Settings};
-use crate::entry::{
-    Dispatcher, DispatcherSetup, EntryLimits, EntryService, TokenIssuer,
-};
+use crate::entry::{Dispatcher, DispatcherSetup, EntryLimits, EntryService, TokenIssuer};
 use crate::gate::{Gate, GateSetup};
 use crate::host::{Host, HostSetup, TargetClient};
 use crate::http::{Listener, ListenerLimits, TargetPool};
@@ -132,7 +129,10 @@
         settings.limits.peer_streams,
         settings.limits.idle_timeout,
     )?;
-    let frames = FrameLimits { head: HEAD_ALLOWANCE + settings.limits.header_bytes as usize, body: body_limit };
+    let frames = FrameLimits {
+        head: HEAD_ALLOWANCE + settings.limits.header_bytes as usize,
+        body: body_limit,
+    };
     let services = PeerServices {
         host: host.clone(),
         gate: gate.clone(),
@@ -142,8 +142,11 @@
         metrics: metrics.clone(),
         limits: frames,
     };
-    let (hub_task, hub) =
-        Hub::new(endpoint.clone(), services.clone(), settings.target.connect_timeout);
+    let (hub_task, hub) = Hub::new(
+        endpoint.clone(),
+        services.clone(),
+        settings.target.connect_timeout,
+    );
     tokio::spawn(hub_task.run());
     tokio::spawn(PeerServer::new(endpoint.clone(), services, hub.clone()).run());
 
@@ -190,9 +193,7 @@
     let callers = tokio::spawn(
         callers.run(move |req, connection| for_callers.clone().serve_caller(req, connection)),
     );
-    tokio::spawn(
-        egress.run(move |req, connection| entry.clone().serve_target(req, connection)),
-    );
+    tokio::spawn(egress.run(move |req, connection| entry.clone().serve_target(req, connection)));
 
     let (queries_tx, queries) = mpsc::channel(QUERY_QUEUE);
     let (stop, stopping) = watch::channel(false);
@@ -247,5 +248,9 @@
 async fn listen(listener: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
     TcpListener::bind(address)
         .await
-        .map_err(|source| NodeError::Bind { listener, address, source })
+        .map_err(|source| NodeError::Bind {
+            listener,
+            address,
+            source,
+        })
 }
--- a/crates/node/src/peers/hub.rs
+++ b/crates/node/src/peers/hub.rs
@@ -56,7 +56,18 @@
         let handle = HubHandle { tx: tx.clone() };
         let slots = Map::default();
         let inbound = Vec::new();
-        (Self { endpoint, services, inbound, connect_timeout, slots, tx, rx }, handle)
+        (
+            Self {
+                endpoint,
+                services,
+                inbound,
+                connect_timeout,
+                slots,
+                tx,
+                rx,
+            },
+            handle,
+        )
     }
 
     /// Runs until the process ends.
@@ -103,7 +114,8 @@
     }
 
     fn open(&mut self, node: NodeName, address: SocketAddr, reply: oneshot::Sender<Option<Link>>) {
-        self.slots.insert(node.clone(), Slot::Opening(address, vec![reply]));
+        self.slots
+            .insert(node.clone(), Slot::Opening(address, vec![reply]));
         let opening = open(
             self.endpoint.clone(),
             node.clone(),
@@ -119,11 +131,15 @@
     }
 
     fn opened(&mut self, node: NodeName, address: SocketAddr, link: Option<Link>) {
-        let Some(Slot::Opening(at, _)) = self.slots.get(&node) else { return };
+        let Some(Slot::Opening(at, _)) = self.slots.get(&node) else {
+            return;
+        };
         if *at != address {
             return;
         }
-        let Some(Slot::Opening(_, waiting)) = self.slots.remove(&node) else { return };
+        let Some(Slot::Opening(_, waiting)) = self.slots.remove(&node) else {
+            return;
+        };
         for reply in waiting {
             let _ = reply.send(link.clone());
         }
@@ -137,7 +153,9 @@
     /// The connection to a peer, opened if need be; `None` when it can't be reached.
     pub async fn link(&self, node: &NodeName, address: SocketAddr) -> Option<Link> {
         let (reply, link) = oneshot::channel();
-        self.tx.send(HubMessage::Get(node.clone(), address, reply)).ok()?;
+        self.tx
+            .send(HubMessage::Get(node.clone(), address, reply))
+            .ok()?;
         link.await.ok().flatten()
     }
 
@@ -167,10 +185,15 @@
     // The certificate must be that of the named node: an address that the platform's lagging list still gives to a replaced
     // node would otherwise reach another one under its name.
     let connecting = endpoint.connect(address, node.as_str()).ok()?;
-    let connection = tokio::time::timeout(patience, connecting).await.ok()?.ok()?;
+    let connection = tokio::time::timeout(patience, connecting)
+        .await
+        .ok()?
+        .ok()?;
     let link = Link::new(connection.clone(), services.limits);
     let greeting = link.control(ControlRequest::Greet, patience).await.ok()?;
-    let ControlReply::Hello(HelloFrame { report, .. }) = greeting else { return None };
+    let ControlReply::Hello(HelloFrame { report, .. }) = greeting else {
+        return None;
+    };
     services.routes.heard(HostReport::from(report));
     tokio::spawn(serve_connection(connection, services));
     Some(link)
--- a/crates/node/src/peers/link.rs
+++ b/crates/node/src/peers/link.rs
@@ -57,13 +57,19 @@
 
     /// Sends a call and waits for its whole reply; dropping the future cancels the call at the host.
     pub async fn call(&self, call: &Call, recorder: &Recorder) -> Result<Reply, LinkError> {
-        let (mut tx, mut rx) = self.connection.open_bi().await.map_err(|_| LinkError::NotSent)?;
+        let (mut tx, mut rx) = self
+            .connection
+            .open_bi()
+            .await
+            .map_err(|_| LinkError::NotSent)?;
         let stamp = recorder.stamp();
         let frame = CallFrame::new(call, stamp, recorder.now());
         let head = PeerRequest::Call(Box::new(frame));
         write_frame(&mut tx, &head, call.body.clone()).await?;
         let head: PeerReply = read_head(&mut rx, self.limits.head).await?;
-        let PeerReply::Call(frame) = head else { return Err(FrameError::Malformed.into()) };
+        let PeerReply::Call(frame) = head else {
+            return Err(FrameError::Malformed.into());
+        };
         recorder.observe(frame.stamp);
         let body = read_body(&mut rx, frame.body_len, self.limits.body).await?;
         Ok(frame.into_reply(body)?)
@@ -81,7 +87,11 @@
     }
 
     async fn exchange(&self, request: ControlRequest) -> Result<ControlReply, LinkError> {
-        let (mut tx, mut rx) = self.connection.open_bi().await.map_err(|_| LinkError::NotSent)?;
+        let (mut tx, mut rx) = self
+            .connection
+            .open_bi()
+            .await
+            .map_err(|_| LinkError::NotSent)?;
         let _ = tx.set_priority(CONTROL_PRIORITY);
         write_frame(&mut tx, &PeerRequest::Control(request), Bytes::new()).await?;
         match read_head(&mut rx, self.limits.body).await? {
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -48,7 +48,11 @@
 impl PeerServer {
     /// A server on the peers' endpoint.
     pub fn new(endpoint: Endpoint, services: PeerServices, hub: HubHandle) -> Self {
-        Self { endpoint, services, hub }
+        Self {
+            endpoint,
+            services,
+            hub,
+        }
     }
 
     /// Runs until the endpoint is closed.
@@ -107,7 +111,9 @@
         reply = services.host.run(call) => reply,
         _ = tx.stopped() => None,
     };
-    let Some(reply) = reply else { return Err(FrameError::Cut) };
+    let Some(reply) = reply else {
+        return Err(FrameError::Cut);
+    };
     let body = reply.body();
     let head = ReplyFrame::new(&reply, services.recorder.stamp());
     write_frame(&mut tx, &PeerReply::Call(Box::new(head)), body).await?;
--- a/crates/node/src/peers/tls.rs
+++ b/crates/node/src/peers/tls.rs
@@ -31,14 +31,20 @@
     pub fn parse(ca_pem: &str, cert_pem: &str, key_pem: &str) -> Result<Self, TlsError> {
         let mut roots = RootCertStore::empty();
         for cert in certs(ca_pem, "ca_pem")? {
-            roots.add(cert).map_err(|e| TlsError::Refused(e.to_string()))?;
+            roots
+                .add(cert)
+                .map_err(|e| TlsError::Refused(e.to_string()))?;
         }
         let chain = certs(cert_pem, "cert_pem")?;
         let key = rustls_pemfile::private_key(&mut key_pem.as_bytes())
             .ok()
             .flatten()
             .ok_or(TlsError::Pem("key_pem"))?;
-        Ok(Self { roots: Arc::new(roots), chain, key })
+        Ok(Self {
+            roots: Arc::new(roots),
+            chain,
+            key,
+        })
     }
 
     /// Settings of the accepting side: only peers with a certificate of the fleet get through.
@@ -47,7 +53,9 @@
             Arc::clone(&self.roots),
             Arc::new(rustls::crypto::ring::default_provider()),
         );
-        let verifier = verifier.build().map_err(|e| TlsError::Refused(e.to_string()))?;
+        let verifier = verifier
+            .build()
+            .map_err(|e| TlsError::Refused(e.to_string()))?;
         let mut tls = ServerConfig::builder_with_provider(provider())
             .with_protocol_versions(&[&rustls::version::TLS13])
             .map_err(refused)?
--- a/crates/node/src/recorder.rs
+++ b/crates/node/src/recorder.rs
@@ -48,27 +48,50 @@
     ) -> (Self, RecorderTask) {
         let (tx, rx) = mpsc::unbounded_channel();
         let hlc = Arc::new(Mutex::new(Hlc::new()));
-        let recorder = Self { node, clock, hlc, metrics, tx };
-        (recorder, RecorderTask { ring: Ring::new(capacity), rx })
+        let recorder = Self {
+            node,
+            clock,
+            hlc,
+            metrics,
+            tx,
+        };
+        (
+            recorder,
+            RecorderTask {
+                ring: Ring::new(capacity),
+                rx,
+            },
+        )
     }
 
     /// Records an event now.
     pub fn record(&self, request: Option<RequestId>, event: Event) {
         let at = self.stamp();
-        let record = Record { at, node: self.node.clone(), request, event };
+        let record = Record {
+            at,
+            node: self.node.clone(),
+            request,
+            event,
+        };
         let _ = self.tx.send(RecorderMessage::Record(record));
     }
 
     /// A stamp for a message that leaves now.
     pub fn stamp(&self) -> Stamp {
         let wall = self.clock.wall();
-        self.hlc.lock().unwrap_or_else(PoisonError::into_inner).tick(wall)
+        self.hlc
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .tick(wall)
     }
 
     /// Takes note of a stamp that a peer sent.
     pub fn observe(&self, peer: Stamp) {
         let wall = self.clock.wall();
-        self.hlc.lock().unwrap_or_else(PoisonError::into_inner).observe(peer, wall);
+        self.hlc
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .observe(peer, wall);
     }
 
     /// Reports a breached invariant: counted, recorded, and fatal in builds for tests.
@@ -89,7 +112,11 @@
     /// The recorded events that pass a filter.
     pub async fn select(&self, filter: Filter) -> TimelinePage {
         let (reply, records) = oneshot::channel();
-        if self.tx.send(RecorderMessage::Select(filter, reply)).is_err() {
+        if self
+            .tx
+            .send(RecorderMessage::Select(filter, reply))
+            .is_err()
+        {
             return TimelinePage::default();
         }
         records.await.unwrap_or_default()
@@ -104,7 +131,10 @@
                 RecorderMessage::Record(record) => self.ring.push(record),
                 RecorderMessage::Select(filter, reply) => {
                     let records = self.ring.select(filter);
-                    let _ = reply.send(TimelinePage { records, dropped: self.ring.dropped() });
+                    let _ = reply.send(TimelinePage {
+                        records,
+                        dropped: self.ring.dropped(),
+                    });
                 }
             }
         }
--- a/crates/node/src/routes/attempt_guard.rs
+++ b/crates/node/src/routes/attempt_guard.rs
@@ -27,7 +27,16 @@
         tx: mpsc::UnboundedSender<RoutesMessage>,
     ) -> Self {
         let result = RouteResult::Cancelled;
-        Self { end: Some(AttemptEnd { peer, service, operation, result, report: None }), tx }
+        Self {
+            end: Some(AttemptEnd {
+                peer,
+                service,
+                operation,
+                result,
+                report: None,
+            }),
+            tx,
+        }
     }
 
     /// The host.
--- a/crates/node/src/routes/handle.rs
+++ b/crates/node/src/routes/handle.rs
@@ -21,12 +21,16 @@
 
     /// Chooses a host for an attempt.
     pub async fn pick(&self, request: PickRequest) -> Choice {
-        self.ask(|reply| RoutesMessage::Pick(request, reply)).await.unwrap_or(Choice::Nobody)
+        self.ask(|reply| RoutesMessage::Pick(request, reply))
+            .await
+            .unwrap_or(Choice::Nobody)
     }
 
     /// The host that a token names, where it is listed.
     pub async fn home(&self, token: &Token) -> Option<Route> {
-        self.ask(|reply| RoutesMessage::Home(token.clone(), reply)).await.flatten()
+        self.ask(|reply| RoutesMessage::Home(token.clone(), reply))
+            .await
+            .flatten()
     }
 
     /// Takes note of what a host told about itself.
@@ -36,12 +40,16 @@
 
     /// A fresh token of a home that was heard before.
     pub async fn mint(&self, home: &NodeName, service: &ServiceName) -> Option<Token> {
-        self.ask(|reply| RoutesMessage::Mint(home.clone(), service.clone(), reply)).await.flatten()
+        self.ask(|reply| RoutesMessage::Mint(home.clone(), service.clone(), reply))
+            .await
+            .flatten()
     }
 
     /// Takes one retry out of the budget of a service.
     pub async fn spend_retry(&self, service: &ServiceName) -> bool {
-        self.ask(|reply| RoutesMessage::SpendRetry(service.clone(), reply)).await.unwrap_or(false)
+        self.ask(|reply| RoutesMessage::SpendRetry(service.clone(), reply))
+            .await
+            .unwrap_or(false)
     }
 
     /// State of all peers.
--- a/crates/node/src/routes/task.rs
+++ b/crates/node/src/routes/task.rs
@@ -109,9 +109,19 @@
     fn take_published(&mut self) {
         let published = Arc::clone(&self.published.borrow_and_update());
         let now = self.clock.now();
-        self.addresses =
-            published.nodes.iter().map(|node| (node.view.node.clone(), node.peer)).collect();
-        self.router.update(published.nodes.iter().map(|node| node.view.clone()).collect(), now);
+        self.addresses = published
+            .nodes
+            .iter()
+            .map(|node| (node.view.node.clone(), node.peer))
+            .collect();
+        self.router.update(
+            published
+                .nodes
+                .iter()
+                .map(|node| node.view.clone())
+                .collect(),
+            now,
+        );
     }
 
     fn handle(&mut self, message: RoutesMessage) {
@@ -139,9 +149,12 @@
         if let Some(shed) = self.shed_early(&request, now) {
             return shed;
         }
-        let picked =
-            self.router.pick(&request.service, &request.excluded, now, &mut self.rng);
-        let Some(key) = picked else { return Choice::Nobody };
+        let picked = self
+            .router
+            .pick(&request.service, &request.excluded, now, &mut self.rng);
+        let Some(key) = picked else {
+            return Choice::Nobody;
+        };
         match self.route(key, request.service, request.operation, now) {
             Some(route) => Choice::Go(route),
             None => Choice::Nobody,
@@ -151,17 +164,34 @@
     /// Refuses here what would die further down, before any work is spent on it.
     fn shed_early(&mut self, request: &PickRequest, now: Instant) -> Option<Choice> {
         let edge = edge(&request.service, &request.operation);
-        if !self.level_shedding || self.levels.admits(&edge, request.class, request.bucket, now) {
+        if !self.level_shedding
+            || self
+                .levels
+                .admits(&edge, request.class, request.bucket, now)
+        {
             return None;
         }
-        let target = TargetState { level: self.levels.level(&edge, now), ..IDLE_TARGET };
+        let target = TargetState {
+            level: self.levels.level(&edge, now),
+            ..IDLE_TARGET
+        };
         let cfg = RetryAfterConfig::default();
-        Some(Choice::Shed(retry_after(&cfg, &target, request.class, &mut self.rng)))
+        Some(Choice::Shed(retry_after(
+            &cfg,
+            &target,
+            request.class,
+            &mut self.rng,
+        )))
     }
 
     fn home(&mut self, token: &Token) -> Option<Route> {
         let key = self.router.key_of(&token.home)?;
-        self.route(key, token.service.clone(), SmolStr::default(), self.clock.now())
+        self.route(
+            key,
+            token.service.clone(),
+            SmolStr::default(),
+            self.clock.now(),
+        )
     }
 
     fn route(
@@ -175,24 +205,37 @@
         let address = *self.addresses.get(&node)?;
         self.router.sent(key, now);
         let guard = AttemptGuard::new(key, service, operation, self.tx.clone());
-        Some(Route { node, address, guard })
+        Some(Route {
+            node,
+            address,
+            guard,
+        })
     }
 
     fn done(&mut self, end: AttemptEnd) {
         let now = self.clock.now();
-        let load = end.report.as_ref().map(LoadReport::from).unwrap_or_default();
+        let load = end
+            .report
+            .as_ref()
+            .map(LoadReport::from)
+            .unwrap_or_default();
         self.router.done(end.peer, end.result, load, now);
         if end.result == RouteResult::Served {
             self.budget_of(end.service.clone(), now).success();
         }
         let Some(report) = end.report else { return };
-        self.levels.heard(&edge(&end.service, &end.operation), report.level, now);
+        self.levels
+            .heard(&edge(&end.service, &end.operation), report.level, now);
         self.heard(&report);
     }
 
     fn heard(&mut self, report: &HostReport) {
-        self.minter.heard(report.node.clone(), report.incarnation, report.tick);
-        let told = Told { incarnation: report.incarnation, leaving: report.leaving };
+        self.minter
+            .heard(report.node.clone(), report.incarnation, report.tick);
+        let told = Told {
+            incarnation: report.incarnation,
+            leaving: report.leaving,
+        };
         if self.told.get(&report.node) == Some(&told) {
             return;
         }
@@ -211,12 +254,17 @@
 
     fn budget_of(&mut self, service: ServiceName, now: Instant) -> &mut EdgeBudget {
         let cfg = &self.budget;
-        self.budgets.entry(service).or_insert_with(|| EdgeBudget::new(cfg.clone(), now))
+        self.budgets
+            .entry(service)
+            .or_insert_with(|| EdgeBudget::new(cfg.clone(), now))
     }
 
     fn peers(&self) -> Vec<PeerLoad> {
         let now = self.clock.now();
-        self.addresses.keys().filter_map(|node| self.peer_load(node, now)).collect()
+        self.addresses
+            .keys()
+            .filter_map(|node| self.peer_load(node, now))
+            .collect()
     }
 
     fn peer_load(&self, node: &NodeName, now: Instant) -> Option<PeerLoad> {
@@ -251,6 +299,10 @@
 
 impl From<&HostReport> for LoadReport {
     fn from(report: &HostReport) -> Self {
-        Self { in_flight: report.in_flight, queued: report.queued, limit: report.limit }
+        Self {
+            in_flight: report.in_flight,
+            queued: report.queued,
+            limit: report.limit,
+        }
     }
 }
--- a/crates/node/src/spread/platform_client.rs
+++ b/crates/node/src/spread/platform_client.rs
@@ -103,18 +103,24 @@
             .await
             .map_err(|_| PlatformError::Unreachable)?
             .map_err(|_| PlatformError::Unreachable)?;
-        let (mut sender, connection) =
-            handshake(TokioIo::new(stream)).await.map_err(|_| PlatformError::Unreachable)?;
+        let (mut sender, connection) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| PlatformError::Unreachable)?;
         tokio::spawn(connection);
         let req = Request::get(uri)
             .header(header::HOST, self.address.to_string())
             .body(Full::<Bytes>::default())
             .map_err(|_| PlatformError::Unreachable)?;
-        let res = sender.send_request(req).await.map_err(|_| PlatformError::Unreachable)?;
+        let res = sender
+            .send_request(req)
+            .await
+            .map_err(|_| PlatformError::Unreachable)?;
         if res.status() != StatusCode::OK {
             return Err(PlatformError::Status(res.status()));
         }
-        read_whole(res.into_body(), MAX_PAGE).await.map_err(|_| PlatformError::Unreachable)
+        read_whole(res.into_body(), MAX_PAGE)
+            .await
+            .map_err(|_| PlatformError::Unreachable)
     }
 }
 
--- a/crates/node/src/spread/task.rs
+++ b/crates/node/src/spread/task.rs
@@ -149,7 +149,7 @@
     }
 
     fn config_read(&mut self, page: Option<ConfigPage>) {
-        self.note_read(page.is_some());
+        self.note_read(page.as_ref().map(|page| !page.entries.is_empty()));
         if let Some(page) = page {
             let entries = page.entries.into_iter().map(Entry::from).collect();
             self.apply(entries, Some(Revision(page.revision)));
@@ -158,20 +158,25 @@
     }
 
     fn instances_read(&mut self, page: Option<InstancePage>) {
-        self.note_read(page.is_some());
+        self.note_read(page.as_ref().map(|page| !page.instances.is_empty()));
         if let Some(page) = page.filter(|page| !page.instances.is_empty()) {
             let now = self.clock.now();
-            self.view.apply_list(Revision(page.revision), page.instances, now);
+            self.view
+                .apply_list(Revision(page.revision), page.instances, now);
             self.publish();
         }
         self.read_instances();
     }
 
-    fn note_read(&mut self, succeeded: bool) {
-        self.reachable = succeeded;
-        let end = if succeeded { PlatformRead::Ok } else { PlatformRead::Failed };
+    fn note_read(&mut self, news: Option<bool>) {
+        let end = match news {
+            Some(true) => PlatformRead::News,
+            Some(false) => PlatformRead::Nothing,
+            None => PlatformRead::Failed,
+        };
         self.metrics.documents.read(end);
-        if succeeded {
+        self.reachable = news.is_some();
+        if self.reachable {
             self.last_read = Some(self.clock.now());
         }
     }
@@ -180,26 +185,43 @@
         for applied in self.replica.apply(entries, highest) {
             self.offer(&applied.entry);
         }
-        self.metrics.documents.set_platform_revision(self.replica.revision().0);
+        self.metrics
+            .documents
+            .set_platform_revision(self.replica.revision().0);
         self.publish();
     }
 
     fn offer(&mut self, entry: &Entry) {
-        let Some(service) = service_of(&entry.key) else { return };
+        let Some(service) = service_of(&entry.key) else {
+            return;
+        };
         let parsed = Document::parse_for(&service, &entry.value).map(Arc::new);
-        let fault = parsed.as_ref().err().and_then(|faults| faults.first()).map(Fault::to_string);
+        let fault = parsed
+            .as_ref()
+            .err()
+            .and_then(|faults| faults.first())
+            .map(Fault::to_string);
         let revision = entry.revision.0;
         match self.documents.offer(&entry.key, entry.revision, parsed) {
             Offer::InForce => {
-                self.replica.judge(&entry.key, entry.revision, Verdict::Good);
+                self.replica
+                    .judge(&entry.key, entry.revision, Verdict::Valid);
                 self.metrics.documents.set_in_force(&service, revision);
-                self.recorder.record(None, Event::DocumentInForce { service, revision });
+                self.recorder
+                    .record(None, Event::DocumentInForce { service, revision });
             }
             Offer::Rejected => {
-                self.replica.judge(&entry.key, entry.revision, Verdict::Bad);
+                self.replica.judge(&entry.key, entry.revision, Verdict::Invalid);
                 self.metrics.documents.rejected(&service);
                 let fault = SmolStr::from(fault.unwrap_or_default());
-                self.recorder.record(None, Event::DocumentRejected { service, revision, fault });
+                self.recorder.record(
+                    None,
+                    Event::DocumentRejected {
+                        service,
+                        revision,
+                        fault,
+                    },
+                );
             }
             Offer::Unchanged => {}
             Offer::Refused(breach) => self.recorder.breach(breach),
@@ -208,7 +230,8 @@
 
     fn hear(&mut self, word: Word) {
         let now = self.clock.now();
-        self.view.heard(&word.node, word.incarnation, word.state, word.tick, now);
+        self.view
+            .heard(&word.node, word.incarnation, word.state, word.tick, now);
         self.publish();
     }
 
@@ -219,10 +242,22 @@
     }
 
     fn publish(&self) {
-        let documents = self.documents.keys().filter_map(|key| self.in_force(key)).collect();
-        let nodes = self.view.all().map(|entry| self.node_entry(entry)).collect();
+        let documents = self
+            .documents
+            .keys()
+            .filter_map(|key| self.in_force(key))
+            .collect();
+        let nodes = self
+            .view
+            .all()
+            .map(|entry| self.node_entry(entry))
+            .collect();
         let revision = self.replica.revision().0;
-        self.published.send_replace(Arc::new(Published { documents, nodes, revision }));
+        self.published.send_replace(Arc::new(Published {
+            documents,
+            nodes,
+            revision,
+        }));
     }
 
     fn in_force(&self, key: &Key) -> Option<(ServiceName, DocumentInForce)> {
@@ -248,23 +283,33 @@
     }
 
     fn document_status(&self) -> Vec<DocumentStatus> {
-        self.documents.keys().filter_map(|key| self.status_of(key)).collect()
+        self.documents
+            .keys()
+            .filter_map(|key| self.status_of(key))
+            .collect()
     }
 
     fn status_of(&self, key: &Key) -> Option<DocumentStatus> {
         let rejected = self.documents.rejected(key);
-        let faults = rejected.map(|rejected| rejected.faults.as_slice()).unwrap_or_default();
+        let faults = rejected
+            .map(|rejected| rejected.faults.as_slice())
+            .unwrap_or_default();
         Some(DocumentStatus {
             service: service_of(key)?,
             revision: self.replica.get(key).map_or(0, |entry| entry.revision.0),
             in_force: self.documents.get(key).map(|version| version.revision.0),
-            rejected: faults.iter().map(|fault| SmolStr::from(fault.to_string())).collect(),
+            rejected: faults
+                .iter()
+                .map(|fault| SmolStr::from(fault.to_string()))
+                .collect(),
         })
     }
 
     fn platform_status(&self) -> PlatformStatus {
         let now = self.clock.now();
-        let age = self.last_read.map(|at| now.saturating_duration_since(at).as_millis() as u64);
+        let age = self
+            .last_read
+            .map(|at| now.saturating_duration_since(at).as_millis() as u64);
         PlatformStatus {
             reachable: self.reachable,
             last_read_ms: age,
--- a/crates/node/src/spread/word.rs
+++ b/crates/node/src/spread/word.rs
@@ -23,7 +23,11 @@
         Self {
             node: report.node.clone(),
             incarnation: report.incarnation,
-            state: if report.leaving { NodeState::Leaving } else { NodeState::Serving },
+            state: if report.leaving {
+                NodeState::Leaving
+            } else {
+                NodeState::Serving
+            },
             tick: Tick(report.tick.0),
         }
     }
--- a/crates/node/src/wire/answer_frame.rs
+++ b/crates/node/src/wire/answer_frame.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use coltsfootport_core::error_kind::ErrorKind;
-use http::StatusCode;
 use coltsfootport_core::timeline::Stamp;
+use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -79,7 +79,7 @@
 
 impl ReplyFrame {
     /// The frame of a reply.
-    pub fn new(reply: &Reply, stamp: u64) -> Self {
+    pub fn new(reply: &Reply, stamp: Stamp) -> Self {
         let body = reply.body();
         Self {
             stamp,
@@ -109,13 +109,20 @@
 impl VerdictFrame {
     fn into_verdict(self, body: Bytes) -> Result<Verdict, FrameError> {
         match self {
-            Self::Answered { status, headers, replayed } => Ok(Verdict::Answered(Answer {
+            Self::Answered {
+                status,
+                headers,
+                replayed,
+            } => Ok(Verdict::Answered(Answer {
                 status: StatusCode::from_u16(status).map_err(|_| FrameError::Malformed)?,
                 headers: HeaderFrame::into_map(headers)?,
                 body,
                 replayed,
             })),
-            Self::Refused { kind, retry_after_ms } => Ok(Verdict::Refused(Refused {
+            Self::Refused {
+                kind,
+                retry_after_ms,
+            } => Ok(Verdict::Refused(Refused {
                 kind,
                 retry_after: Duration::from_millis(retry_after_ms.into()),
             })),
--- a/crates/node/src/wire/call_frame.rs
+++ b/crates/node/src/wire/call_frame.rs
@@ -6,8 +6,8 @@
 use coltsfootport_core::class::Class;
 use coltsfootport_core::id::{RequestId, ServiceName};
 use coltsfootport_core::once::{Token, Try};
-use http::Method;
 use coltsfootport_core::timeline::Stamp;
+use http::Method;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -120,13 +120,19 @@
 
 impl From<&OnceCall> for OnceFrame {
     fn from(once: &OnceCall) -> Self {
-        Self { token: once.token.clone(), number: once.number.0 }
+        Self {
+            token: once.token.clone(),
+            number: once.number.0,
+        }
     }
 }
 
 impl From<OnceFrame> for OnceCall {
     fn from(frame: OnceFrame) -> Self {
-        Self { token: frame.token, number: Try(frame.number) }
+        Self {
+            token: frame.token,
+            number: Try(frame.number),
+        }
     }
 }
 
--- a/crates/node/src/wire/control.rs
+++ b/crates/node/src/wire/control.rs
@@ -122,12 +122,20 @@
 
 impl From<&KeyVersion> for VersionFrame {
     fn from(version: &KeyVersion) -> Self {
-        Self { key: version.key.0.clone(), revision: version.revision.0, fallback: version.fallback.map(|r| r.0) }
+        Self {
+            key: version.key.0.clone(),
+            revision: version.revision.0,
+            fallback: version.fallback.map(|r| r.0),
+        }
     }
 }
 
 impl From<VersionFrame> for KeyVersion {
     fn from(frame: VersionFrame) -> Self {
-        Self { key: Key(frame.key), revision: Revision(frame.revision), fallback: frame.fallback.map(Revision) }
+        Self {
+            key: Key(frame.key),
+            revision: Revision(frame.revision),
+            fallback: frame.fallback.map(Revision),
+        }
     }
 }
--- a/crates/node/src/wire/header_frame.rs
+++ b/crates/node/src/wire/header_frame.rs
@@ -32,6 +32,9 @@
     }
 
     fn from_pair((name, value): (&HeaderName, &HeaderValue)) -> Self {
-        Self { name: name.as_str().to_owned(), value: value.as_bytes().to_vec() }
+        Self {
+            name: name.as_str().to_owned(),
+            value: value.as_bytes().to_vec(),
+        }
     }
 }
