Commands status, timeline, keys and call

Cause: operators and scripts need them without further programs. Ruled out: a DNS-resolving client (addresses are IP numbers); retrying on a lost answer without a token (a second run); writing keys to files.

--- a/crates/node/src/cli/help.rs
+++ b/crates/node/src/cli/help.rs
@@ -6,10 +6,10 @@
 
 /// The table of exit codes.
 pub(super) fn exit_codes() -> String {
-    let mut text = String::from("Exit codes:");
+    let mut text = String::from(" Exit codes:");
     for exit in Exit::ALL {
         // Writing to a string can't fail.
-        let _ = write!(text, "\n    {:>2}  {}", exit.code(), exit.meaning());
+        let _ = write!(text, "\n {:>3}  {}", exit.code(), exit.meaning());
     }
     text
 }
--- a/crates/node/src/commands.rs
+++ b/crates/node/src/commands.rs
@@ -1,3 +1,11 @@
 //! The commands, each with a function `run` that the binary calls.
 
+pub mod call;
 pub mod check;
+mod fleet;
+mod input;
+pub mod keys;
+mod output;
+mod runtime;
+pub mod status;
+pub mod timeline;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod commands;
 pub mod exit;
+pub mod http_client;
 pub mod log;
 pub mod metrics;
 pub mod operators;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -16,16 +16,14 @@
 
 fn run(command: Command) -> Exit {
     match command {
-        Command::Node(_) => not_built("node"),
+        Command::Node(_) => {
+            eprintln!("coltsfootport: node: not built yet");
+            Exit::Failed
+        }
         Command::Check(options) => commands::check::run(&options),
-        Command::Status(_) => not_built("status"),
-        Command::Timeline(_) => not_built("timeline"),
-        Command::Keys(_) => not_built("keys"),
-        Command::Call(_) => not_built("call"),
+        Command::Status(options) => commands::status::run(&options),
+        Command::Timeline(options) => commands::timeline::run(&options),
+        Command::Keys(options) => commands::keys::run(&options),
+        Command::Call(options) => commands::call::run(&options),
     }
 }
-
-fn not_built(command: &str) -> Exit {
-    eprintln!("coltsfootport: {command}: not built yet");
-    Exit::Failed
-}
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -1,5 +1,6 @@
 //! The operators listener: status, metrics, time line and drain over HTTP.
 
+mod acceptor;
 mod handlers;
 mod query;
 mod server;
--- a/crates/node/src/operators/server.rs
+++ b/crates/node/src/operators/server.rs
@@ -2,11 +2,11 @@
 
 use std::io;
 
-use salvo::conn::tcp::TcpAcceptor;
 use salvo::{Router, Server};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+use super::acceptor::OperatorsAcceptor;
 use super::handlers::{Drain, Health, MetricsText, Nodes, Status, Timeline};
 use super::query::OperatorQuery;
 use crate::metrics::Metrics;
@@ -24,7 +24,7 @@
     queries: mpsc::Sender<OperatorQuery>,
     metrics: Metrics,
 ) -> io::Result<()> {
-    let acceptor = TcpAcceptor::try_from(listener)?;
+    let acceptor = OperatorsAcceptor::try_from(listener)?;
     Server::new(acceptor)
         .try_serve(router(&queries, metrics))
         .await
