--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gate;
 pub mod host;
 pub mod http;
+pub mod http_client;
 pub mod log;
 pub mod metrics;
 pub mod node;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -18,14 +18,9 @@
     match command {
         Command::Node(options) => commands::node::run(&options),
         Command::Check(options) => commands::check::run(&options),
-        Command::Status(_) => not_built("status"),
-        Command::Timeline(_) => not_built("timeline"),
-        Command::Keys(_) => not_built("keys"),
-        Command::Call(_) => not_built("call"),
+        Command::Status(options) => commands::status::run(&options),
+        Command::Timeline(options) => commands::timeline::run(&options),
+        Command::Keys(options) => commands::keys::run(&options),
+        Command::Call(options) => commands::call::run(&options),
     }
 }
-
-fn not_built(command: &str) -> Exit {
-    eprintln!("coltsfootport: {command}: not built yet");
-    Exit::Failed
-}
