--- a/crates/node/src/commands/keys.rs
+++ b/crates/node/src/commands/keys.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 pub use authority::{Authority, KeyError};
-pub use fragment::{AuthorityFragment, FleetFragment, NodeFragment, SecretFragment};
+pub use fragment::{AuthorityFragment, FleetFragment, NodeFragment, SecretFragment, TlsFragment};
 
 use crate::cli::{KeysOptions, NodeKeyOptions};
 use crate::exit::Exit;
--- a/crates/node/src/commands/keys/authority.rs
+++ b/crates/node/src/commands/keys/authority.rs
@@ -9,7 +9,7 @@
 };
 use rustls::pki_types::{CertificateDer, DnsName};
 
-use super::fragment::{AuthorityFragment, NodeFragment};
+use super::fragment::{AuthorityFragment, NodeFragment, TlsFragment};
 
 /// Name of every authority; authorities differ by their keys.
 const AUTHORITY_NAME: &str = "coltsfootport fleet";
@@ -77,11 +77,12 @@
     pub fn issue(&self, name: &str, ips: &[IpAddr]) -> Result<NodeFragment, KeyError> {
         let key = KeyPair::generate()?;
         let certificate = node_params(name, ips)?.signed_by(&key, &self.certificate, &self.key)?;
-        Ok(NodeFragment {
-            fleet_ca: self.trusted.clone(),
-            certificate: certificate.pem(),
-            key: key.serialize_pem(),
-        })
+        let tls = TlsFragment {
+            ca_pem: self.trusted.concat(),
+            cert_pem: certificate.pem(),
+            key_pem: key.serialize_pem(),
+        };
+        Ok(NodeFragment { tls })
     }
 }
 
--- a/crates/node/src/commands/keys/fragment.rs
+++ b/crates/node/src/commands/keys/fragment.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetFragment {
     /// The secrets.
-    pub fleet_secrets: Vec<SecretFragment>,
+    pub fleet_keys: Vec<SecretFragment>,
 }
 
 /// One secret of the fleet.
@@ -21,7 +21,7 @@
     /// Its number, raised at each rotation.
     pub id: u8,
     /// Its bytes in hexadecimal.
-    pub secret: String,
+    pub secret_hex: String,
 }
 
 /// The certificate authority of the fleet.
@@ -33,15 +33,22 @@
     pub fleet_ca_key: String,
 }
 
-/// What a node shows to its peers and what it asks of them.
+/// Section `tls` of a node's settings.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeFragment {
+    /// The section.
+    pub tls: TlsFragment,
+}
+
+/// What a node shows to its peers and what it asks of them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TlsFragment {
     /// Certificates of the authorities that nodes trust, as PEM.
-    pub fleet_ca: Vec<String>,
+    pub ca_pem: String,
     /// Certificate of the node, as PEM.
-    pub certificate: String,
+    pub cert_pem: String,
     /// Private key of the node, as PEM.
-    pub key: String,
+    pub key_pem: String,
 }
 
 impl FleetFragment {
@@ -50,9 +57,9 @@
         let mut bytes = [0; SECRET_BYTES];
         rand::rng().fill_bytes(&mut bytes);
         Self {
-            fleet_secrets: vec![SecretFragment {
+            fleet_keys: vec![SecretFragment {
                 id,
-                secret: hex(&bytes),
+                secret_hex: hex(&bytes),
             }],
         }
     }
