Fault proxy, load generator and process harness

Cause: failures have to be brought about between real processes, and outcomes counted from the caller's side. Ruled out: dropping bytes of a TCP link in a blackhole, which no network does; they are held until it heals. Jitter that reorders datagrams by itself; reordering has a share of its own. Ports from the system's own range for outgoing connections, which are taken now and then between the look and the bind.

--- a/crates/rig/src/target/downstream.rs
+++ b/crates/rig/src/http/method_path.rs
@@ -1,4 +1,4 @@
-//! A call to a further service, as text `METHOD /service/path`.
+//! What to call, as text `METHOD /service/path`.
 
 use std::fmt;
 use std::str::FromStr;
@@ -9,17 +9,17 @@
 
 use crate::error::RigError;
 
-/// One call that a target makes for each of its own calls.
+/// A method with a path, as given in settings and on the command line.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
-pub struct Downstream {
+pub struct MethodPath {
     /// The method.
     pub method: Method,
-    /// `/{service}/{path}`.
+    /// The path, from `/`, with its query.
     pub path: SmolStr,
 }
 
-impl FromStr for Downstream {
+impl FromStr for MethodPath {
     type Err = RigError;
 
     fn from_str(s: &str) -> Result<Self, RigError> {
@@ -37,7 +37,7 @@
     }
 }
 
-impl TryFrom<String> for Downstream {
+impl TryFrom<String> for MethodPath {
     type Error = RigError;
 
     fn try_from(s: String) -> Result<Self, RigError> {
@@ -45,13 +45,13 @@
     }
 }
 
-impl From<Downstream> for String {
-    fn from(downstream: Downstream) -> Self {
-        downstream.to_string()
+impl From<MethodPath> for String {
+    fn from(call: MethodPath) -> Self {
+        call.to_string()
     }
 }
 
-impl fmt::Display for Downstream {
+impl fmt::Display for MethodPath {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} {}", self.method, self.path)
     }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,5 +3,8 @@
 pub mod cli;
 pub mod error;
 pub mod http;
+pub mod load;
 pub mod platform;
+pub mod process;
+pub mod proxy;
 pub mod target;
--- /dev/null
+++ b/crates/rig/src/proxy.rs
@@ -0,0 +1,64 @@
+//! Fault-injecting proxy for TCP and UDP links between two addresses.
+
+mod control;
+mod counters;
+mod direction;
+mod faults;
+mod links;
+mod pacer;
+mod plan;
+mod schedule;
+mod tcp;
+mod udp;
+
+use std::net::SocketAddr;
+
+use crate::error::RigError;
+use crate::http::{self, Server};
+use crate::proxy::links::Links;
+
+pub use self::counters::{DirectionCounts, LinkCounts};
+pub use self::faults::{Cut, DirectionFaults, LinkFaults};
+pub use self::links::LinkState;
+pub use self::pacer::Pacer;
+pub use self::plan::{LinkPlan, Plan, Protocol};
+pub use self::schedule::Schedule;
+
+/// A running proxy; dropping it ends its links and closes their connections.
+#[derive(Debug)]
+pub struct Proxy {
+    links: Links,
+    control: Option<Server>,
+}
+
+impl Proxy {
+    /// Opens every link of the plan, and the control address where the plan names one.
+    pub async fn start(plan: Plan) -> Result<Self, RigError> {
+        let links = Links::open(plan.links).await?;
+        let control = match plan.control {
+            Some(addr) => Some(control::start(http::bind(addr).await?, links.remote())?),
+            None => None,
+        };
+        Ok(Self { links, control })
+    }
+
+    /// The address that a link listens on.
+    pub fn addr(&self, link: &str) -> Option<SocketAddr> {
+        self.links.remote().state(link).map(|state| state.listen)
+    }
+
+    /// The control address.
+    pub fn control_addr(&self) -> Option<SocketAddr> {
+        self.control.as_ref().map(Server::addr)
+    }
+
+    /// Sets the faults of every link whose name matches: a whole name, or a prefix before `*`. Returns how many do.
+    pub fn set(&self, pattern: &str, faults: &LinkFaults) -> usize {
+        self.links.remote().set(pattern, faults)
+    }
+
+    /// Every link with its faults and counts.
+    pub fn states(&self) -> Vec<LinkState> {
+        self.links.remote().states()
+    }
+}
--- a/crates/rig/src/target.rs
+++ b/crates/rig/src/target.rs
@@ -1,7 +1,6 @@
 //! Stand-in for a target: slots, service time, cold start, calls to further services, cancel, drain, lying health.
 
 mod counts;
-mod downstream;
 mod echo;
 mod egress;
 mod owner;
@@ -21,7 +20,6 @@
 use crate::target::routes::Context;
 
 pub use self::counts::{ClassCounts, KeyRuns, TargetCounts};
-pub use self::downstream::Downstream;
 pub use self::echo::{DownstreamEcho, Echo};
 pub use self::owner::Load;
 pub use self::settings::{DownstreamMode, Health, ServiceTime, Settings, WhenFull};
--- a/crates/rig/src/target/egress.rs
+++ b/crates/rig/src/target/egress.rs
@@ -7,8 +7,8 @@
 use smol_str::SmolStr;
 use tokio::task::JoinSet;
 
-use crate::http::{Client, ClientAnswer, ClientCall};
-use crate::target::{Downstream, DownstreamEcho, DownstreamMode, Echo, KEY_HEADER, Settings};
+use crate::http::{Client, ClientAnswer, ClientCall, MethodPath};
+use crate::target::{DownstreamEcho, DownstreamMode, Echo, KEY_HEADER, Settings};
 
 /// The header that a target copies into its own calls.
 pub const CONTEXT_HEADER: &str = "coltsfootport-context";
@@ -80,7 +80,7 @@
 
     async fn call(
         self,
-        downstream: &Downstream,
+        downstream: &MethodPath,
         origin: Origin,
         settings: &Settings,
     ) -> DownstreamEcho {
--- a/crates/rig/src/target/settings.rs
+++ b/crates/rig/src/target/settings.rs
@@ -4,7 +4,7 @@
 use serde_json::Value;
 
 use crate::error::RigError;
-use crate::target::Downstream;
+use crate::http::MethodPath;
 
 /// Distribution of the service time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,7 +87,7 @@
     /// Age in milliseconds that the published load and health may reach.
     pub load_lag_ms: u64,
     /// Calls to further services for each call.
-    pub downstream: Vec<Downstream>,
+    pub downstream: Vec<MethodPath>,
     /// One after the other or all at once.
     pub downstream_mode: DownstreamMode,
     /// Naive retries of each failed call to a further service, sent at once.
