Tests of the rig

Cause: what measures others has to be right itself. Ruled out: tests by time limits alone for cancel; a call that waits is given up by its caller and seen leaving the queue.

--- a/crates/rig/src/target/counts.rs
+++ b/crates/rig/src/target/counts.rs
@@ -22,7 +22,7 @@
     pub refused: u64,
     /// Runs at this moment.
     pub in_flight: usize,
-    /// Calls that wait for a slot at this moment, cancelled ones included until their turn.
+    /// Calls that wait for a slot at this moment.
     pub queued: usize,
     /// Most runs at one moment.
     pub max_in_flight: usize,
--- a/crates/rig/src/target/slots.rs
+++ b/crates/rig/src/target/slots.rs
@@ -40,9 +40,12 @@
         self.taken
     }
 
-    /// Calls that wait.
+    /// Calls that wait and whose caller is still there.
     pub fn waiting(&self) -> usize {
-        self.waiting.len()
+        self.waiting
+            .iter()
+            .filter(|waiter| !waiter.reply.is_closed())
+            .count()
     }
 
     /// Takes a slot for a call or queues it.
--- /dev/null
+++ b/crates/rig/tests/process.rs
@@ -0,0 +1,93 @@
+//! Real child processes: start, freeze, stop and kill.
+
+mod common;
+
+use std::time::Duration;
+
+use coltsfootport_rig::error::RigError;
+use coltsfootport_rig::http::Client;
+use coltsfootport_rig::process::{Process, ProcessSpec, Signal, free_ports, loopback};
+use coltsfootport_rig::target::TargetCounts;
+use tokio::net::TcpStream;
+
+use crate::common::{PATIENCE, SHORT, keyed, text};
+
+const RIG: &str = env!("CARGO_BIN_EXE_coltsfootport-rig");
+
+fn spec(line: &str) -> ProcessSpec {
+    ProcessSpec::new("rig", RIG, line.split_whitespace())
+}
+
+/// Symptom: a process answers nothing for a while, then acts on what it had been sent.
+/// Sequence: a target is frozen, called, and woken before the caller gives up.
+/// Cause: a paused process whose sockets stay open.
+#[tokio::test]
+async fn a_frozen_child_wakes_up_and_goes_on() {
+    let client = Client::default();
+    let [port] = free_ports().expect("a port");
+    let addr = loopback(port);
+    let line = format!("target --listen {addr} --service svc --slots 3 --service-ms 1");
+    let mut child = Process::start(spec(&line)).expect("a child");
+    child
+        .ready(&client, addr, "/health", PATIENCE)
+        .await
+        .expect("ready");
+
+    child.signal(Signal::STOP).expect("a signal");
+    let call = keyed(addr, "/x", "late", PATIENCE);
+    let call = tokio::spawn({
+        let client = client.clone();
+        async move { client.send(call).await }
+    });
+    tokio::time::sleep(SHORT).await;
+    assert!(!call.is_finished() && child.is_running().expect("its state"));
+    child.signal(Signal::CONT).expect("a signal");
+    let answer = call.await.expect("a task").expect("the late answer");
+    assert!(text(&answer).contains("late"), "{answer:?}");
+    let counts: TargetCounts = client.get(addr, "/counts").await.expect("counts");
+    assert_eq!(counts.most_runs_of_a_key(), 1);
+
+    let status = child.stop(PATIENCE).await.expect("an end");
+    assert!(status.success(), "{status}");
+    assert!(!child.is_running().expect("its state"));
+}
+
+#[tokio::test]
+async fn children_that_do_not_become_ready_are_told_apart() {
+    let client = Client::default();
+    let [port] = free_ports().expect("a port");
+    let (addr, limit) = (loopback(port), Duration::from_millis(50));
+    let mut ends = Process::start(spec("target --listen nowhere")).expect("a child");
+    let result = ends.ready(&client, addr, "/health", PATIENCE).await;
+    assert!(matches!(result, Err(RigError::NotReady(_))), "{result:?}");
+
+    let line = format!("platform --listen {addr}");
+    let mut platform = Process::start(spec(&line)).expect("a child");
+    platform
+        .listening(addr, PATIENCE)
+        .await
+        .expect("a listener");
+    let result = platform.ready(&client, addr, "/none", limit).await;
+    assert!(matches!(result, Err(RigError::NotReady(_))), "{result:?}");
+    assert!(
+        platform.wait(limit).await.is_err(),
+        "it runs until it is told to stop"
+    );
+    drop(platform);
+    assert!(
+        TcpStream::connect(addr).await.is_err(),
+        "the drop killed it"
+    );
+}
+
+#[tokio::test]
+async fn a_child_reads_its_input() {
+    let spec = ProcessSpec {
+        input: Some("text of its settings".into()),
+        ..ProcessSpec::new("grep", "grep", ["-q", "settings"])
+    };
+    let mut child = Process::start(spec).expect("a child");
+    assert!(child.wait(PATIENCE).await.expect("an end").success());
+    let [a, b] = free_ports().expect("ports");
+    assert_ne!(a, b);
+}
