The whole path as separate processes, with a fleet harness

Cause: every promise is proved on real processes, so a request must cross them first. Ruled out: stand-ins inside the test process (a paused or killed stand-in is a case to test). Conclusion: a caller's request enters at any node, crosses QUIC, runs, calls a second service, and the whole answer returns.

--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -85,7 +85,7 @@
         let mut failure = Refused::from(ErrorKind::NoTarget);
         loop {
             let route = match self.setup.routes.pick(pick_of(&call, &excluded)).await {
-                Choice::Go(route) => route,
+                Choice::Go(route) => *route,
                 Choice::Shed(retry_after) => {
                     return Verdict::Refused(Refused {
                         kind: ErrorKind::Shed,
--- a/crates/node/src/entry/tokens.rs
+++ b/crates/node/src/entry/tokens.rs
@@ -66,7 +66,7 @@
             let Choice::Go(route) = self.routes.pick(pick_for(service)).await else {
                 return None;
             };
-            if let Some(token) = self.mint(route, service).await {
+            if let Some(token) = self.mint(*route, service).await {
                 return Some(self.keys.seal(&token));
             }
         }
--- a/crates/node/src/routes/message.rs
+++ b/crates/node/src/routes/message.rs
@@ -43,7 +43,7 @@
 #[derive(Debug)]
 pub enum Choice {
     /// Send it there.
-    Go(Route),
+    Go(Box<Route>),
     /// It would be shed further down; come back after this time.
     Shed(Duration),
     /// No host is left to try.
--- a/crates/node/src/routes/task.rs
+++ b/crates/node/src/routes/task.rs
@@ -156,7 +156,7 @@
             return Choice::Nobody;
         };
         match self.route(key, request.service, request.operation, now) {
-            Some(route) => Choice::Go(route),
+            Some(route) => Choice::Go(Box::new(route)),
             None => Choice::Nobody,
         }
     }
--- a/crates/node/src/spread/task.rs
+++ b/crates/node/src/spread/task.rs
@@ -211,7 +211,8 @@
                     .record(None, Event::DocumentInForce { service, revision });
             }
             Offer::Rejected => {
-                self.replica.judge(&entry.key, entry.revision, Verdict::Invalid);
+                self.replica
+                    .judge(&entry.key, entry.revision, Verdict::Invalid);
                 self.metrics.documents.rejected(&service);
                 let fault = SmolStr::from(fault.unwrap_or_default());
                 self.recorder.record(
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -3,12 +3,13 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use coltsfootport::commands::check::{self, CheckKind, EXIT_FAULTS, EXIT_OK};
+use coltsfootport::commands::check::{self, CheckKind};
 use coltsfootport::config::{
     AdmissionMode, AdmissionSettings, FleetKey, LimitsSettings, LogLevel, LogSettings,
     OnceSettings, PlatformSettings, RetriesSettings, RoutingSettings, RuntimeSettings, Secret,
     Settings, ShutdownSettings, SpreadSettings, TargetSettings, TimelineSettings,
 };
+use coltsfootport::exit::Exit;
 use coltsfootport_core::jsonc::Fault;
 use rcgen::{CertificateParams, KeyPair};
 
@@ -364,13 +365,16 @@
         ];
         let faults = check::find_faults(CheckKind::Settings, &text);
         assert_eq!(keys(&faults), expected, "{name}");
-        assert_eq!(check::run(CheckKind::Settings, &path, &text), EXIT_FAULTS);
+        assert_eq!(
+            check::check(CheckKind::Settings, &path, &text),
+            Exit::Invalid
+        );
         let text = own
             .iter()
             .fold(text, |text, (old, new)| text.replace(old, new));
         let faults = check::find_faults(CheckKind::Settings, &text);
         assert!(faults.is_empty(), "{name}: {faults:#?}");
-        assert_eq!(check::run(CheckKind::Settings, &path, &text), EXIT_OK);
+        assert_eq!(check::check(CheckKind::Settings, &path, &text), Exit::Ok);
     }
 }
 
@@ -385,9 +389,9 @@
         a.jsonc:2:3: servise: unknown key (did you mean \"service\"?)\n\
         a.jsonc:3:14: classes: a list with a length from 1 to 8 is expected\n";
     assert_eq!(String::from_utf8_lossy(&out), expected);
-    assert_eq!(check::run(CheckKind::Document, path, text), EXIT_FAULTS);
+    assert_eq!(check::check(CheckKind::Document, path, text), Exit::Invalid);
     let (path, text) = example("telmarino/bidding.jsonc");
-    assert_eq!(check::run(CheckKind::Document, &path, &text), EXIT_OK);
+    assert_eq!(check::check(CheckKind::Document, &path, &text), Exit::Ok);
 }
 
 /// Symptom: settings are warned of at each start though `check` had passed them.
@@ -397,7 +401,7 @@
 fn check_counts_what_a_start_would_only_warn_of() {
     let text = with_more(&Pem::generate(), r#""limits": { "body_byte": 5 }"#);
     assert_eq!(
-        check::run(CheckKind::Settings, Path::new("a.jsonc"), &text),
-        EXIT_FAULTS
+        check::check(CheckKind::Settings, Path::new("a.jsonc"), &text),
+        Exit::Invalid
     );
 }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cli;
 pub mod error;
+pub mod fleet;
 pub mod http;
 pub mod load;
 pub mod platform;
--- /dev/null
+++ b/crates/rig/tests/whole_path.rs
@@ -0,0 +1,50 @@
+//! A request through separate processes: caller, entry, host, target, and a second service below.
+
+use std::time::Duration;
+
+use coltsfootport_rig::fleet::{Fleet, FleetPlan, ServicePlan};
+use coltsfootport_rig::http::ClientCall;
+use coltsfootport_rig::target;
+use http::Method;
+use serde_json::Value;
+
+fn plan() -> FleetPlan {
+    let target = target::Settings {
+        downstream: vec!["GET /prices/p/1".parse().expect("a call")],
+        ..target::Settings::default()
+    };
+    let bidding = ServicePlan {
+        target,
+        ..ServicePlan::new("bidding", &["a", "b"])
+    };
+    let prices = ServicePlan::new("prices", &["a", "b"]);
+    FleetPlan {
+        services: vec![bidding, prices],
+        proxied: true,
+        ..FleetPlan::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_served_from_end_to_end() {
+    let fleet = Fleet::start(plan()).await.expect("a fleet");
+    for (i, entry) in fleet.entries().into_iter().enumerate() {
+        let mut call = ClientCall::new(entry, Method::GET, "/bidding/lots/5");
+        call.timeout = Duration::from_secs(10);
+        let key = format!("whole-{i}");
+        call.headers
+            .insert("x-rig-key", key.parse().expect("a header"));
+        let answer = fleet.client.send(call).await.expect("an answer");
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.header("coltsfootport-outcome"), Some("ran"));
+        let echo: Value = serde_json::from_slice(&answer.body).expect("an echo");
+        assert_eq!(echo["key"], key.as_str());
+        assert_eq!(echo["path"], "/lots/5");
+        assert_eq!(echo["downstream"][0]["echo"]["service"], "prices");
+        assert_eq!(fleet.runs("bidding", &key).await.expect("counts"), 1);
+    }
+    assert_eq!(
+        fleet.breaches().await.expect("statuses"),
+        Vec::<String>::new()
+    );
+}
