Tests of the time line, the command line, keys, call and the operators listener

Cause: what operators see must hold in failures too. Ruled out: expecting 404 at the root path (the router answers 405 there; an unknown path answers 404). Found and mended: text of others with C1 control characters reached the terminal in rendered lines.

--- a/crates/core/src/timeline/render.rs
+++ b/crates/core/src/timeline/render.rs
@@ -23,12 +23,19 @@
     let _ = write!(line, " {node} {request} {kind}");
     if let Ok(Value::Object(fields)) = serde_json::to_value(&record.event) {
         for (name, value) in fields.iter().filter(|(name, _)| *name != "kind") {
-            let _ = write!(line, " {name}={value}");
+            let _ = write!(line, " {name}={}", shown(value));
         }
     }
     line
 }
 
+fn shown(value: &Value) -> String {
+    match value {
+        Value::String(text) => format!("\"{}\"", text.escape_debug()),
+        value => value.to_string(),
+    }
+}
+
 fn utc(at: Stamp) -> String {
     let (year, month, day) = civil_date(at.wall_ms / MS_PER_DAY);
     let in_day = at.wall_ms % MS_PER_DAY;
--- /dev/null
+++ b/crates/node/tests/cli.rs
@@ -0,0 +1,275 @@
+//! The command line: what is accepted, what is refused, and with which exit codes.
+
+use std::collections::BTreeSet;
+use std::process::{Command as Process, Output, Stdio};
+
+use bpaf::{Args, ParseFailure};
+use coltsfootport::cli::{
+    CallOptions, CheckOptions, CheckSubject, Command, KeysOptions, NodeKeyOptions, NodeOptions,
+    StatusOptions, TimelineOptions, TokenChoice, parse_from,
+};
+use coltsfootport::exit::Exit;
+use coltsfootport_core::id::RequestId;
+use coltsfootport_core::timeline::EventKind;
+
+fn words(line: &str) -> Vec<&str> {
+    line.split_whitespace().collect()
+}
+
+fn run(line: &str) -> Output {
+    let mut process = Process::new(env!("CARGO_BIN_EXE_coltsfootport"));
+    process
+        .args(words(line))
+        .stdin(Stdio::null())
+        .output()
+        .unwrap()
+}
+
+#[test]
+fn commands_are_read_with_their_defaults() {
+    let address = |port: u16| format!("127.0.0.1:{port}").parse().unwrap();
+    let timeline = TimelineOptions {
+        operators: vec![address(1)],
+        all: false,
+        request: None,
+        kind: Vec::new(),
+        limit: 1000,
+        follow: false,
+        json: false,
+    };
+    let call = CallOptions {
+        method: "GET".into(),
+        token: None,
+        first_try: 1,
+        deadline_ms: 10_000,
+        retries: 0,
+        header: Vec::new(),
+        data: None,
+        url: "http://127.0.0.1:1/bidding/lots".into(),
+    };
+    let full_call = CallOptions {
+        method: "POST".into(),
+        token: Some(TokenChoice::Auto),
+        deadline_ms: 250,
+        retries: 3,
+        header: vec!["a:b".into(), "c:d".into()],
+        data: Some("bid".into()),
+        ..call.clone()
+    };
+    let given_token = CallOptions {
+        token: Some(TokenChoice::Given("t1".into())),
+        first_try: 4,
+        ..call.clone()
+    };
+    let status = StatusOptions {
+        operators: vec![address(1), address(2)],
+        all: true,
+        json: true,
+    };
+    let check = |subject, file: &str| CheckOptions {
+        subject,
+        file: file.into(),
+    };
+    let node_keys = NodeKeyOptions {
+        name: "bidding-1".into(),
+        ip: vec!["10.0.0.1".parse().unwrap(), "::1".parse().unwrap()],
+        ca: "-".into(),
+    };
+    let filtered = TimelineOptions {
+        all: true,
+        request: Some(RequestId(255)),
+        kind: vec![EventKind::Shed, EventKind::Lost],
+        limit: 5,
+        follow: true,
+        json: true,
+        ..timeline.clone()
+    };
+    let cases = [
+        (
+            "node --settings -",
+            Command::Node(NodeOptions {
+                settings: "-".into(),
+            }),
+        ),
+        (
+            "check document a.json",
+            Command::Check(check(CheckSubject::Document, "a.json")),
+        ),
+        (
+            "check settings -",
+            Command::Check(check(CheckSubject::Settings, "-")),
+        ),
+        (
+            "status --operators 127.0.0.1:1 --operators=127.0.0.1:2 --all --json",
+            Command::Status(status),
+        ),
+        (
+            "timeline --operators 127.0.0.1:1",
+            Command::Timeline(timeline),
+        ),
+        (
+            "timeline --operators 127.0.0.1:1 --all --request 000000000000000000000000000000ff \
+             --kind shed --kind lost --limit 5 --follow --json",
+            Command::Timeline(filtered),
+        ),
+        ("keys fleet", Command::Keys(KeysOptions::Fleet { id: 1 })),
+        (
+            "keys fleet --id 9",
+            Command::Keys(KeysOptions::Fleet { id: 9 }),
+        ),
+        ("keys ca", Command::Keys(KeysOptions::Ca)),
+        (
+            "keys node --name bidding-1 --ip 10.0.0.1 --ip ::1",
+            Command::Keys(KeysOptions::Node(node_keys)),
+        ),
+        ("call http://127.0.0.1:1/bidding/lots", Command::Call(call)),
+        (
+            "call --method POST --token auto --deadline-ms 250 --retries 3 --header a:b \
+             --header c:d --data bid http://127.0.0.1:1/bidding/lots",
+            Command::Call(full_call),
+        ),
+        (
+            "call --token t1 --try 4 http://127.0.0.1:1/bidding/lots",
+            Command::Call(given_token),
+        ),
+    ];
+    for (line, expected) in cases {
+        let words = words(line);
+        assert_eq!(
+            parse_from(Args::from(words.as_slice())).unwrap(),
+            expected,
+            "{line}"
+        );
+    }
+}
+
+#[test]
+fn wrong_command_lines_are_refused() {
+    let cases = [
+        "",
+        "serve",
+        "node",
+        "check",
+        "check document",
+        "check certificate a.json",
+        "status",
+        "status --operators localhost:1",
+        "status --operators 127.0.0.1",
+        "timeline --request 000000000000000000000000000000ff",
+        "timeline --operators 127.0.0.1:1 --request ff",
+        "timeline --operators 127.0.0.1:1 --kind shedding",
+        "keys",
+        "keys fleet --id 256",
+        "keys node --name a",
+        "keys node --ip 10.0.0.1",
+        "call",
+        "call --retries -1 http://127.0.0.1:1/bidding/lots",
+        "call http://127.0.0.1:1/a http://127.0.0.1:1/b",
+    ];
+    for line in cases {
+        let words = words(line);
+        let failure = parse_from(Args::from(words.as_slice())).unwrap_err();
+        assert!(matches!(failure, ParseFailure::Stderr(_)), "{line}");
+    }
+}
+
+#[test]
+fn every_command_explains_its_options() {
+    let cases: [(&str, &[&str]); 8] = [
+        (
+            "--help",
+            &[
+                "node",
+                "check",
+                "status",
+                "timeline",
+                "keys",
+                "call",
+                "Exit codes",
+            ],
+        ),
+        ("node --help", &["--settings"]),
+        ("check --help", &["document", "settings", "FILE"]),
+        ("status --help", &["--operators", "--all", "--json"]),
+        (
+            "timeline --help",
+            &["--request", "--kind", "--limit", "--follow", "--json"],
+        ),
+        ("keys --help", &["fleet", "ca", "node"]),
+        ("keys node --help", &["--name", "--ip", "--ca"]),
+        (
+            "call --help",
+            &[
+                "--method",
+                "--token",
+                "--try",
+                "--deadline-ms",
+                "--retries",
+                "--data",
+            ],
+        ),
+    ];
+    for (line, expected) in cases {
+        let output = run(line);
+        let help = String::from_utf8(output.stdout).unwrap();
+        assert_eq!(output.status.code(), Some(0), "{line}");
+        for word in expected {
+            assert!(help.contains(word), "{line} lacks {word}");
+        }
+    }
+}
+
+#[test]
+fn every_exit_code_is_distinct_and_in_the_help() {
+    let help = String::from_utf8(run("--help").stdout).unwrap();
+    let codes: BTreeSet<_> = Exit::ALL.into_iter().map(Exit::code).collect();
+    assert_eq!(codes.len(), Exit::ALL.len());
+    for exit in Exit::ALL {
+        let line = format!("{}  {}", exit.code(), exit.meaning());
+        assert!(help.contains(&line), "the help lacks `{line}`");
+    }
+}
+
+#[test]
+fn commands_end_with_their_exit_codes() {
+    // Port 1 on the loopback refuses connections.
+    let cases = [
+        ("--version", Exit::Ok),
+        ("keys fleet", Exit::Ok),
+        ("", Exit::Usage),
+        ("status", Exit::Usage),
+        ("status --operators 127.0.0.1:1", Exit::Unreachable),
+        ("timeline --operators 127.0.0.1:1", Exit::Unreachable),
+        ("timeline --operators 127.0.0.1:1 --all", Exit::Unreachable),
+        ("call http://127.0.0.1:1/bidding/lots", Exit::NotRun),
+        (
+            "call --token auto http://127.0.0.1:1/bidding/lots",
+            Exit::NotRun,
+        ),
+        (
+            "call --token t1 --try 2 http://127.0.0.1:1/bidding/lots",
+            Exit::Unknown,
+        ),
+        ("call https://127.0.0.1:1/bidding/lots", Exit::Usage),
+        ("call http://localhost:1/bidding/lots", Exit::Usage),
+        ("call http://127.0.0.1:1/", Exit::Usage),
+        ("call --method G@T http://127.0.0.1:1/bidding", Exit::Usage),
+        (
+            "call --header no-colon http://127.0.0.1:1/bidding",
+            Exit::Usage,
+        ),
+        (
+            "call --data @/no/such/file http://127.0.0.1:1/bidding",
+            Exit::Usage,
+        ),
+        (
+            "keys node --name a --ip 127.0.0.1 --ca /no/such/file",
+            Exit::Failed,
+        ),
+        ("keys node --name a --ip 127.0.0.1", Exit::Failed),
+    ];
+    for (line, exit) in cases {
+        let code = run(line).status.code();
+        assert_eq!(code, Some(exit.code().into()), "{line}");
+    }
+}
--- /dev/null
+++ b/crates/node/tests/operators.rs
@@ -0,0 +1,416 @@
+//! The operators listener over HTTP, and the commands that ask it, with a stand-in for the node's tasks.
+
+use std::net::SocketAddr;
+use std::process::{Command, Output};
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfootport::http_client::fetch;
+use coltsfootport::metrics::Metrics;
+use coltsfootport::operators::{
+    DocumentStatus, DrainReply, HealthReport, InvariantCount, NodeAddress, OperatorQuery,
+    PeerStatus, QUERY_QUEUE, StatusReport, TimelinePage, serve,
+};
+use coltsfootport_core::id::RequestId;
+use coltsfootport_core::invariant::Invariant;
+use coltsfootport_core::timeline::{Event, Record, Ring, Stamp};
+use http::{Request, Response};
+use http_body_util::Full;
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// What the stand-in answers.
+struct State {
+    name: &'static str,
+    ready: bool,
+    ring: Ring,
+    nodes: Vec<SocketAddr>,
+}
+
+impl State {
+    fn new(name: &'static str, records: &[(u64, u128)]) -> Self {
+        let mut ring = Ring::new(3);
+        for (wall_ms, request) in records {
+            let at = Stamp {
+                wall_ms: *wall_ms,
+                counter: 0,
+            };
+            let request = Some(RequestId(*request));
+            let event = Event::Cancelled {
+                elapsed_us: *wall_ms,
+            };
+            ring.push(Record {
+                at,
+                node: name.into(),
+                request,
+                event,
+            });
+        }
+        Self {
+            name,
+            ready: true,
+            ring,
+            nodes: Vec::new(),
+        }
+    }
+
+    fn answer(&mut self, query: OperatorQuery) {
+        match query {
+            OperatorQuery::Status(reply) => drop(reply.send(self.status())),
+            OperatorQuery::Timeline { filter, reply } => {
+                let (records, dropped) = (self.ring.select(filter), self.ring.dropped());
+                drop(reply.send(TimelinePage { records, dropped }));
+            }
+            OperatorQuery::Nodes(reply) => drop(reply.send(self.addresses())),
+            OperatorQuery::Health(reply) => {
+                let phase = if self.ready { "serving" } else { "leaving" };
+                drop(reply.send(HealthReport {
+                    ready: self.ready,
+                    phase: phase.into(),
+                }));
+            }
+            OperatorQuery::Drain(reply) => {
+                let begun = std::mem::take(&mut self.ready);
+                drop(reply.send(DrainReply {
+                    begun,
+                    in_flight: 2,
+                }));
+            }
+        }
+    }
+
+    fn status(&self) -> StatusReport {
+        let rejected = vec!["line 3: unknown class\u{1b}[2J".into()];
+        let (node, service) = ("archive-1".into(), "archive".into());
+        StatusReport {
+            node: self.name.into(),
+            service: "bidding".into(),
+            phase: "serving".into(),
+            documents: vec![DocumentStatus {
+                service: "bidding".into(),
+                revision: 9,
+                in_force: Some(8),
+                rejected,
+            }],
+            peers: vec![PeerStatus {
+                node,
+                service,
+                ejected: true,
+                ..PeerStatus::default()
+            }],
+            invariants: vec![InvariantCount {
+                invariant: "allowance-grew".into(),
+                breaches: 1,
+            }],
+            ..StatusReport::default()
+        }
+    }
+
+    fn addresses(&self) -> Vec<NodeAddress> {
+        let address = |(index, operators): (usize, &SocketAddr)| NodeAddress {
+            node: format!("bidding-{index}").as_str().into(),
+            service: "bidding".into(),
+            operators: *operators,
+        };
+        self.nodes.iter().enumerate().map(address).collect()
+    }
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    (listener, addr)
+}
+
+fn start(listener: TcpListener, mut state: State, metrics: Metrics) {
+    let (tx, mut rx) = mpsc::channel(QUERY_QUEUE);
+    tokio::spawn(async move {
+        while let Some(query) = rx.recv().await {
+            state.answer(query);
+        }
+    });
+    tokio::spawn(serve(listener, tx, metrics));
+}
+
+async fn started(state: State) -> SocketAddr {
+    let (listener, addr) = listen().await;
+    start(listener, state, Metrics::new().unwrap());
+    addr
+}
+
+async fn ask(addr: SocketAddr, method: &str, path: &str) -> Response<Bytes> {
+    let req = Request::builder()
+        .method(method)
+        .uri(path)
+        .body(Full::new(Bytes::new()))
+        .unwrap();
+    fetch(addr, req, LIMIT).await.unwrap()
+}
+
+fn text(answer: &Response<Bytes>) -> &str {
+    std::str::from_utf8(answer.body()).unwrap()
+}
+
+async fn command(line: String) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_coltsfootport"));
+    command.args(line.split_whitespace());
+    tokio::task::spawn_blocking(move || command.output().unwrap())
+        .await
+        .unwrap()
+}
+
+#[tokio::test]
+async fn every_path_answers_its_method_only() {
+    struct Case {
+        method: &'static str,
+        path: &'static str,
+        status: u16,
+        kind: Option<&'static str>,
+        part: &'static str,
+    }
+    let (json, lines) = (Some("application/json"), Some("application/x-ndjson"));
+    let (plain, metrics) = (
+        Some("text/plain; charset=utf-8"),
+        Some("text/plain; version=0.0.4"),
+    );
+    let case = |method, path, status, kind, part| Case {
+        method,
+        path,
+        status,
+        kind,
+        part,
+    };
+    let cases = [
+        case("GET", "/status", 200, json, "\"node\":\"bidding-1\""),
+        case(
+            "GET",
+            "/metrics",
+            200,
+            metrics,
+            "coltsfootport_in_flight{stage=\"at-target\"} 0\n",
+        ),
+        case("GET", "/nodes", 200, json, "[]"),
+        case("GET", "/timeline", 200, lines, "\"kind\":\"cancelled\""),
+        case("GET", "/timeline?kind=shed", 200, lines, ""),
+        case("GET", "/timeline?limit=x", 400, plain, "limit"),
+        case("GET", "/timeline?since=x", 400, plain, "since"),
+        case("GET", "/timeline?request=x", 400, plain, "request"),
+        case("GET", "/timeline?kind=x", 400, plain, "kind"),
+        case(
+            "GET",
+            "/timeline?node=x",
+            400,
+            plain,
+            "unknown parameter `node`",
+        ),
+        case("GET", "/health", 200, json, "serving"),
+        case("POST", "/status", 405, None, ""),
+        case("GET", "/drain", 405, None, ""),
+        case("GET", "/nothing", 404, None, ""),
+        case("GET", "/health", 200, json, "\"ready\":true"),
+        case(
+            "POST",
+            "/drain",
+            202,
+            json,
+            "{\"begun\":true,\"in_flight\":2}",
+        ),
+        case(
+            "POST",
+            "/drain",
+            202,
+            json,
+            "{\"begun\":false,\"in_flight\":2}",
+        ),
+        case("GET", "/health", 503, json, "leaving"),
+    ];
+    let addr = started(State::new("bidding-1", &[(1, 1)])).await;
+    for Case {
+        method,
+        path,
+        status,
+        kind,
+        part,
+    } in cases
+    {
+        let answer = ask(addr, method, path).await;
+        assert_eq!(
+            answer.status().as_u16(),
+            status,
+            "{method} {path}: {}",
+            text(&answer)
+        );
+        assert!(
+            text(&answer).contains(part),
+            "{method} {path}: {}",
+            text(&answer)
+        );
+        if let Some(kind) = kind {
+            assert_eq!(answer.headers()["content-type"], kind, "{method} {path}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn the_time_line_is_filtered_and_tells_what_it_dropped() {
+    let addr = started(State::new("a", &[(1, 7), (2, 8), (3, 7), (4, 8)])).await;
+    let one = RequestId(7);
+    let cases = [
+        (String::from("/timeline"), vec![2, 3, 4]),
+        (String::from("/timeline?limit=1"), vec![4]),
+        (String::from("/timeline?since=2.0"), vec![3, 4]),
+        (String::from("/timeline?since=2.0&limit=1"), vec![3]),
+        (format!("/timeline?request={one}"), vec![3]),
+    ];
+    for (path, expected) in cases {
+        let answer = ask(addr, "GET", &path).await;
+        let records = text(&answer)
+            .lines()
+            .map(|line| serde_json::from_str::<Record>(line));
+        let walls: Vec<_> = records.map(|record| record.unwrap().at.wall_ms).collect();
+        assert_eq!(walls, expected, "{path}");
+        assert_eq!(
+            answer.headers()["coltsfootport-timeline-dropped"],
+            "1",
+            "{path}"
+        );
+    }
+}
+
+// Symptom: `status` hangs, and each further question makes the node's memory grow.
+// Sequence: the task that owns the state is stuck or gone while operators keep asking.
+// Cause: questions without a bound on their number and time.
+#[tokio::test]
+async fn a_node_that_can_t_answer_says_so() {
+    let (gone, gone_addr) = listen().await;
+    let (tx, rx) = mpsc::channel(QUERY_QUEUE);
+    drop(rx);
+    tokio::spawn(serve(gone, tx, Metrics::new().unwrap()));
+    let (full, full_addr) = listen().await;
+    let (tx, _kept) = mpsc::channel(1);
+    let (reply, _) = tokio::sync::oneshot::channel();
+    tx.try_send(OperatorQuery::Health(reply)).unwrap();
+    tokio::spawn(serve(full, tx, Metrics::new().unwrap()));
+    let (stuck, stuck_addr) = listen().await;
+    let (tx, _never_read) = mpsc::channel(QUERY_QUEUE);
+    tokio::spawn(serve(stuck, tx, Metrics::new().unwrap()));
+    let paths = ["/status", "/timeline", "/nodes", "/health"];
+    let cases = [
+        ("gone", gone_addr, &paths[..]),
+        ("full", full_addr, &paths),
+        ("stuck", stuck_addr, &paths[..1]),
+    ];
+    for (name, addr, paths) in cases {
+        for path in paths {
+            assert_eq!(ask(addr, "GET", path).await.status(), 503, "{name} {path}");
+        }
+        assert_eq!(ask(addr, "GET", "/metrics").await.status(), 200, "{name}");
+    }
+}
+
+#[tokio::test]
+async fn metrics_show_each_invariant_from_the_start() {
+    let (listener, addr) = listen().await;
+    let metrics = Metrics::new().unwrap();
+    start(listener, State::new("a", &[]), metrics.clone());
+    for breaches in [0, 1] {
+        let answer = ask(addr, "GET", "/metrics").await;
+        for invariant in Invariant::ALL {
+            let label = invariant.as_str();
+            let line = format!(
+                "coltsfootport_invariant_breaches_total{{invariant=\"{label}\"}} {breaches}\n"
+            );
+            assert!(text(&answer).contains(&line), "{line}");
+            metrics.faults.breached(invariant);
+        }
+    }
+}
+
+#[tokio::test]
+async fn timeline_merges_all_nodes_and_filters_by_request() {
+    let second = started(State::new("b", &[(2, 7), (4, 8)])).await;
+    let (listener, first) = listen().await;
+    let mut state = State::new("a", &[(1, 7), (3, 8), (4, 7)]);
+    state.nodes = vec![first, second];
+    start(listener, state, Metrics::new().unwrap());
+    let one = RequestId(7);
+    let cases = [
+        (format!("--operators {second}"), vec!["b 2", "b 4"]),
+        (
+            format!("--operators {first} --operators {second}"),
+            vec!["a 1", "b 2", "a 3", "a 4", "b 4"],
+        ),
+        (
+            format!("--operators {first} --all"),
+            vec!["a 1", "b 2", "a 3", "a 4", "b 4"],
+        ),
+        (
+            format!("--operators {first} --all --request {one}"),
+            vec!["a 1", "b 2", "a 4"],
+        ),
+        (
+            format!("--operators {first} --all --limit 1"),
+            vec!["a 4", "b 4"],
+        ),
+        (format!("--operators {first} --kind shed"), vec![]),
+    ];
+    for (options, expected) in cases {
+        let output = command(format!("timeline --json {options}")).await;
+        let lines = String::from_utf8(output.stdout).unwrap();
+        let records = lines
+            .lines()
+            .map(|line| serde_json::from_str::<Record>(line).unwrap());
+        let seen: Vec<_> = records
+            .map(|record| format!("{} {}", record.node, record.at.wall_ms))
+            .collect();
+        assert_eq!(seen, expected, "{options}");
+        assert_eq!(output.status.code(), Some(0), "{options}");
+    }
+}
+
+// Symptom: an operator sees a fleet without fault while one node is out of reach.
+// Sequence: `status` and `timeline` ask several nodes, one of which refuses connections.
+// Cause: commands that leave out what they can't reach without saying so.
+#[tokio::test]
+async fn what_can_be_reached_is_shown_and_the_rest_is_told() {
+    let (closed, refused) = listen().await;
+    drop(closed);
+    let (listener, addr) = listen().await;
+    let mut state = State::new("a", &[(1, 7)]);
+    state.nodes = vec![addr, refused];
+    start(listener, state, Metrics::new().unwrap());
+    for line in [
+        format!("status --operators {addr} --all"),
+        format!("timeline --operators {addr} --operators {refused}"),
+    ] {
+        let output = command(line.clone()).await;
+        assert_eq!(output.status.code(), Some(4), "{line}");
+        assert!(!output.stdout.is_empty(), "{line}");
+        let faults = String::from_utf8(output.stderr).unwrap();
+        assert!(faults.contains(&refused.to_string()), "{line}: {faults}");
+    }
+}
+
+#[tokio::test]
+async fn status_shows_rows_and_remarks_without_control_characters() {
+    let addr = started(State::new("bidding-1", &[])).await;
+    let table = command(format!("status --operators {addr}")).await;
+    let table = String::from_utf8(table.stdout).unwrap();
+    let expected = [
+        "NODE       SERVICE  DOMAIN  PHASE    DOCS  PLATFORM  PEERS",
+        "bidding-1  bidding  -       serving  0/1   never@0   0/1",
+        "bidding-1: document of bidding: revision 9 rejected, 8 in force: line 3: unknown class\\u{1b}",
+        "bidding-1: peer archive-1 of archive is left out for its failures",
+        "bidding-1: invariant allowance-grew breached 1 times",
+    ];
+    for part in expected {
+        assert!(table.contains(part), "{part}\n{table}");
+    }
+    assert!(!table.contains('\u{1b}'));
+    let json = command(format!("status --json --operators {addr}")).await;
+    let report: Value = serde_json::from_slice(&json.stdout).unwrap();
+    assert_eq!(report["documents"][0]["in_force"], 8);
+}
