Operators' page, following the time line, log lines

Ruled out: stating which of several fleet secrets mints (the settings decide). Conclusion: a test keeps the page's tables of events, metrics and exit codes complete.

--- a/crates/node/src/commands/keys/fragment.rs
+++ b/crates/node/src/commands/keys/fragment.rs
@@ -8,7 +8,7 @@
 /// Bytes of a fleet secret: the length of the MAC's hash.
 const SECRET_BYTES: usize = 32;
 
-/// The fleet's secrets; the one with the highest id mints, all of them verify.
+/// The fleet's secrets, each known by its number.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetFragment {
     /// The secrets.
--- a/crates/node/src/commands/timeline.rs
+++ b/crates/node/src/commands/timeline.rs
@@ -19,37 +19,65 @@
 /// Time between two questions to each node under `--follow`.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
 
+/// Questions to each node between two for the list of nodes under `--all --follow`.
+const ROUNDS_PER_LOOKUP: u64 = 20;
+
 /// Asks the nodes and prints their events.
 pub fn run(options: &TimelineOptions) -> Exit {
     block_on(show(options))
 }
 
 async fn show(options: &TimelineOptions) -> Exit {
-    let addresses = fleet::addresses(&options.operators, options.all).await;
-    fleet::print_faults(&addresses.faults);
-    let mut since: BTreeMap<_, _> = addresses
-        .found
-        .into_keys()
-        .map(|addr| (addr, None))
-        .collect();
-    let mut whole = addresses.faults.is_empty();
-    loop {
-        let answers = round(options, &since).await;
-        fleet::print_faults(&answers.faults);
-        whole &= answers.faults.is_empty();
+    let mut since = BTreeMap::new();
+    let mut whole = true;
+    let mut told = String::new();
+    for round in 0_u64.. {
+        let mut faults = Vec::new();
+        if round.is_multiple_of(ROUNDS_PER_LOOKUP) {
+            faults = look_up(options, &mut since).await;
+        }
+        let answers = ask(options, &since).await;
+        faults.extend(answers.faults);
+        whole &= faults.is_empty();
+        tell(&faults, &mut told);
         advance(&mut since, &answers.found);
         let records = merge(answers.found.into_values().collect());
         if let Err(fault) = print(options, &records) {
             return output::failed(&fault);
         }
         if !options.follow {
-            return if whole { Exit::Ok } else { Exit::Unreachable };
+            break;
         }
         tokio::time::sleep(FOLLOW_PAUSE).await;
     }
+    if whole { Exit::Ok } else { Exit::Unreachable }
+}
+
+/// Adds the nodes that are not yet asked.
+async fn look_up(
+    options: &TimelineOptions,
+    since: &mut BTreeMap<SocketAddr, Option<Stamp>>,
+) -> Vec<AskError> {
+    let addresses = fleet::addresses(&options.operators, options.all).await;
+    for addr in addresses.found.into_keys() {
+        since.entry(addr).or_default();
+    }
+    addresses.faults
+}
+
+/// Prints the faults where they differ from those of the round before.
+fn tell(faults: &[AskError], told: &mut String) {
+    let text = faults
+        .iter()
+        .map(|fault| format!("coltsfootport: {fault}\n"))
+        .collect();
+    if *told != text {
+        eprint!("{text}");
+        *told = text;
+    }
 }
 
-async fn round(
+async fn ask(
     options: &TimelineOptions,
     since: &BTreeMap<SocketAddr, Option<Stamp>>,
 ) -> Answers<Vec<Record>> {
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -48,13 +48,26 @@
     node: &NodeName,
     service: &ServiceName,
 ) -> (Logger, AsyncGuard) {
-    let (drain, guard) = match format {
-        LogFormat::Json => queue(Json::default(io::stderr()).fuse()),
-        LogFormat::Terminal => queue(FullFormat::new(TermDecorator::new().build()).build().fuse()),
-    };
-    let drain = LevelFilter::new(drain, level.into()).fuse();
-    let fields = o!("service" => service.to_string(), "node" => node.to_string());
-    (Logger::root(drain, fields), guard)
+    match format {
+        LogFormat::Json => start_json(io::stderr(), level, node, service),
+        LogFormat::Terminal => {
+            let format = FullFormat::new(TermDecorator::new().build()).build();
+            root(format.fuse(), level, node, service)
+        }
+    }
+}
+
+/// Starts a root logger that writes JSON lines to `out`; see [`start`].
+pub fn start_json<W>(
+    out: W,
+    level: LogLevel,
+    node: &NodeName,
+    service: &ServiceName,
+) -> (Logger, AsyncGuard)
+where
+    W: io::Write + Send + 'static,
+{
+    root(Json::default(out).fuse(), level, node, service)
 }
 
 /// A logger whose lines carry the id of the request.
@@ -62,13 +75,21 @@
     log.new(o!("request" => request.to_string()))
 }
 
-fn queue<D>(drain: D) -> (Async, AsyncGuard)
+fn root<D>(
+    drain: D,
+    level: LogLevel,
+    node: &NodeName,
+    service: &ServiceName,
+) -> (Logger, AsyncGuard)
 where
     D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
 {
     // A reader of standard error that stalls would stop a task that writes to it, and with it all calls of the node.
     // The queue takes the writing to a thread and drops lines when it is full.
-    Async::new(drain).chan_size(QUEUED_LINES).build_with_guard()
+    let (queue, guard) = Async::new(drain).chan_size(QUEUED_LINES).build_with_guard();
+    let drain = LevelFilter::new(queue, level.into()).fuse();
+    let fields = o!("service" => service.to_string(), "node" => node.to_string());
+    (Logger::root(drain, fields), guard)
 }
 
 impl From<LogLevel> for Level {
--- /dev/null
+++ b/crates/node/tests/operations_page.rs
@@ -0,0 +1,59 @@
+//! The operators' page lists everything that operators can see.
+
+use coltsfootport::exit::Exit;
+use coltsfootport::metrics::{Listener, Metrics};
+use coltsfootport_core::class::Class;
+use coltsfootport_core::error_kind::ErrorKind;
+use coltsfootport_core::outcome::Outcome;
+use coltsfootport_core::timeline::EventKind;
+
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
+
+/// Whether a table of the page has a row whose first column holds the name in backquotes.
+fn has_row(name: &str) -> bool {
+    let name = format!("`{name}`");
+    let first_columns = PAGE
+        .lines()
+        .filter_map(|line| line.strip_prefix("| ")?.split('|').next());
+    first_columns
+        .into_iter()
+        .any(|column| column.contains(&name))
+}
+
+#[test]
+fn every_event_and_exit_code_is_on_the_page() {
+    for kind in EventKind::ALL {
+        assert!(has_row(kind.as_str()), "{kind}");
+    }
+    for exit in Exit::ALL {
+        let row = format!("| {} | {} |", exit.code(), exit.meaning());
+        assert!(PAGE.contains(&row), "{row}");
+    }
+}
+
+#[test]
+fn every_metric_is_on_the_page() {
+    let metrics = Metrics::new().unwrap();
+    // Counters with labels appear with their first count.
+    metrics
+        .calls
+        .answered(Listener::Callers, Class::LOWEST, Outcome::Ran, None);
+    metrics.calls.retried(ErrorKind::Shed);
+    metrics.documents.set_in_force(&"bidding".into(), 1);
+    metrics.documents.rejected(&"bidding".into());
+    metrics.faults.stamp_ignored("bidding-1");
+    let text = metrics.encode();
+    let helps = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# HELP coltsfootport_"));
+    let names: Vec<_> = helps.filter_map(|line| line.split(' ').next()).collect();
+    for name in &names {
+        assert!(has_row(name), "{name}");
+    }
+    let rows = PAGE.lines().filter(|line| {
+        ["| counter |", "| gauge |", "| histogram |"]
+            .iter()
+            .any(|kind| line.contains(kind))
+    });
+    assert_eq!(rows.count(), names.len());
+}
--- a/crates/node/tests/operators.rs
+++ b/crates/node/tests/operators.rs
@@ -1,7 +1,9 @@
 //! The operators listener over HTTP, and the commands that ask it, with a stand-in for the node's tasks.
 
+use std::collections::VecDeque;
+use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -27,6 +29,8 @@
     name: &'static str,
     ready: bool,
     ring: Ring,
+    /// Records that happen one by one, each after a question for the time line.
+    coming: VecDeque<Record>,
     nodes: Vec<SocketAddr>,
 }
 
@@ -53,6 +57,7 @@
             name,
             ready: true,
             ring,
+            coming: VecDeque::new(),
             nodes: Vec::new(),
         }
     }
@@ -63,6 +68,10 @@
             OperatorQuery::Timeline { filter, reply } => {
                 let (records, dropped) = (self.ring.select(filter), self.ring.dropped());
                 drop(reply.send(TimelinePage { records, dropped }));
+                self.coming
+                    .pop_front()
+                    .into_iter()
+                    .for_each(|record| self.ring.push(record));
             }
             OperatorQuery::Nodes(reply) => drop(reply.send(self.addresses())),
             OperatorQuery::Health(reply) => {
@@ -119,6 +128,22 @@
     }
 }
 
+fn cancelled(wall_ms: u64, node: &str, request: u128) -> Record {
+    let at = Stamp {
+        wall_ms,
+        counter: 0,
+    };
+    let event = Event::Cancelled {
+        elapsed_us: wall_ms,
+    };
+    Record {
+        at,
+        node: node.into(),
+        request: Some(RequestId(request)),
+        event,
+    }
+}
+
 async fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
@@ -267,9 +292,7 @@
     ];
     for (path, expected) in cases {
         let answer = ask(addr, "GET", &path).await;
-        let records = text(&answer)
-            .lines()
-            .map(|line| serde_json::from_str::<Record>(line));
+        let records = text(&answer).lines().map(serde_json::from_str::<Record>);
         let walls: Vec<_> = records.map(|record| record.unwrap().at.wall_ms).collect();
         assert_eq!(walls, expected, "{path}");
         assert_eq!(
@@ -371,6 +394,38 @@
     }
 }
 
+// Symptom: `timeline --follow` leaves out events, or shows them again and again.
+// Sequence: a node's ring turns over while an operator follows it.
+// Cause: questions that don't go on from the last record that was shown.
+#[tokio::test]
+async fn follow_shows_each_event_once() {
+    let mut state = State::new("a", &[(1, 7), (2, 7)]);
+    state.coming = (3..=6).map(|wall_ms| cancelled(wall_ms, "a", 7)).collect();
+    let addr = started(state).await;
+    let mut command = Command::new(env!("CARGO_BIN_EXE_coltsfootport"));
+    command.args([
+        "timeline",
+        "--follow",
+        "--json",
+        "--operators",
+        &addr.to_string(),
+    ]);
+    let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
+    let lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let read = tokio::task::spawn_blocking(move || {
+        lines.take(6).map(|line| line.unwrap()).collect::<Vec<_>>()
+    });
+    let lines = tokio::time::timeout(LIMIT, read).await;
+    child.kill().unwrap();
+    child.wait().unwrap();
+    let lines = lines.unwrap().unwrap();
+    let records = lines
+        .iter()
+        .map(|line| serde_json::from_str::<Record>(line).unwrap());
+    let walls: Vec<_> = records.map(|record| record.at.wall_ms).collect();
+    assert_eq!(walls, [1, 2, 3, 4, 5, 6]);
+}
+
 // Symptom: an operator sees a fleet without fault while one node is out of reach.
 // Sequence: `status` and `timeline` ask several nodes, one of which refuses connections.
 // Cause: commands that leave out what they can't reach without saying so.
