--- /dev/null
+++ b/crates/node/tests/call.rs
@@ -0,0 +1,334 @@
+//! `call`: what it says about a request, and when it sends again.
+
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::Duration;
+
+use coltsfootport::commands::call::{Answer, AttemptEnd, Credential, Next, Policy};
+use coltsfootport::exit::Exit;
+use coltsfootport_core::error_kind::ErrorKind;
+use coltsfootport_core::outcome::Outcome::{self, NotRun, Ran, Unknown};
+use http::Response;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+const LEFT: Duration = Duration::from_secs(60);
+
+fn answered(status: u16, headers: &[(&str, &str)]) -> AttemptEnd {
+    let mut answer = Response::builder().status(status);
+    for (name, value) in headers {
+        answer = answer.header(*name, *value);
+    }
+    AttemptEnd::Answered(Answer::from(answer.body("whole".into()).unwrap()))
+}
+
+fn said(outcome: &str, headers: &[(&str, &str)]) -> AttemptEnd {
+    let headers = [&[("coltsfootport-outcome", outcome)], headers].concat();
+    answered(503, &headers)
+}
+
+#[test]
+fn headers_of_an_answer_are_read() {
+    let AttemptEnd::Answered(answer) = answered(
+        503,
+        &[
+            ("coltsfootport-outcome", "not-run"),
+            ("coltsfootport-error", "shed"),
+            ("coltsfootport-request", "ff"),
+            ("coltsfootport-token", "t2"),
+            ("retry-after", "2"),
+            ("coltsfootport-retry-after-ms", "1500"),
+        ],
+    ) else {
+        panic!("an answer")
+    };
+    assert_eq!(
+        (answer.outcome, answer.error),
+        (Some(NotRun), Some(ErrorKind::Shed))
+    );
+    assert_eq!(
+        (answer.request.as_deref(), answer.fresh_token.as_deref()),
+        (Some("ff"), Some("t2"))
+    );
+    assert_eq!(answer.retry_after, Some(Duration::from_millis(1500)));
+    let AttemptEnd::Answered(plain) = answered(
+        503,
+        &[("retry-after", "2"), ("coltsfootport-outcome", "maybe")],
+    ) else {
+        panic!("an answer")
+    };
+    assert_eq!(
+        (plain.outcome, plain.retry_after),
+        (None, Some(Duration::from_secs(2)))
+    );
+}
+
+/// The end of an attempt by a label of the table below.
+fn end(label: &str) -> AttemptEnd {
+    let after = [("coltsfootport-retry-after-ms", "700")];
+    let fresh = [("coltsfootport-token", "t2")];
+    let expired = [("coltsfootport-error", "token-expired"), fresh[0]];
+    match label {
+        "ran" => said("ran", &after),
+        "refused" => said("not-run", &[]),
+        "shed" => said("not-run", &after),
+        "later" => said("not-run", &[("retry-after", "60")]),
+        "renewed" => said("not-run", &fresh),
+        "unknown" => said("unknown", &after),
+        "unknown-renewed" => said("unknown", &fresh),
+        "expired" => said("unknown", &expired),
+        "no-outcome" => answered(200, &[]),
+        "lost" => AttemptEnd::Lost,
+        "not-sent" => AttemptEnd::NotSent,
+        _ => panic!("no end {label}"),
+    }
+}
+
+// Symptom: a bid stands twice, or a broker is told `not run` of a bid that stands.
+// Sequence: attempts are lost, refused or answered, with a token or without, and `call` may send again.
+// Cause: sending again what may have run, or taking the last answer for the whole call.
+#[test]
+fn a_call_is_sent_again_only_where_that_is_safe_and_welcome() {
+    const SAFE: bool = true;
+    struct Case {
+        safe: bool,
+        /// Number of the token's first sending; 0 without a token.
+        sending: u32,
+        ends: &'static str,
+        /// Milliseconds before each further attempt.
+        pauses: &'static [u64],
+        outcome: Outcome,
+        /// Token and number of the last sending.
+        last: &'static str,
+    }
+    let (none, t1) = (0, 1);
+    let case = |safe, sending, ends, pauses, outcome, last| Case {
+        safe,
+        sending,
+        ends,
+        pauses,
+        outcome,
+        last,
+    };
+    let cases = [
+        case(!SAFE, none, "ran", &[], Ran, ""),
+        case(!SAFE, none, "refused", &[], NotRun, ""),
+        case(SAFE, t1, "no-outcome", &[], Unknown, "t1 1"),
+        case(!SAFE, none, "shed shed ran", &[700, 700], Ran, ""),
+        case(!SAFE, none, "not-sent not-sent ran", &[100, 200], Ran, ""),
+        case(!SAFE, none, "lost", &[], Unknown, ""),
+        case(!SAFE, none, "unknown", &[], Unknown, ""),
+        case(SAFE, none, "unknown ran", &[700], Ran, ""),
+        case(SAFE, none, "lost refused", &[100], Unknown, ""),
+        case(!SAFE, t1, "lost refused", &[100], NotRun, "t1 2"),
+        case(
+            !SAFE,
+            t1,
+            "lost not-sent not-sent not-sent",
+            &[100, 200, 400],
+            Unknown,
+            "t1 4",
+        ),
+        case(!SAFE, 3, "not-sent refused", &[100], NotRun, "t1 4"),
+        case(
+            !SAFE,
+            3,
+            "not-sent not-sent not-sent not-sent",
+            &[100, 200, 400],
+            Unknown,
+            "t1 6",
+        ),
+        case(!SAFE, t1, "renewed ran", &[0], Ran, "t2 1"),
+        case(!SAFE, t1, "unknown-renewed ran", &[100], Ran, "t1 2"),
+        case(!SAFE, t1, "expired", &[], Unknown, "t1 1"),
+        case(
+            SAFE,
+            none,
+            "lost renewed refused",
+            &[100, 0],
+            Unknown,
+            "t2 1",
+        ),
+        case(
+            !SAFE,
+            none,
+            "shed shed shed shed",
+            &[700, 700, 700],
+            NotRun,
+            "",
+        ),
+        case(!SAFE, none, "later", &[], NotRun, ""),
+    ];
+    for Case {
+        safe,
+        sending,
+        ends,
+        pauses,
+        outcome,
+        last,
+    } in cases
+    {
+        let name = format!("{ends}, safe: {safe}, sending: {sending}");
+        let credential = (sending > 0).then(|| Credential {
+            token: "t1".into(),
+            sending,
+        });
+        let mut policy = Policy::new(3, safe, credential);
+        let nexts: Vec<_> = ends
+            .split(' ')
+            .map(|label| policy.after(&end(label), LEFT, 0.0))
+            .collect();
+        let again = pauses
+            .iter()
+            .map(|ms| Next::Again(Duration::from_millis(*ms)));
+        let expected: Vec<_> = again.chain([Next::Stop(outcome)]).collect();
+        assert_eq!(nexts, expected, "{name}");
+        let shown = |last: &Credential| format!("{} {}", last.token, last.sending);
+        assert_eq!(
+            policy.credential().map(shown).unwrap_or_default(),
+            last,
+            "{name}"
+        );
+    }
+}
+
+/// Gives each connection the next raw answer and reports the head of its request.
+async fn scripted(answers: Vec<String>) -> (SocketAddr, mpsc::Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (tx, rx) = mpsc::channel(answers.len().max(1));
+    tokio::spawn(async move {
+        for answer in answers {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                head.push(stream.read_u8().await.unwrap());
+            }
+            tx.send(String::from_utf8(head).unwrap()).await.unwrap();
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    });
+    (addr, rx)
+}
+
+fn raw(status: u16, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status} -\r\n{headers}content-length: {length}\r\n\r\n{body}")
+}
+
+#[tokio::test]
+async fn the_exit_code_and_the_output_tell_the_outcome() {
+    struct Case<'a> {
+        options: &'a str,
+        answers: Vec<&'a str>,
+        exit: Exit,
+        stdout: &'a str,
+        /// The end of standard error.
+        stderr: &'a str,
+        /// A part of each request's head.
+        parts: &'a [&'a str],
+    }
+    let ran = "coltsfootport-outcome: ran\r\ncoltsfootport-request: ab\r\n";
+    let shed = "coltsfootport-outcome: not-run\r\ncoltsfootport-error: shed\r\n\
+                coltsfootport-retry-after-ms: 1\r\n";
+    let shed = raw(503, shed, "");
+    let tokens = raw(200, "", "{\"tokens\":[\"t9\"]}");
+    let cut = format!("HTTP/1.1 200 -\r\n{ran}content-length: 10\r\n\r\nhalf");
+    let (lots, no_lot, bid) = (
+        raw(200, ran, "lots"),
+        raw(404, ran, "no lot"),
+        raw(200, ran, "bid"),
+    );
+    let cases = [
+        Case {
+            options: "--header x-a:b",
+            answers: vec![&lots],
+            exit: Exit::Ok,
+            stdout: "lots",
+            stderr: "outcome=ran attempts=1 status=200 request=ab\n",
+            parts: &["x-a: b\r\n"],
+        },
+        Case {
+            options: "--method DELETE",
+            answers: vec![&no_lot],
+            exit: Exit::RanWithError,
+            stdout: "no lot",
+            stderr: "outcome=ran attempts=1 status=404 request=ab\n",
+            parts: &["DELETE /bidding/lots?page=2 HTTP/1.1\r\n"],
+        },
+        Case {
+            options: "--data bid",
+            answers: vec![&shed],
+            exit: Exit::NotRun,
+            stdout: "",
+            stderr: "outcome=not-run attempts=1 status=503 error=shed retry-after-ms=1\n",
+            parts: &["coltsfootport-deadline-ms: "],
+        },
+        Case {
+            options: "--method POST --retries 5",
+            answers: vec![&cut],
+            exit: Exit::Unknown,
+            stdout: "",
+            stderr: "outcome=unknown attempts=1\n",
+            parts: &["POST "],
+        },
+        Case {
+            options: "--method POST --token auto --retries 2",
+            answers: vec![&tokens, &cut, &shed, &bid],
+            exit: Exit::Ok,
+            stdout: "bid",
+            stderr: "outcome=ran attempts=3 status=200 request=ab token=t9 try=3\n",
+            parts: &[
+                "POST /coltsfootport/tokens?service=bidding&count=1 HTTP/1.1\r\n",
+                "coltsfootport-token: t9\r\ncoltsfootport-try: 1\r\n",
+                "coltsfootport-token: t9\r\ncoltsfootport-try: 2\r\n",
+                "coltsfootport-token: t9\r\ncoltsfootport-try: 3\r\n",
+            ],
+        },
+        Case {
+            options: "--method POST --token auto --retries 2",
+            answers: vec![&shed],
+            exit: Exit::NotRun,
+            stdout: "",
+            stderr: "outcome=not-run attempts=0 status=503 error=shed retry-after-ms=1\n",
+            parts: &["POST /coltsfootport/tokens"],
+        },
+    ];
+    for Case {
+        options,
+        answers,
+        exit,
+        stdout,
+        stderr,
+        parts,
+    } in cases
+    {
+        let (addr, mut rx) = scripted(answers.into_iter().map(str::to_owned).collect()).await;
+        let mut command = Command::new(env!("CARGO_BIN_EXE_coltsfootport"));
+        command.arg("call").args(options.split_whitespace());
+        command.arg(format!("http://{addr}/bidding/lots?page=2"));
+        let run = tokio::task::spawn_blocking(move || command.output().unwrap());
+        let output = run.await.unwrap();
+        let told = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(
+            output.status.code(),
+            Some(exit.code().into()),
+            "{options}: {told}"
+        );
+        assert_eq!(
+            String::from_utf8(output.stdout).unwrap(),
+            stdout,
+            "{options}"
+        );
+        assert!(told.ends_with(stderr), "{options}: {told}");
+        let mut heads = Vec::new();
+        while let Ok(head) = rx.try_recv() {
+            heads.push(head);
+        }
+        assert_eq!(heads.len(), parts.len(), "{options}: {heads:?}");
+        for (head, part) in heads.iter().zip(parts) {
+            assert!(head.contains(part), "{options}: {head} lacks {part}");
+        }
+    }
+}
