--- a/crates/node/tests/keys.rs
+++ b/crates/node/tests/keys.rs
@@ -47,7 +47,7 @@
 fn serves_as(trusted: &[String], node: &NodeFragment, name: &str) -> bool {
     let verifier = WebPkiServerVerifier::builder_with_provider(roots(trusted), provider());
     let name = ServerName::try_from(name.to_owned()).unwrap();
-    let certificate = certificate(&node.certificate);
+    let certificate = certificate(&node.tls.cert_pem);
     let verifier = verifier.build().unwrap();
     verifier
         .verify_server_cert(&certificate, &[], &name, &[], UnixTime::now())
@@ -56,7 +56,7 @@
 
 fn calls_as_fleet(trusted: &[String], node: &NodeFragment) -> bool {
     let verifier = WebPkiClientVerifier::builder_with_provider(roots(trusted), provider());
-    let certificate = certificate(&node.certificate);
+    let certificate = certificate(&node.tls.cert_pem);
     let verifier = verifier.build().unwrap();
     verifier
         .verify_client_cert(&certificate, &[], UnixTime::now())
@@ -108,7 +108,7 @@
                 "{issuer}: client of {name}"
             );
         }
-        assert_eq!(node.fleet_ca, own);
+        assert_eq!(node.tls.ca_pem, own.concat());
     }
 }
 
@@ -127,7 +127,10 @@
             .with_safe_default_protocol_versions()
             .unwrap()
             .with_no_client_auth()
-            .with_single_cert(vec![certificate(&node.certificate)], key(&key_of.key));
+            .with_single_cert(
+                vec![certificate(&node.tls.cert_pem)],
+                key(&key_of.tls.key_pem),
+            );
         assert_eq!(config.is_ok(), expected);
     }
 }
@@ -184,10 +187,15 @@
     let (one, two) = (FleetFragment::random(3), FleetFragment::random(3));
     assert_ne!(one, two);
     for fragment in [one, two] {
-        let [secret] = &fragment.fleet_secrets[..] else {
+        let [secret] = &fragment.fleet_keys[..] else {
             panic!("one secret")
         };
-        assert_eq!((secret.id, secret.secret.len()), (3, 64));
-        assert!(secret.secret.bytes().all(|byte| byte.is_ascii_hexdigit()));
+        assert_eq!((secret.id, secret.secret_hex.len()), (3, 64));
+        assert!(
+            secret
+                .secret_hex
+                .bytes()
+                .all(|byte| byte.is_ascii_hexdigit())
+        );
     }
 }
