Lost hosts are noticed in half a second; doubt is never told as not-run

Cause: (1) a killed or paused host keeps its QUIC connection open until the transport's timeout, so a call waited its whole deadline; (2) a retry that was refused made an earlier attempt in doubt be told as not-run, for idempotent calls and for a repeated sending of a token alike. Ruled out: keep-alive packets on all connections (two a second on 80 connections are above 5 KB/s a node). Conclusion: a quiet connection is asked for a sign of life after 150 ms; doubt is kept through all attempts of a call. Also: places bound calls and slow bodies at an entry; gauges follow the tasks; the entry's files have one job each.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,12 +1,15 @@
 //! The entry's side of a call: what it is, where it goes, and what its caller is told.
 
 mod budget;
+mod course;
 mod dispatcher;
 mod inbound;
 mod origin;
 mod outcome;
 mod pinned;
+mod prepare;
 mod service;
+mod token_endpoint;
 mod tokens;
 
 pub use budget::Budget;
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -15,6 +15,7 @@
 use rand::rngs::SmallRng;
 
 use super::Budget;
+use super::course::{Course, Step};
 use super::tokens::TokenIssuer;
 use crate::clock::SharedClock;
 use crate::data::{AttemptId, Call, HostReport, OnceCall, Refused, Reply, Verdict};
@@ -79,64 +80,55 @@
 
     /// Sends a call that has no identity outside the system, which may move from host to host.
     pub async fn send(&self, mut call: Call, budget: &mut Budget) -> Verdict {
-        let mut excluded = Vec::new();
-        let mut unsent = 0;
-        let mut retries = 0;
-        let mut failure = Refused::from(ErrorKind::NoTarget);
+        let mut course = Course::default();
         loop {
-            let route = match self.setup.routes.pick(pick_of(&call, &excluded)).await {
-                Choice::Go(route) => *route,
-                Choice::Shed(retry_after) => {
-                    return Verdict::Refused(Refused {
-                        kind: ErrorKind::Shed,
-                        retry_after,
-                    });
-                }
-                Choice::Nobody => return Verdict::Refused(with_time(failure)),
-            };
-            let peer = route.guard.peer();
-            if !call.idempotent && !self.bind(&mut call, &route).await {
-                route.guard.done(RouteResult::Lost, None);
-                unsent += 1;
-                if unsent >= MOST_UNSENT {
-                    return Verdict::Refused(with_time(failure));
-                }
-                excluded.extend(peer);
-                continue;
-            }
-            failure = match self.attempt(&mut call, route, budget).await {
-                Attempt::Replied(reply) => match reply.verdict {
-                    Verdict::Answered(answer) => return Verdict::Answered(answer),
-                    Verdict::Refused(refused) => refused,
-                },
-                Attempt::NotSent if unsent < MOST_UNSENT => {
-                    unsent += 1;
-                    excluded.extend(peer);
-                    continue;
-                }
-                Attempt::NotSent => Refused::from(ErrorKind::NoTarget),
-                Attempt::Lost | Attempt::Expired if !call.idempotent => {
-                    match self.settle(&call).await {
-                        Verdict::Answered(answer) => return Verdict::Answered(answer),
-                        Verdict::Refused(refused) => moved(refused),
-                    }
-                }
-                Attempt::Lost => Refused::from(ErrorKind::AnswerLost),
-                Attempt::Expired => Refused::from(ErrorKind::ExpiredInFlight),
+            let failure = match self.step(&mut call, &mut course, budget).await {
+                Step::Answered(answer) => return Verdict::Answered(answer),
+                Step::GiveUp(refused) => return course.conclude(refused),
+                Step::PassOver => continue,
+                Step::Failed(refused) => refused,
             };
+            course.note(failure);
             if !self.may_retry(&call, failure.kind, budget).await {
-                return Verdict::Refused(with_time(failure));
+                return course.conclude(failure);
             }
-            self.setup.metrics.calls.retried(failure.kind);
-            let event = Event::Retried {
-                error: failure.kind,
-                attempt: retries + 1,
-                allowance: 0,
-            };
-            self.setup.recorder.record(Some(call.request), event);
-            self.pause(retries).await;
-            retries += 1;
-            excluded.extend(peer);
+            self.note_retry(&call, failure.kind, course.retries);
+            self.pause(course.retries).await;
+            course.retries += 1;
+        }
+    }
+
+    /// Chooses a host and makes one attempt there.
+    async fn step(&self, call: &mut Call, course: &mut Course, budget: &mut Budget) -> Step {
+        if self.setup.clock.now() >= call.deadline {
+            return Step::GiveUp(Refused::from(ErrorKind::ExpiredBeforeDispatch));
+        }
+        let route = match self
+            .setup
+            .routes
+            .pick(pick_of(call, &course.excluded))
+            .await
+        {
+            Choice::Go(route) => *route,
+            Choice::Shed(retry_after) => {
+                let kind = ErrorKind::Shed;
+                return Step::GiveUp(Refused { kind, retry_after });
+            }
+            Choice::Nobody => return Step::GiveUp(course.last),
+        };
+        course.excluded.extend(route.guard.peer());
+        if !call.idempotent && !self.bind(call, &route).await {
+            route.guard.done(RouteResult::Lost, None);
+            return course.pass_over();
+        }
+        match self.attempt(call, route, budget).await {
+            Attempt::Replied(reply) => Step::from(reply.verdict),
+            Attempt::NotSent => course.pass_over(),
+            Attempt::Lost | Attempt::Expired if !call.idempotent => {
+                Step::from(moved(self.settle(call).await))
+            }
+            Attempt::Lost => Step::Failed(Refused::from(ErrorKind::AnswerLost)),
+            Attempt::Expired => Step::Failed(Refused::from(ErrorKind::ExpiredInFlight)),
         }
     }
 
@@ -148,10 +140,6 @@
         budget: &mut Budget,
     ) -> Attempt {
         let setup = &self.setup;
-        let now = setup.clock.now();
-        if now >= call.deadline {
-            return Attempt::NotSent;
-        }
         call.attempt = AttemptId(self.attempts.fetch_add(1, Ordering::Relaxed));
         let granted = budget.grant().await;
         call.allowance = granted;
@@ -239,6 +227,16 @@
         budget.spend().await
     }
 
+    fn note_retry(&self, call: &Call, error: ErrorKind, retries: u16) {
+        self.setup.metrics.calls.retried(error);
+        let event = Event::Retried {
+            error,
+            attempt: retries + 1,
+            allowance: 0,
+        };
+        self.setup.recorder.record(Some(call.request), event);
+    }
+
     async fn pause(&self, retries: u16) {
         let mut rng = SmallRng::from_os_rng();
         let delay = self.setup.backoff.delay(retries, &mut rng);
@@ -253,18 +251,12 @@
     }
 }
 
-/// Hosts that are passed over because nothing could be sent to them, before the call is given up.
-const MOST_UNSENT: u32 = 4;
-
 /// Time that must be left for a retry to make sense.
 const LEAST_TIME_FOR_RETRY: Duration = Duration::from_millis(2);
 
 /// How long past the deadline the host's own refusal is waited for; it is more exact than the entry's.
 const ANSWER_GRACE: Duration = Duration::from_millis(20);
 
-/// When a caller may come back where no host said so.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 fn pick_of(call: &Call, excluded: &[PeerKey]) -> PickRequest {
     PickRequest {
         service: call.service.clone(),
@@ -275,14 +267,14 @@
     }
 }
 
-/// The failure of a call that no caller holds a token of: once its home refused it for good, it may run elsewhere.
-fn moved(refused: Refused) -> Refused {
-    match refused.kind {
-        ErrorKind::TokenRefused => Refused {
-            kind: ErrorKind::NoTarget,
-            ..refused
-        },
-        _ => refused,
+/// A call that no caller holds a token of may run elsewhere once its home refused it for good.
+fn moved(verdict: Verdict) -> Verdict {
+    match verdict {
+        Verdict::Refused(refused) if refused.kind == ErrorKind::TokenRefused => {
+            let kind = ErrorKind::NoTarget;
+            Verdict::Refused(Refused { kind, ..refused })
+        }
+        other => other,
     }
 }
 
@@ -297,13 +289,3 @@
         },
     }
 }
-
-pub(super) fn with_time(refused: Refused) -> Refused {
-    if refused.retry_after.is_zero() {
-        return Refused {
-            retry_after: DEFAULT_RETRY_AFTER,
-            ..refused
-        };
-    }
-    refused
-}
--- a/crates/node/src/entry/pinned.rs
+++ b/crates/node/src/entry/pinned.rs
@@ -9,7 +9,8 @@
 use http::StatusCode;
 
 use super::Budget;
-use super::dispatcher::{Attempt, Dispatcher, with_time};
+use super::course::with_time;
+use super::dispatcher::{Attempt, Dispatcher};
 use crate::data::{Answer, Call, OnceCall, Refused, Verdict};
 use crate::routes::Route;
 use crate::wire::{ControlReply, ControlRequest, HeaderFrame, RefusalFrame};
@@ -26,16 +27,20 @@
         budget: &mut Budget,
     ) -> Verdict {
         call.once = Some(once.clone());
+        let mut sent = false;
         loop {
-            let Some(route) = self.setup.routes.home(&once.token).await else {
-                return self.never_sent(&once);
+            let attempt = match self.setup.routes.home(&once.token).await {
+                Some(route) => self.attempt(&mut call, route, budget).await,
+                None => Attempt::NotSent,
             };
-            match self.attempt(&mut call, route, budget).await {
+            match attempt {
                 Attempt::Replied(reply) => return reply.verdict,
-                Attempt::NotSent => return self.never_sent(&once),
+                Attempt::NotSent if !sent => return never_sent(&once),
                 // The home knows the token and this try, so sending it again joins the first or hears its answer.
-                Attempt::Lost if self.may_repeat(&call, budget).await => {}
-                Attempt::Lost | Attempt::Expired => return self.settle(&call).await,
+                Attempt::Lost if self.may_repeat(&call, budget).await => sent = true,
+                Attempt::NotSent | Attempt::Lost | Attempt::Expired => {
+                    return self.settle(&call).await;
+                }
             }
         }
     }
@@ -98,16 +103,6 @@
             .flatten()
     }
 
-    /// The verdict where this try has not left this node.
-    ///
-    /// An earlier try may have left another node, so only a first try is known not to have run.
-    fn never_sent(&self, once: &OnceCall) -> Verdict {
-        if once.number <= Try(1) {
-            return Verdict::Refused(with_time(Refused::from(ErrorKind::NoTarget)));
-        }
-        Verdict::from(ErrorKind::HomeLost)
-    }
-
     async fn may_repeat(&self, call: &Call, budget: &mut Budget) -> bool {
         self.setup.clock.now() < call.deadline && budget.spend().await
     }
@@ -116,6 +111,16 @@
 /// How long a home is asked; a caller that was given up hears so at once.
 const REFUSE_PATIENCE: Duration = Duration::from_millis(250);
 
+/// The verdict where this try has not left this node.
+///
+/// An earlier try may have left another node, so only a first try is known not to have run.
+fn never_sent(once: &OnceCall) -> Verdict {
+    if once.number <= Try(1) {
+        return Verdict::Refused(with_time(Refused::from(ErrorKind::NoTarget)));
+    }
+    Verdict::from(ErrorKind::HomeLost)
+}
+
 fn refusal(frame: RefusalFrame) -> Option<Refusal<Arc<Answer>>> {
     Some(match frame {
         RefusalFrame::Running => Refusal::Running,
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -1,35 +1,35 @@
 //! Answers the HTTP requests of callers and of the node's own target.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use coltsfootport_core::allowance::Allowance;
 use coltsfootport_core::class::Class;
 use coltsfootport_core::error_kind::ErrorKind;
 use coltsfootport_core::id::{RequestId, ServiceName};
 use coltsfootport_core::timeline::Event;
-use http::{Method, Request, Response};
+use http::{Request, Response};
 use hyper::body::Incoming;
-use smol_str::SmolStr;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
+use super::course::with_time;
+use super::prepare::Prepared;
 use super::tokens::TokenIssuer;
 use super::{Budget, Dispatcher, Inbound, Origin, Outgoing};
 use crate::clock::SharedClock;
-use crate::data::{AttemptId, Call, OnceCall, Refused, Verdict};
+use crate::data::{Refused, Verdict};
 use crate::gate::{ContextHandle, GateHandle, Parent};
-use crate::http::{
-    BodyError, CallerConnection, HttpAnswer, end_to_end, json, names, read_whole, refuse,
-};
+use crate::http::{BodyError, CallerConnection, HttpAnswer, names, read_whole};
 use crate::metrics::{Listener, Metrics, Rejected};
 use crate::recorder::Recorder;
-use crate::spread::{DocumentInForce, Published};
+use crate::spread::Published;
 
 /// Limits of what an entry takes in.
 #[derive(Clone, Copy, Debug)]
 pub struct EntryLimits {
     /// Largest body in bytes.
     pub body_bytes: usize,
+    /// Time in which a body must arrive.
+    pub body_time: Duration,
     /// Whether requests bring one allowance for their whole chain; off only for comparison, when each hop has its own.
     pub allowance_enabled: bool,
 }
@@ -47,6 +47,8 @@
     pub published: watch::Receiver<Arc<Published>>,
     /// Limits.
     pub limits: EntryLimits,
+    /// Places for calls at a time, which bound the memory that callers can take.
+    pub places: Arc<Semaphore>,
     /// The process's clock.
     pub clock: SharedClock,
     /// Where events are recorded.
@@ -55,13 +57,6 @@
     pub metrics: Metrics,
 }
 
-/// A call with everything that decides how it is sent.
-struct Prepared {
-    call: Call,
-    budget: Budget,
-    once: Option<OnceCall>,
-}
-
 impl EntryService {
     /// Answers a request of a caller outside the graph.
     pub async fn serve_caller(
@@ -91,11 +86,10 @@
         listener: Listener,
     ) -> Response<HttpAnswer> {
         let started = self.clock.now();
-        let outgoing = match self.read(req).await {
-            Ok(inbound) => self.answer(inbound, connection, listener, started).await,
-            Err(kind) => Answered::aside(RequestId::random(), kind),
+        let Answered { class, outgoing } = match self.places.try_acquire() {
+            Ok(_place) => self.take(req, connection, listener, started).await,
+            Err(_) => Answered::aside(RequestId::random(), ErrorKind::Shed),
         };
-        let Answered { class, outgoing } = outgoing;
         let (outcome, error) = (outgoing.outcome(), outgoing.error());
         self.metrics.calls.answered(listener, class, outcome, error);
         let elapsed_us = self
@@ -118,6 +112,21 @@
         outgoing.into_response()
     }
 
+    async fn take(
+        &self,
+        req: Request<Incoming>,
+        connection: CallerConnection,
+        listener: Listener,
+        started: Instant,
+    ) -> Answered {
+        // A sender that stops halfway would keep its place and its buffer for ever.
+        let reading = tokio::time::timeout(self.limits.body_time, self.read(req));
+        match reading.await.unwrap_or(Err(ErrorKind::BadRequest)) {
+            Ok(inbound) => self.answer(inbound, connection, listener, started).await,
+            Err(kind) => Answered::aside(RequestId::random(), kind),
+        }
+    }
+
     async fn read(&self, req: Request<Incoming>) -> Result<Inbound, ErrorKind> {
         let (parts, body) = req.into_parts();
         let (service, path) = Inbound::split(&parts.uri)?;
@@ -246,98 +255,6 @@
             .ok_or(ErrorKind::UnknownContext)?;
         Ok(Origin::Flight(parent))
     }
-
-    fn prepare(
-        &self,
-        inbound: &Inbound,
-        origin: &Origin,
-        request: RequestId,
-        started: Instant,
-    ) -> Result<Prepared, ErrorKind> {
-        let DocumentInForce { revision, document } = self.document(&inbound.service)?;
-        let profile = document.profile(inbound.method.as_str(), &inbound.path);
-        let limit = inbound
-            .time_limit()?
-            .unwrap_or(profile.deadline)
-            .min(profile.deadline);
-        let class = origin.class(profile.class, profile.class_name);
-        let once = self.once(inbound, profile.idempotent)?;
-        let call = Call {
-            request,
-            attempt: AttemptId(0),
-            service: inbound.service.clone(),
-            method: inbound.method.clone(),
-            path: inbound.path.clone(),
-            headers: end_to_end(&inbound.headers),
-            class: class.class,
-            class_name: class.name,
-            operation: operation_of(inbound),
-            deadline: origin.deadline(started + limit),
-            allowance: 0,
-            depth: origin.depth(),
-            idempotent: profile.idempotent,
-            revision,
-            once: None,
-            body: inbound.body.clone(),
-        };
-        let budget = match origin {
-            Origin::Flight(parent) if self.limits.allowance_enabled => {
-                Budget::Flight(self.gate.clone(), parent.flight)
-            }
-            _ => Budget::Own(Allowance::new(document.retry_allowance)),
-        };
-        Ok(Prepared { call, budget, once })
-    }
-
-    fn document(&self, service: &ServiceName) -> Result<DocumentInForce, ErrorKind> {
-        let published = self.published.borrow();
-        if published.documents.is_empty() {
-            return Err(ErrorKind::NotReady);
-        }
-        published
-            .documents
-            .get(service)
-            .cloned()
-            .ok_or(ErrorKind::UnknownService)
-    }
-
-    fn once(&self, inbound: &Inbound, idempotent: bool) -> Result<Option<OnceCall>, ErrorKind> {
-        let number = inbound.number()?;
-        if let Some(text) = inbound.text(&names::TOKEN)? {
-            let token = self.tokens.open(text, &inbound.service)?;
-            return Ok(Some(OnceCall { token, number }));
-        }
-        let keyed = inbound.headers.contains_key(names::IDEMPOTENCY_KEY);
-        if keyed && !idempotent {
-            return Err(ErrorKind::TokenRequired);
-        }
-        Ok(None)
-    }
-
-    async fn serve_tokens(&self, req: &Request<Incoming>) -> Response<HttpAnswer> {
-        if req.method() != Method::POST {
-            return refuse(Refused::from(ErrorKind::BadRequest));
-        }
-        let query = TokenQuery::parse(req.uri().query().unwrap_or_default());
-        let Some(query) = query else {
-            return refuse(Refused::from(ErrorKind::BadRequest));
-        };
-        if let Err(kind) = self.document(&query.service) {
-            return refuse(super::dispatcher::with_time(Refused::from(kind)));
-        }
-        match self.tokens.issue(&query.service, query.count).await {
-            Ok(page) => {
-                let count = page.tokens.len() as u32;
-                let event = Event::TokenMinted {
-                    service: query.service,
-                    count,
-                };
-                self.recorder.record(None, event);
-                json(serde_json::to_string(&page).unwrap_or_default())
-            }
-            Err(kind) => refuse(super::dispatcher::with_time(Refused::from(kind))),
-        }
-    }
 }
 
 /// Path under which callers ask for tokens.
@@ -351,7 +268,7 @@
 
 impl Answered {
     fn aside(request: RequestId, kind: ErrorKind) -> Self {
-        let refused = super::dispatcher::with_time(Refused::from(kind));
+        let refused = with_time(Refused::from(kind));
         Self {
             class: Class::LOWEST,
             outgoing: Outgoing::new(request, Verdict::Refused(refused)),
@@ -359,29 +276,6 @@
     }
 }
 
-struct TokenQuery {
-    service: ServiceName,
-    count: usize,
-}
-
-impl TokenQuery {
-    fn parse(query: &str) -> Option<Self> {
-        let mut service = None;
-        let mut count = 1;
-        for pair in query.split('&') {
-            match pair.split_once('=')? {
-                ("service", name) => service = Some(ServiceName::from(name)),
-                ("count", number) => count = number.parse().ok().filter(|count| *count > 0)?,
-                _ => return None,
-            }
-        }
-        Some(Self {
-            service: service?,
-            count,
-        })
-    }
-}
-
 /// Whether the caller's token is of no more use after this error.
 fn needs_fresh_token(kind: ErrorKind) -> bool {
     matches!(
@@ -389,17 +283,3 @@
         ErrorKind::NoTarget | ErrorKind::Leaving | ErrorKind::TableFull
     )
 }
-
-/// The operation by which levels of the subtree are kept: the method and the first segment of the path.
-fn operation_of(inbound: &Inbound) -> SmolStr {
-    let path = inbound.path.split('?').next().unwrap_or_default();
-    let first = path
-        .trim_start_matches('/')
-        .split('/')
-        .next()
-        .unwrap_or_default();
-    let first: String = first.chars().take(LONGEST_OPERATION).collect();
-    SmolStr::from(format!("{} {first}", inbound.method))
-}
-
-const LONGEST_OPERATION: usize = 24;
--- /dev/null
+++ b/crates/node/src/entry/token_endpoint.rs
@@ -0,0 +1,63 @@
+//! Answers callers who ask for tokens.
+
+use coltsfootport_core::error_kind::ErrorKind;
+use coltsfootport_core::id::ServiceName;
+use coltsfootport_core::timeline::Event;
+use http::{Method, Request, Response};
+use hyper::body::Incoming;
+
+use super::EntryService;
+use super::course::with_time;
+use crate::data::Refused;
+use crate::http::{HttpAnswer, json, refuse};
+
+impl EntryService {
+    /// `POST /coltsfootport/tokens?service=S&count=N`.
+    pub(super) async fn serve_tokens(&self, req: &Request<Incoming>) -> Response<HttpAnswer> {
+        if req.method() != Method::POST {
+            return refuse(Refused::from(ErrorKind::BadRequest));
+        }
+        let query = TokenQuery::parse(req.uri().query().unwrap_or_default());
+        let Some(query) = query else {
+            return refuse(Refused::from(ErrorKind::BadRequest));
+        };
+        if let Err(kind) = self.document(&query.service) {
+            return refuse(with_time(Refused::from(kind)));
+        }
+        match self.tokens.issue(&query.service, query.count).await {
+            Ok(page) => {
+                let count = page.tokens.len() as u32;
+                let event = Event::TokenMinted {
+                    service: query.service,
+                    count,
+                };
+                self.recorder.record(None, event);
+                json(serde_json::to_string(&page).unwrap_or_default())
+            }
+            Err(kind) => refuse(with_time(Refused::from(kind))),
+        }
+    }
+}
+
+struct TokenQuery {
+    service: ServiceName,
+    count: usize,
+}
+
+impl TokenQuery {
+    fn parse(query: &str) -> Option<Self> {
+        let mut service = None;
+        let mut count = 1;
+        for pair in query.split('&') {
+            match pair.split_once('=')? {
+                ("service", name) => service = Some(ServiceName::from(name)),
+                ("count", number) => count = number.parse().ok().filter(|count| *count > 0)?,
+                _ => return None,
+            }
+        }
+        Some(Self {
+            service: service?,
+            count,
+        })
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,6 +2,7 @@
 
 mod desk;
 mod life;
+mod meter;
 mod start;
 
 pub use start::{NodeError, run};
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -12,10 +12,11 @@
 use coltsfootport_core::routing::RoutingConfig;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 
 use super::desk::{Desk, DeskSetup};
 use super::life::Life;
+use super::meter::meter;
 use crate::clock::{SharedClock, SystemClock};
 use crate::config::{AdmissionMode, Settings};
 use crate::entry::{Dispatcher, DispatcherSetup, EntryLimits, EntryService, TokenIssuer};
@@ -169,8 +170,10 @@
         tokens,
         gate: gate.clone(),
         published: published.clone(),
+        places: Arc::new(Semaphore::new(settings.limits.in_flight as usize)),
         limits: EntryLimits {
             body_bytes: body_limit,
+            body_time: settings.limits.header_timeout,
             allowance_enabled: settings.retries.allowance_enabled,
         },
         clock: Arc::clone(&clock),
@@ -189,11 +192,17 @@
     let for_operators = listen("operators", settings.listen.operators).await?;
     let callers = Listener::new(callers, limits, closed.clone());
     let egress = Listener::new(egress, limits, closed.clone());
-    let for_callers = entry.clone();
+    // Calls of the target have places of their own: were all taken by callers, none of these could ever end.
+    let for_target = EntryService {
+        places: Arc::new(Semaphore::new(settings.limits.in_flight as usize)),
+        ..entry.clone()
+    };
     let callers = tokio::spawn(
-        callers.run(move |req, connection| for_callers.clone().serve_caller(req, connection)),
+        callers.run(move |req, connection| entry.clone().serve_caller(req, connection)),
+    );
+    tokio::spawn(
+        egress.run(move |req, connection| for_target.clone().serve_target(req, connection)),
     );
-    tokio::spawn(egress.run(move |req, connection| entry.clone().serve_target(req, connection)));
 
     let (queries_tx, queries) = mpsc::channel(QUERY_QUEUE);
     let (stop, stopping) = watch::channel(false);
@@ -210,6 +219,12 @@
         queries,
     });
     tokio::spawn(desk.run());
+    tokio::spawn(meter(
+        gate.clone(),
+        routes,
+        metrics.clone(),
+        settings.once.capacity as usize,
+    ));
     tokio::spawn(operators::serve(for_operators, queries_tx, metrics));
     info!(log, "node started"; "incarnation" => incarnation.to_string());
 
--- a/crates/node/src/peers/link.rs
+++ b/crates/node/src/peers/link.rs
@@ -57,6 +57,23 @@
 
     /// Sends a call and waits for its whole reply; dropping the future cancels the call at the host.
     pub async fn call(&self, call: &Call, recorder: &Recorder) -> Result<Reply, LinkError> {
+        let exchange = self.exchange_call(call, recorder);
+        tokio::pin!(exchange);
+        let mut heard = self.datagrams_heard();
+        loop {
+            tokio::select! {
+                done = &mut exchange => return done,
+                () = tokio::time::sleep(SILENCE) => {}
+            }
+            if !self.is_alive(heard).await {
+                self.close();
+                return Err(LinkError::Lost(FrameError::Cut));
+            }
+            heard = self.datagrams_heard();
+        }
+    }
+
+    async fn exchange_call(&self, call: &Call, recorder: &Recorder) -> Result<Reply, LinkError> {
         let (mut tx, mut rx) = self
             .connection
             .open_bi()
@@ -75,6 +92,23 @@
         Ok(frame.into_reply(body)?)
     }
 
+    /// Whether the peer was heard since `heard` datagrams, or answers when asked.
+    ///
+    /// A peer that was killed, paused or cut off sends nothing, and the transport's own timeout is far longer than a call has
+    /// time: callers would wait for their whole deadline although another host could have answered. A slow call on a quiet
+    /// connection looks the same, so the peer is asked before it is given up.
+    async fn is_alive(&self, heard: u64) -> bool {
+        if self.datagrams_heard() != heard {
+            return true;
+        }
+        let asked = self.control(ControlRequest::Ping, PING_PATIENCE).await;
+        asked.is_ok() || self.datagrams_heard() != heard
+    }
+
+    fn datagrams_heard(&self) -> u64 {
+        self.connection.stats().udp_rx.datagrams
+    }
+
     /// Sends a control request and waits at most `patience` for its reply.
     pub async fn control(
         &self,
@@ -103,3 +137,9 @@
 
 /// Control messages go before calls on a connection, so that load does not delay them.
 const CONTROL_PRIORITY: i32 = 1;
+
+/// Time without a reply after which it is looked whether the peer is alive.
+const SILENCE: Duration = Duration::from_millis(150);
+
+/// Time in which a living peer answers a ping, above what a busy instance is late.
+const PING_PATIENCE: Duration = Duration::from_millis(350);
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -133,6 +133,7 @@
             }),
             None => return Err(FrameError::Cut),
         },
+        ControlRequest::Ping => ControlReply::Done,
         ControlRequest::Announce(hello) => {
             services.recorder.observe(hello.stamp);
             services.routes.heard(HostReport::from(hello.report));
--- a/crates/node/src/wire/control.rs
+++ b/crates/node/src/wire/control.rs
@@ -15,6 +15,8 @@
 pub enum ControlRequest {
     /// Asks who the peer is; the first message of a connection.
     Greet,
+    /// Asks for any sign of life.
+    Ping,
     /// Tells a changed state of the sender, as when it begins to leave.
     Announce(HelloFrame),
     /// Asks the home of a token to refuse all its tries up to a number for good.
