A node waits for the requests it carries, and passes over peers that can't be reached

Cause: the listeners' tasks ended with the accept loop, so that a stop could cut off requests routed to other hosts; every call that picked a dead host made a handshake attempt of its own. Ruled out: closing idle callers first (they would only reconnect elsewhere a little earlier). Conclusion: connections are waited for up to the drain limit; a failed connect pauses for 250 ms, doubling up to 2 s. A greeting tells both sides' state.

--- a/crates/node/src/http/listener.rs
+++ b/crates/node/src/http/listener.rs
@@ -49,17 +49,28 @@
         }
     }
 
-    /// Serves until `closing` turns true; connections still open then finish their requests.
+    /// Serves until `closing` turns true and every connection has finished its request.
     pub async fn run<H, F>(mut self, handler: H)
     where
         H: Fn(Request<Incoming>, CallerConnection) -> F + Clone + Send + 'static,
         F: Future<Output = Response<HttpAnswer>> + Send + 'static,
     {
         let room = Arc::new(Semaphore::new(self.limits.connections));
+        self.accept(&room, handler).await;
+        let _ = room.acquire_many(self.limits.connections as u32).await;
+    }
+
+    async fn accept<H, F>(&mut self, room: &Arc<Semaphore>, handler: H)
+    where
+        H: Fn(Request<Incoming>, CallerConnection) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<HttpAnswer>> + Send + 'static,
+    {
         loop {
-            let Ok(permit) = Arc::clone(&room).acquire_owned().await else {
-                return;
+            let permit = tokio::select! {
+                permit = Arc::clone(room).acquire_owned() => permit,
+                _ = self.closing.wait_for(|closing| *closing) => return,
             };
+            let Ok(permit) = permit else { return };
             let accepted = tokio::select! {
                 accepted = self.socket.accept() => accepted,
                 _ = self.closing.wait_for(|closing| *closing) => return,
--- a/crates/node/src/node/life.rs
+++ b/crates/node/src/node/life.rs
@@ -13,7 +13,7 @@
 use crate::peers::HubHandle;
 use crate::recorder::Recorder;
 use crate::spread::Published;
-use crate::wire::{ControlRequest, HelloFrame, ReportFrame};
+use crate::wire::{ControlRequest, HelloFrame};
 
 /// Starts and stops the node's work.
 pub struct Life {
@@ -97,10 +97,7 @@
         let Some(report) = self.host.report().await else {
             return;
         };
-        let hello = HelloFrame {
-            stamp: self.recorder.stamp(),
-            report: ReportFrame::from(&report),
-        };
+        let hello = HelloFrame::new(&report, self.recorder.stamp());
         self.hub
             .tell_all(ControlRequest::Announce(hello), ANNOUNCE_PATIENCE);
     }
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -143,11 +143,7 @@
         metrics: metrics.clone(),
         limits: frames,
     };
-    let (hub_task, hub) = Hub::new(
-        endpoint.clone(),
-        services.clone(),
-        settings.target.connect_timeout,
-    );
+    let (hub_task, hub) = Hub::new(endpoint.clone(), services.clone());
     tokio::spawn(hub_task.run());
     tokio::spawn(PeerServer::new(endpoint.clone(), services, hub.clone()).run());
 
@@ -244,7 +240,8 @@
         // Without its gate a node can decide nothing; ending is the one safe thing.
         _ = gate_task => {}
     }
-    let _ = callers.await;
+    // Requests that this node still carries to other hosts are answered before it ends.
+    let _ = tokio::time::timeout(settings.shutdown.drain, callers).await;
     endpoint.close(quinn::VarInt::from_u32(0), b"stopped");
     let _ = tokio::time::timeout(CLOSE_PATIENCE, endpoint.wait_idle()).await;
     Ok(())
--- a/crates/node/src/peers/hub.rs
+++ b/crates/node/src/peers/hub.rs
@@ -1,7 +1,7 @@
 //! The task that owns the connections to peers.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use coltsfootport_core::collections::Map;
 use coltsfootport_core::id::NodeName;
@@ -18,7 +18,6 @@
     endpoint: Endpoint,
     services: PeerServices,
     inbound: Vec<Link>,
-    connect_timeout: Duration,
     slots: Map<NodeName, Slot>,
     tx: mpsc::UnboundedSender<HubMessage>,
     rx: mpsc::UnboundedReceiver<HubMessage>,
@@ -33,7 +32,7 @@
 #[derive(Debug)]
 enum HubMessage {
     Get(NodeName, SocketAddr, oneshot::Sender<Option<Link>>),
-    Opened(NodeName, SocketAddr, Option<Link>),
+    Opened(NodeName, SocketAddr, Option<Link>, u32),
     Forget(NodeName),
     Accepted(Link),
     TellAll(ControlRequest, Duration),
@@ -43,15 +42,20 @@
 enum Slot {
     Opening(SocketAddr, Vec<oneshot::Sender<Option<Link>>>),
     Open(SocketAddr, Link),
+    Failed(Failure),
+}
+
+/// A peer that could not be reached.
+#[derive(Clone, Copy, Debug)]
+struct Failure {
+    address: SocketAddr,
+    until: Instant,
+    failures: u32,
 }
 
 impl Hub {
     /// The task and its handle; streams that peers open on these connections are served by `services`.
-    pub fn new(
-        endpoint: Endpoint,
-        services: PeerServices,
-        connect_timeout: Duration,
-    ) -> (Self, HubHandle) {
+    pub fn new(endpoint: Endpoint, services: PeerServices) -> (Self, HubHandle) {
         let (tx, rx) = mpsc::unbounded_channel();
         let handle = HubHandle { tx: tx.clone() };
         let slots = Map::default();
@@ -61,7 +65,6 @@
                 endpoint,
                 services,
                 inbound,
-                connect_timeout,
                 slots,
                 tx,
                 rx,
@@ -75,7 +78,9 @@
         while let Some(message) = self.rx.recv().await {
             match message {
                 HubMessage::Get(node, address, reply) => self.get(node, address, reply),
-                HubMessage::Opened(node, address, link) => self.opened(node, address, link),
+                HubMessage::Opened(node, address, link, failures) => {
+                    self.opened(node, address, link, failures);
+                }
                 HubMessage::Forget(node) => {
                     self.slots.remove(&node);
                 }
@@ -94,7 +99,7 @@
     fn tell_all(&self, request: ControlRequest, patience: Duration) {
         let opened = self.slots.values().filter_map(|slot| match slot {
             Slot::Open(_, link) => Some(link),
-            Slot::Opening(..) => None,
+            Slot::Opening(..) | Slot::Failed(_) => None,
         });
         for link in opened.chain(&self.inbound).filter(|link| !link.is_closed()) {
             let (link, request) = (link.clone(), request.clone());
@@ -109,28 +114,34 @@
             }
             // Concurrent calls to one peer wait for one handshake instead of making one each.
             Some(Slot::Opening(at, waiting)) if *at == address => waiting.push(reply),
+            Some(Slot::Failed(failure)) if failure.is_fresh(address, self.services.clock.now()) => {
+                let _ = reply.send(None);
+            }
             _ => self.open(node, address, reply),
         }
     }
 
     fn open(&mut self, node: NodeName, address: SocketAddr, reply: oneshot::Sender<Option<Link>>) {
-        self.slots
-            .insert(node.clone(), Slot::Opening(address, vec![reply]));
+        let failures = match self.slots.get(&node) {
+            Some(Slot::Failed(failure)) if failure.address == address => failure.failures,
+            _ => 0,
+        };
+        let slot = Slot::Opening(address, vec![reply]);
+        self.slots.insert(node.clone(), slot);
         let opening = open(
             self.endpoint.clone(),
             node.clone(),
             address,
             self.services.clone(),
-            self.connect_timeout,
         );
         let tx = self.tx.clone();
         tokio::spawn(async move {
             let link = opening.await;
-            let _ = tx.send(HubMessage::Opened(node, address, link));
+            let _ = tx.send(HubMessage::Opened(node, address, link, failures));
         });
     }
 
-    fn opened(&mut self, node: NodeName, address: SocketAddr, link: Option<Link>) {
+    fn opened(&mut self, node: NodeName, address: SocketAddr, link: Option<Link>, failures: u32) {
         let Some(Slot::Opening(at, _)) = self.slots.get(&node) else {
             return;
         };
@@ -143,10 +154,30 @@
         for reply in waiting {
             let _ = reply.send(link.clone());
         }
-        if let Some(link) = link {
-            self.slots.insert(node, Slot::Open(address, link));
+        let slot = match link {
+            Some(link) => Slot::Open(address, link),
+            None => Slot::Failed(Failure::new(address, failures, self.services.clock.now())),
+        };
+        self.slots.insert(node, slot);
+    }
+}
+
+impl Failure {
+    fn new(address: SocketAddr, failures: u32, now: Instant) -> Self {
+        let pause = FIRST_PAUSE * 2u32.pow(failures.min(MOST_DOUBLINGS));
+        Self {
+            address,
+            until: now + pause,
+            failures: failures + 1,
         }
     }
+
+    /// Whether it is too early to try again.
+    ///
+    /// Without the pause each call that picks a dead host would wait for a handshake of its own until routing has ejected it.
+    fn is_fresh(&self, address: SocketAddr, now: Instant) -> bool {
+        self.address == address && now < self.until
+    }
 }
 
 impl HubHandle {
@@ -180,21 +211,31 @@
     node: NodeName,
     address: SocketAddr,
     services: PeerServices,
-    patience: Duration,
 ) -> Option<Link> {
     // The certificate must be that of the named node: an address that the platform's lagging list still gives to a replaced
     // node would otherwise reach another one under its name.
     let connecting = endpoint.connect(address, node.as_str()).ok()?;
-    let connection = tokio::time::timeout(patience, connecting)
+    let connection = tokio::time::timeout(CONNECT_TIME, connecting)
         .await
         .ok()?
         .ok()?;
     let link = Link::new(connection.clone(), services.limits);
-    let greeting = link.control(ControlRequest::Greet, patience).await.ok()?;
-    let ControlReply::Hello(HelloFrame { report, .. }) = greeting else {
+    let own = services.host.report().await?;
+    let hello = HelloFrame::new(&own, services.recorder.stamp());
+    let greeting = link.control(ControlRequest::Greet(hello), CONNECT_TIME);
+    let ControlReply::Hello(HelloFrame { report, .. }) = greeting.await.ok()? else {
         return None;
     };
     services.routes.heard(HostReport::from(report));
     tokio::spawn(serve_connection(connection, services));
     Some(link)
 }
+
+/// Time for the handshake and again for the greeting.
+const CONNECT_TIME: Duration = Duration::from_millis(300);
+
+/// Pause after a first failure to connect; doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Doublings of the pause at most.
+const MOST_DOUBLINGS: u32 = 3;
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -15,7 +15,7 @@
 use crate::routes::RoutesHandle;
 use crate::wire::{
     CallFrame, ControlReply, ControlRequest, FrameError, HeaderFrame, HelloFrame, PeerReply,
-    PeerRequest, RefusalFrame, ReplyFrame, ReportFrame, read_body, read_head, write_frame,
+    PeerRequest, RefusalFrame, ReplyFrame, read_body, read_head, write_frame,
 };
 
 /// What the streams of peers are served with.
@@ -45,6 +45,13 @@
     hub: HubHandle,
 }
 
+impl PeerServices {
+    fn hear(&self, hello: HelloFrame) {
+        self.recorder.observe(hello.stamp);
+        self.routes.heard(HostReport::from(hello.report));
+    }
+}
+
 impl PeerServer {
     /// A server on the peers' endpoint.
     pub fn new(endpoint: Endpoint, services: PeerServices, hub: HubHandle) -> Self {
@@ -126,17 +133,14 @@
     services: PeerServices,
 ) -> Result<(), FrameError> {
     let reply = match request {
-        ControlRequest::Greet => match services.host.report().await {
-            Some(report) => ControlReply::Hello(HelloFrame {
-                stamp: services.recorder.stamp(),
-                report: ReportFrame::from(&report),
-            }),
-            None => return Err(FrameError::Cut),
-        },
+        ControlRequest::Greet(hello) => {
+            services.hear(hello);
+            let report = services.host.report().await.ok_or(FrameError::Cut)?;
+            ControlReply::Hello(HelloFrame::new(&report, services.recorder.stamp()))
+        }
         ControlRequest::Ping => ControlReply::Done,
         ControlRequest::Announce(hello) => {
-            services.recorder.observe(hello.stamp);
-            services.routes.heard(HostReport::from(hello.report));
+            services.hear(hello);
             ControlReply::Done
         }
         ControlRequest::Refuse { token, up_to } => {
--- a/crates/node/src/wire/control.rs
+++ b/crates/node/src/wire/control.rs
@@ -9,12 +9,13 @@
 use smol_str::SmolStr;
 
 use super::{HeaderFrame, ReportFrame};
+use crate::data::HostReport;
 
 /// A control request; it has a lane of its own that overload does not shed.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ControlRequest {
-    /// Asks who the peer is; the first message of a connection.
-    Greet,
+    /// Says who the sender is and asks the same; the first message of a connection.
+    Greet(HelloFrame),
     /// Asks for any sign of life.
     Ping,
     /// Tells a changed state of the sender, as when it begins to leave.
@@ -102,6 +103,16 @@
     pub value: String,
 }
 
+impl HelloFrame {
+    /// A greeting that tells the state of this node.
+    pub fn new(report: &HostReport, stamp: Stamp) -> Self {
+        Self {
+            stamp,
+            report: ReportFrame::from(report),
+        }
+    }
+}
+
 impl From<&Entry> for EntryFrame {
     fn from(entry: &Entry) -> Self {
         Self {
