Events carry sendings and times; requests are logged at debug level

Cause: the time line said 0 for every attempt and time. Ruled out: nothing. Conclusion: queueing, sendings and waits of one request can be read off its time line.

--- a/crates/node/src/data/call.rs
+++ b/crates/node/src/data/call.rs
@@ -20,6 +20,8 @@
     pub request: RequestId,
     /// This sending of it.
     pub attempt: AttemptId,
+    /// Number of this sending by its entry, from 1.
+    pub sending: u16,
     /// Service to run it.
     pub service: ServiceName,
     /// HTTP method.
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use coltsfootport_core::allowance::{Backoff, RetryPolicy};
 use coltsfootport_core::error_kind::ErrorKind;
@@ -141,13 +141,15 @@
     ) -> Attempt {
         let setup = &self.setup;
         call.attempt = AttemptId(self.attempts.fetch_add(1, Ordering::Relaxed));
+        call.sending += 1;
         let granted = budget.grant().await;
         call.allowance = granted;
         let event = Event::Sent {
             peer: route.node.clone(),
-            attempt: 0,
+            attempt: call.sending,
         };
         setup.recorder.record(Some(call.request), event);
+        let sent = setup.clock.now();
         let exchange = self.exchange(call, &route);
         let patience = call.deadline + ANSWER_GRACE;
         let done = tokio::time::timeout_at(patience.into(), exchange).await;
@@ -174,8 +176,8 @@
             ended @ (Attempt::Lost | Attempt::Expired) => {
                 let event = Event::Lost {
                     peer: route.node.clone(),
-                    attempt: 0,
-                    elapsed_us: 0,
+                    attempt: call.sending,
+                    elapsed_us: micros(setup.clock.now(), sent),
                 };
                 setup.recorder.record(Some(call.request), event);
                 route.guard.done(RouteResult::Lost, None);
@@ -232,7 +234,7 @@
         let event = Event::Retried {
             error,
             attempt: retries + 1,
-            allowance: 0,
+            allowance: call.allowance,
         };
         self.setup.recorder.record(Some(call.request), event);
     }
@@ -278,6 +280,11 @@
     }
 }
 
+/// Microseconds from `since` to `now`.
+pub(super) fn micros(now: Instant, since: Instant) -> u64 {
+    now.saturating_duration_since(since).as_micros() as u64
+}
+
 pub(super) fn route_result(verdict: &Verdict) -> RouteResult {
     match verdict {
         Verdict::Answered(_) => RouteResult::Served,
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -9,9 +9,11 @@
 use coltsfootport_core::timeline::Event;
 use http::{Request, Response};
 use hyper::body::Incoming;
+use slog::{Logger, debug};
 use tokio::sync::{Semaphore, watch};
 
 use super::course::with_time;
+use super::dispatcher::micros;
 use super::prepare::Prepared;
 use super::tokens::TokenIssuer;
 use super::{Budget, Dispatcher, Inbound, Origin, Outgoing};
@@ -55,6 +57,8 @@
     pub recorder: Recorder,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// The node's log.
+    pub log: Logger,
 }
 
 impl EntryService {
@@ -92,11 +96,7 @@
         };
         let (outcome, error) = (outgoing.outcome(), outgoing.error());
         self.metrics.calls.answered(listener, class, outcome, error);
-        let elapsed_us = self
-            .clock
-            .now()
-            .saturating_duration_since(started)
-            .as_micros() as u64;
+        let elapsed_us = micros(self.clock.now(), started);
         let event = match &outgoing.verdict {
             Verdict::Answered(answer) => Event::Answered {
                 status: answer.status.as_u16(),
@@ -109,6 +109,11 @@
             },
         };
         self.recorder.record(Some(outgoing.request), event);
+        debug!(self.log, "request ended";
+            "request" => %outgoing.request,
+            "outcome" => outcome.as_str(),
+            "error" => error.map(ErrorKind::as_str),
+            "elapsed_us" => elapsed_us);
         outgoing.into_response()
     }
 
--- a/crates/node/src/gate/flight.rs
+++ b/crates/node/src/gate/flight.rs
@@ -45,6 +45,10 @@
     pub deadline: Instant,
     /// Hops above it.
     pub depth: u8,
+    /// Number of the sending by its entry.
+    pub sending: u16,
+    /// When it asked to run.
+    pub entered: Instant,
     /// Retries that its subtree may still make.
     pub allowance: Allowance,
     /// Its place in admission.
--- a/crates/node/src/gate/message.rs
+++ b/crates/node/src/gate/message.rs
@@ -32,6 +32,8 @@
     pub deadline: Instant,
     /// Hops above it.
     pub depth: u8,
+    /// Number of the sending by its entry.
+    pub sending: u16,
     /// Retries granted to its subtree.
     pub allowance: u16,
     /// Token that binds it to one run.
@@ -157,6 +159,7 @@
             bucket: call.bucket(),
             deadline: call.deadline,
             depth: call.depth,
+            sending: call.sending,
             allowance: call.allowance,
             once: call.once.clone(),
         }
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -32,6 +32,8 @@
 pub struct GateSetup {
     /// Name of the node.
     pub node: NodeName,
+    /// Service of its target.
+    pub service: ServiceName,
     /// This run of the node.
     pub incarnation: Incarnation,
     /// When this run began.
@@ -53,6 +55,7 @@
 /// The task that decides which calls the target runs.
 pub struct Gate {
     node: NodeName,
+    service: ServiceName,
     incarnation: Incarnation,
     clock: SharedClock,
     recorder: Recorder,
@@ -64,6 +67,8 @@
     by_call: Map<CallKey, FlightKey>,
     joined: Map<RecordKey, Vec<oneshot::Sender<Entered>>>,
     below: LevelBoard,
+    /// A call that asked to run by the message at hand.
+    entering: Option<FlightKey>,
     actions: Vec<Action>,
     drained: Vec<oneshot::Sender<()>>,
     rng: SmallRng,
@@ -90,6 +95,8 @@
             rng: SmallRng::from_os_rng(),
             revision: 0,
             node: setup.node,
+            service: setup.service,
+            entering: None,
             incarnation: setup.incarnation,
             clock: setup.clock,
             recorder: setup.recorder,
@@ -260,6 +267,8 @@
             operation: admittance.operation,
             deadline: admittance.deadline,
             depth: admittance.depth,
+            sending: admittance.sending,
+            entered: now,
             allowance: Allowance::new(admittance.allowance),
             call,
             record,
@@ -269,6 +278,7 @@
         };
         let key = self.flights.insert(flight);
         self.by_call.insert(call, key);
+        self.entering = Some(key);
     }
 
     fn arrive(&mut self, admittance: &Admittance, now: Instant) -> Option<Arrival<Arc<Answer>>> {
@@ -320,8 +330,8 @@
         }
         flight.phase = FlightPhase::Dispatched;
         let event = Event::Dispatched {
-            attempt: flight.depth.into(),
-            elapsed_us: 0,
+            attempt: flight.sending,
+            elapsed_us: micros(now, flight.entered),
         };
         self.recorder.record(Some(flight.request), event);
         Ok(())
@@ -348,8 +358,9 @@
                 FlightEnd::Withdrawn(ErrorKind::Cancelled)
             }
         };
+        let elapsed_us = micros(self.clock.now(), flight.entered);
         self.recorder
-            .record(Some(flight.request), Event::Cancelled { elapsed_us: 0 });
+            .record(Some(flight.request), Event::Cancelled { elapsed_us });
         self.end(key, end);
     }
 
@@ -410,10 +421,25 @@
             self.admission.poll(now, &mut actions);
         }
         self.actions = actions;
+        self.note_queued();
         self.check();
         self.poll_life(now);
     }
 
+    fn note_queued(&mut self) {
+        let Some(flight) = self.entering.take().and_then(|key| self.flights.get(key)) else {
+            return;
+        };
+        if flight.phase != FlightPhase::Queued {
+            return;
+        }
+        let event = Event::Queued {
+            class: flight.class,
+            ahead: self.admission.queued().saturating_sub(1) as u32,
+        };
+        self.recorder.record(Some(flight.request), event);
+    }
+
     fn start(&mut self, call: CallKey) {
         let Some(&key) = self.by_call.get(&call) else {
             return;
@@ -424,7 +450,7 @@
         flight.phase = FlightPhase::Admitted;
         let event = Event::Admitted {
             class: flight.class,
-            elapsed_us: 0,
+            elapsed_us: micros(self.clock.now(), flight.entered),
         };
         self.recorder.record(Some(flight.request), event);
         let Some(reply) = flight.reply.take() else {
@@ -443,7 +469,7 @@
         };
         self.lifecycle.withdrawn();
         let event = Event::Shed {
-            service: ServiceName::default(),
+            service: self.service.clone(),
             class: flight.class,
             level: self.admission.level().position(),
         };
@@ -604,6 +630,10 @@
 const MOST_RETRY_AFTER: Duration = Duration::from_secs(10);
 const RETRY_AFTER_SPREAD: f64 = 3.0;
 
+fn micros(now: Instant, since: Instant) -> u64 {
+    now.saturating_duration_since(since).as_micros() as u64
+}
+
 fn admission_end(end: &FlightEnd) -> Finish {
     match end {
         FlightEnd::Answered(answer) if answer.status.is_server_error() => Finish::Failed,
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -69,6 +69,7 @@
     let (life_tx, life_rx) = mpsc::unbounded_channel();
     let (gate_task, gate) = Gate::new(GateSetup {
         node: name.clone(),
+        service: settings.node.service.clone(),
         incarnation,
         started,
         admission: AdmissionConfig::from(&settings.admission),
@@ -175,6 +176,7 @@
         clock: Arc::clone(&clock),
         recorder: recorder.clone(),
         metrics: metrics.clone(),
+        log: log.clone(),
     };
 
     let (closing, closed) = watch::channel(false);
--- a/crates/node/src/wire/call_frame.rs
+++ b/crates/node/src/wire/call_frame.rs
@@ -23,6 +23,8 @@
     pub request: u128,
     /// Attempt, echoed by the answer.
     pub attempt: u64,
+    /// Number of this sending by its entry, from 1.
+    pub sending: u16,
     /// Service to run it.
     pub service: SmolStr,
     /// HTTP method.
@@ -71,6 +73,7 @@
             stamp,
             request: call.request.0,
             attempt: call.attempt.0,
+            sending: call.sending,
             service: call.service.0.clone(),
             method: SmolStr::new(call.method.as_str()),
             path: call.path.to_string(),
@@ -100,6 +103,7 @@
         Ok(Call {
             request: RequestId(self.request),
             attempt: AttemptId(self.attempt),
+            sending: self.sending,
             service: ServiceName(self.service),
             method: Method::try_from(self.method.as_str()).map_err(|_| FrameError::Malformed)?,
             path: self.path,
