--- a/crates/core/src/once/key_ring.rs
+++ b/crates/core/src/once/key_ring.rs
@@ -113,8 +113,9 @@
         let (key_id, body) = sealed.split_first()?;
         let key = self.keys.iter().find(|key| key.id == *key_id)?;
         mac(key, sealed).verify_slice(tag).ok()?;
-        let (wire, rest) = postcard::take_from_bytes::<WireToken>(body).ok()?;
-        rest.is_empty().then(|| wire.into())
+        postcard::from_bytes::<WireToken>(body)
+            .ok()
+            .map(Token::from)
     }
 }
 
--- a/crates/core/src/once/table.rs
+++ b/crates/core/src/once/table.rs
@@ -85,9 +85,6 @@
     pub fn refuse(&mut self, token: &Token, up_to: Try, now: Instant) -> Refusal<A> {
         let tick = self.tick(now);
         let up_to = up_to.max(Try::FIRST);
-        if token.incarnation != self.incarnation {
-            return Refusal::Unknown;
-        }
         if let Some(key) = self.records.key_of(token.id) {
             return self.refuse_recorded(key, up_to);
         }
