--- a/crates/core/src/error_kind.rs
+++ b/crates/core/src/error_kind.rs
@@ -23,7 +23,7 @@
     TokenRequired,
     /// This try of the token was refused for good by its home.
     TokenRefused,
-    /// The home of the token is gone or out of reach after the call may have been sent.
+    /// The home of the token is gone, restarted, or out of reach after the call may have been sent.
     HomeLost,
     /// Admission refused the call under overload.
     Shed,
--- a/crates/core/src/once/config.rs
+++ b/crates/core/src/once/config.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 
 /// Bounds of a home's table in records, bytes and time.
+///
+/// A home takes `capacity / (retention + record_margin)` new tokens a second for as long as the load lasts; with the
+/// defaults about 1,000.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OnceConfig {
     /// Most tokens whose call waits, runs or ran; at this number new tokens are refused.
@@ -28,10 +31,10 @@
             capacity: 65_536,
             burn_capacity: 32_768,
             floors: 4_096,
-            retention: Duration::from_secs(120),
-            record_margin: Duration::from_secs(10),
-            answer_bytes: 16 * 1024 * 1024,
-            answer_limit: 256 * 1024,
+            retention: Duration::from_secs(60),
+            record_margin: Duration::from_secs(5),
+            answer_bytes: 8 * 1024 * 1024,
+            answer_limit: 128 * 1024,
         }
     }
 }
--- a/crates/core/tests/once_cases.rs
+++ b/crates/core/tests/once_cases.rs
@@ -2,39 +2,96 @@
 
 use std::time::{Duration, Instant};
 
-use coltsfootport_core::error_kind::ErrorKind;
+use coltsfootport_core::error_kind::ErrorKind::{self, *};
 use coltsfootport_core::id::Incarnation;
 use coltsfootport_core::invariant::Invariant;
 use coltsfootport_core::once::{
     Arrival, Identity, Minter, OnceConfig, OnceTable, RecordKey, Refusal, Tick, Token, Try,
 };
-use coltsfootport_core::outcome::Outcome;
+use coltsfootport_core::outcome::Outcome::{self, NotRun, Unknown};
 
 const MINUTE: Duration = Duration::from_secs(60);
 
-type Table = OnceTable<Vec<u8>>;
+/// A home and its time.
+struct Home {
+    table: OnceTable<Vec<u8>>,
+    now: Instant,
+}
+
+impl Home {
+    fn new(cfg: OnceConfig, incarnation: u128) -> Self {
+        let now = Instant::now();
+        let table = OnceTable::new(cfg, Incarnation(incarnation), now);
+        Self { table, now }
+    }
+
+    fn arrive(&mut self, token: &Token, number: u32) -> Arrival<Vec<u8>> {
+        self.table.arrive(token, Try(number), self.now)
+    }
+
+    fn refuse(&mut self, token: &Token, up_to: u32) -> Refusal<Vec<u8>> {
+        self.table.refuse(token, Try(up_to), self.now)
+    }
+
+    fn run(&mut self, token: &Token, number: u32) -> RecordKey {
+        match self.arrive(token, number) {
+            Arrival::Run(key) => key,
+            other => panic!("{other:?} of token {} try {number}", token.id),
+        }
+    }
 
-fn home(cfg: OnceConfig) -> (Table, Instant) {
-    let start = Instant::now();
-    (Table::new(cfg, Incarnation(1), start), start)
+    fn dispatch(&mut self, key: RecordKey) -> Result<(), ErrorKind> {
+        self.table.dispatch(key, self.now + MINUTE, self.now)
+    }
+
+    fn send(&mut self, token: &Token, number: u32) -> RecordKey {
+        let key = self.run(token, number);
+        assert_eq!(self.dispatch(key), Ok(()));
+        key
+    }
+
+    fn answer(&mut self, key: RecordKey, size: usize) {
+        self.table.answered(key, vec![7; size], self.now);
+    }
+}
+
+fn cfg() -> OnceConfig {
+    let (retention, record_margin) = (2 * MINUTE, MINUTE / 6);
+    OnceConfig {
+        retention,
+        record_margin,
+        ..OnceConfig::default()
+    }
+}
+
+/// A table for one call, one burned token, and one floor.
+fn full(burn_capacity: usize) -> OnceConfig {
+    OnceConfig {
+        capacity: 1,
+        burn_capacity,
+        floors: 1,
+        ..cfg()
+    }
 }
 
 fn token(id: u128) -> Token {
+    minted(id, Duration::ZERO)
+}
+
+fn minted(id: u128, age: Duration) -> Token {
     let (service, home) = ("bidding".into(), "bidding-1".into());
+    let tick = Tick(age.as_millis() as u64);
     Token {
         id,
         service,
         home,
         incarnation: Incarnation(1),
-        tick: Tick(0),
+        tick,
     }
 }
 
-fn run(table: &mut Table, token: &Token, number: u32, now: Instant) -> RecordKey {
-    match table.arrive(token, Try(number), now) {
-        Arrival::Run(key) => key,
-        other => panic!("{other:?}"),
-    }
+const fn refused<A>(kind: ErrorKind) -> Arrival<A> {
+    Arrival::Refused(kind)
 }
 
 // Symptom: "not run" was said, and the bid is in the books.
@@ -52,47 +109,39 @@
     let second = Identity::of(true, Some(Try(2)));
     let unnumbered = Identity::of(true, None);
     let plain = Identity::of(false, Some(Try::FIRST));
-    let case = |identity, kind, outcome| Case {
-        identity,
-        kind,
-        outcome,
-    };
     let cases = [
-        case(first, ErrorKind::Shed, Outcome::NotRun),
-        case(first, ErrorKind::HomeLost, Outcome::NotRun),
-        case(second, ErrorKind::Shed, Outcome::Unknown),
-        case(second, ErrorKind::HomeLost, Outcome::Unknown),
-        case(unnumbered, ErrorKind::NotReady, Outcome::Unknown),
-        case(plain, ErrorKind::Shed, Outcome::NotRun),
-        case(plain, ErrorKind::AnswerLost, Outcome::Unknown),
+        (first, Shed, NotRun),
+        (first, HomeLost, NotRun),
+        (second, Shed, Unknown),
+        (second, HomeLost, Unknown),
+        (unnumbered, NotReady, Unknown),
+        (plain, Shed, NotRun),
+        (plain, AnswerLost, Unknown),
     ];
-    for Case {
+    let cases = cases.map(|(identity, kind, outcome)| Case {
         identity,
         kind,
         outcome,
-    } in cases
-    {
+    });
+    for case in cases {
         assert_eq!(
-            identity.outcome_unsent(kind),
-            outcome,
-            "{identity:?} {kind:?}"
+            case.identity.outcome_unsent(case.kind),
+            case.outcome,
+            "{:?}",
+            case.kind
         );
     }
     for kind in ErrorKind::ALL {
-        assert_ne!(second.outcome_unsent(kind), Outcome::NotRun, "{kind:?}");
+        assert_ne!(second.outcome_unsent(kind), NotRun, "{kind:?}");
     }
 
     // The entry that may not speak has the home refuse tries 1 and 2; then it may.
-    let (mut table, now) = home(OnceConfig::default());
-    assert_eq!(
-        table.refuse(&token(1), Try(2), now),
-        Refusal::RefusedForGood
-    );
+    let mut home = Home::new(cfg(), 1);
+    assert_eq!(home.refuse(&token(1), 2), Refusal::RefusedForGood);
     for late in [1, 2] {
-        let arrival = table.arrive(&token(1), Try(late), now);
         assert_eq!(
-            arrival,
-            Arrival::Refused(ErrorKind::TokenRefused),
+            home.arrive(&token(1), late),
+            refused(TokenRefused),
             "try {late}"
         );
     }
@@ -108,15 +157,10 @@
     assert!(!Identity::FirstTry.may_move());
     assert!(!Identity::Repeat.may_move());
 
-    let start = Instant::now();
-    let mut second = Table::new(OnceConfig::default(), Incarnation(2), start);
-    let moved = second.arrive(&token(1), Try::FIRST, start);
-    assert_eq!(moved, Arrival::Refused(ErrorKind::HomeLost));
-    assert_eq!(
-        second.refuse(&token(1), Try::FIRST, start),
-        Refusal::Unknown
-    );
-    assert!(second.is_empty());
+    let mut second = Home::new(cfg(), 2);
+    assert_eq!(second.arrive(&token(1), 1), refused(HomeLost));
+    assert_eq!(second.refuse(&token(1), 1), Refusal::Unknown);
+    assert!(second.table.is_empty());
 }
 
 // Symptom: the caller sends again after "not run", and the call runs twice, or after a second "not run".
@@ -125,19 +169,17 @@
 // Cause: nothing but the number tells a new sending from an old copy.
 #[test]
 fn a_number_tells_a_new_try_from_an_old_copy() {
-    let (mut table, now) = home(OnceConfig::default());
+    let mut home = Home::new(cfg(), 1);
     let token = token(1);
-    assert_eq!(table.refuse(&token, Try(1), now), Refusal::RefusedForGood);
-    let unraised = table.arrive(&token, Try(1), now);
-    assert_eq!(unraised, Arrival::Refused(ErrorKind::TokenRefused));
-
-    let key = run(&mut table, &token, 2, now);
-    assert_eq!(table.dispatch(key, now + MINUTE, now), Ok(()));
-    assert_eq!(table.arrive(&token, Try(1), now), Arrival::Join(key));
-    assert_eq!(table.refuse(&token, Try(2), now), Refusal::Running);
-    table.answered(key, vec![7], now);
-    assert_eq!(table.arrive(&token, Try(1), now), Arrival::Replay(vec![7]));
-    assert_eq!(table.refuse(&token, Try(9), now), Refusal::Ran(vec![7]));
+    assert_eq!(home.refuse(&token, 1), Refusal::RefusedForGood);
+    assert_eq!(home.arrive(&token, 1), refused(TokenRefused), "not raised");
+
+    let key = home.send(&token, 2);
+    assert_eq!(home.arrive(&token, 1), Arrival::Join(key));
+    assert_eq!(home.refuse(&token, 2), Refusal::Running);
+    home.answer(key, 1);
+    assert_eq!(home.arrive(&token, 1), Arrival::Replay(vec![7]));
+    assert_eq!(home.refuse(&token, 9), Refusal::Ran(vec![7]));
 }
 
 // Symptom: a second slab: the order ran before the node died, and again after.
@@ -146,38 +188,34 @@
 // Cause: the record died with the node.
 #[test]
 fn a_restarted_home_does_not_know() {
-    let (mut table, now) = home(OnceConfig::default());
+    let mut home = Home::new(cfg(), 1);
     let mut minter = Minter::new();
     let (name, service) = ("bidding-1".into(), "bidding".into());
     assert_eq!(minter.mint(&name, &service), None);
-    minter.heard(name.clone(), table.incarnation(), table.tick(now));
-    let old = minter.mint(&name, &service).expect("the home was heard");
-    let key = run(&mut table, &old, 1, now);
-    assert_eq!(table.dispatch(key, now + MINUTE, now), Ok(()));
-
-    let mut table = Table::new(OnceConfig::default(), Incarnation(2), now);
-    for stale in [
-        old,
-        minter.mint(&name, &service).expect("the home was heard"),
-    ] {
+    minter.heard(name.clone(), Incarnation(1), home.table.tick(home.now));
+    let mint = |minter: &Minter| minter.mint(&name, &service).expect("the home was heard");
+    let old = mint(&minter);
+    home.send(&old, 1);
+
+    let mut home = Home::new(cfg(), 2);
+    for stale in [old, mint(&minter)] {
         for number in 1..3 {
-            let arrival = table.arrive(&stale, Try(number), now);
-            assert_eq!(arrival, Arrival::Refused(ErrorKind::HomeLost));
-            assert_eq!(table.refuse(&stale, Try(number), now), Refusal::Unknown);
+            assert_eq!(home.arrive(&stale, number), refused(HomeLost));
+            assert_eq!(home.refuse(&stale, number), Refusal::Unknown);
         }
     }
-    assert_eq!(ErrorKind::HomeLost.rule().outcome, Outcome::Unknown);
+    assert_eq!(HomeLost.rule().outcome, Unknown);
 
-    let later = now + MINUTE;
-    minter.heard(name.clone(), table.incarnation(), table.tick(later));
-    minter.heard(name.clone(), table.incarnation(), Tick(0));
-    let fresh = minter.mint(&name, &service).expect("the home was heard");
+    home.now += MINUTE;
+    minter.heard(name.clone(), Incarnation(2), home.table.tick(home.now));
+    minter.heard(name.clone(), Incarnation(2), Tick(0));
+    let fresh = mint(&minter);
     assert_eq!(
         fresh.tick,
         Tick(60_000),
         "a late message doesn't make tokens old"
     );
-    run(&mut table, &fresh, 1, later);
+    home.run(&fresh, 1);
 }
 
 // Symptom: a bid goes out for a caller who left, or was told "not run".
@@ -188,65 +226,45 @@
 fn a_woken_home_checks_before_dispatch() {
     struct Case {
         name: &'static str,
-        meanwhile: fn(&mut Table, RecordKey, Instant),
-        slept: Duration,
+        meanwhile: fn(&mut Home, RecordKey),
         error: ErrorKind,
     }
+    let withdraw: fn(&mut Home, RecordKey) = |home, key| home.table.withdrawn(key, home.now);
+    let refuse: fn(&mut Home, RecordKey) = |home, _| {
+        assert_eq!(home.refuse(&token(1), 1), Refusal::RefusedForGood);
+    };
+    let sleep: fn(&mut Home, RecordKey) = |home, _| home.now += MINUTE;
     let cases = [
-        Case {
-            name: "cancelled",
-            meanwhile: |table, key, now| table.withdrawn(key, now),
-            slept: Duration::ZERO,
-            error: ErrorKind::TokenRefused,
-        },
-        Case {
-            name: "refused for its entry",
-            meanwhile: |table, _, now| {
-                assert_eq!(
-                    table.refuse(&token(1), Try(1), now),
-                    Refusal::RefusedForGood
-                );
-            },
-            slept: Duration::ZERO,
-            error: ErrorKind::TokenRefused,
-        },
-        Case {
-            name: "past its deadline",
-            meanwhile: |_, _, _| {},
-            slept: MINUTE,
-            error: ErrorKind::ExpiredBeforeDispatch,
-        },
+        ("cancelled", withdraw, TokenRefused),
+        ("refused for its entry", refuse, TokenRefused),
+        ("past its deadline", sleep, ExpiredBeforeDispatch),
     ];
+    let cases = cases.map(|(name, meanwhile, error)| Case {
+        name,
+        meanwhile,
+        error,
+    });
     for Case {
         name,
         meanwhile,
-        slept,
         error,
     } in cases
     {
-        let (mut table, now) = home(OnceConfig::default());
-        let key = run(&mut table, &token(1), 1, now);
-        meanwhile(&mut table, key, now);
-        let woken = now + slept;
+        let mut home = Home::new(cfg(), 1);
+        let deadline = home.now + MINUTE;
+        let key = home.run(&token(1), 1);
+        meanwhile(&mut home, key);
         assert_eq!(
-            table.dispatch(key, now + MINUTE, woken),
+            home.table.dispatch(key, deadline, home.now),
             Err(error),
             "{name}"
         );
-        assert_eq!(error.rule().outcome, Outcome::NotRun, "{name}");
-        let again = table.arrive(&token(1), Try(1), woken);
-        assert_eq!(again, Arrival::Refused(ErrorKind::TokenRefused), "{name}");
-        let higher = run(&mut table, &token(1), 2, woken);
-        assert!(
-            table.dispatch(key, woken + MINUTE, woken).is_err(),
-            "{name}: the old key"
-        );
-        assert_eq!(
-            table.dispatch(higher, woken + MINUTE, woken),
-            Ok(()),
-            "{name}"
-        );
-        assert_eq!(table.take_breach(), None, "{name}");
+        assert_eq!(error.rule().outcome, NotRun, "{name}");
+        assert_eq!(home.arrive(&token(1), 1), refused(TokenRefused), "{name}");
+        let higher = home.run(&token(1), 2);
+        assert!(home.dispatch(key).is_err(), "{name}: the old key");
+        assert_eq!(home.dispatch(higher), Ok(()), "{name}");
+        assert_eq!(home.table.take_breach(), None, "{name}");
     }
 }
 
@@ -255,12 +273,11 @@
 // Cause: only the try that was first in the queue was refused for good.
 #[test]
 fn a_withdrawal_refuses_all_who_joined() {
-    let (mut table, now) = home(OnceConfig::default());
-    let key = run(&mut table, &token(1), 1, now);
-    assert_eq!(table.arrive(&token(1), Try(2), now), Arrival::Join(key));
-    table.withdrawn(key, now);
-    let copy = table.arrive(&token(1), Try(2), now);
-    assert_eq!(copy, Arrival::Refused(ErrorKind::TokenRefused));
+    let mut home = Home::new(cfg(), 1);
+    let key = home.run(&token(1), 1);
+    assert_eq!(home.arrive(&token(1), 2), Arrival::Join(key));
+    home.table.withdrawn(key, home.now);
+    assert_eq!(home.arrive(&token(1), 2), refused(TokenRefused));
 }
 
 // Symptom: a refused try takes a higher one with it, whose caller is told "not run" without need.
@@ -268,14 +285,11 @@
 // Cause: the refusal closed the call and not only the tries that it named.
 #[test]
 fn a_refusal_leaves_a_higher_try_alone() {
-    let (mut table, now) = home(OnceConfig::default());
-    let key = run(&mut table, &token(1), 1, now);
-    assert_eq!(table.arrive(&token(1), Try(2), now), Arrival::Join(key));
-    assert_eq!(
-        table.refuse(&token(1), Try(1), now),
-        Refusal::RefusedForGood
-    );
-    assert_eq!(table.dispatch(key, now + MINUTE, now), Ok(()));
+    let mut home = Home::new(cfg(), 1);
+    let key = home.run(&token(1), 1);
+    assert_eq!(home.arrive(&token(1), 2), Arrival::Join(key));
+    assert_eq!(home.refuse(&token(1), 1), Refusal::RefusedForGood);
+    assert_eq!(home.dispatch(key), Ok(()));
 }
 
 // Symptom: the target is sent one call twice.
@@ -283,22 +297,17 @@
 // Cause: a defect of the node around the table, which must show in the metrics and not in the books.
 #[test]
 fn a_second_dispatch_is_an_error_and_a_breach() {
-    let (mut table, now) = home(OnceConfig::default());
-    let key = run(&mut table, &token(1), 1, now);
-    assert_eq!(table.dispatch(key, now + MINUTE, now), Ok(()));
-    assert_eq!(table.take_breach(), None);
-    table.withdrawn(key, now);
-    let again = table.arrive(&token(1), Try(2), now);
+    let mut home = Home::new(cfg(), 1);
+    let key = home.send(&token(1), 1);
+    assert_eq!(home.table.take_breach(), None);
+    home.table.withdrawn(key, home.now);
     assert_eq!(
-        again,
-        Arrival::Refused(ErrorKind::AnswerLost),
+        home.arrive(&token(1), 2),
+        refused(AnswerLost),
         "sent, so not withdrawn"
     );
-    assert_eq!(
-        table.dispatch(key, now + MINUTE, now),
-        Err(ErrorKind::AnswerLost)
-    );
-    assert_eq!(table.take_breach(), Some(Invariant::DispatchedTwice));
+    assert_eq!(home.dispatch(key), Err(AnswerLost));
+    assert_eq!(home.table.take_breach(), Some(Invariant::DispatchedTwice));
 }
 
 // Symptom: "not run: the table is full", and a copy of the call runs once there is room.
@@ -307,51 +316,26 @@
 #[test]
 fn a_full_table_forgets_no_refusal() {
     for burn_capacity in [0, 1] {
-        let full = OnceConfig {
-            capacity: 1,
-            burn_capacity,
-            floors: 1,
-            ..OnceConfig::default()
-        };
-        let (mut table, now) = home(full);
-        let key = run(&mut table, &token(1), 1, now);
-        assert_eq!(table.dispatch(key, now + MINUTE, now), Ok(()));
-        table.answered(key, vec![1], now);
-
-        let later = now + MINUTE;
-        let young = |id| Token {
-            tick: Tick(60_000),
-            ..token(id)
-        };
-        let shed = table.arrive(&young(2), Try(1), later);
-        assert_eq!(shed, Arrival::Refused(ErrorKind::TableFull));
-        assert_eq!(
-            table.refuse(&young(3), Try(1), later),
-            Refusal::RefusedForGood
-        );
-        assert_eq!(
-            table.arrive(&token(1), Try(2), later),
-            Arrival::Replay(vec![1])
-        );
+        let mut home = Home::new(full(burn_capacity), 1);
+        let key = home.send(&token(1), 1);
+        home.answer(key, 1);
+
+        home.now += MINUTE;
+        let young = [minted(2, MINUTE), minted(3, MINUTE)];
+        assert_eq!(home.arrive(&young[0], 1), refused(TableFull));
+        assert_eq!(home.refuse(&young[1], 1), Refusal::RefusedForGood);
+        assert_eq!(home.arrive(&token(1), 2), Arrival::Replay(vec![7]));
 
-        let room = now + OnceConfig::default().retention + 2 * Duration::from_secs(10);
-        for id in [2, 3] {
-            let copy = table.arrive(&young(id), Try(1), room);
+        home.now += 2 * MINUTE;
+        for token in &young {
             assert_eq!(
-                copy,
-                Arrival::Refused(ErrorKind::TokenRefused),
-                "token {id}"
+                home.arrive(token, 1),
+                refused(TokenRefused),
+                "token {}",
+                token.id
             );
         }
-        run(
-            &mut table,
-            &Token {
-                tick: Tick(60_001),
-                ..token(4)
-            },
-            1,
-            room,
-        );
+        home.run(&minted(4, MINUTE + Duration::from_millis(1)), 1);
     }
 }
 
@@ -361,38 +345,23 @@
 // Cause: a refusal that isn't raised to the new try, or a floor that goes down.
 #[test]
 fn room_made_later_reopens_nothing() {
-    let full = OnceConfig {
-        capacity: 1,
-        burn_capacity: 1,
-        floors: 1,
-        ..OnceConfig::default()
-    };
-    let (mut table, now) = home(full);
-    assert_eq!(
-        table.refuse(&token(1), Try(1), now),
-        Refusal::RefusedForGood
-    );
-    let old = run(&mut table, &token(2), 1, now);
-    let later = now + MINUTE;
-    let young = Token {
-        tick: Tick(60_000),
-        ..token(3)
-    };
-    for (token, number) in [(&token(1), 2), (&young, 1)] {
-        let arrival = table.arrive(token, Try(number), later);
-        assert_eq!(arrival, Arrival::Refused(ErrorKind::TableFull));
-    }
-    table.withdrawn(old, later);
+    let mut home = Home::new(full(1), 1);
+    assert_eq!(home.refuse(&token(1), 1), Refusal::RefusedForGood);
+    let old = home.run(&token(2), 1);
+    home.now += MINUTE;
+    let young = minted(3, MINUTE);
+    assert_eq!(home.arrive(&token(1), 2), refused(TableFull));
+    assert_eq!(home.arrive(&young, 1), refused(TableFull));
+    home.table.withdrawn(old, home.now);
     for (token, number) in [(&token(1), 2), (&young, 1), (&token(2), 2)] {
-        let copy = table.arrive(token, Try(number), later);
         assert_eq!(
-            copy,
-            Arrival::Refused(ErrorKind::TokenRefused),
+            home.arrive(token, number),
+            refused(TokenRefused),
             "token {}",
             token.id
         );
     }
-    run(&mut table, &token(1), 3, later);
+    home.run(&token(1), 3);
 }
 
 // Symptom: an order runs again long after its record is gone.
@@ -400,27 +369,19 @@
 // Cause: age was judged by a time older than the one by which the record was dropped.
 #[test]
 fn an_expired_token_stays_expired_for_a_task_that_slept() {
-    let (mut table, now) = home(OnceConfig::default());
-    let key = run(&mut table, &token(1), 1, now);
-    assert_eq!(table.dispatch(key, now + MINUTE, now), Ok(()));
-    table.expire(now + 10 * MINUTE);
-    assert_eq!(table.len(), 1, "a running call is kept");
-    table.answered(key, vec![1], now);
-    table.expire(now + 10 * MINUTE);
-    assert!(table.is_empty());
-    let copy = table.arrive(&token(1), Try(1), now + MINUTE);
-    assert_eq!(copy, Arrival::Refused(ErrorKind::TokenExpired));
-    assert_eq!(
-        table.refuse(&token(1), Try(1), now + MINUTE),
-        Refusal::Unknown
-    );
-    let forged = Token {
-        tick: Tick(u64::MAX),
-        ..token(2)
-    };
+    let mut home = Home::new(cfg(), 1);
+    let key = home.send(&token(1), 1);
+    home.table.expire(home.now + 10 * MINUTE);
+    assert_eq!(home.table.len(), 1, "a running call is kept");
+    home.answer(key, 1);
+    home.table.expire(home.now + 10 * MINUTE);
+    assert!(home.table.is_empty());
+    assert_eq!(home.arrive(&token(1), 1), refused(TokenExpired));
+    assert_eq!(home.refuse(&token(1), 1), Refusal::Unknown);
     assert_eq!(
-        table.arrive(&forged, Try(1), now),
-        Arrival::Refused(ErrorKind::BadToken)
+        home.arrive(&minted(2, 99 * MINUTE), 1),
+        refused(BadToken),
+        "from the future"
     );
 }
 
@@ -433,29 +394,28 @@
         size: usize,
         kept: bool,
     }
-    let cfg = OnceConfig {
-        answer_limit: 10,
-        answer_bytes: 15,
-        ..OnceConfig::default()
-    };
-    let (mut table, now) = home(cfg);
+    let mut home = Home::new(
+        OnceConfig {
+            answer_limit: 10,
+            answer_bytes: 15,
+            ..cfg()
+        },
+        1,
+    );
     let cases = [(10, true), (11, false), (6, false), (5, true), (1, false)];
     let cases = cases.map(|(size, kept)| Case { size, kept });
     for (id, case) in (1..).zip(&cases) {
-        let key = run(&mut table, &token(id), 1, now);
-        assert_eq!(table.dispatch(key, now + MINUTE, now), Ok(()));
-        table.answered(key, vec![0; case.size], now);
+        let key = home.send(&token(id), 1);
+        home.answer(key, case.size);
     }
     for (id, case) in (1..).zip(&cases) {
+        let answer = vec![7; case.size];
         let (arrival, refusal) = match case.kept {
-            true => (
-                Arrival::Replay(vec![0; case.size]),
-                Refusal::Ran(vec![0; case.size]),
-            ),
-            false => (Arrival::Refused(ErrorKind::AnswerGone), Refusal::AnswerGone),
+            true => (Arrival::Replay(answer.clone()), Refusal::Ran(answer)),
+            false => (refused(AnswerGone), Refusal::AnswerGone),
         };
-        assert_eq!(table.arrive(&token(id), Try(1), now), arrival, "token {id}");
-        assert_eq!(table.refuse(&token(id), Try(1), now), refusal, "token {id}");
+        assert_eq!(home.arrive(&token(id), 1), arrival, "token {id}");
+        assert_eq!(home.refuse(&token(id), 1), refusal, "token {id}");
     }
-    assert_eq!(table.answer_bytes(), 15);
+    assert_eq!(home.table.answer_bytes(), 15);
 }
--- a/crates/core/tests/once_model.rs
+++ b/crates/core/tests/once_model.rs
@@ -16,59 +16,67 @@
 const MARGIN_MS: u64 = 100;
 const ANSWER_LIMIT: usize = 50;
 
-#[derive(Clone, Debug)]
-enum Op {
+/// What happens next.
+#[derive(Clone, Copy, Debug)]
+enum Act {
     Heard,
     Mint,
     /// The caller sends a token, through an entry which may freeze with it.
-    Send(usize),
+    Send,
     /// An entry sheds a sending by itself.
-    EntrySheds(usize),
+    EntrySheds,
     /// An entry which lost contact asks for a refusal.
-    AskRefusal(usize),
-    /// A message reaches the home; `again` leaves a copy of it under way.
-    Deliver {
-        message: usize,
-        again: bool,
-        lag_ms: u64,
-    },
-    Dispatch {
-        job: usize,
-        late: bool,
-    },
-    Answer {
-        job: usize,
-        size: usize,
-    },
-    Lose(usize),
-    Withdraw(usize),
-    Expire {
-        lag_ms: u64,
-    },
+    AskRefusal,
+    /// A message reaches the home; a copy of it may stay under way.
+    Deliver,
+    Dispatch,
+    Answer,
+    Lose,
+    Withdraw,
+    Expire,
     Sleep(u64),
     Restart,
 }
 
+#[derive(Clone, Debug)]
+struct Op {
+    act: Act,
+    /// Which token, message or job.
+    pick: usize,
+    /// Age of the home's reading of its clock.
+    lag_ms: u64,
+    /// A copy stays under way, or the deadline has passed.
+    flag: bool,
+    size: usize,
+}
+
 fn op() -> impl Strategy<Value = Op> {
-    let pick = 0..1_000_usize;
+    let sleep = prop_oneof![4 => 1..50_u64, 1 => 1..2 * RETENTION_MS];
+    let act = prop_oneof![
+        2 => Just(Act::Heard),
+        3 => Just(Act::Mint),
+        8 => Just(Act::Send),
+        1 => Just(Act::EntrySheds),
+        3 => Just(Act::AskRefusal),
+        12 => Just(Act::Deliver),
+        6 => Just(Act::Dispatch),
+        3 => Just(Act::Answer),
+        1 => Just(Act::Lose),
+        2 => Just(Act::Withdraw),
+        1 => Just(Act::Expire),
+        2 => sleep.prop_map(Act::Sleep),
+        1 => Just(Act::Restart),
+    ];
     let lag_ms = prop_oneof![3 => Just(0), 1 => 1..2 * RETENTION_MS];
-    prop_oneof![
-        2 => Just(Op::Heard),
-        3 => Just(Op::Mint),
-        8 => pick.clone().prop_map(Op::Send),
-        1 => pick.clone().prop_map(Op::EntrySheds),
-        3 => pick.clone().prop_map(Op::AskRefusal),
-        12 => (pick.clone(), any::<bool>(), lag_ms.clone())
-            .prop_map(|(message, again, lag_ms)| Op::Deliver { message, again, lag_ms }),
-        6 => (pick.clone(), prop::bool::weighted(0.1))
-            .prop_map(|(job, late)| Op::Dispatch { job, late }),
-        3 => (pick.clone(), 0..2 * ANSWER_LIMIT).prop_map(|(job, size)| Op::Answer { job, size }),
-        1 => pick.clone().prop_map(Op::Lose),
-        2 => pick.prop_map(Op::Withdraw),
-        1 => lag_ms.prop_map(|lag_ms| Op::Expire { lag_ms }),
-        2 => prop_oneof![4 => 1..50_u64, 1 => 1..2 * RETENTION_MS].prop_map(Op::Sleep),
-        1 => Just(Op::Restart),
-    ]
+    let flag = prop::bool::weighted(0.3);
+    let rest = (0..1_000_usize, lag_ms, flag, 0..2 * ANSWER_LIMIT);
+    (act, rest).prop_map(|(act, (pick, lag_ms, flag, size))| Op {
+        act,
+        pick,
+        lag_ms,
+        flag,
+        size,
+    })
 }
 
 /// What the world knows of one token, whatever the home remembers.
@@ -136,7 +144,7 @@
             messages: Vec::new(),
             jobs: Vec::new(),
         };
-        world.apply(&Op::Heard);
+        world.hear();
         world
     }
 
@@ -148,68 +156,31 @@
     }
 
     fn apply(&mut self, op: &Op) {
-        match *op {
-            Op::Heard => {
-                let now = self.at(0);
-                self.minter
-                    .heard("n".into(), self.table.incarnation(), self.table.tick(now));
-            }
-            Op::Mint => {
-                let token = self
-                    .minter
-                    .mint(&"n".into(), &"s".into())
-                    .expect("home was heard");
-                let numbered = !self.fates.len().is_multiple_of(4);
-                self.fates.push(Fate {
-                    token,
-                    numbered,
-                    sent: 0,
-                    not_run_up_to: 0,
-                    burned: 0,
-                    dispatches: 0,
-                    job: None,
-                });
-            }
-            Op::Sleep(ms) => self.now_ms += ms,
-            Op::Restart => self.restart(),
-            Op::Expire { lag_ms } => {
-                let now = self.at(lag_ms);
+        let pick = |len: usize| op.pick.checked_rem(len);
+        let (token, job) = (pick(self.fates.len()), pick(self.jobs.len()));
+        match (op.act, token, job) {
+            (Act::Heard, ..) => self.hear(),
+            (Act::Mint, ..) => self.mint(),
+            (Act::Sleep(ms), ..) => self.now_ms += ms,
+            (Act::Restart, ..) => self.restart(),
+            (Act::Expire, ..) => {
+                let now = self.at(op.lag_ms);
                 self.table.expire(now);
             }
-            Op::Send(pick) if !self.fates.is_empty() => {
-                let token = pick % self.fates.len();
+            (Act::Send, Some(token), _) => {
                 let number = self.fates[token].next_number();
                 self.messages.push(Message::Call { token, number });
             }
-            Op::EntrySheds(pick) if !self.fates.is_empty() => self.entry_sheds(pick),
-            Op::AskRefusal(pick) if !self.fates.is_empty() => {
-                let token = pick % self.fates.len();
+            (Act::AskRefusal, Some(token), _) => {
                 let up_to = self.fates[token].last_number();
                 self.messages.push(Message::Refuse { token, up_to });
             }
-            Op::Deliver {
-                message,
-                again,
-                lag_ms,
-            } if !self.messages.is_empty() => {
-                let index = message % self.messages.len();
-                let message = self.messages[index];
-                if !again {
-                    self.messages.swap_remove(index);
-                }
-                match message {
-                    Message::Call { token, number } => self.call(token, number, lag_ms),
-                    Message::Refuse { token, up_to } => self.refuse(token, up_to, lag_ms),
-                }
-            }
-            Op::Dispatch { job, late } if !self.jobs.is_empty() => {
-                self.dispatch(job % self.jobs.len(), late);
-            }
-            Op::Answer { job, size } if !self.jobs.is_empty() => {
-                self.answer(job % self.jobs.len(), size);
-            }
-            Op::Lose(job) if !self.jobs.is_empty() => self.lose(job % self.jobs.len()),
-            Op::Withdraw(job) if !self.jobs.is_empty() => self.withdraw(job % self.jobs.len()),
+            (Act::EntrySheds, Some(token), _) => self.entry_sheds(token),
+            (Act::Deliver, ..) => self.deliver(op),
+            (Act::Dispatch, _, Some(job)) => self.dispatch(job, op.flag),
+            (Act::Answer, _, Some(job)) => self.answer(job, op.size),
+            (Act::Lose, _, Some(job)) => self.lose(job),
+            (Act::Withdraw, _, Some(job)) => self.withdraw(job),
             _ => {}
         }
         let bound = self.cfg.capacity + self.cfg.burn_capacity;
@@ -217,6 +188,39 @@
         assert!(self.table.answer_bytes() <= self.cfg.answer_bytes);
     }
 
+    fn hear(&mut self) {
+        let now = self.at(0);
+        let (incarnation, tick) = (self.table.incarnation(), self.table.tick(now));
+        self.minter.heard("n".into(), incarnation, tick);
+    }
+
+    fn mint(&mut self) {
+        let token = self.minter.mint(&"n".into(), &"s".into());
+        self.fates.push(Fate {
+            token: token.expect("the home was heard"),
+            numbered: !self.fates.len().is_multiple_of(4),
+            sent: 0,
+            not_run_up_to: 0,
+            burned: 0,
+            dispatches: 0,
+            job: None,
+        });
+    }
+
+    fn deliver(&mut self, op: &Op) {
+        let Some(index) = op.pick.checked_rem(self.messages.len()) else {
+            return;
+        };
+        let message = self.messages[index];
+        if !op.flag {
+            self.messages.swap_remove(index);
+        }
+        match message {
+            Message::Call { token, number } => self.call(token, number, op.lag_ms),
+            Message::Refuse { token, up_to } => self.refuse(token, up_to, op.lag_ms),
+        }
+    }
+
     fn restart(&mut self) {
         self.restarts += 1;
         self.boot_ms = self.now_ms;
@@ -233,8 +237,7 @@
         fate.not_run_up_to = fate.not_run_up_to.max(up_to);
     }
 
-    fn entry_sheds(&mut self, pick: usize) {
-        let token = pick % self.fates.len();
+    fn entry_sheds(&mut self, token: usize) {
         let number = self.fates[token].next_number();
         let header = self.fates[token].numbered.then_some(Try(number));
         if Identity::of(true, header).outcome_unsent(ErrorKind::Shed) == Outcome::NotRun {
@@ -422,8 +425,9 @@
         for index in 0..self.jobs.len() {
             self.withdraw(index);
         }
-        self.apply(&Op::Sleep(RETENTION_MS + MARGIN_MS + 1));
-        self.apply(&Op::Expire { lag_ms: 0 });
+        self.now_ms += RETENTION_MS + MARGIN_MS + 1;
+        let now = self.at(0);
+        self.table.expire(now);
         assert!(
             self.table.is_empty(),
             "{} records stay behind",
