--- a/crates/core/tests/once_cases.rs
+++ b/crates/core/tests/once_cases.rs
@@ -402,7 +402,7 @@
         },
         1,
     );
-    let cases = [(10, true), (11, false), (6, false), (5, true), (1, false)];
+    let cases = [(11, false), (10, true), (6, false), (5, true), (1, false)];
     let cases = cases.map(|(size, kept)| Case { size, kept });
     for (id, case) in (1..).zip(&cases) {
         let key = home.send(&token(id), 1);
