Bound and measure spread and platform reads at 1,400 nodes

Cause: a change has to be in force everywhere within 5 s, within 5 KB a second a node and 2,000 reads a second of the platform. Conclusion: ring and 3+3 peers by hash, notices before pulls, two readers and six spares in each domain.

--- a/crates/core/src/dissemination/gossip.rs
+++ b/crates/core/src/dissemination/gossip.rs
@@ -28,10 +28,10 @@
 impl Default for GossipConfig {
     fn default() -> Self {
         Self {
-            own_domain: 2,
-            other_domains: 2,
-            digest_interval: Duration::from_secs(1),
-            wander_every: 60,
+            own_domain: 3,
+            other_domains: 3,
+            digest_interval: Duration::from_millis(500),
+            wander_every: 120,
             whole_up_to: 256,
         }
     }
@@ -96,7 +96,6 @@
             .into_iter()
             .map(|entry| entry.node.clone())
             .collect();
-        self.everybody.sort_unstable();
     }
 
     /// The nodes to which news is sent.
--- a/crates/core/src/dissemination/reader.rs
+++ b/crates/core/src/dissemination/reader.rs
@@ -29,9 +29,9 @@
     Start,
     /// This node is a reader.
     Watch,
-    /// The readers are known to read.
+    /// Peers tell of recent reads, so they will also tell of changes.
     Slow,
-    /// No read of any reader has been heard of for long.
+    /// No peer has told of a recent read.
     Urgent,
 }
 
@@ -52,7 +52,10 @@
     reader: bool,
     in_flight: bool,
     failures: u32,
+    /// When the platform was last read by anybody known of.
     fresh_at: Option<Instant>,
+    /// The same as far as peers have told.
+    told_at: Option<Instant>,
     plan: Option<Plan>,
 }
 
@@ -66,22 +69,33 @@
             in_flight: false,
             failures: 0,
             fresh_at: None,
+            told_at: None,
             plan: None,
         }
     }
 
     /// Whether a node is among the readers of its failure domain, as far as a view tells.
+    ///
+    /// Nodes that can't be reached or leave are replaced by the next in order, of which there are only a few. If any
+    /// node could replace them, a fault that cuts every node off from every other (an expired certificate) would make
+    /// all of them readers, seen as watches beyond what the platform bears.
     pub fn is_reader(&self, me: &NodeName, view: &View, _now: Instant) -> bool {
         let Some(own) = view.get(me) else {
             return false;
         };
-        let candidates = view
-            .all()
-            .filter(|entry| entry.domain == own.domain)
-            .filter(|entry| entry.node == *me || view.is_present(&entry.node))
-            .map(|entry| entry.node.as_str());
+        let listed = view.all().filter(|entry| entry.domain == own.domain);
         let purpose: [&[u8]; 2] = [b"reader", own.domain.as_str().as_bytes()];
-        rendezvous::best(&purpose, candidates, self.cfg.readers_per_domain).contains(&me.as_str())
+        let names = listed.map(|entry| entry.node.as_str());
+        let candidates = rendezvous::best(
+            &purpose,
+            names,
+            self.cfg.readers_per_domain + self.cfg.spares,
+        );
+        candidates
+            .into_iter()
+            .filter(|name| *name == me.as_str() || view.is_present(&NodeName::from(*name)))
+            .take(self.cfg.readers_per_domain)
+            .any(|name| name == me.as_str())
     }
 
     /// The view has changed.
@@ -98,6 +112,7 @@
             return;
         };
         self.fresh_at = self.fresh_at.max(Some(at));
+        self.told_at = self.told_at.max(Some(at));
     }
 
     /// How long ago the platform was read by anybody that this node knows of, to be told to peers.
@@ -115,6 +130,8 @@
         self.in_flight = false;
         self.failures = 0;
         self.fresh_at = Some(now);
+        // Peers get their time to be heard after the first read, before their silence means anything.
+        self.told_at.get_or_insert(now);
         self.plan = None;
     }
 
@@ -147,12 +164,17 @@
     }
 
     fn pace(&self, now: Instant) -> Pace {
-        let age = self.read_age(now);
-        match age {
-            None => Pace::Start,
-            _ if self.reader => Pace::Watch,
-            Some(age) if age <= self.cfg.fresh_for => Pace::Slow,
-            Some(_) => Pace::Urgent,
+        if self.fresh_at.is_none() {
+            return Pace::Start;
+        }
+        if self.reader {
+            return Pace::Watch;
+        }
+        // Reads of its own don't count: a node that no peer reaches would take them for a sign that the readers will
+        // tell it of changes, seen as documents that come into force late on that node.
+        match self.told_at {
+            Some(at) if now.saturating_duration_since(at) <= self.cfg.fresh_for => Pace::Slow,
+            _ => Pace::Urgent,
         }
     }
 
@@ -164,24 +186,28 @@
         match pace {
             // All nodes may start at the same moment, after a loss of power, and none knows how many there are.
             Pace::Start => {
-                let spread =
-                    self.share_of(self.cfg.urgent_rate, self.fleet.max(self.cfg.start_fleet));
+                let spread = self.share_of(self.cfg.urgent_rate);
                 (spread * backoff).mul_f64(rng.random_range(0.0..1.0))
             }
             Pace::Watch => (self.cfg.retry * backoff).mul_f64(jitter(rng)),
             Pace::Slow => {
-                let interval = self.share_of(self.cfg.slow_rate, self.fleet);
+                let interval = self.share_of(self.cfg.slow_rate);
                 interval.max(self.cfg.slow_interval).mul_f64(jitter(rng))
             }
             Pace::Urgent => {
-                let interval = self.share_of(self.cfg.urgent_rate, self.fleet);
+                let interval = self.share_of(self.cfg.urgent_rate);
                 (interval.max(self.cfg.retry) * backoff).mul_f64(jitter(rng))
             }
         }
     }
 
-    /// Interval at which each of `fleet` nodes reads when all together make `rate` calls a second.
-    fn share_of(&self, rate: f64, fleet: usize) -> Duration {
+    /// Interval at which each node reads when all together make `rate` calls a second.
+    fn share_of(&self, rate: f64) -> Duration {
+        let fleet = if self.fleet == 0 {
+            self.cfg.start_fleet
+        } else {
+            self.fleet
+        };
         let calls = fleet as f64 * f64::from(self.cfg.calls_per_read);
         Duration::from_secs_f64(calls / rate.max(1.0))
     }
--- a/crates/core/src/dissemination/reader/config.rs
+++ b/crates/core/src/dissemination/reader/config.rs
@@ -7,6 +7,8 @@
 pub struct ReaderConfig {
     /// Readers in each failure domain.
     pub readers_per_domain: usize,
+    /// Further nodes of each failure domain that may take the place of readers which are gone.
+    pub spares: usize,
     /// How long a reader's watch waits at the platform; short, so that each answer shows that the reader lives.
     pub watch_wait: Duration,
     /// Calls that one read makes: one for the entries and one for the list of instances.
@@ -17,9 +19,9 @@
     pub slow_interval: Duration,
     /// Calls a second of all nodes together while the readers are known to read.
     pub slow_rate: f64,
-    /// Calls a second of all nodes together while they are not; under half of what the platform bears.
+    /// Calls a second of all nodes together while they are not; half of what the platform bears.
     pub urgent_rate: f64,
-    /// Number of nodes assumed at start, before the list is known.
+    /// Number of nodes assumed while the list is not known.
     pub start_fleet: usize,
     /// Shortest mean time before a read that failed is tried again.
     pub retry: Duration,
@@ -31,12 +33,13 @@
     fn default() -> Self {
         Self {
             readers_per_domain: 2,
+            spares: 6,
             watch_wait: Duration::from_secs(2),
             calls_per_read: 2,
-            fresh_for: Duration::from_secs(15),
+            fresh_for: Duration::from_secs(10),
             slow_interval: Duration::from_secs(60),
             slow_rate: 100.0,
-            urgent_rate: 800.0,
+            urgent_rate: 1_000.0,
             start_fleet: 1400,
             retry: Duration::from_millis(500),
             max_doublings: 4,
--- a/crates/core/tests/dissemination.rs
+++ b/crates/core/tests/dissemination.rs
@@ -443,9 +443,14 @@
     let now = Instant::now();
     let view = fleet::view(70, 7, now);
     let mut rng = StdRng::seed_from_u64(6);
+    let cfg = GossipConfig {
+        own_domain: 2,
+        other_domains: 2,
+        ..GossipConfig::default()
+    };
     for index in 0..70 {
         let own = view.get(&node(index)).expect("listed");
-        let mut plan = GossipPlan::new(GossipConfig::default(), &own.node, &view);
+        let mut plan = GossipPlan::new(cfg, &own.node, &view);
         let peers = plan.push_targets().to_vec();
         let entries: Vec<_> = peers.iter().filter_map(|peer| view.get(peer)).collect();
         assert_eq!(
@@ -473,6 +478,6 @@
         assert_eq!(forms, [PushForm::Whole, PushForm::Notice]);
     }
     let alone = fleet::view(1, 1, now);
-    let mut plan = GossipPlan::new(GossipConfig::default(), &node(0), &alone);
+    let mut plan = GossipPlan::new(cfg, &node(0), &alone);
     assert!(plan.push_targets().is_empty() && plan.digest_peer(now, &mut rng).is_none());
 }
--- a/crates/core/tests/lifecycle.rs
+++ b/crates/core/tests/lifecycle.rs
@@ -34,15 +34,22 @@
 #[test]
 fn a_stop_takes_no_new_work_and_finishes_the_rest() {
     use Step::*;
+    let base = Case {
+        name: "",
+        steps: &[],
+        phase: Phase::Leaving,
+        may_accept: false,
+        may_dispatch: false,
+        breaches: 0,
+        cut_off: 0,
+    };
     let cases = [
         Case {
             name: "a starting node takes nothing",
             steps: &[Accept, Dispatch],
             phase: Phase::Starting,
-            may_accept: false,
-            may_dispatch: false,
             breaches: 1,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "a serving node takes work",
@@ -50,53 +57,36 @@
             phase: Phase::Serving,
             may_accept: true,
             may_dispatch: true,
-            breaches: 0,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "queued work still runs while leaving",
             steps: &[Ready, Accept, Accept, Leave, Dispatch],
-            phase: Phase::Leaving,
-            may_accept: false,
             may_dispatch: true,
-            breaches: 0,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "work that came after leaving is refused and reported",
             steps: &[Ready, Accept, Leave, Accept, Dispatch, Dispatch],
-            phase: Phase::Leaving,
-            may_accept: false,
-            may_dispatch: false,
             breaches: 1,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "an idle node waits until its leaving is known",
             steps: &[Ready, Leave, Wait(2_900)],
-            phase: Phase::Leaving,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "an idle node ends once its leaving is known",
             steps: &[Ready, Leave, Wait(3_000), Accept, Dispatch],
             phase: Phase::Stopped,
-            may_accept: false,
-            may_dispatch: false,
             breaches: 1,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "a call in flight is waited for past the drain limit",
             steps: &[Ready, Accept, Dispatch, Leave, Wait(120_000)],
-            phase: Phase::Leaving,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "the end follows the last answer",
@@ -112,28 +102,19 @@
                 Wait(1),
             ],
             phase: Phase::Stopped,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "a start that completes late doesn't revive a leaving node",
             steps: &[Leave, Ready, Accept],
-            phase: Phase::Leaving,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "what is given up is counted",
             steps: &[Ready, Accept, Accept, Dispatch, Leave, Abandon],
             phase: Phase::Stopped,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
             cut_off: 2,
+            ..base
         },
     ];
     for case in cases {
