Settle digests that differ without anything to exchange

Cause: nodes of two releases that judge a version differently would exchange all versions at each digest. Ruled out: leaving the version in force out of the digest; a node that lacks it would never get it.

--- a/crates/core/src/dissemination.rs
+++ b/crates/core/src/dissemination.rs
@@ -17,6 +17,6 @@
 pub use in_force::{InForce, Offer, Rejected, Version};
 pub use pulls::{PullConfig, Pulls, Retry};
 pub use reader::{NextRead, ReaderConfig, ReaderPolicy};
-pub use replica::{Applied, Replica, Verdict};
+pub use replica::{Applied, Difference, Replica, Verdict};
 pub use start_up::{StartUp, StartUpConfig};
 pub use traffic::{Traffic, TrafficModel};
--- a/crates/core/src/dissemination/digest.rs
+++ b/crates/core/src/dissemination/digest.rs
@@ -33,6 +33,8 @@
     TheyAreNewer,
     /// This node holds a higher revision: push what it has after the peer's `complete`.
     WeAreNewer,
-    /// The highest revisions are the same but the versions differ: exchange `versions`.
+    /// The highest revisions are the same but the versions differ: send `versions` and act on [`Difference`].
+    ///
+    /// [`Difference`]: super::Difference
     Differ,
 }
--- a/crates/core/src/dissemination/entry.rs
+++ b/crates/core/src/dissemination/entry.rs
@@ -62,8 +62,8 @@
     pub key: Key,
     /// Revision of the newest version held.
     pub revision: Revision,
-    /// Revision of the version in force, where the newest one was found invalid and an earlier one is known.
-    pub fallback: Option<Revision>,
+    /// Revision of the version in force: the newest one, or an earlier one while the newest is invalid.
+    pub in_force: Option<Revision>,
 }
 
 /// Text behind an `Arc`, without the `rc` feature of serde.
--- a/crates/core/src/dissemination/replica.rs
+++ b/crates/core/src/dissemination/replica.rs
@@ -2,7 +2,7 @@
 
 mod slot;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 use crate::collections::{Map, Set};
 
@@ -15,6 +15,9 @@
 /// Revisions above `complete` that are remembered, so that pushes which arrive out of order still close the gap.
 const AHEAD_KEPT: usize = 4096;
 
+/// Digests of peers that are remembered as holding nothing new.
+const SETTLED_KEPT: usize = 32;
+
 /// A version that a replica has just taken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Applied {
@@ -24,6 +27,22 @@
     pub newest: bool,
 }
 
+/// What two nodes with different digests can give each other.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Difference {
+    /// Keys to pull from the peer.
+    pub wanted: Vec<Key>,
+    /// Keys to push to the peer.
+    pub lacking: Vec<Key>,
+}
+
+/// Hashes of two digests that differ without either side lacking anything.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Settled {
+    ours: u64,
+    theirs: u64,
+}
+
 /// A copy of the published entries; of each key only higher revisions are ever taken.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
@@ -32,6 +51,7 @@
     complete: Revision,
     ahead: BTreeSet<Revision>,
     hash: u64,
+    settled: VecDeque<Settled>,
     stale: u64,
     conflicts: u64,
 }
@@ -103,7 +123,11 @@
     /// How a peer's replica relates to this one.
     pub fn compare(&self, theirs: &Digest) -> Comparison {
         let ours = self.digest();
-        if ours.same_versions(theirs) {
+        let settled = Settled {
+            ours: ours.hash,
+            theirs: theirs.hash,
+        };
+        if ours.same_versions(theirs) || self.settled.contains(&settled) {
             return Comparison::Same;
         }
         match theirs.highest.cmp(&ours.highest) {
@@ -129,6 +153,23 @@
         versions
     }
 
+    /// What to exchange with a peer whose digest differs at the same highest revision.
+    ///
+    /// Where that is nothing, its digest counts as the same from then on. Nodes of two releases may judge a version
+    /// differently; they would send each other all versions at every digest, seen as control traffic past its bound.
+    pub fn difference(&mut self, digest: &Digest, theirs: &[KeyVersion]) -> Difference {
+        let wanted = self.missing(theirs);
+        let lacking = self.missing_there(theirs);
+        if wanted.is_empty() && lacking.is_empty() {
+            self.settled.truncate(SETTLED_KEPT - 1);
+            self.settled.push_front(Settled {
+                ours: self.hash,
+                theirs: digest.hash,
+            });
+        }
+        Difference { wanted, lacking }
+    }
+
     /// The keys of which a peer holds something that this node lacks.
     pub fn missing(&self, theirs: &[KeyVersion]) -> Vec<Key> {
         theirs
--- a/crates/core/src/dissemination/replica/slot.rs
+++ b/crates/core/src/dissemination/replica/slot.rs
@@ -107,25 +107,25 @@
         KeyVersion {
             key: self.latest.key.clone(),
             revision: self.latest.revision,
-            fallback: self.fallback().map(|entry| entry.revision),
+            in_force: self.in_force(),
         }
     }
 
     /// Whether a peer with these versions holds something that this slot lacks.
     pub(super) fn lacks(&self, theirs: &KeyVersion) -> bool {
-        if theirs.revision != self.latest.revision {
-            return theirs.revision > self.latest.revision;
-        }
-        self.verdict != Some(Verdict::Valid) && theirs.fallback > self.fallback_revision()
+        is_ahead(theirs, &self.version())
     }
 
     /// Whether this slot holds something that a peer with these versions lacks.
     pub(super) fn is_ahead_of(&self, theirs: &KeyVersion) -> bool {
-        (self.latest.revision, self.fallback_revision()) > (theirs.revision, theirs.fallback)
+        is_ahead(&self.version(), theirs)
     }
 
     pub(super) fn hash(&self) -> u64 {
-        let fallback = self.fallback_revision().unwrap_or_default();
+        let fallback = self
+            .fallback()
+            .map(|entry| entry.revision)
+            .unwrap_or_default();
         weight(&[
             self.latest.key.0.as_bytes(),
             &self.latest.revision.0.to_le_bytes(),
@@ -133,7 +133,10 @@
         ])
     }
 
-    fn fallback_revision(&self) -> Option<Revision> {
+    fn in_force(&self) -> Option<Revision> {
+        if self.verdict == Some(Verdict::Valid) {
+            return Some(self.latest.revision);
+        }
         self.fallback().map(|entry| entry.revision)
     }
 
@@ -146,3 +149,12 @@
         }
     }
 }
+
+/// Whether whoever holds `a` could give something to whoever holds `b`.
+fn is_ahead(a: &KeyVersion, b: &KeyVersion) -> bool {
+    if a.revision != b.revision {
+        return a.revision > b.revision;
+    }
+    // With the same newest version, only one that is in force behind it is news.
+    a.in_force > b.in_force && a.in_force < Some(a.revision)
+}
--- a/crates/core/src/dissemination/start_up.rs
+++ b/crates/core/src/dissemination/start_up.rs
@@ -62,7 +62,8 @@
         self.complete = self.complete.max(revision);
     }
 
-    /// A peer that serves sent its digest. Digests of peers that are starting themselves are not to be given.
+    /// A peer that serves sent its digest. To be given once for each peer, and not
+    /// for peers that are starting themselves.
     pub fn heard_peer(&mut self, digest: &Digest) {
         self.peers += 1;
         self.highest = self.highest.max(digest.highest);
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -155,8 +155,13 @@
         let Some(listed) = self.listed.get_mut(node) else {
             return;
         };
-        listed.unreachable_until = Some(now + self.cfg.unreachable_for);
-        self.epoch += 1;
+        if listed
+            .unreachable_until
+            .replace(now + self.cfg.unreachable_for)
+            .is_none()
+        {
+            self.epoch += 1;
+        }
         // Two independent signs, a list without the node and no contact with it, end the doubt about the list.
         if listed.missing_since.is_some() {
             self.unlist(node);
