Test that a message out of order is judged in order

Cause: no test noticed when the sorting of a batch was removed. Ruled out: none. Conclusion: the test fails without the sorting.

--- a/crates/core/tests/dissemination.rs
+++ b/crates/core/tests/dissemination.rs
@@ -179,6 +179,18 @@
     assert!(in_force.rejected(&key).is_none());
 }
 
+/// Symptom: as above, reported by a correct node. Sequence: behind a faulty version, two good ones arrive in one message,
+/// the higher one first. Cause: the message isn't put in order before it is judged.
+#[test]
+fn a_message_out_of_order_is_taken_in_order() {
+    let (mut replica, mut in_force) = (Replica::new(), InForce::new());
+    take(&mut replica, &mut in_force, &[entry("k", 9, "!")], None);
+    let late = [entry("k", 5, "e"), entry("k", 4, "d")];
+    let offers = take(&mut replica, &mut in_force, &late, None);
+    assert_eq!(offers, [Offer::InForce, Offer::InForce]);
+    assert_eq!(replica.versions()[0].in_force, Some(Revision(5)));
+}
+
 /// Symptom: a node never gets a change that was pushed while a message was lost. Sequence: pushes 1, 2, 4, 5 arrive, 3 is
 /// lost. Cause: the next read asks after the highest revision in place of the last one without a gap.
 #[test]
