--- a/crates/core/src/dissemination/replica.rs
+++ b/crates/core/src/dissemination/replica.rs
@@ -1,23 +1,23 @@
 //! The copy of the published entries that every node holds.
 
+mod compare;
 mod slot;
 
 use std::collections::{BTreeSet, VecDeque};
 
 use crate::collections::{Map, Set};
 
-use super::{Comparison, Digest, Entry, Key, KeyVersion, Revision};
+use super::{Entry, Key, Revision};
 
+use compare::Settled;
 use slot::Slot;
 
+pub use compare::Difference;
 pub use slot::Verdict;
 
 /// Revisions above `complete` that are remembered, so that pushes which arrive out of order still close the gap.
 const AHEAD_KEPT: usize = 4096;
 
-/// Digests of peers that are remembered as holding nothing new.
-const SETTLED_KEPT: usize = 32;
-
 /// A version that a replica has just taken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Applied {
@@ -27,22 +27,6 @@
     pub newest: bool,
 }
 
-/// What two nodes with different digests can give each other.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Difference {
-    /// Keys to pull from the peer.
-    pub wanted: Vec<Key>,
-    /// Keys to push to the peer.
-    pub lacking: Vec<Key>,
-}
-
-/// Hashes of two digests that differ without either side lacking anything.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Settled {
-    ours: u64,
-    theirs: u64,
-}
-
 /// A copy of the published entries; of each key only higher revisions are ever taken.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
@@ -112,33 +96,6 @@
         self.conflicts
     }
 
-    /// The summary to send to peers.
-    pub fn digest(&self) -> Digest {
-        Digest {
-            highest: self.highest,
-            complete: self.complete,
-            count: self.slots.len().try_into().unwrap_or(u32::MAX),
-            hash: self.hash,
-        }
-    }
-
-    /// How a peer's replica relates to this one.
-    pub fn compare(&self, theirs: &Digest) -> Comparison {
-        let ours = self.digest();
-        let settled = Settled {
-            ours: ours.hash,
-            theirs: theirs.hash,
-        };
-        if ours.same_versions(theirs) || self.settled.contains(&settled) {
-            return Comparison::Same;
-        }
-        match theirs.highest.cmp(&ours.highest) {
-            std::cmp::Ordering::Greater => Comparison::TheyAreNewer,
-            std::cmp::Ordering::Less => Comparison::WeAreNewer,
-            std::cmp::Ordering::Equal => Comparison::Differ,
-        }
-    }
-
     /// Everything above a revision, in order of revision, with the versions in force behind invalid ones.
     pub fn since(&self, after: Revision) -> Vec<Entry> {
         let newer = self
@@ -148,61 +105,6 @@
         sorted(newer.flat_map(Slot::entries).cloned().collect())
     }
 
-    /// The versions held, in order of key.
-    pub fn versions(&self) -> Vec<KeyVersion> {
-        let mut versions: Vec<KeyVersion> = self.slots.values().map(Slot::version).collect();
-        versions.sort_unstable_by(|a, b| a.key.cmp(&b.key));
-        versions
-    }
-
-    /// What to exchange with a peer whose digest differs at the same highest revision.
-    ///
-    /// Where that is nothing, its digest counts as the same from then on. Nodes of two releases may judge a version
-    /// differently; they would send each other all versions at every digest, seen as control traffic past its bound.
-    pub fn difference(&mut self, digest: &Digest, theirs: &[KeyVersion]) -> Difference {
-        let wanted = self.missing(theirs);
-        let lacking = self.missing_there(theirs);
-        if wanted.is_empty() && lacking.is_empty() {
-            self.settled.truncate(SETTLED_KEPT - 1);
-            self.settled.push_front(Settled {
-                ours: self.hash,
-                theirs: digest.hash,
-            });
-        }
-        Difference { wanted, lacking }
-    }
-
-    /// The keys of which a peer holds something that this node lacks.
-    pub fn missing(&self, theirs: &[KeyVersion]) -> Vec<Key> {
-        theirs
-            .iter()
-            .filter(|version| {
-                self.slots
-                    .get(&version.key)
-                    .is_none_or(|slot| slot.lacks(version))
-            })
-            .map(|version| version.key.clone())
-            .collect()
-    }
-
-    /// The keys of which this node holds something that a peer with these versions lacks.
-    pub fn missing_there(&self, theirs: &[KeyVersion]) -> Vec<Key> {
-        let known: Map<&Key, &KeyVersion> = theirs
-            .iter()
-            .map(|version| (&version.key, version))
-            .collect();
-        let lacks = |slot: &&Slot| {
-            known
-                .get(&slot.latest().key)
-                .is_none_or(|version| slot.is_ahead_of(version))
-        };
-        self.slots
-            .values()
-            .filter(lacks)
-            .map(|slot| slot.latest().key.clone())
-            .collect()
-    }
-
     /// What this node holds of some keys, to answer a pull.
     pub fn pick(&self, keys: &[Key]) -> Vec<Entry> {
         let keys: Set<&Key> = keys.iter().collect();
