Fit reads and peers to the settings of a node

Cause: settings give a number of peers, long watches and own reads every 10 s; long watches would make readers look dead. Ruled out: a fixed age of the last read; a floor from the watch's wait holds for any setting. Conclusion: own reads every 10 s, but 40 calls a second of the whole fleet at most.

--- a/crates/core/src/dissemination/gossip.rs
+++ b/crates/core/src/dissemination/gossip.rs
@@ -13,7 +13,7 @@
 /// Settings of gossip.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GossipConfig {
-    /// Peers in the own failure domain chosen by hash, besides the next node of the domain's ring.
+    /// Peers in the own failure domain: the next node of the domain's ring, and others chosen by hash.
     pub own_domain: usize,
     /// Peers in other failure domains, each in another one; the first is in another region where there is one.
     pub other_domains: usize,
@@ -28,7 +28,7 @@
 impl Default for GossipConfig {
     fn default() -> Self {
         Self {
-            own_domain: 3,
+            own_domain: 4,
             other_domains: 3,
             digest_interval: Duration::from_millis(500),
             wander_every: 120,
@@ -37,6 +37,18 @@
     }
 }
 
+impl GossipConfig {
+    /// The settings for a number of peers, about half of them in other failure domains.
+    pub fn with_peers(count: usize) -> Self {
+        let other_domains = count / 2;
+        Self {
+            own_domain: count - other_domains,
+            other_domains,
+            ..Self::default()
+        }
+    }
+}
+
 /// How news of an entry is sent on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum PushForm {
@@ -85,7 +97,7 @@
             // Not listed yet: any peers do until the list has caught up.
             None => {
                 let names = present.iter().map(|entry| entry.node.as_str());
-                let count = 1 + self.cfg.own_domain + self.cfg.other_domains;
+                let count = self.cfg.own_domain + self.cfg.other_domains;
                 rendezvous::best(&[b"unlisted", me.as_str().as_bytes()], names, count)
                     .into_iter()
                     .map(NodeName::from)
@@ -148,10 +160,11 @@
         domains.entry(&entry.domain).or_default().push(entry);
     }
     let mine = domains.remove(&own.domain).unwrap_or_default();
-    let mut peers: Vec<NodeName> = ring_successor(own, &mine).into_iter().collect();
+    let ring = ring_successor(own, &mine).into_iter();
+    let mut peers: Vec<NodeName> = ring.take(cfg.own_domain).collect();
     let inside = mine.iter().map(|entry| entry.node.as_str());
     let inside = inside.filter(|name| !peers.iter().any(|peer| peer.as_str() == *name));
-    let inside = best_for(own, inside, cfg.own_domain);
+    let inside = best_for(own, inside, cfg.own_domain.saturating_sub(1));
     peers.extend(inside);
     for domain in other_domains(cfg, own, &domains) {
         let names = domains[domain].iter().map(|entry| entry.node.as_str());
--- a/crates/core/src/dissemination/reader.rs
+++ b/crates/core/src/dissemination/reader.rs
@@ -13,6 +13,9 @@
 
 pub use config::ReaderConfig;
 
+/// Time in which the news of a read reaches all nodes through digests.
+const TELLING: Duration = Duration::from_secs(8);
+
 /// What a node does next towards the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextRead {
@@ -62,8 +65,11 @@
 impl ReaderPolicy {
     /// A node that has read nothing yet.
     pub fn new(cfg: ReaderConfig) -> Self {
+        // With a shorter age every watch that waits in vain would make the readers look dead, seen as urgent reads of the
+        // whole fleet while nothing changes.
+        let fresh_for = cfg.fresh_for.max(cfg.watch_wait + TELLING);
         Self {
-            cfg,
+            cfg: ReaderConfig { fresh_for, ..cfg },
             fleet: 0,
             reader: false,
             in_flight: false,
--- a/crates/core/src/dissemination/reader/config.rs
+++ b/crates/core/src/dissemination/reader/config.rs
@@ -9,11 +9,12 @@
     pub readers_per_domain: usize,
     /// Further nodes of each failure domain that may take the place of readers which are gone.
     pub spares: usize,
-    /// How long a reader's watch waits at the platform; short, so that each answer shows that the reader lives.
+    /// How long a reader's watch waits at the platform; each answer shows that the reader lives.
     pub watch_wait: Duration,
     /// Calls that one read makes: one for the entries and one for the list of instances.
     pub calls_per_read: u32,
-    /// Age of the last read heard of above which a node no longer relies on the readers.
+    /// Age of the last read heard of above which a node no longer relies on the readers; raised where `watch_wait` asks
+    /// for more.
     pub fresh_for: Duration,
     /// Shortest mean time between a node's own reads while the readers are known to read.
     pub slow_interval: Duration,
@@ -37,8 +38,8 @@
             watch_wait: Duration::from_secs(2),
             calls_per_read: 2,
             fresh_for: Duration::from_secs(10),
-            slow_interval: Duration::from_secs(60),
-            slow_rate: 100.0,
+            slow_interval: Duration::from_secs(10),
+            slow_rate: 40.0,
             urgent_rate: 1_000.0,
             start_fleet: 1400,
             retry: Duration::from_millis(500),
--- a/crates/core/src/dissemination/traffic.rs
+++ b/crates/core/src/dissemination/traffic.rs
@@ -62,7 +62,7 @@
 impl TrafficModel {
     /// What a node sends under this load.
     pub fn estimate(&self, cfg: &GossipConfig) -> Traffic {
-        let peers = (1 + cfg.own_domain + cfg.other_domains) as f64;
+        let peers = (cfg.own_domain + cfg.other_domains) as f64;
         let digest_rate = 1.0 / cfg.digest_interval.as_secs_f64();
         let handshake_rate = digest_rate / f64::from(cfg.wander_every.max(1));
         let value = self.value_bytes as f64;
