Let a leaving node take calls that are already under way

Cause: a call sent before its sender heard of the leaving would be refused and cost a retry; settings name such a time. Ruled out: taking it as the default; zero refuses at once. Conclusion: accept_for, zero by default; work counted as taken may be dispatched, other work is still reported. Tests read the platform's form of entries and instances.

--- a/crates/core/src/lifecycle/machine.rs
+++ b/crates/core/src/lifecycle/machine.rs
@@ -1,6 +1,6 @@
 //! The state machine of a node's life.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::invariant::Invariant;
 use crate::membership::NodeState;
@@ -11,7 +11,7 @@
 ///
 /// Work admitted before the node began to leave still runs here. Its caller has been accepted once; refusing it would
 /// cost a retry of its allowance at another target, and the queue that holds it is short. Only what arrives later is
-/// new work, and it is refused.
+/// new work, and it is refused, after [`LifecycleConfig::accept_for`] at the latest.
 #[derive(Clone, Debug)]
 pub struct Lifecycle {
     cfg: LifecycleConfig,
@@ -19,6 +19,7 @@
     waiting: usize,
     in_flight: usize,
     leaving_since: Option<Instant>,
+    accepts_late: bool,
     next_announce: Option<Instant>,
     deadline_reported: bool,
     drained_reported: bool,
@@ -33,6 +34,7 @@
             waiting: 0,
             in_flight: 0,
             leaving_since: None,
+            accepts_late: false,
             next_announce: None,
             deadline_reported: false,
             drained_reported: false,
@@ -79,6 +81,7 @@
         if self.phase >= Phase::Leaving {
             return false;
         }
+        self.accepts_late = self.phase == Phase::Serving && !self.late_acceptance().is_zero();
         self.phase = Phase::Leaving;
         self.leaving_since = Some(now);
         self.next_announce = Some(now);
@@ -87,7 +90,11 @@
 
     /// Whether new work may be admitted.
     pub fn may_accept(&self) -> bool {
-        self.phase == Phase::Serving
+        match self.phase {
+            Phase::Serving => true,
+            Phase::Leaving => self.accepts_late,
+            Phase::Starting | Phase::Stopped => false,
+        }
     }
 
     /// New work is admitted and waits for dispatch. Returns false, without counting it, where none may be.
@@ -144,6 +151,9 @@
     /// The next thing to do, if one is due; called until it returns `None`.
     pub fn poll(&mut self, now: Instant) -> Option<LifecycleEvent> {
         let since = self.leaving_since?;
+        if now.saturating_duration_since(since) >= self.late_acceptance() {
+            self.accepts_late = false;
+        }
         if self.phase == Phase::Leaving && self.may_stop(since, now) {
             self.phase = Phase::Stopped;
         }
@@ -159,10 +169,18 @@
         if self.phase != Phase::Leaving {
             return None;
         }
-        let end = self
-            .leaving_since
-            .map(|since| since + self.cfg.announce_for);
-        self.next_announce.into_iter().chain(end).min()
+        let since = self.leaving_since?;
+        let refusal = since + self.late_acceptance();
+        let end = since + self.cfg.announce_for;
+        self.next_announce
+            .into_iter()
+            .chain(self.accepts_late.then_some(refusal))
+            .chain([end])
+            .min()
+    }
+
+    fn late_acceptance(&self) -> Duration {
+        self.cfg.accept_for.min(self.cfg.announce_for)
     }
 
     fn left(&self) -> usize {
--- a/crates/core/tests/dissemination.rs
+++ b/crates/core/tests/dissemination.rs
@@ -286,6 +286,18 @@
     assert_eq!(lenient.compare(&strict.digest()), Comparison::TheyAreNewer);
 }
 
+#[test]
+fn the_platforms_form_of_an_entry_is_read() {
+    let text = r#"{"key": "documents/bidding", "revision": 9, "value": "{ ... }"}"#;
+    let read: Entry = serde_json::from_str(text).expect("valid");
+    assert_eq!(read, entry("documents/bidding", 9, "{ ... }"));
+    let written = serde_json::to_string(&read).expect("writable");
+    assert_eq!(
+        serde_json::from_str::<Entry>(&written).expect("valid"),
+        read
+    );
+}
+
 struct Start {
     name: &'static str,
     platform: Option<u64>,
--- a/crates/core/tests/lifecycle.rs
+++ b/crates/core/tests/lifecycle.rs
@@ -21,6 +21,7 @@
 
 struct Case {
     name: &'static str,
+    accept_for_ms: u64,
     steps: &'static [Step],
     phase: Phase,
     may_accept: bool,
@@ -36,6 +37,7 @@
     use Step::*;
     let base = Case {
         name: "",
+        accept_for_ms: 0,
         steps: &[],
         phase: Phase::Leaving,
         may_accept: false,
@@ -109,6 +111,29 @@
             steps: &[Leave, Ready, Accept],
             ..base
         },
+        Case {
+            name: "calls under way when leaving is announced are taken for a while",
+            accept_for_ms: 500,
+            steps: &[
+                Ready,
+                Leave,
+                Wait(499),
+                Accept,
+                Dispatch,
+                Wait(1),
+                Accept,
+                Dispatch,
+            ],
+            breaches: 1,
+            ..base
+        },
+        Case {
+            name: "but not by a node that never served",
+            accept_for_ms: 500,
+            steps: &[Leave, Accept, Dispatch],
+            breaches: 1,
+            ..base
+        },
         Case {
             name: "what is given up is counted",
             steps: &[Ready, Accept, Accept, Dispatch, Leave, Abandon],
@@ -118,7 +143,7 @@
         },
     ];
     for case in cases {
-        let mut run = Run::new();
+        let mut run = Run::new(Duration::from_millis(case.accept_for_ms));
         for step in case.steps {
             run.step(*step);
         }
@@ -136,7 +161,7 @@
 #[test]
 fn leaving_is_repeated_and_a_long_drain_is_reported_once() {
     use Step::*;
-    let mut run = Run::new();
+    let mut run = Run::new(Duration::ZERO);
     for step in [
         Ready,
         Accept,
@@ -180,7 +205,7 @@
     /// count that loses work.
     #[test]
     fn any_order_of_events_keeps_the_promises(steps in proptest::collection::vec(step(), 1..60)) {
-        let mut run = Run::new();
+        let mut run = Run::new(Duration::ZERO);
         let mut phase = Phase::Starting;
         let mut left_at: Option<Instant> = None;
         let mut taken_before_leaving = 0;
@@ -230,8 +255,12 @@
 }
 
 impl Run {
-    fn new() -> Self {
-        let node = Lifecycle::new(LifecycleConfig::default());
+    fn new(accept_for: Duration) -> Self {
+        let cfg = LifecycleConfig {
+            accept_for,
+            ..LifecycleConfig::default()
+        };
+        let node = Lifecycle::new(cfg);
         Self {
             node,
             now: Instant::now(),
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -300,6 +300,22 @@
     assert_eq!(sorted(&fresh), sorted(&source));
 }
 
+#[test]
+fn the_platforms_form_of_an_instance_is_read() {
+    let text = r#"{"node": "bidding-1", "service": "bidding", "domain": "ba-1", "region": "ba",
+        "peer": "127.0.0.1:7101", "operators": "127.0.0.1:7301", "state": "leaving"}"#;
+    let read: InstanceEntry = serde_json::from_str(text).expect("valid");
+    assert_eq!(
+        (read.node.as_str(), read.state),
+        ("bidding-1", ListedState::Leaving)
+    );
+    let written = serde_json::to_string(&read).expect("writable");
+    assert_eq!(
+        serde_json::from_str::<InstanceEntry>(&written).expect("valid"),
+        read
+    );
+}
+
 /// One word of the modelled node, sent at a second and heard at another.
 #[derive(Clone, Debug)]
 struct Word {
