--- a/crates/core/tests/lifecycle.rs
+++ b/crates/core/tests/lifecycle.rs
@@ -21,6 +21,7 @@
 
 struct Case {
     name: &'static str,
+    accept_for_ms: u64,
     steps: &'static [Step],
     phase: Phase,
     may_accept: bool,
@@ -34,15 +35,23 @@
 #[test]
 fn a_stop_takes_no_new_work_and_finishes_the_rest() {
     use Step::*;
+    let base = Case {
+        name: "",
+        accept_for_ms: 0,
+        steps: &[],
+        phase: Phase::Leaving,
+        may_accept: false,
+        may_dispatch: false,
+        breaches: 0,
+        cut_off: 0,
+    };
     let cases = [
         Case {
             name: "a starting node takes nothing",
             steps: &[Accept, Dispatch],
             phase: Phase::Starting,
-            may_accept: false,
-            may_dispatch: false,
             breaches: 1,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "a serving node takes work",
@@ -50,53 +59,36 @@
             phase: Phase::Serving,
             may_accept: true,
             may_dispatch: true,
-            breaches: 0,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "queued work still runs while leaving",
             steps: &[Ready, Accept, Accept, Leave, Dispatch],
-            phase: Phase::Leaving,
-            may_accept: false,
             may_dispatch: true,
-            breaches: 0,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "work that came after leaving is refused and reported",
             steps: &[Ready, Accept, Leave, Accept, Dispatch, Dispatch],
-            phase: Phase::Leaving,
-            may_accept: false,
-            may_dispatch: false,
             breaches: 1,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "an idle node waits until its leaving is known",
             steps: &[Ready, Leave, Wait(2_900)],
-            phase: Phase::Leaving,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "an idle node ends once its leaving is known",
             steps: &[Ready, Leave, Wait(3_000), Accept, Dispatch],
             phase: Phase::Stopped,
-            may_accept: false,
-            may_dispatch: false,
             breaches: 1,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "a call in flight is waited for past the drain limit",
             steps: &[Ready, Accept, Dispatch, Leave, Wait(120_000)],
-            phase: Phase::Leaving,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "the end follows the last answer",
@@ -112,32 +104,46 @@
                 Wait(1),
             ],
             phase: Phase::Stopped,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
-            cut_off: 0,
+            ..base
         },
         Case {
             name: "a start that completes late doesn't revive a leaving node",
             steps: &[Leave, Ready, Accept],
-            phase: Phase::Leaving,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
-            cut_off: 0,
+            ..base
+        },
+        Case {
+            name: "calls under way when leaving is announced are taken for a while",
+            accept_for_ms: 500,
+            steps: &[
+                Ready,
+                Leave,
+                Wait(499),
+                Accept,
+                Dispatch,
+                Wait(1),
+                Accept,
+                Dispatch,
+            ],
+            breaches: 1,
+            ..base
+        },
+        Case {
+            name: "but not by a node that never served",
+            accept_for_ms: 500,
+            steps: &[Leave, Accept, Dispatch],
+            breaches: 1,
+            ..base
         },
         Case {
             name: "what is given up is counted",
             steps: &[Ready, Accept, Accept, Dispatch, Leave, Abandon],
             phase: Phase::Stopped,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
             cut_off: 2,
+            ..base
         },
     ];
     for case in cases {
-        let mut run = Run::new();
+        let mut run = Run::new(Duration::from_millis(case.accept_for_ms));
         for step in case.steps {
             run.step(*step);
         }
@@ -155,7 +161,7 @@
 #[test]
 fn leaving_is_repeated_and_a_long_drain_is_reported_once() {
     use Step::*;
-    let mut run = Run::new();
+    let mut run = Run::new(Duration::ZERO);
     for step in [
         Ready,
         Accept,
@@ -199,7 +205,7 @@
     /// count that loses work.
     #[test]
     fn any_order_of_events_keeps_the_promises(steps in proptest::collection::vec(step(), 1..60)) {
-        let mut run = Run::new();
+        let mut run = Run::new(Duration::ZERO);
         let mut phase = Phase::Starting;
         let mut left_at: Option<Instant> = None;
         let mut taken_before_leaving = 0;
@@ -249,8 +255,12 @@
 }
 
 impl Run {
-    fn new() -> Self {
-        let node = Lifecycle::new(LifecycleConfig::default());
+    fn new(accept_for: Duration) -> Self {
+        let cfg = LifecycleConfig {
+            accept_for,
+            ..LifecycleConfig::default()
+        };
+        let node = Lifecycle::new(cfg);
         Self {
             node,
             now: Instant::now(),
