--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -159,11 +159,11 @@
     }
 
     fn upsert(&mut self, view: PeerView, fresh_since: Option<Instant>, now: Instant) -> PeerKey {
-        if let Some(&key) = self.by_name.get(&view.node) {
-            if let Some(peer) = self.peers.get_mut(key) {
-                peer.update(view, now);
-                return key;
-            }
+        if let Some(key) = self.key_of(&view.node)
+            && let Some(peer) = self.peers.get_mut(key)
+        {
+            peer.update(view, now);
+            return key;
         }
         let node = view.node.clone();
         let key = self.peers.insert(Peer::new(view, fresh_since, now));
--- /dev/null
+++ b/crates/core/tests/admission_support/mod.rs
@@ -0,0 +1,327 @@
+//! A deterministic model of callers, one admission controller and one target with slots.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use coltsfootport_core::admission::{Action, Admission, AdmissionConfig, CallKey, Finish, Offer};
+use coltsfootport_core::class::Class;
+use coltsfootport_core::collections::Map;
+
+/// Classes that the model offers.
+pub const CLASSES: usize = 3;
+
+/// A load and a target.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub cfg: AdmissionConfig,
+    /// Calls that the target works on at once; further ones wait inside it.
+    pub slots: usize,
+    /// Mean service time.
+    pub service: Duration,
+    /// Whether service times are drawn from an exponential distribution.
+    pub exponential: bool,
+    /// Time that a caller waits for an answer.
+    pub deadline: Duration,
+    /// Share of each class in the arrivals.
+    pub shares: [f64; CLASSES],
+    /// Load outside of the surge, in multiples of the capacity.
+    pub calm_load: f64,
+    /// Load within the surge.
+    pub surge_load: f64,
+    pub surge: (Duration, Duration),
+    /// Factor of the service time within the surge.
+    pub slowdown: f64,
+    /// Sendings of a refused or failed call after the first one.
+    pub client_retries: u32,
+    pub length: Duration,
+    pub seed: u64,
+}
+
+impl Default for Scenario {
+    fn default() -> Self {
+        Self {
+            cfg: AdmissionConfig { initial_limit: 20, ..AdmissionConfig::default() },
+            slots: 20,
+            service: Duration::from_millis(20),
+            exponential: true,
+            deadline: Duration::from_millis(250),
+            shares: [0.1, 0.3, 0.6],
+            calm_load: 0.6,
+            surge_load: 4.0,
+            surge: (Duration::from_secs(4), Duration::from_secs(14)),
+            slowdown: 1.0,
+            client_retries: 0,
+            length: Duration::from_secs(24),
+            seed: 1,
+        }
+    }
+}
+
+/// What a run has shown.
+#[derive(Clone, Debug, Default)]
+pub struct Run {
+    /// Calls of the surge, and what became of them.
+    pub offered: [u32; CLASSES],
+    pub good: [u32; CLASSES],
+    pub shed: [u32; CLASSES],
+    pub too_late: [u32; CLASSES],
+    /// Answers of the target that came after the deadline.
+    pub wasted: u32,
+    pub max_queue: usize,
+    /// Limit at the end of the surge and at the end of the run.
+    pub limits: [u32; 2],
+    /// Calls of the highest class shed while a lower one waited or started later in the same window.
+    pub inversions: u32,
+    /// Time after the surge from which on nothing was refused.
+    pub recovery: Duration,
+    /// Goodput within the surge over the capacity.
+    pub goodput: f64,
+    /// Time from arrival to answer of good calls in the surge, 99 of 100.
+    pub p99: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive { class: u8, sending: u32 },
+    Poisson,
+    Done { slot: u64 },
+    Wake,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    class: u8,
+    sending: u32,
+    arrived: Duration,
+    deadline: Duration,
+}
+
+/// Runs a scenario to its end.
+pub fn run(scenario: &Scenario) -> Run {
+    Model::new(scenario).run()
+}
+
+struct Model<'a> {
+    cfg: &'a Scenario,
+    epoch: Instant,
+    now: Duration,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    sequence: u64,
+    rng: SmallRng,
+    admission: Admission,
+    calls: Map<CallKey, Call>,
+    /// Calls in a slot of the target, by number.
+    working: Map<u64, CallKey>,
+    waiting: VecDeque<CallKey>,
+    latencies: Vec<Duration>,
+    last_refusal: Duration,
+    /// The next time at which the controller is polled without an event.
+    wakeup: Option<Duration>,
+    /// Window of the last start of a call below the highest class.
+    lower_start: Option<u128>,
+    out: Run,
+}
+
+impl<'a> Model<'a> {
+    fn new(cfg: &'a Scenario) -> Self {
+        let epoch = Instant::now();
+        Self {
+            cfg,
+            epoch,
+            now: Duration::ZERO,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            rng: SmallRng::seed_from_u64(cfg.seed),
+            admission: Admission::new(cfg.cfg.clone(), epoch),
+            calls: Map::default(),
+            working: Map::default(),
+            waiting: VecDeque::new(),
+            latencies: Vec::new(),
+            last_refusal: Duration::ZERO,
+            wakeup: None,
+            lower_start: None,
+            out: Run::default(),
+        }
+    }
+
+    fn run(mut self) -> Run {
+        self.at(Duration::ZERO, Event::Poisson);
+        while let Some(Reverse((time, _, event))) = self.events.pop() {
+            if time > self.cfg.length {
+                break;
+            }
+            if self.now < self.cfg.surge.1 && time >= self.cfg.surge.1 {
+                self.out.limits[0] = self.admission.limit();
+            }
+            self.now = time;
+            self.handle(event);
+            self.poll();
+        }
+        self.report()
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Poisson => self.poisson(),
+            Event::Arrive { class, sending } => self.arrive(class, sending),
+            Event::Done { slot } => self.done(slot),
+            Event::Wake => {}
+        }
+    }
+
+    fn poisson(&mut self) {
+        let load = if self.in_surge() { self.cfg.surge_load } else { self.cfg.calm_load };
+        let gap = self.exponential() / (self.capacity() * load);
+        self.at(self.now + Duration::from_secs_f64(gap), Event::Poisson);
+        let mut draw = self.rng.random::<f64>();
+        let mut class = 0;
+        while class + 1 < CLASSES && draw >= self.cfg.shares[class] {
+            draw -= self.cfg.shares[class];
+            class += 1;
+        }
+        self.arrive(class as u8, 0);
+    }
+
+    fn arrive(&mut self, class: u8, sending: u32) {
+        let deadline = self.now + self.cfg.deadline;
+        let bucket = self.rng.random();
+        let offer = Offer { class: Class(class), bucket, deadline: self.epoch + deadline };
+        let key = self.admission.offer(offer, self.instant());
+        self.calls.insert(key, Call { class, sending, arrived: self.now, deadline });
+        if self.in_surge() && sending == 0 {
+            self.out.offered[usize::from(class)] += 1;
+        }
+    }
+
+    fn poll(&mut self) {
+        let mut actions = Vec::new();
+        self.admission.poll(self.instant(), &mut actions);
+        for action in actions {
+            match action {
+                Action::Start(key) => self.start(key),
+                Action::Refuse(key, kind) => self.refused(key, kind),
+            }
+        }
+        assert_eq!(self.admission.check(), Ok(()));
+        self.out.max_queue = self.out.max_queue.max(self.admission.queued());
+        if let Some(wakeup) = self.admission.next_wakeup() {
+            let wakeup = wakeup.saturating_duration_since(self.epoch);
+            let wakeup = wakeup.max(self.now + Duration::from_micros(100));
+            if self.wakeup.is_none_or(|next| next <= self.now || wakeup < next) {
+                self.wakeup = Some(wakeup);
+                self.at(wakeup, Event::Wake);
+            }
+        }
+    }
+
+    fn start(&mut self, key: CallKey) {
+        if self.calls[&key].class > 0 {
+            self.lower_start = Some(self.window());
+        }
+        if self.working.len() < self.cfg.slots {
+            self.work(key);
+        } else {
+            self.waiting.push_back(key);
+        }
+    }
+
+    fn work(&mut self, key: CallKey) {
+        self.sequence += 1;
+        let slot = self.sequence;
+        self.working.insert(slot, key);
+        let factor = if self.cfg.exponential { self.exponential() } else { 1.0 };
+        let slowdown = if self.in_surge() { self.cfg.slowdown } else { 1.0 };
+        let service = self.cfg.service.mul_f64(factor * slowdown);
+        self.at(self.now + service, Event::Done { slot });
+    }
+
+    fn done(&mut self, slot: u64) {
+        let key = self.working.remove(&slot).expect("a slot in use");
+        let call = self.calls.remove(&key).expect("a started call");
+        let good = self.now <= call.deadline;
+        let finish = if good { Finish::Served } else { Finish::Failed };
+        self.admission.finish(key, finish, self.instant());
+        if self.in_surge() {
+            self.out.wasted += u32::from(!good);
+            self.out.good[usize::from(call.class)] += u32::from(good);
+            if good {
+                self.latencies.push(self.now - call.arrived);
+            }
+        }
+        if !good {
+            self.last_refusal = self.now;
+            self.send_again(call);
+        }
+        if let Some(next) = self.waiting.pop_front() {
+            self.work(next);
+        }
+    }
+
+    fn refused(&mut self, key: CallKey, kind: coltsfootport_core::error_kind::ErrorKind) {
+        let call = self.calls.remove(&key).expect("a waiting call");
+        let class = usize::from(call.class);
+        self.last_refusal = self.now;
+        let shed = kind == coltsfootport_core::error_kind::ErrorKind::Shed;
+        if self.in_surge() {
+            self.out.shed[class] += u32::from(shed);
+            self.out.too_late[class] += u32::from(!shed);
+        }
+        // The first window of the surge starts with free slots, which any class may take.
+        let settled = self.now > self.cfg.surge.0 + self.cfg.cfg.window * 2;
+        if shed && class == 0 && settled && self.lower_start == Some(self.window()) {
+            self.out.inversions += 1;
+        }
+        self.send_again(call);
+    }
+
+    fn send_again(&mut self, call: Call) {
+        if call.sending >= self.cfg.client_retries {
+            return;
+        }
+        let pause = Duration::from_millis(10).mul_f64(self.rng.random::<f64>());
+        let again = Event::Arrive { class: call.class, sending: call.sending + 1 };
+        self.at(self.now + pause, again);
+    }
+
+    fn report(mut self) -> Run {
+        let surge = self.cfg.surge.1 - self.cfg.surge.0;
+        let good = self.out.good.iter().sum::<u32>();
+        self.out.goodput = f64::from(good) / (self.capacity() * surge.as_secs_f64());
+        self.out.recovery = self.last_refusal.saturating_sub(self.cfg.surge.1);
+        self.out.limits[1] = self.admission.limit();
+        self.latencies.sort_unstable();
+        let index = self.latencies.len() * 99 / 100;
+        self.out.p99 = self.latencies.get(index).copied().unwrap_or_default();
+        self.out
+    }
+
+    fn at(&mut self, time: Duration, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((time, self.sequence, event)));
+    }
+
+    fn instant(&self) -> Instant {
+        self.epoch + self.now
+    }
+
+    fn in_surge(&self) -> bool {
+        self.now >= self.cfg.surge.0 && self.now < self.cfg.surge.1
+    }
+
+    fn window(&self) -> u128 {
+        self.now.as_nanos() / self.cfg.cfg.window.as_nanos()
+    }
+
+    /// Calls per second that the slots can serve without slowdown.
+    fn capacity(&self) -> f64 {
+        self.cfg.slots as f64 / self.cfg.service.as_secs_f64()
+    }
+
+    fn exponential(&mut self) -> f64 {
+        -(1.0 - self.rng.random::<f64>()).ln()
+    }
+}
