Fine timer for service times, latencies and arrivals; faults of single senders

Cause: tokio's timer counts whole milliseconds, so a link of 1.5 ms or a call of no service time was measured about a millisecond too long at each sleep, more than the 0.61 ms that a node may add. Partitions that run between some senders of a node couldn't be brought about by one link. Ruled out: spinning before the due time, which takes cores from the processes under test.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod process;
 pub mod proxy;
 pub mod target;
+pub mod timer;
--- a/crates/rig/src/load/generator.rs
+++ b/crates/rig/src/load/generator.rs
@@ -8,7 +8,6 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::task::{JoinSet, yield_now};
-use tokio::time::sleep_until;
 
 use crate::error::RigError;
 use crate::http::Client;
@@ -16,6 +15,7 @@
 use crate::load::recorder::{EndedCall, Recorder};
 use crate::load::token_pool::TokenPool;
 use crate::load::{Arrivals, Ending, LoadPlan, LoadReport, Stage};
+use crate::timer;
 
 /// Runs the plan to its end and waits for the calls that are still in flight.
 pub async fn run(plan: LoadPlan) -> Result<LoadReport, RigError> {
@@ -88,7 +88,7 @@
         let due = self.started_at + due;
         while Instant::now() < due {
             tokio::select! {
-                () = sleep_until(due.into()) => return,
+                () = timer::sleep_until(due) => return,
                 Some(ended) = self.calls.join_next() => self.record(ended.ok()),
             }
         }
@@ -112,21 +112,25 @@
                 ending: Ending::Skipped,
                 sent: 0,
             };
-            return self.recorder.on_ended(EndedCall {
+            let call = EndedCall {
                 operation,
                 key,
                 due,
+                started: now,
                 ended: now,
                 end,
-            });
+            };
+            return self.recorder.on_ended(call);
         }
         let (caller, started_at) = (self.caller.clone(), self.started_at);
         self.calls.spawn(async move {
+            let started = started_at.elapsed();
             let end = perform(caller, operation, key.clone(), seed).await;
             EndedCall {
                 operation,
                 key,
                 due,
+                started,
                 ended: started_at.elapsed(),
                 end,
             }
--- a/crates/rig/src/load/recorder.rs
+++ b/crates/rig/src/load/recorder.rs
@@ -27,6 +27,8 @@
     pub key: String,
     /// When it was due to start.
     pub due: Duration,
+    /// When it was started.
+    pub started: Duration,
     /// When it ended.
     pub ended: Duration,
     /// How it ended.
@@ -36,6 +38,7 @@
 struct ClassRecord {
     report: ClassReport,
     latency: Histogram<u64>,
+    latency_from_start: Histogram<u64>,
 }
 
 /// Collects calls into a report.
@@ -96,7 +99,7 @@
         class.report.sent += u64::from(sent);
         class.report.endings.add(ending);
         if ending == Ending::Whole {
-            class.on_whole(call.due, call.ended);
+            class.on_whole(&call);
         }
         if self.keeps_key[call.operation] {
             self.report.keys.push(KeyEnding {
@@ -128,32 +131,43 @@
             class: operation.class.clone(),
             ..ClassReport::default()
         };
-        let latency = Histogram::new_with_bounds(1, MAX_LATENCY_US, DIGITS);
         Self {
             report,
-            latency: latency.expect("the bounds are constants in their valid range"),
+            latency: histogram(),
+            latency_from_start: histogram(),
         }
     }
 
-    fn on_whole(&mut self, due: Duration, ended: Duration) {
-        let latency = ended.saturating_sub(due);
+    fn on_whole(&mut self, call: &EndedCall) {
         self.latency
-            .saturating_record(latency.as_micros().min(u128::from(u64::MAX)) as u64);
-        *entry_of_second(&mut self.report.goodput, ended) += 1;
+            .saturating_record(micros(call.ended.saturating_sub(call.due)));
+        let from_start = micros(call.ended.saturating_sub(call.started));
+        self.latency_from_start.saturating_record(from_start);
+        *entry_of_second(&mut self.report.goodput, call.ended) += 1;
     }
 
     fn finish(mut self) -> ClassReport {
-        let ms = |us: u64| us as f64 / 1000.0;
-        self.report.latency = LatencyReport {
-            p50_ms: ms(self.latency.value_at_quantile(0.5)),
-            p99_ms: ms(self.latency.value_at_quantile(0.99)),
-            p999_ms: ms(self.latency.value_at_quantile(0.999)),
-            max_ms: ms(self.latency.max()),
-        };
+        self.report.latency = latency_report(&self.latency);
+        self.report.latency_from_start = latency_report(&self.latency_from_start);
         self.report
     }
 }
 
+fn histogram() -> Histogram<u64> {
+    let histogram = Histogram::new_with_bounds(1, MAX_LATENCY_US, DIGITS);
+    histogram.expect("the bounds are constants in their valid range")
+}
+
+fn latency_report(histogram: &Histogram<u64>) -> LatencyReport {
+    let ms = |us: u64| us as f64 / 1000.0;
+    LatencyReport {
+        p50_ms: ms(histogram.value_at_quantile(0.5)),
+        p99_ms: ms(histogram.value_at_quantile(0.99)),
+        p999_ms: ms(histogram.value_at_quantile(0.999)),
+        max_ms: ms(histogram.max()),
+    }
+}
+
 fn entry_of_second<T>(series: &mut Vec<T>, at: Duration) -> &mut T
 where
     T: Clone + Default,
@@ -165,6 +179,10 @@
     &mut series[second]
 }
 
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1000.0
 }
--- a/crates/rig/src/load/report.rs
+++ b/crates/rig/src/load/report.rs
@@ -53,7 +53,7 @@
     }
 }
 
-/// Latency of whole answers in milliseconds, from the time at which the call was due to start.
+/// Latency of whole answers in milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LatencyReport {
     /// Half of the calls took at most this.
@@ -77,8 +77,10 @@
     pub sent: u64,
     /// How the calls ended.
     pub endings: EndingCounts,
-    /// Latency of whole answers.
+    /// Latency from the time at which calls were due, which hides no wait of the generator itself.
     pub latency: LatencyReport,
+    /// Latency from the time at which calls were started, for comparing short paths at a low rate.
+    pub latency_from_start: LatencyReport,
     /// Whole answers by the second in which they came.
     pub goodput: Vec<u64>,
 }
--- a/crates/rig/src/proxy.rs
+++ b/crates/rig/src/proxy.rs
@@ -18,7 +18,7 @@
 use crate::proxy::links::Links;
 
 pub use self::counters::{DirectionCounts, LinkCounts};
-pub use self::faults::{Cut, DirectionFaults, LinkFaults};
+pub use self::faults::{Cut, DirectionFaults, LinkFaults, SenderFaults};
 pub use self::links::LinkState;
 pub use self::pacer::Pacer;
 pub use self::plan::{LinkPlan, Plan, Protocol};
--- a/crates/rig/src/proxy/direction.rs
+++ b/crates/rig/src/proxy/direction.rs
@@ -1,5 +1,7 @@
 //! The two directions of a link, so that one code serves both.
 
+use std::net::SocketAddr;
+
 use crate::proxy::counters::{DirectionCounters, LinkCounters};
 use crate::proxy::{DirectionFaults, LinkFaults};
 
@@ -21,6 +23,18 @@
         }
     }
 
+    /// This direction's faults between one sender and the target address.
+    pub fn faults_of(self, faults: &LinkFaults, sender: SocketAddr) -> DirectionFaults {
+        match (
+            self,
+            faults.senders.iter().find(|faults| faults.sender == sender),
+        ) {
+            (Self::Forward, Some(faults)) => faults.forward,
+            (Self::Backward, Some(faults)) => faults.backward,
+            (_, None) => self.faults(faults),
+        }
+    }
+
     /// This direction's counters.
     pub fn counters(self, counters: &LinkCounters) -> &DirectionCounters {
         match self {
--- a/crates/rig/src/proxy/faults.rs
+++ b/crates/rig/src/proxy/faults.rs
@@ -1,5 +1,6 @@
 //! Faults of a link.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -78,13 +79,30 @@
 const MAX_MS: f64 = 600_000.0;
 
 /// Faults of both directions of a link.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LinkFaults {
     /// From the listening side to the target address.
     pub forward: DirectionFaults,
     /// Back.
     pub backward: DirectionFaults,
+    /// UDP: faults of single senders, in place of the above. By these a link can take part in a partition in which it is
+    /// cut off from some of its senders only.
+    pub senders: Vec<SenderFaults>,
+}
+
+/// Faults between one sender and the target address of a UDP link.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SenderFaults {
+    /// The address that the sender's datagrams come from.
+    pub sender: SocketAddr,
+    /// From the sender to the target address.
+    #[serde(default)]
+    pub forward: DirectionFaults,
+    /// Back.
+    #[serde(default)]
+    pub backward: DirectionFaults,
 }
 
 impl LinkFaults {
@@ -93,6 +111,7 @@
         Self {
             forward: faults,
             backward: faults,
+            senders: Vec::new(),
         }
     }
 
@@ -108,8 +127,12 @@
 
     /// Refuses values that can't be acted on.
     pub fn check(&self) -> Result<(), RigError> {
-        self.forward.check()?;
-        self.backward.check()
+        let of_senders = self
+            .senders
+            .iter()
+            .flat_map(|faults| [faults.forward, faults.backward]);
+        let mut all = [self.forward, self.backward].into_iter().chain(of_senders);
+        all.try_for_each(|faults| faults.check())
     }
 
     /// These faults with the fields of a JSON object, such as `{"forward": {"cut": "close"}}`, in place of their own.
--- a/crates/rig/src/proxy/links.rs
+++ b/crates/rig/src/proxy/links.rs
@@ -106,7 +106,7 @@
     /// Sets the faults of every link whose name matches; returns how many do.
     pub fn set(&self, pattern: &str, faults: &LinkFaults) -> usize {
         let matching = self.matching(pattern);
-        let changed = matching.map(|entry| entry.faults.send_replace(*faults));
+        let changed = matching.map(|entry| entry.faults.send_replace(faults.clone()));
         changed.count()
     }
 
@@ -136,7 +136,7 @@
         LinkState {
             name: self.name.clone(),
             listen: self.listen,
-            faults: *self.faults.borrow(),
+            faults: self.faults.borrow().clone(),
             counts: self.counters.counts(),
         }
     }
--- a/crates/rig/src/proxy/tcp.rs
+++ b/crates/rig/src/proxy/tcp.rs
@@ -11,11 +11,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::sleep;
 
 use crate::proxy::direction::Direction;
 use crate::proxy::links::Link;
 use crate::proxy::{Cut, LinkFaults, Pacer};
+use crate::timer;
 
 /// Largest piece of a stream.
 const PIECE: usize = 16 << 10;
@@ -147,7 +148,7 @@
     let mut faults = link.faults.clone();
     let mut written = 0;
     while let Some(mut piece) = rx.recv().await {
-        sleep_until(piece.due.into()).await;
+        timer::sleep_until(piece.due).await;
         let held = |faults: &LinkFaults| direction.faults(faults).cut == Cut::Blackhole;
         let _ = faults.wait_for(|faults| !held(faults)).await;
         if piece.bytes.is_empty() {
--- a/crates/rig/src/proxy/udp.rs
+++ b/crates/rig/src/proxy/udp.rs
@@ -11,11 +11,12 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::sleep;
 
 use crate::proxy::Schedule;
 use crate::proxy::direction::Direction;
 use crate::proxy::links::Link;
+use crate::timer;
 
 /// Largest datagram.
 const DATAGRAM: usize = 65_535;
@@ -94,12 +95,12 @@
         tokio::select! {
             datagram = rx.recv() => {
                 let Some(datagram) = datagram else { return };
-                push(&mut forward, datagram, Direction::Forward, &link);
+                push(&mut forward, datagram, Direction::Forward, &link, near.sender);
             }
             received = far.recv(&mut buf) => match received {
                 Ok(len) => {
                     let datagram = Bytes::copy_from_slice(&buf[..len]);
-                    push(&mut backward, datagram, Direction::Backward, &link);
+                    push(&mut backward, datagram, Direction::Backward, &link, near.sender);
                 }
                 // Nobody listens at the target address at the moment.
                 Err(_) => sleep(RECEIVE_PAUSE).await,
@@ -121,8 +122,14 @@
     }
 }
 
-fn push(schedule: &mut Schedule, datagram: Bytes, direction: Direction, link: &Link) {
-    let faults = direction.faults(&link.faults.borrow());
+fn push(
+    schedule: &mut Schedule,
+    datagram: Bytes,
+    direction: Direction,
+    link: &Link,
+    sender: SocketAddr,
+) {
+    let faults = direction.faults_of(&link.faults.borrow(), sender);
     if !schedule.push(datagram, Instant::now(), &faults) {
         direction.counters(&link.counters).add_lost();
     }
@@ -130,7 +137,7 @@
 
 async fn wait_for(due: Option<Instant>) {
     match due {
-        Some(due) => sleep_until(due.into()).await,
+        Some(due) => timer::sleep_until(due).await,
         None => future::pending().await,
     }
 }
--- a/crates/rig/src/target/routes.rs
+++ b/crates/rig/src/target/routes.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
 use crate::http::{Answer, AnswerBody, Handled, Query, empty, json, read_body, text};
 use crate::target::egress::{CONTEXT_HEADER, Egress, Origin};
@@ -16,6 +16,7 @@
 use crate::target::run::{CallId, Run, RunEnd};
 use crate::target::slots::Waiter;
 use crate::target::{DownstreamEcho, Echo, KEY_HEADER, Settings};
+use crate::timer;
 
 /// Largest request body in bytes.
 const BODY_LIMIT: usize = 16 << 20;
@@ -121,7 +122,7 @@
     if settings.hang {
         return future::pending().await;
     }
-    sleep(run.plan.work).await;
+    timer::sleep(run.plan.work).await;
     run.work_done(Instant::now());
 
     let mut echo = echo(&cx.service, &parts, &body, &settings);
--- a/crates/rig/tests/proxy.rs
+++ b/crates/rig/tests/proxy.rs
@@ -10,6 +10,7 @@
 use coltsfootport_rig::process::loopback;
 use coltsfootport_rig::proxy::{
     Cut, DirectionFaults, LinkFaults, LinkPlan, LinkState, Plan, Protocol, Proxy, Schedule,
+    SenderFaults,
 };
 use coltsfootport_rig::target::{Echo, Settings};
 use tokio::net::UdpSocket;
@@ -53,7 +54,11 @@
         /// Whether the call ran at the target in spite of the fault.
         ran: bool,
     }
-    let one = |forward, backward| LinkFaults { forward, backward };
+    let one = |forward, backward| LinkFaults {
+        forward,
+        backward,
+        ..LinkFaults::default()
+    };
     let cut = DirectionFaults::cut;
     let slow = DirectionFaults {
         latency_ms: 5.0,
@@ -145,14 +150,14 @@
         Case {
             faults: LinkFaults {
                 forward: cut,
-                backward: CLEAN,
+                ..LinkFaults::default()
             },
             runs_meanwhile: 0,
         },
         Case {
             faults: LinkFaults {
-                forward: CLEAN,
                 backward: cut,
+                ..LinkFaults::default()
             },
             runs_meanwhile: 1,
         },
@@ -202,7 +207,11 @@
         back: usize,
         in_order: bool,
     }
-    let one = |forward, backward| LinkFaults { forward, backward };
+    let one = |forward, backward| LinkFaults {
+        forward,
+        backward,
+        ..LinkFaults::default()
+    };
     let lose = DirectionFaults { loss: 1.0, ..CLEAN };
     let twice = DirectionFaults {
         duplicate: 1.0,
@@ -306,6 +315,46 @@
     }
 }
 
+/// Symptom: a node is heard by some of its peers and not by others.
+/// Sequence: two senders use a link, one of them is cut off in one direction, both send.
+/// Cause: a network partition that runs between the two senders.
+#[tokio::test]
+async fn one_sender_of_a_udp_link_is_cut_off() {
+    let far = UdpSocket::bind(loopback(0)).await.expect("a socket");
+    let proxy = proxy(Protocol::Udp, far.local_addr().expect("its address")).await;
+    let link = proxy.addr("link").expect("the link");
+    let mut near = Vec::new();
+    for _ in 0..2 {
+        let socket = UdpSocket::bind(loopback(0)).await.expect("a socket");
+        socket.connect(link).await.expect("a peer");
+        near.push(socket);
+    }
+    let sender = near[0].local_addr().expect("its address");
+    let cut = DirectionFaults::cut(Cut::Blackhole);
+    let faults = SenderFaults {
+        sender,
+        forward: cut,
+        backward: CLEAN,
+    };
+    proxy.set(
+        "link",
+        &LinkFaults {
+            senders: vec![faults],
+            ..LinkFaults::default()
+        },
+    );
+    near[0].send(b"cut").await.expect("a datagram");
+    while proxy.states()[0].counts.forward.lost == 0 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    near[1].send(b"open").await.expect("a datagram");
+    let mut buf = [0; 16];
+    let received = timeout(PATIENCE, far.recv_from(&mut buf)).await;
+    let (len, _) = received.expect("in time").expect("a datagram");
+    assert_eq!(&buf[..len], b"open");
+    assert_eq!(proxy.states()[0].counts.connections, 2);
+}
+
 #[test]
 fn a_schedule_repeats_itself_for_a_seed() {
     let faults = DirectionFaults {
@@ -363,6 +412,11 @@
         ("/links/other", "{}", 404),
         ("/links/link", r#"{"forward": {"loss": 2}}"#, 400),
         ("/links/link", r#"{"sideways": {}}"#, 400),
+        (
+            "/links/link",
+            r#"{"senders": [{"sender": "127.0.0.1:1", "forward": {"loss": 2}}]}"#,
+            400,
+        ),
         ("/links/link", r#"{"forward": {"latency_ms": -1}}"#, 400),
     ];
     for (path, body, status) in cases {
@@ -378,7 +432,8 @@
     let faults = LinkFaults {
         forward: DirectionFaults::cut(Cut::Blackhole),
         backward: DirectionFaults::latency(Duration::from_millis(3)),
+        senders: Vec::new(),
     };
-    assert_eq!((states.len(), states[0].faults), (1, faults));
+    assert_eq!((states.len(), &states[0].faults), (1, &faults));
     assert_eq!(proxy.states(), states);
 }
