--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod process;
 pub mod proxy;
 pub mod target;
+pub mod timer;
