Fleet: one link a node, with faults by pairs of failure domains

Cause: lists with other addresses for each domain can't be passed on between nodes of different domains. Ruled out: giving up the spread of the list by nodes. Conclusion: one list for all; cuts are by sender.

--- a/crates/rig/src/fleet/plan.rs
+++ b/crates/rig/src/fleet/plan.rs
@@ -28,7 +28,7 @@
     pub services: Vec<ServicePlan>,
     /// Fields that replace those of every node's settings.
     pub node: Value,
-    /// Whether nodes reach each other through the fault proxy, with one link and one platform for each failure domain.
+    /// Whether nodes reach each other through the fault proxy, with a platform for each failure domain.
     pub proxied: bool,
     /// Where the output of the nodes goes.
     pub output: Output,
--- a/crates/rig/src/fleet/running.rs
+++ b/crates/rig/src/fleet/running.rs
@@ -11,7 +11,9 @@
 use crate::http::Client;
 use crate::platform::{Counts, FaultMode, FaultRequest, FaultScope, Instance, InstanceState};
 use crate::process::{Output, Process, ProcessSpec, free_port, loopback};
-use crate::proxy::{Cut, DirectionFaults, LinkFaults, LinkPlan, Plan, Protocol, Proxy};
+use crate::proxy::{
+    Cut, DirectionFaults, LinkFaults, LinkPlan, Plan, Protocol, Proxy, SenderFaults,
+};
 use crate::target::TargetCounts;
 
 use super::keys::FleetKeys;
@@ -32,11 +34,20 @@
     pub client: Client,
     /// The fault proxy between the nodes, where the plan asks for it.
     pub proxy: Option<Proxy>,
+    /// Faults between failure domains.
+    faults: BTreeMap<DomainPair, LinkFaults>,
     /// Platforms by failure domain; one for all under the empty name where there is no proxy.
     platforms: BTreeMap<SmolStr, Platform>,
 }
 
-/// A stand-in platform, which shows the nodes of one failure domain the addresses of their own links.
+/// Nodes of one failure domain that send to those of another.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct DomainPair {
+    from: SmolStr,
+    to: SmolStr,
+}
+
+/// A stand-in platform, read by the nodes of one failure domain.
 #[derive(Debug)]
 struct Platform {
     address: SocketAddr,
@@ -80,6 +91,7 @@
             client,
             proxy,
             platforms: BTreeMap::new(),
+            faults: BTreeMap::new(),
         };
         fleet.start_platforms(&programs).await?;
         fleet.publish_all(&plan.services).await?;
@@ -135,11 +147,11 @@
     where
         F: Fn(&Member) -> Option<InstanceState>,
     {
-        for (domain, platform) in &self.platforms {
+        for platform in self.platforms.values() {
             let listed = self
                 .members
                 .values()
-                .filter_map(|member| Some(self.instance(domain, member, state(member)?)));
+                .filter_map(|member| Some(self.instance(member, state(member)?)));
             let listed: Vec<Instance> = listed.collect();
             self.client
                 .put_json(platform.address, "/instances", &listed)
@@ -188,27 +200,52 @@
     }
 
     /// Cuts every link between two failure domains, both ways.
-    pub fn cut(&self, one: &str, other: &str, cut: Cut) {
+    pub fn cut(&mut self, one: &str, other: &str, cut: Cut) {
         let faults = LinkFaults::both(DirectionFaults::cut(cut));
         self.set_links(one, other, &faults);
         self.set_links(other, one, &faults);
     }
 
     /// Heals every link.
-    pub fn heal(&self) {
+    pub fn heal(&mut self) {
+        self.faults.clear();
         if let Some(proxy) = &self.proxy {
             proxy.set("*", &LinkFaults::default());
         }
     }
 
-    /// Sets the faults of all links from one failure domain to the nodes of another.
-    pub fn set_links(&self, from: &str, to: &str, faults: &LinkFaults) {
+    /// Sets the faults of all links from the nodes of one failure domain to those of another.
+    pub fn set_links(&mut self, from: &str, to: &str, faults: &LinkFaults) {
+        let pair = DomainPair {
+            from: SmolStr::new(from),
+            to: SmolStr::new(to),
+        };
+        self.faults.insert(pair, faults.clone());
         let Some(proxy) = &self.proxy else { return };
         for member in self.members.values().filter(|member| member.domain == to) {
-            proxy.set(&link_name(from, &member.name), faults);
+            let senders = self.members.values();
+            let senders = senders.filter_map(|sender| self.sender_faults(sender, member));
+            let faults = LinkFaults {
+                senders: senders.collect(),
+                ..LinkFaults::default()
+            };
+            proxy.set(&member.name, &faults);
         }
     }
 
+    fn sender_faults(&self, sender: &Member, to: &Member) -> Option<SenderFaults> {
+        let pair = DomainPair {
+            from: sender.domain.clone(),
+            to: to.domain.clone(),
+        };
+        let faults = self.faults.get(&pair)?;
+        Some(SenderFaults {
+            sender: sender.addresses.peers,
+            forward: faults.forward,
+            backward: faults.backward,
+        })
+    }
+
     /// What the targets of a service have counted, by node.
     pub async fn counts(&self, service: &str) -> Result<Vec<TargetCounts>, RigError> {
         let mut counts = Vec::new();
@@ -336,9 +373,9 @@
         Ok(())
     }
 
-    fn instance(&self, domain: &str, member: &Member, state: InstanceState) -> Instance {
-        let link = link_name(domain, &member.name);
-        let proxied = self.proxy.as_ref().and_then(|proxy| proxy.addr(&link));
+    fn instance(&self, member: &Member, state: InstanceState) -> Instance {
+        let proxied = self.proxy.as_ref();
+        let proxied = proxied.and_then(|proxy| proxy.addr(&member.name));
         let peer = proxied.unwrap_or(member.addresses.peers);
         Instance {
             node: member.name.clone(),
@@ -361,24 +398,14 @@
 }
 
 async fn start_proxy(members: &BTreeMap<SmolStr, Member>, seed: u64) -> Result<Proxy, RigError> {
-    let mut domains: Vec<&SmolStr> = members.values().map(|member| &member.domain).collect();
-    domains.sort_unstable();
-    domains.dedup();
-    let mut links = Vec::new();
-    for domain in domains {
-        for member in members.values() {
-            let name = link_name(domain, &member.name);
-            let link = LinkPlan::new(name, Protocol::Udp, member.addresses.peers);
-            links.push(LinkPlan { seed, ..link });
-        }
-    }
+    let links = members.values().map(|member| LinkPlan {
+        seed,
+        ..LinkPlan::new(member.name.clone(), Protocol::Udp, member.addresses.peers)
+    });
+    let links = links.collect();
     Proxy::start(Plan {
         control: None,
         links,
     })
     .await
 }
-
-fn link_name(from: &str, to: &str) -> String {
-    format!("{from}>{to}")
-}
