Documents, list and words spread between nodes: readers by hash, news, digests

Cause: every node read the platform by itself; a leaving node was known only to those it had connections with. Conclusion: two readers a domain watch, news is announced and pulled, digests mend; control bytes are counted by kind.

--- a/crates/node/src/config/convert.rs
+++ b/crates/node/src/config/convert.rs
@@ -4,12 +4,14 @@
 
 use coltsfootport_core::admission::{self, AdmissionConfig};
 use coltsfootport_core::allowance::{Backoff, EdgeBudgetConfig};
+use coltsfootport_core::dissemination::{GossipConfig, ReaderConfig, StartUpConfig};
 use coltsfootport_core::lifecycle::LifecycleConfig;
 use coltsfootport_core::once::{FleetKey, OnceConfig};
 use coltsfootport_core::routing::RoutingConfig;
 
 use super::{
     AdmissionMode, AdmissionSettings, OnceSettings, RetriesSettings, Settings, ShutdownSettings,
+    SpreadSettings,
 };
 
 impl From<&AdmissionSettings> for AdmissionConfig {
@@ -53,6 +55,7 @@
 impl From<&ShutdownSettings> for LifecycleConfig {
     fn from(settings: &ShutdownSettings) -> Self {
         Self {
+            accept_for: Duration::ZERO,
             announce_for: settings.announce,
             announce_every: ANNOUNCE_EVERY,
             drain_limit: settings.drain,
@@ -95,6 +98,37 @@
     }
 }
 
+impl From<&Settings> for ReaderConfig {
+    fn from(settings: &Settings) -> Self {
+        Self {
+            readers_per_domain: settings.spread.readers_per_domain as usize,
+            watch_wait: settings.platform.watch,
+            calls_per_read: CALLS_PER_READ,
+            slow_interval: settings.platform.fallback_read,
+            start_fleet: settings.spread.start_fleet as usize,
+            ..Self::default()
+        }
+    }
+}
+
+impl From<&SpreadSettings> for GossipConfig {
+    fn from(settings: &SpreadSettings) -> Self {
+        Self {
+            digest_interval: settings.digest,
+            ..Self::with_peers(settings.gossip_peers as usize)
+        }
+    }
+}
+
+impl From<&SpreadSettings> for StartUpConfig {
+    fn from(settings: &SpreadSettings) -> Self {
+        Self {
+            peer_wait: settings.start_wait,
+            ..Self::default()
+        }
+    }
+}
+
 impl From<&super::FleetKey> for FleetKey {
     fn from(key: &super::FleetKey) -> Self {
         Self {
@@ -104,4 +138,7 @@
     }
 }
 
+/// The configuration service and the list are read apart but share the rates.
+const CALLS_PER_READ: u32 = 2;
+
 const ANNOUNCE_EVERY: Duration = Duration::from_millis(100);
--- a/crates/node/src/config/platform.rs
+++ b/crates/node/src/config/platform.rs
@@ -22,7 +22,7 @@
     fn default() -> Self {
         Self {
             address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0),
-            watch: Duration::from_secs(25),
+            watch: Duration::from_secs(2),
             fallback_read: Duration::from_secs(10),
             timeout: Duration::from_secs(2),
         }
--- a/crates/node/src/config/spread.rs
+++ b/crates/node/src/config/spread.rs
@@ -13,14 +13,20 @@
     pub gossip_peers: u32,
     /// Mean time between two exchanges of digests.
     pub digest: Duration,
+    /// Nodes assumed to start together while the list is not known; spreads their first reads.
+    pub start_fleet: u32,
+    /// Time given to peers at the start before the platform's word alone is enough.
+    pub start_wait: Duration,
 }
 
 impl Default for SpreadSettings {
     fn default() -> Self {
         Self {
             readers_per_domain: 2,
-            gossip_peers: 6,
-            digest: Duration::from_secs(1),
+            gossip_peers: 7,
+            digest: Duration::from_millis(500),
+            start_fleet: 1400,
+            start_wait: Duration::from_secs(2),
         }
     }
 }
@@ -33,6 +39,8 @@
             readers_per_domain: section.integer("readers_per_domain", 0..=100, readers),
             gossip_peers: section.integer("gossip_peers", 0..=100, default.gossip_peers),
             digest: section.millis("digest_ms", 10..=600_000, default.digest),
+            start_fleet: section.integer("start_fleet", 1..=100_000, default.start_fleet),
+            start_wait: section.millis("start_wait_ms", 0..=60_000, default.start_wait),
         };
         section.finish();
         settings
--- a/crates/node/src/data/report.rs
+++ b/crates/node/src/data/report.rs
@@ -3,6 +3,7 @@
 use coltsfootport_core::admission::Level;
 use coltsfootport_core::class::Class;
 use coltsfootport_core::id::{Incarnation, NodeName};
+use coltsfootport_core::membership::NodeState;
 use coltsfootport_core::once::Tick;
 
 use crate::wire::ReportFrame;
@@ -16,8 +17,8 @@
     pub incarnation: Incarnation,
     /// Its monotonic tick.
     pub tick: Tick,
-    /// Whether it is leaving.
-    pub leaving: bool,
+    /// Whether it takes work.
+    pub state: NodeState,
     /// Calls at its target.
     pub in_flight: u32,
     /// Calls that wait.
@@ -36,7 +37,7 @@
             node: report.node.0.clone(),
             incarnation: report.incarnation.0,
             tick: report.tick.0,
-            leaving: report.leaving,
+            state: report.state,
             in_flight: report.in_flight,
             queued: report.queued,
             limit: report.limit,
@@ -53,7 +54,7 @@
             node: NodeName(frame.node),
             incarnation: Incarnation(frame.incarnation),
             tick: Tick(frame.tick),
-            leaving: frame.leaving,
+            state: frame.state,
             in_flight: frame.in_flight,
             queued: frame.queued,
             limit: frame.limit,
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -585,7 +585,7 @@
             node: self.node.clone(),
             incarnation: self.incarnation,
             tick: self.once.tick(now),
-            leaving: self.lifecycle.phase() >= Phase::Leaving,
+            state: self.lifecycle.node_state(),
             in_flight: self.admission.in_flight(),
             queued: self.admission.queued() as u32,
             limit: self.admission.limit(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -9,6 +9,9 @@
 mod peers;
 mod tokens;
 
+use std::ops::Deref;
+use std::sync::Arc;
+
 use prometheus::{Registry, TextEncoder};
 
 pub use admission::AdmissionMetrics;
@@ -19,9 +22,13 @@
 pub use peers::{PeerMetrics, PeerState};
 pub use tokens::{TokenEvent, TokenMetrics};
 
-/// All metrics of a node; clones share the same values.
+/// All metrics of a node; clones share the same values and cost one count.
 #[derive(Clone, Debug)]
-pub struct Metrics {
+pub struct Metrics(Arc<MetricSet>);
+
+/// The metrics by subject.
+#[derive(Debug)]
+pub struct MetricSet {
     /// Calls, retries and the time added to them.
     pub calls: CallMetrics,
     /// Admission in front of the target.
@@ -47,7 +54,7 @@
     /// A metric's name or labels are malformed or used twice: a defect of this module.
     pub fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        Ok(Self {
+        Ok(Self(Arc::new(MetricSet {
             calls: CallMetrics::new(&registry)?,
             admission: AdmissionMetrics::new(&registry)?,
             tokens: TokenMetrics::new(&registry)?,
@@ -56,7 +63,7 @@
             control: ControlMetrics::new(&registry)?,
             faults: FaultMetrics::new(&registry)?,
             registry,
-        })
+        })))
     }
 
     /// The current values in the text format.
@@ -68,3 +75,11 @@
         }
     }
 }
+
+impl Deref for Metrics {
+    type Target = MetricSet;
+
+    fn deref(&self) -> &MetricSet {
+        &self.0
+    }
+}
--- a/crates/node/src/node/life.rs
+++ b/crates/node/src/node/life.rs
@@ -12,7 +12,7 @@
 use crate::host::Host;
 use crate::peers::HubHandle;
 use crate::recorder::Recorder;
-use crate::spread::Published;
+use crate::spread::{Published, SpreadHandle};
 use crate::wire::{ControlRequest, HelloFrame};
 
 /// Starts and stops the node's work.
@@ -21,6 +21,8 @@
     pub gate: GateHandle,
     /// Knows the node's own state.
     pub host: Host,
+    /// Passes on that this node serves.
+    pub spread: SpreadHandle,
     /// Connections to tell of the leaving.
     pub hub: HubHandle,
     /// Stamps announcements.
@@ -50,16 +52,20 @@
                 _ = received(&mut interrupt) => break,
                 _ = self.stopping.wait_for(|stopping| *stopping) => break,
             }
-            ready = ready || self.try_ready();
+            if !ready && self.try_ready() {
+                ready = true;
+                self.announce().await;
+            }
         }
         self.stop().await;
     }
 
     fn try_ready(&self) -> bool {
-        if self.published.borrow().documents.is_empty() {
+        if !self.published.borrow().ready {
             return false;
         }
         self.gate.ready();
+        self.spread.serving();
         info!(self.log, "node serves");
         true
     }
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -6,6 +6,7 @@
 
 use coltsfootport_core::admission::AdmissionConfig;
 use coltsfootport_core::allowance::{Backoff, EdgeBudgetConfig, RetryPolicy};
+use coltsfootport_core::dissemination::{GossipConfig, ReaderConfig, StartUpConfig};
 use coltsfootport_core::id::Incarnation;
 use coltsfootport_core::lifecycle::LifecycleConfig;
 use coltsfootport_core::once::{KeyRing, KeyRingError, OnceConfig};
@@ -28,7 +29,7 @@
 use crate::peers::{FrameLimits, Hub, PeerServer, PeerServices, TlsError, TlsMaterial, bind};
 use crate::recorder::Recorder;
 use crate::routes::{Routes, RoutesSetup};
-use crate::spread::{PlatformClient, Published, Spread, SpreadSetup};
+use crate::spread::{PlatformClient, Published, Spread, SpreadHandle, SpreadSetup};
 
 /// Why a node could not start or run on.
 #[derive(Debug, thiserror::Error)]
@@ -93,17 +94,8 @@
     });
     tokio::spawn(routes_task.run());
 
-    let platform = PlatformClient::new(settings.platform.address, settings.platform.timeout);
-    let (spread_task, spread) = Spread::new(SpreadSetup {
-        platform,
-        watch: settings.platform.watch,
-        clock: Arc::clone(&clock),
-        recorder: recorder.clone(),
-        metrics: metrics.clone(),
-        published: published_tx,
-        words,
-    });
-    tokio::spawn(spread_task.run());
+    let (spread_tx, spread_rx) = mpsc::unbounded_channel();
+    let spread = SpreadHandle::new(spread_tx.clone());
 
     let body_limit = settings.limits.body_bytes as usize;
     let (pool_task, pool) = TargetPool::new(
@@ -139,6 +131,7 @@
         host: host.clone(),
         gate: gate.clone(),
         routes: routes.clone(),
+        spread: spread.clone(),
         clock: Arc::clone(&clock),
         recorder: recorder.clone(),
         metrics: metrics.clone(),
@@ -148,6 +141,25 @@
     tokio::spawn(hub_task.run());
     tokio::spawn(PeerServer::new(endpoint.clone(), services, hub.clone()).run());
 
+    let spread_task = Spread::new(SpreadSetup {
+        node: name.clone(),
+        started,
+        reader: ReaderConfig::from(&settings),
+        gossip: GossipConfig::from(&settings.spread),
+        start_up: StartUpConfig::from(&settings.spread),
+        platform: PlatformClient::new(settings.platform.address, settings.platform.timeout),
+        hub: hub.clone(),
+        clock: Arc::clone(&clock),
+        recorder: recorder.clone(),
+        metrics: metrics.clone(),
+        log: log.clone(),
+        published: published_tx,
+        words,
+        tx: spread_tx,
+        rx: spread_rx,
+    });
+    tokio::spawn(spread_task.run());
+
     let keys = KeyRing::new(settings.fleet_keys.iter().map(Into::into).collect())?;
     let tokens = TokenIssuer::new(routes.clone(), hub.clone(), Arc::new(keys));
     let dispatcher = Dispatcher::new(DispatcherSetup {
@@ -209,7 +221,7 @@
         incarnation,
         gate: gate.clone(),
         routes: routes.clone(),
-        spread,
+        spread: spread.clone(),
         recorder: recorder.clone(),
         metrics: metrics.clone(),
         published: published.clone(),
@@ -230,6 +242,7 @@
         gate,
         host,
         hub,
+        spread: spread.clone(),
         recorder,
         published,
         stopping,
--- a/crates/node/src/peers/hub.rs
+++ b/crates/node/src/peers/hub.rs
@@ -219,7 +219,7 @@
         .await
         .ok()?
         .ok()?;
-    let link = Link::new(connection.clone(), services.limits);
+    let link = services.link(connection.clone());
     let own = services.host.report().await?;
     let hello = HelloFrame::new(&own, services.recorder.stamp());
     let greeting = link.control(ControlRequest::Greet(hello), CONNECT_TIME);
--- a/crates/node/src/peers/link.rs
+++ b/crates/node/src/peers/link.rs
@@ -6,6 +6,7 @@
 use quinn::{Connection, VarInt};
 
 use crate::data::{Call, Reply};
+use crate::metrics::Metrics;
 use crate::recorder::Recorder;
 use crate::wire::{
     CallFrame, ControlReply, ControlRequest, FrameError, PeerReply, PeerRequest, read_body,
@@ -26,6 +27,7 @@
 pub struct Link {
     connection: Connection,
     limits: FrameLimits,
+    metrics: Metrics,
 }
 
 /// Why an exchange with a peer failed.
@@ -41,8 +43,12 @@
 
 impl Link {
     /// Wraps an open connection.
-    pub fn new(connection: Connection, limits: FrameLimits) -> Self {
-        Self { connection, limits }
+    pub fn new(connection: Connection, limits: FrameLimits, metrics: Metrics) -> Self {
+        Self {
+            connection,
+            limits,
+            metrics,
+        }
     }
 
     /// Whether the connection has ended.
@@ -83,8 +89,8 @@
         let frame = CallFrame::new(call, stamp, recorder.now());
         let head = PeerRequest::Call(Box::new(frame));
         write_frame(&mut tx, &head, call.body.clone()).await?;
-        let head: PeerReply = read_head(&mut rx, self.limits.head).await?;
-        let PeerReply::Call(frame) = head else {
+        let head = read_head(&mut rx, self.limits.head).await?;
+        let PeerReply::Call(frame) = head.value else {
             return Err(FrameError::Malformed.into());
         };
         recorder.observe(frame.stamp);
@@ -127,8 +133,13 @@
             .await
             .map_err(|_| LinkError::NotSent)?;
         let _ = tx.set_priority(CONTROL_PRIORITY);
-        write_frame(&mut tx, &PeerRequest::Control(request), Bytes::new()).await?;
-        match read_head(&mut rx, self.limits.body).await? {
+        let kind = request.kind();
+        let request = PeerRequest::Control(request);
+        let written = write_frame(&mut tx, &request, Bytes::new()).await?;
+        self.metrics.control.sent(kind, written);
+        let head = read_head(&mut rx, self.limits.body).await?;
+        self.metrics.control.received(kind, head.bytes);
+        match head.value {
             PeerReply::Control(reply) => Ok(reply),
             PeerReply::Call(_) => Err(FrameError::Malformed.into()),
         }
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -13,8 +13,9 @@
 use crate::metrics::{Metrics, Rejected};
 use crate::recorder::Recorder;
 use crate::routes::RoutesHandle;
+use crate::spread::SpreadHandle;
 use crate::wire::{
-    CallFrame, ControlReply, ControlRequest, FrameError, HeaderFrame, HelloFrame, PeerReply,
+    CallFrame, ControlReply, ControlRequest, FrameError, Head, HeaderFrame, HelloFrame, PeerReply,
     PeerRequest, RefusalFrame, ReplyFrame, read_body, read_head, write_frame,
 };
 
@@ -27,6 +28,8 @@
     pub gate: GateHandle,
     /// Takes note of what peers tell about themselves.
     pub routes: RoutesHandle,
+    /// Exchanges what is published.
+    pub spread: SpreadHandle,
     /// The process's clock.
     pub clock: SharedClock,
     /// Where events are recorded.
@@ -46,6 +49,10 @@
 }
 
 impl PeerServices {
+    pub(super) fn link(&self, connection: Connection) -> Link {
+        Link::new(connection, self.limits, self.metrics.clone())
+    }
+
     fn hear(&self, hello: HelloFrame) {
         self.recorder.observe(hello.stamp);
         self.routes.heard(HostReport::from(hello.report));
@@ -69,7 +76,7 @@
             tokio::spawn(async move {
                 match incoming.await {
                     Ok(connection) => {
-                        hub.accepted(Link::new(connection.clone(), services.limits));
+                        hub.accepted(services.link(connection.clone()));
                         serve_connection(connection, services).await;
                     }
                     // A peer without a certificate of the fleet ends here, before any stream.
@@ -99,9 +106,14 @@
     mut rx: RecvStream,
     services: PeerServices,
 ) -> Result<(), FrameError> {
-    match read_head(&mut rx, services.limits.head).await? {
+    let Head { value, bytes } =
+        read_head(&mut rx, services.limits.head.max(services.limits.body)).await?;
+    match value {
         PeerRequest::Call(frame) => serve_call(*frame, tx, rx, services).await,
-        PeerRequest::Control(request) => serve_control(request, tx, services).await,
+        PeerRequest::Control(request) => {
+            services.metrics.control.received(request.kind(), bytes);
+            serve_control(request, tx, services).await
+        }
     }
 }
 
@@ -132,6 +144,7 @@
     mut tx: SendStream,
     services: PeerServices,
 ) -> Result<(), FrameError> {
+    let kind = request.kind();
     let reply = match request {
         ControlRequest::Greet(hello) => {
             services.hear(hello);
@@ -147,11 +160,11 @@
             let refusal = services.gate.refuse(token, Try(up_to)).await;
             ControlReply::Refuse(refusal_frame(refusal))
         }
-        ControlRequest::Digest(_) | ControlRequest::Pull(_) | ControlRequest::Push(_) => {
-            ControlReply::Done
-        }
+        published => services.spread.answer(published).await,
     };
-    write_frame(&mut tx, &PeerReply::Control(reply), Bytes::new()).await?;
+    let reply = PeerReply::Control(reply);
+    let written = write_frame(&mut tx, &reply, Bytes::new()).await?;
+    services.metrics.control.sent(kind, written);
     Ok(())
 }
 
--- a/crates/node/src/routes/task.rs
+++ b/crates/node/src/routes/task.rs
@@ -10,6 +10,7 @@
 };
 use coltsfootport_core::collections::Map;
 use coltsfootport_core::id::{Incarnation, NodeName, ServiceName};
+use coltsfootport_core::membership::NodeState;
 use coltsfootport_core::once::{Minter, Token};
 use coltsfootport_core::routing::{LoadReport, PeerKey, RouteResult, Router, RoutingConfig};
 use rand::SeedableRng;
@@ -62,7 +63,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Told {
     incarnation: Incarnation,
-    leaving: bool,
+    state: NodeState,
 }
 
 impl Routes {
@@ -234,13 +235,13 @@
             .heard(report.node.clone(), report.incarnation, report.tick);
         let told = Told {
             incarnation: report.incarnation,
-            leaving: report.leaving,
+            state: report.state,
         };
         if self.told.get(&report.node) == Some(&told) {
             return;
         }
         self.told.insert(report.node.clone(), told);
-        if report.leaving {
+        if report.state == NodeState::Leaving {
             self.router.leaving(&report.node, report.incarnation);
         }
         let _ = self.words.send(Word::from(report));
@@ -273,7 +274,11 @@
         Some(PeerLoad {
             node: node.clone(),
             service: view.service.clone(),
-            leaving: view.leaving || self.told.get(node).is_some_and(|told| told.leaving),
+            leaving: view.leaving
+                || self
+                    .told
+                    .get(node)
+                    .is_some_and(|told| told.state == NodeState::Leaving),
             in_flight: self.router.in_flight(key),
             ejected: self.router.is_ejected(key, now),
         })
--- a/crates/node/src/spread.rs
+++ b/crates/node/src/spread.rs
@@ -1,11 +1,21 @@
 //! What is published: documents and instances, as this node holds them.
 
+mod exchange;
+mod handle;
+mod message;
+mod peers;
 mod platform_client;
 mod published;
+mod read;
+mod setup;
+mod status;
 mod task;
 mod word;
 
+pub use handle::SpreadHandle;
+pub use message::SpreadMessage;
 pub use platform_client::{PlatformClient, PlatformError};
 pub use published::{DocumentInForce, NodeEntry, Published};
-pub use task::{Spread, SpreadHandle, SpreadSetup};
+pub use setup::SpreadSetup;
+pub use task::Spread;
 pub use word::Word;
--- /dev/null
+++ b/crates/node/src/spread/handle.rs
@@ -0,0 +1,51 @@
+//! Sends messages to the spread task.
+
+use tokio::sync::{mpsc, oneshot};
+
+use super::SpreadMessage;
+use crate::operators::{DocumentStatus, PlatformStatus};
+use crate::wire::{ControlReply, ControlRequest};
+
+/// Handle to the spread task.
+#[derive(Clone, Debug)]
+pub struct SpreadHandle {
+    tx: mpsc::UnboundedSender<SpreadMessage>,
+}
+
+impl SpreadHandle {
+    /// A handle that sends into `tx`.
+    pub fn new(tx: mpsc::UnboundedSender<SpreadMessage>) -> Self {
+        Self { tx }
+    }
+
+    /// Answers a peer's request about what is published.
+    pub async fn answer(&self, request: ControlRequest) -> ControlReply {
+        self.ask(|reply| SpreadMessage::Asked(request, reply))
+            .await
+            .unwrap_or(ControlReply::Done)
+    }
+
+    /// Tells that this node has begun to serve.
+    pub fn serving(&self) {
+        let _ = self.tx.send(SpreadMessage::Serving);
+    }
+
+    /// State of every document.
+    pub async fn documents(&self) -> Vec<DocumentStatus> {
+        self.ask(SpreadMessage::Documents).await.unwrap_or_default()
+    }
+
+    /// State of the platform as seen from here.
+    pub async fn platform(&self) -> PlatformStatus {
+        self.ask(SpreadMessage::Platform).await.unwrap_or_default()
+    }
+
+    async fn ask<T, M>(&self, message: M) -> Option<T>
+    where
+        M: FnOnce(oneshot::Sender<T>) -> SpreadMessage,
+    {
+        let (reply, answer) = oneshot::channel();
+        self.tx.send(message(reply)).ok()?;
+        answer.await.ok()
+    }
+}
--- a/crates/node/src/spread/published.rs
+++ b/crates/node/src/spread/published.rs
@@ -17,6 +17,8 @@
     pub nodes: Vec<NodeEntry>,
     /// Highest revision of the configuration service known here.
     pub revision: u64,
+    /// Whether this node knows enough to serve.
+    pub ready: bool,
 }
 
 /// A document that calls are classified by.
--- a/crates/node/src/spread/task.rs
+++ b/crates/node/src/spread/task.rs
@@ -3,118 +3,103 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coltsfootport_core::dissemination::{Entry, InForce, Key, Offer, Replica, Revision, Verdict};
+use coltsfootport_core::collections::Map;
+use coltsfootport_core::dissemination::{
+    Digest, Entry, GossipPlan, InForce, Key, Offer, PullConfig, Pulls, ReaderPolicy, Replica,
+    Revision, StartUp, Verdict,
+};
 use coltsfootport_core::document::Document;
-use coltsfootport_core::id::ServiceName;
+use coltsfootport_core::id::{NodeName, ServiceName};
 use coltsfootport_core::jsonc::Fault;
-use coltsfootport_core::membership::{MembershipConfig, View};
+use coltsfootport_core::membership::{
+    InstanceEntry, MembershipConfig, NodeState, View, WordOutcome,
+};
 use coltsfootport_core::routing::PeerView;
 use coltsfootport_core::timeline::Event;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slog::{info, warn};
 use smol_str::SmolStr;
-use tokio::sync::{mpsc, oneshot, watch};
 
-use super::platform_client::{ConfigEntry, ConfigPage, InstancePage};
-use super::{DocumentInForce, NodeEntry, PlatformClient, Published, Word};
-use crate::clock::SharedClock;
-use crate::metrics::{Metrics, PlatformRead};
-use crate::operators::{DocumentStatus, PlatformStatus};
-use crate::recorder::Recorder;
-
-/// What the task is made of.
-pub struct SpreadSetup {
-    /// Reads the platform.
-    pub platform: PlatformClient,
-    /// How long one read waits at the platform for news.
-    pub watch: Duration,
-    /// The process's clock.
-    pub clock: SharedClock,
-    /// Where events are recorded.
-    pub recorder: Recorder,
-    /// Metrics of the process.
-    pub metrics: Metrics,
-    /// Where snapshots are published to the other tasks.
-    pub published: watch::Sender<Arc<Published>>,
-    /// Words of nodes about themselves.
-    pub words: mpsc::UnboundedReceiver<Word>,
-}
+use super::{DocumentInForce, NodeEntry, Published, SpreadMessage, SpreadSetup, Word};
 
 /// The task that owns the replica of published entries and the view of the fleet.
 pub struct Spread {
-    replica: Replica,
-    documents: InForce<Arc<Document>, Vec<Fault>>,
-    view: View,
-    platform: PlatformClient,
-    watch: Duration,
-    last_read: Option<Instant>,
-    reachable: bool,
-    clock: SharedClock,
-    recorder: Recorder,
-    metrics: Metrics,
-    published: watch::Sender<Arc<Published>>,
-    words: mpsc::UnboundedReceiver<Word>,
-    tx: mpsc::UnboundedSender<SpreadMessage>,
-    rx: mpsc::UnboundedReceiver<SpreadMessage>,
-}
-
-/// Handle to the task.
-#[derive(Clone, Debug)]
-pub struct SpreadHandle {
-    tx: mpsc::UnboundedSender<SpreadMessage>,
-}
-
-#[derive(Debug)]
-enum SpreadMessage {
-    Config(Option<ConfigPage>),
-    Instances(Option<InstancePage>),
-    Documents(oneshot::Sender<Vec<DocumentStatus>>),
-    Platform(oneshot::Sender<PlatformStatus>),
+    pub(super) setup: SpreadSetup,
+    pub(super) replica: Replica,
+    pub(super) documents: InForce<Arc<Document>, Vec<Fault>>,
+    pub(super) view: View,
+    pub(super) config_reads: ReaderPolicy,
+    pub(super) list_reads: ReaderPolicy,
+    pub(super) gossip: GossipPlan,
+    pub(super) pulls: Pulls,
+    pub(super) start_up: StartUp,
+    /// Digest of the peer with which versions are being compared.
+    pub(super) compared: Option<Digest>,
+    pub(super) last_read: Option<Instant>,
+    pub(super) reachable: bool,
+    pub(super) serving: bool,
+    /// When each node that the list still shows as live was heard to leave.
+    pub(super) left: Map<NodeName, Instant>,
+    pub(super) rng: SmallRng,
+    epoch: u64,
+    reader: bool,
 }
 
 impl Spread {
-    /// The task and its handle.
-    pub fn new(setup: SpreadSetup) -> (Self, SpreadHandle) {
-        let (tx, rx) = mpsc::unbounded_channel();
-        let handle = SpreadHandle { tx: tx.clone() };
-        let spread = Self {
+    /// The task.
+    pub fn new(setup: SpreadSetup) -> Self {
+        let view = View::new(MembershipConfig::default());
+        Self {
             replica: Replica::new(),
             documents: InForce::new(),
-            view: View::new(MembershipConfig::default()),
-            platform: setup.platform,
-            watch: setup.watch,
+            config_reads: ReaderPolicy::new(setup.reader),
+            list_reads: ReaderPolicy::new(setup.reader),
+            gossip: GossipPlan::new(setup.gossip, &setup.node, &view),
+            pulls: Pulls::new(PullConfig::default()),
+            start_up: StartUp::new(setup.start_up, setup.started),
+            compared: None,
             last_read: None,
             reachable: false,
-            clock: setup.clock,
-            recorder: setup.recorder,
-            metrics: setup.metrics,
-            published: setup.published,
-            words: setup.words,
-            tx,
-            rx,
-        };
-        (spread, handle)
+            serving: false,
+            left: Map::default(),
+            rng: SmallRng::from_os_rng(),
+            epoch: view.epoch(),
+            reader: false,
+            view,
+            setup,
+        }
     }
 
     /// Runs until the process ends.
     pub async fn run(mut self) {
-        self.read_config();
-        self.read_instances();
-        let mut tick = tokio::time::interval(ADVANCE_INTERVAL);
+        let mut tick = tokio::time::interval(TICK);
         loop {
             tokio::select! {
-                message = self.rx.recv() => match message {
+                message = self.setup.rx.recv() => match message {
                     Some(message) => self.handle(message),
                     None => return,
                 },
-                Some(word) = self.words.recv() => self.hear(word),
+                Some(word) = self.setup.words.recv() => self.hear(word),
                 _ = tick.tick() => self.advance(),
             }
+            self.read_if_due();
         }
     }
 
     fn handle(&mut self, message: SpreadMessage) {
         match message {
-            SpreadMessage::Config(page) => self.config_read(page),
-            SpreadMessage::Instances(page) => self.instances_read(page),
+            SpreadMessage::ConfigRead(page) => self.config_read(page),
+            SpreadMessage::ListRead(page) => self.list_read(page),
+            SpreadMessage::Asked(request, reply) => {
+                let _ = reply.send(self.answer(request));
+            }
+            SpreadMessage::Replied(node, reply) => self.replied(&node, reply),
+            SpreadMessage::Unreachable(node) => {
+                self.view.unreachable(&node, self.now());
+                self.view_changed();
+            }
+            SpreadMessage::Serving => self.serving = true,
             SpreadMessage::Documents(reply) => {
                 let _ = reply.send(self.document_status());
             }
@@ -124,124 +109,132 @@
         }
     }
 
-    fn read_config(&self) {
-        let (platform, watch, tx) = (self.platform, self.watch, self.tx.clone());
-        let after = self.replica.complete().0;
-        tokio::spawn(async move {
-            let page = platform.config(after, watch).await.ok();
-            if page.is_none() {
-                tokio::time::sleep(RETRY_INTERVAL).await;
-            }
-            let _ = tx.send(SpreadMessage::Config(page));
-        });
-    }
-
-    fn read_instances(&self) {
-        let (platform, watch, tx) = (self.platform, self.watch, self.tx.clone());
-        let after = self.view.revision().0;
-        tokio::spawn(async move {
-            let page = platform.instances(after, watch).await.ok();
-            if page.is_none() {
-                tokio::time::sleep(RETRY_INTERVAL).await;
+    /// Takes in entries from the platform or a peer and tells peers what is new.
+    pub(super) fn apply(&mut self, entries: Vec<Entry>, complete: Option<Revision>) {
+        let before = self.replica.digest();
+        let mut news = Vec::new();
+        for applied in self.replica.apply(entries, complete) {
+            self.offer(&applied.entry);
+            self.pulls
+                .arrived(&applied.entry.key, applied.entry.revision);
+            if applied.newest {
+                news.push(applied.entry);
             }
-            let _ = tx.send(SpreadMessage::Instances(page));
-        });
-    }
-
-    fn config_read(&mut self, page: Option<ConfigPage>) {
-        self.note_read(page.as_ref().map(|page| !page.entries.is_empty()));
-        if let Some(page) = page {
-            let entries = page.entries.into_iter().map(Entry::from).collect();
-            self.apply(entries, Some(Revision(page.revision)));
         }
-        self.read_config();
-    }
-
-    fn instances_read(&mut self, page: Option<InstancePage>) {
-        self.note_read(page.as_ref().map(|page| !page.instances.is_empty()));
-        if let Some(page) = page.filter(|page| !page.instances.is_empty()) {
-            let now = self.clock.now();
-            self.view
-                .apply_list(Revision(page.revision), page.instances, now);
-            self.publish();
+        self.start_up.have(&self.replica);
+        if !news.is_empty() {
+            self.tell_news(&news);
         }
-        self.read_instances();
-    }
-
-    fn note_read(&mut self, news: Option<bool>) {
-        let end = match news {
-            Some(true) => PlatformRead::News,
-            Some(false) => PlatformRead::Nothing,
-            None => PlatformRead::Failed,
-        };
-        self.metrics.documents.read(end);
-        self.reachable = news.is_some();
-        if self.reachable {
-            self.last_read = Some(self.clock.now());
-        }
-    }
-
-    fn apply(&mut self, entries: Vec<Entry>, highest: Option<Revision>) {
-        for applied in self.replica.apply(entries, highest) {
-            self.offer(&applied.entry);
+        if self.replica.digest() != before {
+            self.publish();
         }
-        self.metrics
-            .documents
-            .set_platform_revision(self.replica.revision().0);
-        self.publish();
     }
 
+    /// Puts a version in force, or shows why it can't be.
     fn offer(&mut self, entry: &Entry) {
         let Some(service) = service_of(&entry.key) else {
             return;
         };
         let parsed = Document::parse_for(&service, &entry.value).map(Arc::new);
-        let fault = parsed
-            .as_ref()
-            .err()
-            .and_then(|faults| faults.first())
-            .map(Fault::to_string);
+        let fault = first_fault(&parsed);
         let revision = entry.revision.0;
-        match self.documents.offer(&entry.key, entry.revision, parsed) {
+        let metrics = &self.setup.metrics.documents;
+        let event = match self.documents.offer(&entry.key, entry.revision, parsed) {
             Offer::InForce => {
                 self.replica
                     .judge(&entry.key, entry.revision, Verdict::Valid);
-                self.metrics.documents.set_in_force(&service, revision);
-                self.recorder
-                    .record(None, Event::DocumentInForce { service, revision });
+                metrics.set_in_force(&service, revision);
+                info!(self.setup.log, "document in force"; "document" => %service, "revision" => revision);
+                Event::DocumentInForce { service, revision }
             }
             Offer::Rejected => {
                 self.replica
                     .judge(&entry.key, entry.revision, Verdict::Invalid);
-                self.metrics.documents.rejected(&service);
-                let fault = SmolStr::from(fault.unwrap_or_default());
-                self.recorder.record(
-                    None,
-                    Event::DocumentRejected {
-                        service,
-                        revision,
-                        fault,
-                    },
-                );
+                metrics.rejected(&service);
+                warn!(self.setup.log, "document rejected"; "document" => %service, "revision" => revision, "fault" => %fault);
+                Event::DocumentRejected {
+                    service,
+                    revision,
+                    fault,
+                }
             }
-            Offer::Unchanged => {}
-            Offer::Refused(breach) => self.recorder.breach(breach),
-        }
+            Offer::Unchanged => return,
+            Offer::Refused(breach) => return self.setup.recorder.breach(breach),
+        };
+        self.setup.recorder.record(None, event);
     }
 
-    fn hear(&mut self, word: Word) {
-        let now = self.clock.now();
-        self.view
+    /// Takes in what a node told about itself, and passes on what changed.
+    pub(super) fn hear(&mut self, word: Word) {
+        let now = self.now();
+        let (node, state) = (word.node.clone(), word.state);
+        let outcome = self
+            .view
             .heard(&word.node, word.incarnation, word.state, word.tick, now);
-        self.publish();
+        if outcome != WordOutcome::Changed {
+            return;
+        }
+        match state {
+            NodeState::Leaving => self.left.insert(node.clone(), now),
+            NodeState::Starting | NodeState::Serving => self.left.remove(&node),
+        };
+        let event = match state {
+            NodeState::Leaving => Event::PeerLeaving { peer: node },
+            NodeState::Starting | NodeState::Serving => Event::PeerUp { peer: node },
+        };
+        self.setup.recorder.record(None, event);
+        self.pass_on(&word);
+        self.view_changed();
     }
 
     fn advance(&mut self) {
-        if self.view.advance(self.clock.now()) {
+        let now = self.now();
+        if self.view.advance(now) {
+            self.view_changed();
+        }
+        self.exchange_digests(now);
+        self.retry_pulls(now);
+        self.probe_left(now);
+        if !self.setup.published.borrow().ready && self.start_up.ready(now) {
             self.publish();
         }
     }
 
+    /// Follows a changed view: other peers, perhaps another reader, and another snapshot.
+    pub(super) fn view_changed(&mut self) {
+        if self.view.epoch() == self.epoch {
+            return;
+        }
+        self.epoch = self.view.epoch();
+        let now = self.now();
+        self.config_reads.observe(&self.setup.node, &self.view, now);
+        self.list_reads.observe(&self.setup.node, &self.view, now);
+        self.gossip.update(&self.setup.node, &self.view);
+        self.note_reader(
+            self.config_reads
+                .is_reader(&self.setup.node, &self.view, now),
+        );
+        self.publish();
+    }
+
+    fn note_reader(&mut self, reader: bool) {
+        if reader == self.reader {
+            return;
+        }
+        self.reader = reader;
+        self.setup.metrics.documents.set_reader(reader);
+        let event = if reader {
+            Event::ReaderBecame
+        } else {
+            Event::ReaderCeased
+        };
+        self.setup.recorder.record(None, event);
+    }
+
+    pub(super) fn is_reader(&self) -> bool {
+        self.reader
+    }
+
     fn publish(&self) {
         let documents = self
             .documents
@@ -254,10 +247,13 @@
             .map(|entry| self.node_entry(entry))
             .collect();
         let revision = self.replica.revision().0;
-        self.published.send_replace(Arc::new(Published {
+        self.setup.metrics.documents.set_platform_revision(revision);
+        let ready = self.start_up.ready(self.now());
+        self.setup.published.send_replace(Arc::new(Published {
             documents,
             nodes,
             revision,
+            ready,
         }));
     }
 
@@ -268,7 +264,7 @@
         Some((service_of(key)?, DocumentInForce { revision, document }))
     }
 
-    fn node_entry(&self, entry: &coltsfootport_core::membership::InstanceEntry) -> NodeEntry {
+    fn node_entry(&self, entry: &InstanceEntry) -> NodeEntry {
         NodeEntry {
             view: PeerView {
                 node: entry.node.clone(),
@@ -283,80 +279,25 @@
         }
     }
 
-    fn document_status(&self) -> Vec<DocumentStatus> {
-        self.documents
-            .keys()
-            .filter_map(|key| self.status_of(key))
-            .collect()
-    }
-
-    fn status_of(&self, key: &Key) -> Option<DocumentStatus> {
-        let rejected = self.documents.rejected(key);
-        let faults = rejected
-            .map(|rejected| rejected.faults.as_slice())
-            .unwrap_or_default();
-        Some(DocumentStatus {
-            service: service_of(key)?,
-            revision: self.replica.get(key).map_or(0, |entry| entry.revision.0),
-            in_force: self.documents.get(key).map(|version| version.revision.0),
-            rejected: faults
-                .iter()
-                .map(|fault| SmolStr::from(fault.to_string()))
-                .collect(),
-        })
-    }
-
-    fn platform_status(&self) -> PlatformStatus {
-        let now = self.clock.now();
-        let age = self
-            .last_read
-            .map(|at| now.saturating_duration_since(at).as_millis() as u64);
-        PlatformStatus {
-            reachable: self.reachable,
-            last_read_ms: age,
-            revision: self.replica.revision().0,
-            reader: true,
-        }
-    }
-}
-
-impl SpreadHandle {
-    /// State of every document.
-    pub async fn documents(&self) -> Vec<DocumentStatus> {
-        self.ask(SpreadMessage::Documents).await.unwrap_or_default()
-    }
-
-    /// State of the platform as seen from here.
-    pub async fn platform(&self) -> PlatformStatus {
-        self.ask(SpreadMessage::Platform).await.unwrap_or_default()
-    }
-
-    async fn ask<T, M>(&self, message: M) -> Option<T>
-    where
-        M: FnOnce(oneshot::Sender<T>) -> SpreadMessage,
-    {
-        let (reply, answer) = oneshot::channel();
-        self.tx.send(message(reply)).ok()?;
-        answer.await.ok()
+    pub(super) fn now(&self) -> Instant {
+        self.setup.clock.now()
     }
 }
 
-const RETRY_INTERVAL: Duration = Duration::from_millis(500);
-const ADVANCE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(100);
 
 /// Prefix of the keys under which documents are published.
 const DOCUMENTS: &str = "documents/";
 
-fn service_of(key: &Key) -> Option<ServiceName> {
+pub(super) fn service_of(key: &Key) -> Option<ServiceName> {
     key.0.strip_prefix(DOCUMENTS).map(ServiceName::from)
 }
 
-impl From<ConfigEntry> for Entry {
-    fn from(entry: ConfigEntry) -> Self {
-        Self {
-            key: Key::from(entry.key.as_str()),
-            revision: Revision(entry.revision),
-            value: Arc::from(entry.value),
-        }
-    }
+fn first_fault(parsed: &Result<Arc<Document>, Vec<Fault>>) -> SmolStr {
+    let faults = parsed.as_ref().err();
+    let first = faults.and_then(|faults| faults.first());
+    first
+        .map(|fault| SmolStr::from(fault.to_string()))
+        .unwrap_or_default()
 }
--- a/crates/node/src/spread/word.rs
+++ b/crates/node/src/spread/word.rs
@@ -23,11 +23,7 @@
         Self {
             node: report.node.clone(),
             incarnation: report.incarnation,
-            state: if report.leaving {
-                NodeState::Leaving
-            } else {
-                NodeState::Serving
-            },
+            state: report.state,
             tick: Tick(report.tick.0),
         }
     }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -9,7 +9,10 @@
 pub use answer_frame::{ReplyFrame, ReportFrame, VerdictFrame};
 pub use call_frame::{CallFrame, OnceFrame};
 pub use control::{
-    ControlReply, ControlRequest, EntryFrame, HelloFrame, RefusalFrame, VersionFrame,
+    ControlReply, ControlRequest, DigestFrame, EntryFrame, HelloFrame, NewsFrame, RefusalFrame,
+    VersionFrame, WordFrame,
+};
+pub use frame::{
+    FrameError, Head, PeerReply, PeerRequest, checksum, read_body, read_head, write_frame,
 };
-pub use frame::{FrameError, PeerReply, PeerRequest, checksum, read_body, read_head, write_frame};
 pub use header_frame::HeaderFrame;
--- a/crates/node/src/wire/answer_frame.rs
+++ b/crates/node/src/wire/answer_frame.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use coltsfootport_core::error_kind::ErrorKind;
+use coltsfootport_core::membership::NodeState;
 use coltsfootport_core::timeline::Stamp;
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
@@ -61,8 +62,8 @@
     pub incarnation: u128,
     /// Its monotonic tick in milliseconds.
     pub tick: u64,
-    /// Whether it is leaving.
-    pub leaving: bool,
+    /// Whether it takes work.
+    pub state: NodeState,
     /// Calls at its target.
     pub in_flight: u32,
     /// Calls that wait.
--- a/crates/node/src/wire/control.rs
+++ b/crates/node/src/wire/control.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use coltsfootport_core::dissemination::{Digest, Entry, Key, KeyVersion, Revision};
+use coltsfootport_core::membership::{ListDelta, NodeState};
 use coltsfootport_core::once::Token;
 use coltsfootport_core::timeline::Stamp;
 use serde::{Deserialize, Serialize};
@@ -10,6 +11,7 @@
 
 use super::{HeaderFrame, ReportFrame};
 use crate::data::HostReport;
+use crate::metrics::ControlKind;
 
 /// A control request; it has a lane of its own that overload does not shed.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -27,12 +29,22 @@
         /// Highest try to refuse.
         up_to: u32,
     },
-    /// Compares published entries.
-    Digest(Digest),
-    /// Asks for every entry newer than what the sender holds.
-    Pull(Vec<VersionFrame>),
-    /// Hands over newer entries.
-    Push(Vec<EntryFrame>),
+    /// Compares what is published, as each side holds it.
+    Digest(DigestFrame),
+    /// Asks for every entry above a revision.
+    PullSince(u64),
+    /// Asks for single entries.
+    PullKeys(Vec<SmolStr>),
+    /// Says which versions the sender holds and asks for those of the receiver.
+    Versions(Vec<VersionFrame>),
+    /// Asks for the changes of the list of instances after a revision.
+    PullList(u64),
+    /// Tells of new entries.
+    News(NewsFrame),
+    /// Hands over entries that the receiver was seen to lack.
+    Entries(Vec<EntryFrame>),
+    /// Passes on what nodes told about themselves.
+    Words(Vec<WordFrame>),
 }
 
 /// The reply to a control request.
@@ -43,9 +55,18 @@
     /// What the home says of the token.
     Refuse(RefusalFrame),
     /// The receiver's digest.
-    Digest(Digest),
-    /// Entries that the asker lacks.
-    Entries(Vec<EntryFrame>),
+    Digest(DigestFrame),
+    /// The entries asked for.
+    Entries {
+        /// The entries.
+        entries: Vec<EntryFrame>,
+        /// Revision up to which they are whole, where all after a revision were asked for.
+        complete: Option<u64>,
+    },
+    /// The versions that the receiver holds.
+    Versions(Vec<VersionFrame>),
+    /// The changes of the list of instances.
+    List(ListDelta),
     /// Nothing to say.
     Done,
 }
@@ -81,6 +102,47 @@
     RefusedForGood,
 }
 
+/// What a node holds of everything published.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DigestFrame {
+    /// The sender.
+    pub node: SmolStr,
+    /// Whether the sender serves, so that its word counts at the start of others.
+    pub serving: bool,
+    /// Its copy of the entries.
+    pub digest: Digest,
+    /// Revision of its list of instances.
+    pub list: u64,
+    /// Milliseconds since the last read of the configuration service that it knows of.
+    pub config_age_ms: Option<u64>,
+    /// Milliseconds since the last read of the list that it knows of.
+    pub list_age_ms: Option<u64>,
+}
+
+/// New entries at a node.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NewsFrame {
+    /// The sender, which can be asked for them.
+    pub node: SmolStr,
+    /// Entries that are announced only.
+    pub notices: Vec<VersionFrame>,
+    /// Entries that are small enough to go along.
+    pub entries: Vec<EntryFrame>,
+}
+
+/// What a node told about itself, passed on by others.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WordFrame {
+    /// The node.
+    pub node: SmolStr,
+    /// Its run.
+    pub incarnation: u128,
+    /// Its state.
+    pub state: NodeState,
+    /// When it was told, by the node's own tick.
+    pub tick: u64,
+}
+
 /// A key and the revision held of it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct VersionFrame {
@@ -88,8 +150,8 @@
     pub key: SmolStr,
     /// Its revision.
     pub revision: u64,
-    /// Revision in force where the newest was rejected.
-    pub fallback: Option<u64>,
+    /// Revision in force, where the newest is not.
+    pub in_force: Option<u64>,
 }
 
 /// A published entry.
@@ -103,6 +165,23 @@
     pub value: String,
 }
 
+impl ControlRequest {
+    /// What the request and its reply are counted under.
+    pub fn kind(&self) -> ControlKind {
+        match self {
+            Self::Greet(_) | Self::Announce(_) => ControlKind::Hello,
+            Self::Ping | Self::Words(_) => ControlKind::Report,
+            Self::Refuse { .. } => ControlKind::Burn,
+            Self::Digest(_) | Self::Versions(_) => ControlKind::Digest,
+            Self::PullSince(_)
+            | Self::PullKeys(_)
+            | Self::PullList(_)
+            | Self::News(_)
+            | Self::Entries(_) => ControlKind::Documents,
+        }
+    }
+}
+
 impl HelloFrame {
     /// A greeting that tells the state of this node.
     pub fn new(report: &HostReport, stamp: Stamp) -> Self {
@@ -138,7 +217,7 @@
         Self {
             key: version.key.0.clone(),
             revision: version.revision.0,
-            fallback: version.fallback.map(|r| r.0),
+            in_force: version.in_force.map(|r| r.0),
         }
     }
 }
@@ -148,7 +227,7 @@
         Self {
             key: Key(frame.key),
             revision: Revision(frame.revision),
-            fallback: frame.fallback.map(Revision),
+            in_force: frame.in_force.map(Revision),
         }
     }
 }
--- a/crates/node/src/wire/frame.rs
+++ b/crates/node/src/wire/frame.rs
@@ -78,8 +78,17 @@
     Ok(written)
 }
 
+/// A head as read, with its size on the stream.
+#[derive(Clone, Debug)]
+pub struct Head<T> {
+    /// The head.
+    pub value: T,
+    /// Its bytes, the length included.
+    pub bytes: usize,
+}
+
 /// Reads a head of at most `limit` bytes.
-pub async fn read_head<T>(rx: &mut RecvStream, limit: usize) -> Result<T, FrameError>
+pub async fn read_head<T>(rx: &mut RecvStream, limit: usize) -> Result<Head<T>, FrameError>
 where
     T: DeserializeOwned,
 {
@@ -91,7 +100,9 @@
     }
     let mut buf = vec![0; length];
     rx.read_exact(&mut buf).await?;
-    postcard::from_bytes(&buf).map_err(|_| FrameError::Malformed)
+    let value = postcard::from_bytes(&buf).map_err(|_| FrameError::Malformed)?;
+    let bytes = LENGTH_BYTES + length;
+    Ok(Head { value, bytes })
 }
 
 /// Reads a body of exactly `length` bytes, which is at most `limit`.
--- a/crates/rig/src/fleet/settings.rs
+++ b/crates/rig/src/fleet/settings.rs
@@ -37,6 +37,8 @@
             "slots": service.target.slots,
         },
         "platform": { "address": platform },
+        // A test fleet is small and starts all at once; the defaults are for 1,400 nodes.
+        "spread": { "start_fleet": 2, "start_wait_ms": 200 },
     });
     for part in overrides {
         merge(&mut settings, part);
