At-most-once: tokens of silent homes, expiry with arrivals

Cause: a token bore the time that was heard last, so the first token for a home that had been silent for its retention was refused as expired at its first use, and ended as unknown. Minter::heard and Minter::mint take the time now and estimate the home's. Expired records were dropped by expire() alone, which a loaded node may find no time for; arrivals drop a few each. is_live() lets a node that is leaving tell a try that joins from new work without refusing it.

Ruled out: trusting the estimate for safety. The home judges a token and its record by the same tick, right or wrong.

Conclusion: two call sites of Minter need the time.

--- a/crates/core/src/once/records.rs
+++ b/crates/core/src/once/records.rs
@@ -59,6 +59,11 @@
         self.by_id.get(&id).copied()
     }
 
+    /// Whether the record's call waits or runs.
+    pub(super) fn is_live(&self, key: RecordKey) -> bool {
+        self.slots.get(key).is_some_and(Record::is_live)
+    }
+
     /// The record under `key`, unless it was closed or dropped.
     pub(super) fn get_mut(&mut self, key: RecordKey) -> Option<&mut Record<A>> {
         self.slots.get_mut(key)
@@ -113,8 +118,9 @@
         record.state = State::Ran(answer);
     }
 
-    /// Drops the records for which `is_due` holds, oldest first, up to the first for which it doesn't; live ones stay.
-    pub(super) fn remove_due<F>(&mut self, is_due: F)
+    /// Drops at most `limit` records for which `is_due` holds, oldest first, up to the first for which it doesn't; live
+    /// ones stay.
+    pub(super) fn remove_due<F>(&mut self, limit: usize, is_due: F)
     where
         F: Fn(Tick) -> bool,
     {
@@ -123,7 +129,8 @@
             .iter()
             .take_while(|(tick, _)| is_due(*tick))
             .filter_map(|(_, id)| self.by_id.get(id).copied())
-            .filter(|key| !self.slots[*key].is_live())
+            .filter(|key| !self.is_live(*key))
+            .take(limit)
             .collect();
         for key in due {
             self.remove(key);
--- a/crates/core/src/once/table.rs
+++ b/crates/core/src/once/table.rs
@@ -12,6 +12,12 @@
 use crate::once::records::Records;
 use crate::once::{AnswerSize, Arrival, OnceConfig, RecordKey, Refusal, Tick, Token, Try};
 
+/// Most records that an arrival drops on its way, more than it adds.
+///
+/// Under load nobody may find the time to call `expire`. Expired records would then pile up to the capacity, and be
+/// dropped in one long pause.
+const DROPPED_PER_ARRIVAL: usize = 4;
+
 /// Decides at a home which call of a token goes to the target, at most one for each token.
 ///
 /// Every call that bears a token goes through [`arrive`](Self::arrive) before any other check of the home may refuse
@@ -65,6 +71,7 @@
     pub fn arrive(&mut self, token: &Token, number: Try, now: Instant) -> Arrival<A> {
         let tick = self.tick(now);
         let number = number.max(Try::FIRST);
+        self.drop_due(DROPPED_PER_ARRIVAL);
         if let Err(kind) = self.check(token, tick) {
             return Arrival::Refused(kind);
         }
@@ -97,10 +104,18 @@
         Refusal::RefusedForGood
     }
 
+    /// Whether a call of the token waits or runs, so that a further try would join it.
+    ///
+    /// A node which is leaving lets such a try [`arrive`](Self::arrive), as it adds no work, and refuses all others.
+    pub fn is_live(&self, token: &Token) -> bool {
+        let key = self.records.key_of(token.id);
+        key.is_some_and(|key| self.records.is_live(key))
+    }
+
     /// Drops the records whose tokens have expired, except those whose call waits or runs.
     pub fn expire(&mut self, now: Instant) {
         self.tick(now);
-        self.drop_due();
+        self.drop_due(usize::MAX);
     }
 
     /// Number of records.
@@ -195,17 +210,14 @@
         self.floors.raise(token.id, token.tick);
     }
 
-    fn has_room(&mut self) -> bool {
-        if self.records.used() < self.cfg.capacity {
-            return true;
-        }
-        self.drop_due();
+    fn has_room(&self) -> bool {
         self.records.used() < self.cfg.capacity
     }
 
-    fn drop_due(&mut self) {
+    fn drop_due(&mut self, limit: usize) {
         let keep = self.cfg.retention.saturating_add(self.cfg.record_margin);
         let tick = self.latest;
-        self.records.remove_due(|minted| tick.since(minted) > keep);
+        self.records
+            .remove_due(limit, |minted| tick.since(minted) > keep);
     }
 }
--- a/crates/core/src/once/tick.rs
+++ b/crates/core/src/once/tick.rs
@@ -18,6 +18,11 @@
         Self(millis(now.saturating_duration_since(started)))
     }
 
+    /// The tick `span` later, rounded down.
+    pub fn after(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(millis(span)))
+    }
+
     /// Time from `earlier` to this tick, zero if `earlier` is later.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_millis(self.0.saturating_sub(earlier.0))
--- a/crates/core/src/once/token.rs
+++ b/crates/core/src/once/token.rs
@@ -16,6 +16,6 @@
     pub home: NodeName,
     /// The run of that node where the call may run; no other run has its record.
     pub incarnation: Incarnation,
-    /// The home's time as last heard by the node that minted the token: never later than the minting.
+    /// The home's time at the minting, estimated from below by the node that minted the token.
     pub tick: Tick,
 }
--- a/crates/core/tests/once_cases.rs
+++ b/crates/core/tests/once_cases.rs
@@ -191,14 +191,19 @@
     let mut home = Home::new(cfg(), 1);
     let mut minter = Minter::new();
     let (name, service) = ("bidding-1".into(), "bidding".into());
-    assert_eq!(minter.mint(&name, &service), None);
-    minter.heard(name.clone(), Incarnation(1), home.table.tick(home.now));
-    let mint = |minter: &Minter| minter.mint(&name, &service).expect("the home was heard");
-    let old = mint(&minter);
+    assert_eq!(minter.mint(&name, &service, home.now), None);
+    minter.heard(
+        name.clone(),
+        Incarnation(1),
+        home.table.tick(home.now),
+        home.now,
+    );
+    let mint = |minter: &Minter, now| minter.mint(&name, &service, now).expect("it was heard");
+    let old = mint(&minter, home.now);
     home.send(&old, 1);
 
     let mut home = Home::new(cfg(), 2);
-    for stale in [old, mint(&minter)] {
+    for stale in [old, mint(&minter, home.now)] {
         for number in 1..3 {
             assert_eq!(home.arrive(&stale, number), refused(HomeLost));
             assert_eq!(home.refuse(&stale, number), Refusal::Unknown);
@@ -207,9 +212,14 @@
     assert_eq!(HomeLost.rule().outcome, Unknown);
 
     home.now += MINUTE;
-    minter.heard(name.clone(), Incarnation(2), home.table.tick(home.now));
-    minter.heard(name.clone(), Incarnation(2), Tick(0));
-    let fresh = mint(&minter);
+    minter.heard(
+        name.clone(),
+        Incarnation(2),
+        home.table.tick(home.now),
+        home.now,
+    );
+    minter.heard(name.clone(), Incarnation(2), Tick(0), home.now);
+    let fresh = mint(&minter, home.now);
     assert_eq!(
         fresh.tick,
         Tick(60_000),
@@ -218,6 +228,26 @@
     home.run(&fresh, 1);
 }
 
+// Symptom: the first bid after a quiet hour is refused as expired.
+// Sequence: an entry hears a home, and then nothing for longer than the retention; it mints a token, which is used at once.
+// Cause: the token bears the time that was heard last.
+#[test]
+fn a_silent_home_takes_fresh_tokens() {
+    let mut home = Home::new(cfg(), 1);
+    let mut minter = Minter::new();
+    let (name, service) = ("bidding-1".into(), "bidding".into());
+    minter.heard("bidding-1".into(), Incarnation(1), Tick(0), home.now);
+    home.now += 60 * MINUTE;
+    let fresh = minter
+        .mint(&name, &service, home.now)
+        .expect("it was heard");
+    assert!(
+        fresh.tick < home.table.tick(home.now),
+        "a clock may run slower"
+    );
+    home.run(&fresh, 1);
+}
+
 // Symptom: a bid goes out for a caller who left, or was told "not run".
 // Sequence: the call is queued, the home sleeps; meanwhile the caller leaves, its deadline passes or its entry has the try
 // refused; the home wakes up and dispatches.
--- a/crates/core/tests/once_model.rs
+++ b/crates/core/tests/once_model.rs
@@ -191,11 +191,12 @@
     fn hear(&mut self) {
         let now = self.at(0);
         let (incarnation, tick) = (self.table.incarnation(), self.table.tick(now));
-        self.minter.heard("n".into(), incarnation, tick);
+        self.minter.heard("n".into(), incarnation, tick, now);
     }
 
     fn mint(&mut self) {
-        let token = self.minter.mint(&"n".into(), &"s".into());
+        let now = self.start + Duration::from_millis(self.now_ms);
+        let token = self.minter.mint(&"n".into(), &"s".into(), now);
         self.fates.push(Fate {
             token: token.expect("the home was heard"),
             numbered: !self.fates.len().is_multiple_of(4),
@@ -276,6 +277,9 @@
         if fate.token.incarnation != self.table.incarnation() {
             return assert_eq!(*arrival, Refused(ErrorKind::HomeLost));
         }
+        if self.latest_ms - self.boot_ms < fate.token.tick.0 {
+            return assert_eq!(*arrival, Refused(ErrorKind::BadToken));
+        }
         if self.latest_ms - self.boot_ms > fate.token.tick.0 + RETENTION_MS {
             return assert_eq!(*arrival, Refused(ErrorKind::TokenExpired));
         }
@@ -326,6 +330,8 @@
         let now = self.at(lag_ms);
         let token = self.fates[index].token.clone();
         let phase = self.fates[index].job.map(|job| &self.jobs[job].phase);
+        let live = matches!(phase, Some(Phase::Waiting | Phase::Running));
+        assert_eq!(self.table.is_live(&token), live);
         let refusal = self.table.refuse(&token, Try(up_to), now);
         match (&refusal, phase) {
             (Refusal::RefusedForGood, None | Some(Phase::Waiting | Phase::Closed)) => {
