An entry says of a repeated token only what it knows; later tries take over the call of a caller that left

Cause: the entry's own refusals said not-run of tokens whose earlier try may be under way elsewhere; a token without a number counted as a first try; a waiting call ended with its first caller though a second had joined; peeking at a running call while leaving burned its tries. Ruled out: asking the home at every refusal (overload would then cost two messages for each call shed). Conclusion: Identity decides what may be said; the first living caller of a token drives its call.

--- a/crates/node/src/data/answer.rs
+++ b/crates/node/src/data/answer.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use coltsfootport_core::error_kind::ErrorKind;
-use coltsfootport_core::once::AnswerSize;
+use coltsfootport_core::once::{AnswerSize, Identity};
+use coltsfootport_core::outcome::Outcome;
 use http::{HeaderMap, StatusCode};
 
 /// A target's whole answer.
@@ -27,6 +28,8 @@
     pub kind: ErrorKind,
     /// When a new try is welcome; zero where the kind names no time.
     pub retry_after: Duration,
+    /// What may be said of whether the call ran; the kind's own word unless an entry knows more or less.
+    pub outcome: Outcome,
 }
 
 /// What came of a call.
@@ -48,12 +51,43 @@
     }
 }
 
-impl From<ErrorKind> for Refused {
-    fn from(kind: ErrorKind) -> Self {
+impl Refused {
+    /// A refusal with the outcome that its kind stands for.
+    pub fn new(kind: ErrorKind, retry_after: Duration) -> Self {
+        let outcome = kind.rule().outcome;
         Self {
             kind,
-            retry_after: Duration::ZERO,
+            retry_after,
+            outcome,
+        }
+    }
+
+    /// The end of a call of which this entry has sent nothing.
+    pub fn unsent(kind: ErrorKind, identity: Identity) -> Self {
+        Self {
+            outcome: identity.outcome_unsent(kind),
+            ..Self::new(kind, DEFAULT_RETRY_AFTER)
+        }
+    }
+
+    /// The same with a time to come back, where no host named one.
+    pub fn with_time(self) -> Self {
+        if !self.retry_after.is_zero() {
+            return self;
         }
+        Self {
+            retry_after: DEFAULT_RETRY_AFTER,
+            ..self
+        }
+    }
+}
+
+/// When a caller may come back where no host said so.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl From<ErrorKind> for Refused {
+    fn from(kind: ErrorKind) -> Self {
+        Self::new(kind, Duration::ZERO)
     }
 }
 
--- a/crates/node/src/entry/course.rs
+++ b/crates/node/src/entry/course.rs
@@ -1,7 +1,5 @@
 //! What a call goes through until it has an answer or is given up.
 
-use std::time::Duration;
-
 use coltsfootport_core::error_kind::ErrorKind;
 use coltsfootport_core::outcome::Outcome;
 use coltsfootport_core::routing::PeerKey;
@@ -48,7 +46,7 @@
 
 impl Course {
     pub(super) fn note(&mut self, failure: Refused) {
-        self.in_doubt |= failure.kind.rule().outcome == Outcome::Unknown;
+        self.in_doubt |= failure.outcome == Outcome::Unknown;
         self.last = failure;
     }
 
@@ -65,10 +63,10 @@
     /// A retry that was refused says nothing about the attempt before it: after an attempt whose answer was lost, "not run"
     /// would be untrue, seen as a call that the target counts and its caller was told did not run.
     pub(super) fn conclude(&self, refused: Refused) -> Verdict {
-        if self.in_doubt && refused.kind.rule().outcome == Outcome::NotRun {
+        if self.in_doubt && refused.outcome == Outcome::NotRun {
             return Verdict::from(ErrorKind::AnswerLost);
         }
-        Verdict::Refused(with_time(refused))
+        Verdict::Refused(refused.with_time())
     }
 }
 
@@ -81,19 +79,5 @@
     }
 }
 
-/// A refusal with a time to come back, where no host named one.
-pub(super) fn with_time(refused: Refused) -> Refused {
-    if refused.retry_after.is_zero() {
-        return Refused {
-            retry_after: DEFAULT_RETRY_AFTER,
-            ..refused
-        };
-    }
-    refused
-}
-
 /// Hosts that are passed over because nothing could be sent to them, before the call is given up.
 const MOST_UNSENT: u32 = 4;
-
-/// When a caller may come back where no host said so.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -111,8 +111,7 @@
         {
             Choice::Go(route) => *route,
             Choice::Shed(retry_after) => {
-                let kind = ErrorKind::Shed;
-                return Step::GiveUp(Refused { kind, retry_after });
+                return Step::GiveUp(Refused::new(ErrorKind::Shed, retry_after));
             }
             Choice::Nobody => return Step::GiveUp(course.last),
         };
@@ -273,8 +272,7 @@
 fn moved(verdict: Verdict) -> Verdict {
     match verdict {
         Verdict::Refused(refused) if refused.kind == ErrorKind::TokenRefused => {
-            let kind = ErrorKind::NoTarget;
-            Verdict::Refused(Refused { kind, ..refused })
+            Verdict::Refused(Refused::new(ErrorKind::NoTarget, refused.retry_after))
         }
         other => other,
     }
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -40,8 +40,10 @@
 
     /// What is known about whether the request ran.
     pub fn outcome(&self) -> Outcome {
-        self.error()
-            .map_or(Outcome::Ran, |kind| kind.rule().outcome)
+        match &self.verdict {
+            Verdict::Answered(_) => Outcome::Ran,
+            Verdict::Refused(refused) => refused.outcome,
+        }
     }
 
     /// The HTTP answer.
--- a/crates/node/src/entry/pinned.rs
+++ b/crates/node/src/entry/pinned.rs
@@ -4,12 +4,11 @@
 use std::time::Duration;
 
 use coltsfootport_core::error_kind::ErrorKind;
-use coltsfootport_core::once::{Refusal, Try};
+use coltsfootport_core::once::{Identity, Refusal};
 use coltsfootport_core::routing::RouteResult;
 use http::StatusCode;
 
 use super::Budget;
-use super::course::with_time;
 use super::dispatcher::{Attempt, Dispatcher};
 use crate::data::{Answer, Call, OnceCall, Refused, Verdict};
 use crate::routes::Route;
@@ -24,6 +23,7 @@
         &self,
         mut call: Call,
         once: OnceCall,
+        identity: Identity,
         budget: &mut Budget,
     ) -> Verdict {
         call.once = Some(once.clone());
@@ -35,7 +35,10 @@
             };
             match attempt {
                 Attempt::Replied(reply) => return reply.verdict,
-                Attempt::NotSent if !sent => return never_sent(&once),
+                Attempt::NotSent if !sent => {
+                    let refused = Refused::unsent(ErrorKind::NoTarget, identity);
+                    return Verdict::Refused(refused);
+                }
                 // The home knows the token and this try, so sending it again joins the first or hears its answer.
                 Attempt::Lost if self.may_repeat(&call, budget).await => sent = true,
                 Attempt::NotSent | Attempt::Lost | Attempt::Expired => {
@@ -57,7 +60,7 @@
                 ..(*answer).clone()
             }),
             Refusal::RefusedForGood => {
-                Verdict::Refused(with_time(Refused::from(ErrorKind::TokenRefused)))
+                Verdict::Refused(Refused::from(ErrorKind::TokenRefused).with_time())
             }
             Refusal::AnswerGone => Verdict::from(ErrorKind::AnswerGone),
             Refusal::Running => Verdict::from(ErrorKind::ExpiredInFlight),
@@ -111,16 +114,6 @@
 /// How long a home is asked; a caller that was given up hears so at once.
 const REFUSE_PATIENCE: Duration = Duration::from_millis(250);
 
-/// The verdict where this try has not left this node.
-///
-/// An earlier try may have left another node, so only a first try is known not to have run.
-fn never_sent(once: &OnceCall) -> Verdict {
-    if once.number <= Try(1) {
-        return Verdict::Refused(with_time(Refused::from(ErrorKind::NoTarget)));
-    }
-    Verdict::from(ErrorKind::HomeLost)
-}
-
 fn refusal(frame: RefusalFrame) -> Option<Refusal<Arc<Answer>>> {
     Some(match frame {
         RefusalFrame::Running => Refusal::Running,
--- a/crates/node/src/entry/prepare.rs
+++ b/crates/node/src/entry/prepare.rs
@@ -5,6 +5,7 @@
 use coltsfootport_core::allowance::Allowance;
 use coltsfootport_core::error_kind::ErrorKind;
 use coltsfootport_core::id::{RequestId, ServiceName};
+use coltsfootport_core::once::Try;
 use smol_str::SmolStr;
 
 use super::{Budget, EntryService, Inbound, Origin};
@@ -79,6 +80,7 @@
         let number = inbound.number()?;
         if let Some(text) = inbound.text(&names::TOKEN)? {
             let token = self.tokens.open(text, &inbound.service)?;
+            let number = number.unwrap_or(Try::FIRST);
             return Ok(Some(OnceCall { token, number }));
         }
         let keyed = inbound.headers.contains_key(names::IDEMPOTENCY_KEY);
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -6,13 +6,14 @@
 use coltsfootport_core::class::Class;
 use coltsfootport_core::error_kind::ErrorKind;
 use coltsfootport_core::id::{RequestId, ServiceName};
+use coltsfootport_core::once::{Identity, Try};
+use coltsfootport_core::outcome::Outcome;
 use coltsfootport_core::timeline::Event;
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use slog::{Logger, debug};
 use tokio::sync::{Semaphore, watch};
 
-use super::course::with_time;
 use super::dispatcher::micros;
 use super::prepare::Prepared;
 use super::tokens::TokenIssuer;
@@ -90,9 +91,13 @@
         listener: Listener,
     ) -> Response<HttpAnswer> {
         let started = self.clock.now();
+        let identity = identity_of(req.headers());
         let Answered { class, outgoing } = match self.places.try_acquire() {
-            Ok(_place) => self.take(req, connection, listener, started).await,
-            Err(_) => Answered::aside(RequestId::random(), ErrorKind::Shed),
+            Ok(_place) => {
+                self.take(req, identity, connection, listener, started)
+                    .await
+            }
+            Err(_) => Answered::aside(RequestId::random(), ErrorKind::Shed, identity),
         };
         let (outcome, error) = (outgoing.outcome(), outgoing.error());
         self.metrics.calls.answered(listener, class, outcome, error);
@@ -120,6 +125,7 @@
     async fn take(
         &self,
         req: Request<Incoming>,
+        identity: Identity,
         connection: CallerConnection,
         listener: Listener,
         started: Instant,
@@ -127,8 +133,11 @@
         // A sender that stops halfway would keep its place and its buffer for ever.
         let reading = tokio::time::timeout(self.limits.body_time, self.read(req));
         match reading.await.unwrap_or(Err(ErrorKind::BadRequest)) {
-            Ok(inbound) => self.answer(inbound, connection, listener, started).await,
-            Err(kind) => Answered::aside(RequestId::random(), kind),
+            Ok(inbound) => {
+                self.answer(inbound, identity, connection, listener, started)
+                    .await
+            }
+            Err(kind) => Answered::aside(RequestId::random(), kind, identity),
         }
     }
 
@@ -153,23 +162,28 @@
     async fn answer(
         &self,
         inbound: Inbound,
+        identity: Identity,
         connection: CallerConnection,
         listener: Listener,
         started: Instant,
     ) -> Answered {
         let origin = match self.origin(&inbound, listener).await {
             Ok(origin) => origin,
-            Err(kind) => return Answered::aside(RequestId::random(), kind),
+            Err(kind) => return Answered::aside(RequestId::random(), kind, identity),
         };
         let request = origin.request();
         let prepared = match self.prepare(&inbound, &origin, request, started) {
             Ok(prepared) => prepared,
-            Err(kind) => return self.refuse_early(request, &inbound.service, kind).await,
+            Err(kind) => {
+                return self
+                    .refuse_early(request, &inbound.service, kind, identity)
+                    .await;
+            }
         };
         let class = prepared.call.class;
         // A paused process finds a request together with its caller's close; running it would serve nobody.
         if !prepared.call.idempotent && connection.is_closed() {
-            return Answered::aside(request, ErrorKind::Cancelled);
+            return Answered::aside(request, ErrorKind::Cancelled, identity);
         }
         let event = Event::Received {
             service: inbound.service.clone(),
@@ -178,11 +192,17 @@
             allowance: 0,
         };
         self.recorder.record(Some(request), event);
-        let outgoing = self.dispatch(prepared, &inbound, &origin).await;
+        let outgoing = self.dispatch(prepared, identity, &inbound, &origin).await;
         Answered { class, outgoing }
     }
 
-    async fn dispatch(&self, prepared: Prepared, inbound: &Inbound, origin: &Origin) -> Outgoing {
+    async fn dispatch(
+        &self,
+        prepared: Prepared,
+        identity: Identity,
+        inbound: &Inbound,
+        origin: &Origin,
+    ) -> Outgoing {
         let Prepared {
             call,
             mut budget,
@@ -192,12 +212,16 @@
         if let Origin::Flight(parent) = origin
             && !self.may_call(parent, inbound, &mut budget).await
         {
-            return Outgoing::new(request, Verdict::from(ErrorKind::Shed));
+            let refused = Refused::unsent(ErrorKind::Shed, identity);
+            return Outgoing::new(request, Verdict::Refused(refused));
         }
         let service = call.service.clone();
-        let held = once.is_some();
         let verdict = match once {
-            Some(once) => self.dispatcher.send_pinned(call, once, &mut budget).await,
+            Some(once) => {
+                self.dispatcher
+                    .send_pinned(call, once, identity, &mut budget)
+                    .await
+            }
             None => self.dispatcher.send(call, &mut budget).await,
         };
         let mut outgoing = Outgoing::new(request, verdict);
@@ -205,7 +229,7 @@
             self.gate
                 .own_call_failed(parent.flight, inbound.fingerprint());
         }
-        if held && outgoing.error().is_some_and(needs_fresh_token) {
+        if identity != Identity::None && needs_fresh_token(&outgoing) {
             outgoing.token = self.tokens.issue_one(&service).await;
         }
         outgoing
@@ -233,12 +257,14 @@
         request: RequestId,
         service: &ServiceName,
         kind: ErrorKind,
+        identity: Identity,
     ) -> Answered {
         if kind == ErrorKind::BadToken {
             self.metrics.faults.rejected(Rejected::Token);
         }
-        let mut answered = Answered::aside(request, kind);
-        if kind == ErrorKind::TokenRequired {
+        let mut answered = Answered::aside(request, kind, identity);
+        let refused_token = identity != Identity::None && needs_fresh_token(&answered.outgoing);
+        if kind == ErrorKind::TokenRequired || refused_token {
             answered.outgoing.token = self.tokens.issue_one(service).await;
         }
         answered
@@ -272,8 +298,9 @@
 }
 
 impl Answered {
-    fn aside(request: RequestId, kind: ErrorKind) -> Self {
-        let refused = with_time(Refused::from(kind));
+    /// The end of a call of which nothing was sent.
+    fn aside(request: RequestId, kind: ErrorKind, identity: Identity) -> Self {
+        let refused = Refused::unsent(kind, identity);
         Self {
             class: Class::LOWEST,
             outgoing: Outgoing::new(request, Verdict::Refused(refused)),
@@ -281,10 +308,28 @@
     }
 }
 
-/// Whether the caller's token is of no more use after this error.
-fn needs_fresh_token(kind: ErrorKind) -> bool {
-    matches!(
-        kind,
-        ErrorKind::NoTarget | ErrorKind::Leaving | ErrorKind::TableFull
-    )
+/// What the headers say of whether the caller holds a token and has sent it before.
+fn identity_of(headers: &HeaderMap) -> Identity {
+    let number = headers.get(names::TRY);
+    let number = number.and_then(|value| value.to_str().ok()?.parse().ok());
+    Identity::of(headers.contains_key(names::TOKEN), number.map(Try))
+}
+
+/// Whether the caller's token is of no more use, and the call is known not to have run.
+///
+/// After any other outcome a fresh token would invite a second run.
+fn needs_fresh_token(outgoing: &Outgoing) -> bool {
+    outgoing.outcome() == Outcome::NotRun
+        && matches!(
+            outgoing.error(),
+            Some(
+                ErrorKind::NoTarget
+                    | ErrorKind::Leaving
+                    | ErrorKind::TableFull
+                    | ErrorKind::TokenRefused
+                    | ErrorKind::HomeLost
+                    | ErrorKind::BadToken
+                    | ErrorKind::TokenExpired
+            )
+        )
 }
--- a/crates/node/src/entry/token_endpoint.rs
+++ b/crates/node/src/entry/token_endpoint.rs
@@ -7,7 +7,6 @@
 use hyper::body::Incoming;
 
 use super::EntryService;
-use super::course::with_time;
 use crate::data::Refused;
 use crate::http::{HttpAnswer, json, refuse};
 
@@ -22,7 +21,7 @@
             return refuse(Refused::from(ErrorKind::BadRequest));
         };
         if let Err(kind) = self.document(&query.service) {
-            return refuse(with_time(Refused::from(kind)));
+            return refuse(Refused::from(kind).with_time());
         }
         match self.tokens.issue(&query.service, query.count).await {
             Ok(page) => {
@@ -34,7 +33,7 @@
                 self.recorder.record(None, event);
                 json(serde_json::to_string(&page).unwrap_or_default())
             }
-            Err(kind) => refuse(with_time(Refused::from(kind))),
+            Err(kind) => refuse(Refused::from(kind).with_time()),
         }
     }
 }
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -65,6 +65,7 @@
     lifecycle: Lifecycle,
     flights: SlotMap<FlightKey, Flight>,
     by_call: Map<CallKey, FlightKey>,
+    by_record: Map<RecordKey, FlightKey>,
     joined: Map<RecordKey, Vec<oneshot::Sender<Entered>>>,
     below: LevelBoard,
     /// A call that asked to run by the message at hand.
@@ -88,6 +89,7 @@
             lifecycle: Lifecycle::new(setup.lifecycle),
             flights: SlotMap::with_key(),
             by_call: Map::default(),
+            by_record: Map::default(),
             joined: Map::default(),
             below: LevelBoard::new(LevelBoardConfig::default()),
             actions: Vec::new(),
@@ -187,7 +189,9 @@
 
     fn enter(&mut self, admittance: Admittance, reply: oneshot::Sender<Entered>) {
         let now = self.clock.now();
-        if !self.lifecycle.may_accept() && !self.is_running(&admittance, now) {
+        let live = admittance.once.as_ref();
+        let live = live.is_some_and(|once| self.once.is_live(&once.token));
+        if !self.lifecycle.may_accept() && !live {
             self.enter_closed(&admittance, reply, now);
             return;
         }
@@ -195,7 +199,7 @@
             None => None,
             Some(Arrival::Run(record)) => Some(record),
             Some(Arrival::Join(record)) => {
-                self.joined.entry(record).or_default().push(reply);
+                self.join(record, admittance.deadline, reply);
                 return;
             }
             Some(Arrival::Replay(answer)) => {
@@ -210,16 +214,6 @@
         self.admit(admittance, record, reply, now);
     }
 
-    fn is_running(&mut self, admittance: &Admittance, now: Instant) -> bool {
-        let Some(once) = &admittance.once else {
-            return false;
-        };
-        matches!(
-            self.once.refuse(&once.token, once.number, now),
-            Refusal::Running
-        )
-    }
-
     /// Answers a call while no new work is taken.
     ///
     /// A token's try is refused for good before its caller hears "not run": while the node is still starting, an older try
@@ -278,9 +272,21 @@
         };
         let key = self.flights.insert(flight);
         self.by_call.insert(call, key);
+        if let Some(record) = record {
+            self.by_record.insert(record, key);
+        }
         self.entering = Some(key);
     }
 
+    /// Lets a further try of a token wait for the first, and the call last as long as the most patient of them.
+    fn join(&mut self, record: RecordKey, deadline: Instant, reply: oneshot::Sender<Entered>) {
+        self.joined.entry(record).or_default().push(reply);
+        let flight = self.by_record.get(&record);
+        if let Some(flight) = flight.and_then(|key| self.flights.get_mut(*key)) {
+            flight.deadline = flight.deadline.max(deadline);
+        }
+    }
+
     fn arrive(&mut self, admittance: &Admittance, now: Instant) -> Option<Arrival<Arc<Answer>>> {
         let once = admittance.once.as_ref()?;
         Some(self.once.arrive(&once.token, once.number, now))
@@ -381,6 +387,7 @@
     }
 
     fn end_record(&mut self, record: RecordKey, end: FlightEnd, now: Instant) {
+        self.by_record.remove(&record);
         let joined = self.joined.remove(&record).unwrap_or_default();
         match end {
             FlightEnd::Answered(answer) => {
@@ -456,8 +463,23 @@
         let Some(reply) = flight.reply.take() else {
             return;
         };
-        // A receiver that has gone drops the guard inside the message, which abandons the call.
-        let _ = reply.send(Entered::Admitted(FlightGuard::new(key, self.tx.clone())));
+        let record = flight.record;
+        let joined = record.and_then(|record| self.joined.remove(&record));
+        let mut waiting = std::iter::once(reply).chain(joined.unwrap_or_default());
+        let mut guard = FlightGuard::new(key, self.tx.clone());
+        // The first caller may have left while a later try of its token waits; that one then runs the call. Where nobody is
+        // left, dropping the guard abandons it.
+        for reply in waiting.by_ref() {
+            match reply.send(Entered::Admitted(guard)) {
+                Ok(()) => break,
+                Err(Entered::Admitted(unsent)) => guard = unsent,
+                Err(_) => return,
+            }
+        }
+        let left: Vec<_> = waiting.collect();
+        if let Some(record) = record.filter(|_| !left.is_empty()) {
+            self.joined.insert(record, left);
+        }
     }
 
     fn shed(&mut self, call: CallKey, kind: ErrorKind) {
@@ -617,10 +639,7 @@
             .mul_f64(turns + 1.0)
             .max(LEAST_RETRY_AFTER);
         let retry_after = wait.mul_f64(self.rng.random_range(1.0..RETRY_AFTER_SPREAD));
-        Refused {
-            kind,
-            retry_after: retry_after.min(MOST_RETRY_AFTER),
-        }
+        Refused::new(kind, retry_after.min(MOST_RETRY_AFTER))
     }
 }
 
--- a/crates/node/src/host/runner.rs
+++ b/crates/node/src/host/runner.rs
@@ -170,10 +170,7 @@
     async fn withdraw(&self, guard: FlightGuard, kind: ErrorKind) -> Option<Executed> {
         let end = FlightEnd::Withdrawn(kind);
         let departure = self.setup.gate.finish(guard.release(), end).await?;
-        let refused = Refused {
-            kind,
-            retry_after: WITHDRAWN_RETRY_AFTER,
-        };
+        let refused = Refused::new(kind, WITHDRAWN_RETRY_AFTER);
         Some(Executed {
             verdict: Verdict::Refused(refused),
             departure,
--- a/crates/node/src/http/respond.rs
+++ b/crates/node/src/http/respond.rs
@@ -30,7 +30,7 @@
     let mut res = Response::new(Full::new(Bytes::from(text)));
     *res.status_mut() =
         StatusCode::from_u16(rule.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    put(&mut res, names::OUTCOME, rule.outcome.as_str());
+    put(&mut res, names::OUTCOME, refused.outcome.as_str());
     put(&mut res, names::ERROR, refused.kind.as_str());
     if rule.retry_after {
         let millis = refused.retry_after.as_millis() as u64;
--- a/crates/node/src/routes/task.rs
+++ b/crates/node/src/routes/task.rs
@@ -136,7 +136,7 @@
             RoutesMessage::Done(end) => self.done(end),
             RoutesMessage::Heard(report) => self.heard(&report),
             RoutesMessage::Mint(home, service, reply) => {
-                let _ = reply.send(self.minter.mint(&home, &service));
+                let _ = reply.send(self.minter.mint(&home, &service, self.clock.now()));
             }
             RoutesMessage::SpendRetry(service, reply) => self.spend_retry(service, reply),
             RoutesMessage::Peers(reply) => {
@@ -231,8 +231,9 @@
     }
 
     fn heard(&mut self, report: &HostReport) {
+        let now = self.clock.now();
         self.minter
-            .heard(report.node.clone(), report.incarnation, report.tick);
+            .heard(report.node.clone(), report.incarnation, report.tick, now);
         let told = Told {
             incarnation: report.incarnation,
             state: report.state,
--- a/crates/node/src/wire/answer_frame.rs
+++ b/crates/node/src/wire/answer_frame.rs
@@ -123,10 +123,10 @@
             Self::Refused {
                 kind,
                 retry_after_ms,
-            } => Ok(Verdict::Refused(Refused {
+            } => Ok(Verdict::Refused(Refused::new(
                 kind,
-                retry_after: Duration::from_millis(retry_after_ms.into()),
-            })),
+                Duration::from_millis(retry_after_ms.into()),
+            ))),
         }
     }
 }
