--- a/crates/core/tests/dissemination.rs
+++ b/crates/core/tests/dissemination.rs
@@ -68,69 +68,45 @@
 /// one key arrive in the order of each case. Cause: late pushes, stale reads, faulty documents.
 #[test]
 fn the_highest_valid_version_stays_in_force() {
+    #[rustfmt::skip]
     let cases = [
         Versions {
-            name: "in order",
-            entries: &[(1, "a"), (2, "b")],
-            in_force: Some(2),
-            rejected: None,
+            name: "in order", entries: &[(1, "a"), (2, "b")], in_force: Some(2), rejected: None,
             latest: 2,
         },
         Versions {
-            name: "a late one is ignored",
-            entries: &[(2, "b"), (1, "a")],
-            in_force: Some(2),
-            rejected: None,
-            latest: 2,
+            name: "a late one is ignored", entries: &[(2, "b"), (1, "a")], in_force: Some(2),
+            rejected: None, latest: 2,
         },
         Versions {
-            name: "a faulty one leaves the last good one in force",
-            entries: &[(1, "a"), (2, "!")],
-            in_force: Some(1),
-            rejected: Some(2),
-            latest: 2,
+            name: "a faulty one leaves the last good one in force", entries: &[(1, "a"), (2, "!")],
+            in_force: Some(1), rejected: Some(2), latest: 2,
         },
         Versions {
-            name: "two faulty ones",
-            entries: &[(1, "a"), (2, "!"), (3, "!")],
-            in_force: Some(1),
-            rejected: Some(3),
-            latest: 3,
+            name: "two faulty ones", entries: &[(1, "a"), (2, "!"), (3, "!")], in_force: Some(1),
+            rejected: Some(3), latest: 3,
         },
         Versions {
             name: "the good one comes after the faulty one",
-            entries: &[(3, "!"), (1, "a"), (2, "b"), (1, "a")],
-            in_force: Some(2),
-            rejected: Some(3),
-            latest: 3,
+            entries: &[(3, "!"), (1, "a"), (2, "b"), (1, "a")], in_force: Some(2),
+            rejected: Some(3), latest: 3,
         },
         Versions {
-            name: "only a faulty one is known",
-            entries: &[(3, "!"), (2, "!")],
-            in_force: None,
-            rejected: Some(3),
-            latest: 3,
+            name: "only a faulty one is known", entries: &[(3, "!"), (2, "!")], in_force: None,
+            rejected: Some(3), latest: 3,
         },
         Versions {
             name: "a late faulty one doesn't cost the good one",
-            entries: &[(1, "a"), (4, "!"), (3, "!")],
-            in_force: Some(1),
-            rejected: Some(4),
+            entries: &[(1, "a"), (4, "!"), (3, "!")], in_force: Some(1), rejected: Some(4),
             latest: 4,
         },
         Versions {
-            name: "mended",
-            entries: &[(1, "a"), (2, "!"), (3, "c"), (1, "a")],
-            in_force: Some(3),
-            rejected: None,
-            latest: 3,
+            name: "mended", entries: &[(1, "a"), (2, "!"), (3, "c"), (1, "a")], in_force: Some(3),
+            rejected: None, latest: 3,
         },
         Versions {
-            name: "another text under the same revision",
-            entries: &[(1, "a"), (1, "b")],
-            in_force: Some(1),
-            rejected: None,
-            latest: 1,
+            name: "another text under the same revision", entries: &[(1, "a"), (1, "b")],
+            in_force: Some(1), rejected: None, latest: 1,
         },
     ];
     for case in cases {
@@ -310,62 +286,27 @@
 /// was heard and what the node holds. Cause: platform or peers are down, stale or slow.
 #[test]
 fn a_node_serves_once_it_has_the_highest_of_platform_and_peers() {
+    #[rustfmt::skip]
     let cases = [
+        Start { name: "nobody", platform: None, peers: &[], have: 0, ready_from: None },
         Start {
-            name: "nobody",
-            platform: None,
-            peers: &[],
-            have: 0,
-            ready_from: None,
+            name: "all agree", platform: Some(5), peers: &[5, 5], have: 5, ready_from: Some(0),
         },
         Start {
-            name: "all agree",
-            platform: Some(5),
-            peers: &[5, 5],
-            have: 5,
-            ready_from: Some(0),
-        },
-        Start {
-            name: "stale platform",
-            platform: Some(4),
-            peers: &[5, 5],
-            have: 4,
+            name: "stale platform", platform: Some(4), peers: &[5, 5], have: 4,
             ready_from: Some(15),
         },
         Start {
-            name: "stale peers",
-            platform: Some(6),
-            peers: &[5, 5],
-            have: 6,
-            ready_from: Some(0),
-        },
-        Start {
-            name: "no peers",
-            platform: Some(5),
-            peers: &[],
-            have: 5,
-            ready_from: Some(2),
-        },
-        Start {
-            name: "no platform",
-            platform: None,
-            peers: &[5, 5],
-            have: 5,
-            ready_from: Some(5),
+            name: "stale peers", platform: Some(6), peers: &[5, 5], have: 6, ready_from: Some(0),
         },
+        Start { name: "no peers", platform: Some(5), peers: &[], have: 5, ready_from: Some(2) },
+        Start { name: "no platform", platform: None, peers: &[5, 5], have: 5, ready_from: Some(5) },
         Start {
-            name: "platform without entries",
-            platform: Some(0),
-            peers: &[],
-            have: 0,
+            name: "platform without entries", platform: Some(0), peers: &[], have: 0,
             ready_from: Some(2),
         },
         Start {
-            name: "nothing could be pulled",
-            platform: None,
-            peers: &[5],
-            have: 0,
-            ready_from: None,
+            name: "nothing could be pulled", platform: None, peers: &[5], have: 0, ready_from: None,
         },
     ];
     for case in cases {
--- a/crates/core/tests/dissemination_spread.rs
+++ b/crates/core/tests/dissemination_spread.rs
@@ -114,49 +114,16 @@
         hops: 6,
         digest_rounds: 0,
     };
+    #[rustfmt::skip]
     let cases = [
+        Spread { name: "all well", ..base },
+        Spread { name: "pushed whole", form: PushForm::Whole, ..base },
+        Spread { name: "one reader", one_reader: true, hops: 9, ..base },
+        Spread { name: "5 % lost", loss: 0.05, hops: 8, digest_rounds: 1, ..base },
+        Spread { name: "20 % lost", loss: 0.2, hops: 9, digest_rounds: 3, ..base },
+        Spread { name: "60 % lost", loss: 0.6, hops: 12, digest_rounds: 6, ..base },
         Spread {
-            name: "all well",
-            ..base
-        },
-        Spread {
-            name: "pushed whole",
-            form: PushForm::Whole,
-            ..base
-        },
-        Spread {
-            name: "one reader",
-            one_reader: true,
-            hops: 9,
-            ..base
-        },
-        Spread {
-            name: "5 % lost",
-            loss: 0.05,
-            hops: 8,
-            digest_rounds: 1,
-            ..base
-        },
-        Spread {
-            name: "20 % lost",
-            loss: 0.2,
-            hops: 9,
-            digest_rounds: 3,
-            ..base
-        },
-        Spread {
-            name: "60 % lost",
-            loss: 0.6,
-            hops: 12,
-            digest_rounds: 6,
-            ..base
-        },
-        Spread {
-            name: "a domain's worth gone",
-            gone: 1.0 / 7.0,
-            hops: 8,
-            digest_rounds: 2,
-            ..base
+            name: "a domain's worth gone", gone: 1.0 / 7.0, hops: 8, digest_rounds: 2, ..base
         },
     ];
     for case in cases {
@@ -338,40 +305,20 @@
 #[test]
 fn reads_stay_within_what_the_platform_bears() {
     let mut fleet = FLEET.clone();
+    #[rustfmt::skip]
     let cases = [
+        Reads { name: "steady", scene: Scene::Steady, peak: 150, mean: 60, age: 10 },
         Reads {
-            name: "steady",
-            scene: Scene::Steady,
-            peak: 150,
-            mean: 60,
-            age: 10,
-        },
-        Reads {
-            name: "all start together",
-            scene: Scene::StartTogether,
-            peak: 1_300,
-            mean: 60,
-            age: 10,
+            name: "all start together", scene: Scene::StartTogether, peak: 1_300, mean: 60, age: 10,
         },
         Reads {
-            name: "platform down",
-            scene: Scene::PlatformDown,
-            peak: 1_300,
-            mean: 400,
-            age: 61,
+            name: "platform down", scene: Scene::PlatformDown, peak: 1_300, mean: 400, age: 61,
         },
         Reads {
-            name: "all readers gone",
-            scene: Scene::ReadersGone,
-            peak: 1_300,
-            mean: 100,
-            age: 25,
+            name: "all readers gone", scene: Scene::ReadersGone, peak: 1_300, mean: 100, age: 10,
         },
         Reads {
-            name: "no node reaches another",
-            scene: Scene::Isolated,
-            peak: 1_300,
-            mean: 1_100,
+            name: "no node reaches another", scene: Scene::Isolated, peak: 1_300, mean: 1_100,
             age: 6,
         },
     ];
--- a/crates/core/tests/lifecycle.rs
+++ b/crates/core/tests/lifecycle.rs
@@ -45,101 +45,63 @@
         breaches: 0,
         cut_off: 0,
     };
+    #[rustfmt::skip]
     let cases = [
         Case {
             name: "a starting node takes nothing",
-            steps: &[Accept, Dispatch],
-            phase: Phase::Starting,
-            breaches: 1,
-            ..base
+            steps: &[Accept, Dispatch], phase: Phase::Starting, breaches: 1, ..base
         },
         Case {
             name: "a serving node takes work",
-            steps: &[Ready, Accept, Dispatch, Finish],
-            phase: Phase::Serving,
-            may_accept: true,
-            may_dispatch: true,
-            ..base
+            steps: &[Ready, Accept, Dispatch, Finish], phase: Phase::Serving, may_accept: true,
+            may_dispatch: true, ..base
         },
         Case {
             name: "queued work still runs while leaving",
-            steps: &[Ready, Accept, Accept, Leave, Dispatch],
-            may_dispatch: true,
-            ..base
+            steps: &[Ready, Accept, Accept, Leave, Dispatch], may_dispatch: true, ..base
         },
         Case {
             name: "work that came after leaving is refused and reported",
-            steps: &[Ready, Accept, Leave, Accept, Dispatch, Dispatch],
-            breaches: 1,
-            ..base
+            steps: &[Ready, Accept, Leave, Accept, Dispatch, Dispatch], breaches: 1, ..base
         },
         Case {
             name: "an idle node waits until its leaving is known",
-            steps: &[Ready, Leave, Wait(2_900)],
-            ..base
+            steps: &[Ready, Leave, Wait(2_900)], ..base
         },
         Case {
             name: "an idle node ends once its leaving is known",
-            steps: &[Ready, Leave, Wait(3_000), Accept, Dispatch],
-            phase: Phase::Stopped,
-            breaches: 1,
-            ..base
+            steps: &[Ready, Leave, Wait(3_000), Accept, Dispatch], phase: Phase::Stopped,
+            breaches: 1, ..base
         },
         Case {
             name: "a call in flight is waited for past the drain limit",
-            steps: &[Ready, Accept, Dispatch, Leave, Wait(120_000)],
-            ..base
+            steps: &[Ready, Accept, Dispatch, Leave, Wait(120_000)], ..base
         },
         Case {
             name: "the end follows the last answer",
             steps: &[
-                Ready,
-                Accept,
-                Accept,
-                Dispatch,
-                Leave,
-                Withdraw,
-                Wait(9_000),
-                Finish,
-                Wait(1),
+                Ready, Accept, Accept, Dispatch, Leave, Withdraw, Wait(9_000), Finish, Wait(1),
             ],
-            phase: Phase::Stopped,
-            ..base
+            phase: Phase::Stopped, ..base
         },
         Case {
             name: "a start that completes late doesn't revive a leaving node",
-            steps: &[Leave, Ready, Accept],
-            ..base
+            steps: &[Leave, Ready, Accept], ..base
         },
         Case {
             name: "calls under way when leaving is announced are taken for a while",
             accept_for_ms: 500,
-            steps: &[
-                Ready,
-                Leave,
-                Wait(499),
-                Accept,
-                Dispatch,
-                Wait(1),
-                Accept,
-                Dispatch,
-            ],
-            breaches: 1,
-            ..base
+            steps: &[Ready, Leave, Wait(499), Accept, Dispatch, Wait(1), Accept, Dispatch],
+            breaches: 1, ..base
         },
         Case {
-            name: "but not by a node that never served",
-            accept_for_ms: 500,
-            steps: &[Leave, Accept, Dispatch],
-            breaches: 1,
-            ..base
+            name: "but not by a node that never served", accept_for_ms: 500,
+            steps: &[Leave, Accept, Dispatch], breaches: 1, ..base
         },
         Case {
             name: "what is given up is counted",
-            steps: &[Ready, Accept, Accept, Dispatch, Leave, Abandon],
-            phase: Phase::Stopped,
-            cut_off: 2,
-            ..base
+            steps: &[Ready, Accept, Accept, Dispatch, Leave, Abandon], phase: Phase::Stopped,
+            cut_off: 2, ..base
         },
     ];
     for case in cases {
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -49,62 +49,38 @@
     use NodeState::*;
     use Step::*;
     const ALL: &[usize] = &[0, 1, 2, 3, 4, 5, 6, 7];
+    const WITHOUT_3: &[usize] = &[0, 1, 2, 4, 5, 6, 7];
+    #[rustfmt::skip]
     let cases = [
-        Case {
-            name: "the list alone",
-            steps: &[],
-            live: ALL,
-        },
-        Case {
-            name: "the list says leaving",
-            steps: &[List(2, &[], &[3])],
-            live: &[0, 1, 2, 4, 5, 6, 7],
-        },
+        Case { name: "the list alone", steps: &[], live: ALL },
+        Case { name: "the list says leaving", steps: &[List(2, &[], &[3])], live: WITHOUT_3 },
         Case {
             name: "a word of leaving beats a list that lags, also when the node is listed anew",
-            steps: &[
-                Heard(3, 1, Leaving, 9),
-                List(2, &[3], &[]),
-                List(3, &[], &[]),
-                Wait(120),
-            ],
-            live: &[0, 1, 2, 4, 5, 6, 7],
+            steps: &[Heard(3, 1, Leaving, 9), List(2, &[3], &[]), List(3, &[], &[]), Wait(120)],
+            live: WITHOUT_3,
         },
         Case {
             name: "a late word of serving doesn't undo leaving",
-            steps: &[
-                Heard(3, 1, Leaving, 9),
-                Heard(3, 1, Serving, 8),
-                Heard(3, 1, Serving, 10),
-            ],
-            live: &[0, 1, 2, 4, 5, 6, 7],
+            steps: &[Heard(3, 1, Leaving, 9), Heard(3, 1, Serving, 8), Heard(3, 1, Serving, 10)],
+            live: WITHOUT_3,
         },
         Case {
             name: "a new incarnation replaces one that left",
-            steps: &[Heard(3, 1, Leaving, 9), Heard(3, 2, Serving, 1)],
-            live: ALL,
+            steps: &[Heard(3, 1, Leaving, 9), Heard(3, 2, Serving, 1)], live: ALL,
         },
         Case {
             name: "a new incarnation that starts gets no work yet",
-            steps: &[Heard(3, 1, Leaving, 9), Heard(3, 2, Starting, 1)],
-            live: &[0, 1, 2, 4, 5, 6, 7],
+            steps: &[Heard(3, 1, Leaving, 9), Heard(3, 2, Starting, 1)], live: WITHOUT_3,
         },
         Case {
             name: "a late word of the incarnation before is ignored",
-            steps: &[
-                Heard(3, 1, Serving, 8),
-                Heard(3, 2, Serving, 1),
-                Heard(3, 1, Leaving, 9),
-            ],
+            steps: &[Heard(3, 1, Serving, 8), Heard(3, 2, Serving, 1), Heard(3, 1, Leaving, 9)],
             live: ALL,
         },
         Case {
             name: "a living incarnation returns when a dead one was heard late",
             steps: &[
-                Heard(3, 2, Serving, 5),
-                Heard(3, 1, Leaving, 9),
-                Heard(3, 2, Serving, 6),
-                Wait(31),
+                Heard(3, 2, Serving, 5), Heard(3, 1, Leaving, 9), Heard(3, 2, Serving, 6), Wait(31),
                 Heard(3, 2, Serving, 7),
             ],
             live: ALL,
@@ -112,73 +88,49 @@
         Case {
             name: "it doesn't while the other one speaks",
             steps: &[
-                Heard(3, 2, Serving, 5),
-                Heard(3, 1, Leaving, 9),
-                Heard(3, 2, Serving, 6),
-                Wait(20),
-                Heard(3, 1, Leaving, 10),
-                Wait(20),
-                Heard(3, 2, Serving, 7),
+                Heard(3, 2, Serving, 5), Heard(3, 1, Leaving, 9), Heard(3, 2, Serving, 6), Wait(20),
+                Heard(3, 1, Leaving, 10), Wait(20), Heard(3, 2, Serving, 7),
             ],
-            live: &[0, 1, 2, 4, 5, 6, 7],
+            live: WITHOUT_3,
         },
         Case {
             name: "nor by one late word that comes again and again",
             steps: &[
-                Heard(3, 1, Serving, 5),
-                Heard(3, 2, Leaving, 1),
-                Heard(3, 1, Serving, 6),
-                Wait(31),
+                Heard(3, 1, Serving, 5), Heard(3, 2, Leaving, 1), Heard(3, 1, Serving, 6), Wait(31),
                 Heard(3, 1, Serving, 6),
             ],
-            live: &[0, 1, 2, 4, 5, 6, 7],
+            live: WITHOUT_3,
         },
         Case {
             name: "a list that lacks a third of the fleet, of every service some, is held",
-            steps: &[
-                List(2, &[0, 1, 2, 8, 9, 10, 16, 17, 24, 25, 32, 33], &[]),
-                Wait(29),
-            ],
+            steps: &[List(2, &[0, 1, 2, 8, 9, 10, 16, 17, 24, 25, 32, 33], &[]), Wait(29)],
             live: ALL,
         },
         Case {
             name: "the list lags behind a node that was replaced",
-            steps: &[
-                Heard(3, 1, Serving, 5),
-                List(2, &[], &[3]),
-                Heard(3, 2, Serving, 1),
-            ],
+            steps: &[Heard(3, 1, Serving, 5), List(2, &[], &[3]), Heard(3, 2, Serving, 1)],
             live: ALL,
         },
         Case {
             name: "a first word doesn't undo what the list says of leaving",
-            steps: &[List(2, &[], &[3]), Heard(3, 1, Serving, 1)],
-            live: &[0, 1, 2, 4, 5, 6, 7],
+            steps: &[List(2, &[], &[3]), Heard(3, 1, Serving, 1)], live: WITHOUT_3,
         },
         Case {
             name: "an older list is ignored",
-            steps: &[List(5, &[3], &[]), List(4, &[], &[]), List(5, &[], &[])],
-            live: &[0, 1, 2, 4, 5, 6, 7],
+            steps: &[List(5, &[3], &[]), List(4, &[], &[]), List(5, &[], &[])], live: WITHOUT_3,
         },
         Case {
             name: "an empty list is never believed",
-            steps: &[Truncated(2, 0), Wait(999)],
-            live: ALL,
-        },
-        Case {
-            name: "a truncated list is held",
-            steps: &[Truncated(2, 4), Wait(29)],
-            live: ALL,
+            steps: &[Truncated(2, 0), Wait(999)], live: ALL,
         },
+        Case { name: "a truncated list is held", steps: &[Truncated(2, 4), Wait(29)], live: ALL },
         Case {
             name: "a whole list ends the doubt",
-            steps: &[Truncated(2, 4), Wait(20), List(3, &[], &[]), Wait(20)],
-            live: ALL,
+            steps: &[Truncated(2, 4), Wait(20), List(3, &[], &[]), Wait(20)], live: ALL,
         },
         Case {
             name: "truncated lists one after the other aren't believed sooner, nor later",
-            steps: &[Truncated(2, 4), Wait(20), Truncated(3, 4), Wait(10)],
-            live: &[0, 1, 2, 3],
+            steps: &[Truncated(2, 4), Wait(20), Truncated(3, 4), Wait(10)], live: &[0, 1, 2, 3],
         },
         Case {
             name: "a node that speaks on is kept though lists lack it",
@@ -187,61 +139,42 @@
         },
         Case {
             name: "a node that can't be reached and isn't listed is gone at once",
-            steps: &[Truncated(2, 4), Unreachable(7), Wait(12)],
-            live: &[0, 1, 2, 3, 4, 5, 6],
+            steps: &[Truncated(2, 4), Unreachable(7), Wait(12)], live: &[0, 1, 2, 3, 4, 5, 6],
         },
         Case {
             name: "a node that can't be reached is left out for a while",
-            steps: &[Unreachable(7), Wait(9)],
-            live: &[0, 1, 2, 3, 4, 5, 6],
-        },
-        Case {
-            name: "and tried again",
-            steps: &[Unreachable(7), Wait(10)],
-            live: ALL,
+            steps: &[Unreachable(7), Wait(9)], live: &[0, 1, 2, 3, 4, 5, 6],
         },
+        Case { name: "and tried again", steps: &[Unreachable(7), Wait(10)], live: ALL },
         Case {
             name: "or sooner when it speaks",
-            steps: &[Unreachable(7), Heard(7, 1, Serving, 1)],
-            live: ALL,
+            steps: &[Unreachable(7), Heard(7, 1, Serving, 1)], live: ALL,
         },
         Case {
             name: "when nobody can be reached, all are tried",
             steps: &[
-                Unreachable(0),
-                Unreachable(1),
-                Unreachable(2),
-                Unreachable(3),
-                Unreachable(4),
-                Unreachable(5),
-                Unreachable(6),
-                Unreachable(7),
+                Unreachable(0), Unreachable(1), Unreachable(2), Unreachable(3), Unreachable(4),
+                Unreachable(5), Unreachable(6), Unreachable(7),
             ],
             live: ALL,
         },
         Case {
             name: "a few that go are believed at once",
-            steps: &[List(2, &[2, 20], &[])],
-            live: &[0, 1, 3, 4, 5, 6, 7],
+            steps: &[List(2, &[2, 20], &[])], live: &[0, 1, 3, 4, 5, 6, 7],
         },
         Case {
             name: "a service that vanishes from the list is held",
-            steps: &[List(2, ALL, &[]), Wait(29)],
-            live: ALL,
+            steps: &[List(2, ALL, &[]), Wait(29)], live: ALL,
         },
         Case {
             name: "and believed after a while",
-            steps: &[List(2, ALL, &[]), Wait(30)],
-            live: &[],
+            steps: &[List(2, ALL, &[]), Wait(30)], live: &[],
         },
         Case {
             name: "nodes that said they leave don't make a list suspicious",
             steps: &[
-                Heard(0, 1, Leaving, 1),
-                Heard(1, 1, Leaving, 1),
-                Heard(2, 1, Leaving, 1),
-                Heard(3, 1, Leaving, 1),
-                Heard(4, 1, Leaving, 1),
+                Heard(0, 1, Leaving, 1), Heard(1, 1, Leaving, 1), Heard(2, 1, Leaving, 1),
+                Heard(3, 1, Leaving, 1), Heard(4, 1, Leaving, 1),
                 List(2, &[0, 1, 2, 3, 4, 5, 8, 9, 10, 11], &[]),
             ],
             live: &[6, 7],
