--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -73,21 +73,17 @@
         let method = Method::from_word(method);
         let path = path::without_query(path);
         if path::is_ambiguous(path) {
-            return self.profile_of(self.default_class, false, self.deadline);
+            return self.profile_of(self.default_class, false, self.deadline, None);
         }
         let by_method = method.is_some_and(Method::is_idempotent);
-        match self
-            .operations
-            .iter()
-            .find(|operation| operation.matches(method, path))
-        {
-            Some(operation) => {
-                let idempotent = operation.idempotent.unwrap_or(by_method);
-                let deadline = operation.deadline.unwrap_or(self.deadline);
-                self.profile_of(operation.class, idempotent, deadline)
-            }
-            None => self.profile_of(self.default_class, by_method, self.deadline),
-        }
+        let covers = |operation: &Operation| operation.matches(method, path);
+        let Some(position) = self.operations.iter().position(covers) else {
+            return self.profile_of(self.default_class, by_method, self.deadline, None);
+        };
+        let operation = &self.operations[position];
+        let idempotent = operation.idempotent.unwrap_or(by_method);
+        let deadline = operation.deadline.unwrap_or(self.deadline);
+        self.profile_of(operation.class, idempotent, deadline, Some(position as u16))
     }
 
     /// The name of a class; absent where the document has fewer classes.
@@ -103,16 +99,20 @@
         }
     }
 
-    fn profile_of(&self, class: Class, idempotent: bool, deadline: Duration) -> CallProfile {
-        let class_name = self
-            .class_name(class)
-            .map(|name| name.0.clone())
-            .unwrap_or_default();
+    fn profile_of(
+        &self,
+        class: Class,
+        idempotent: bool,
+        deadline: Duration,
+        operation: Option<u16>,
+    ) -> CallProfile {
+        let class_name = self.class_name(class).map(|name| name.0.clone());
         CallProfile {
             class,
-            class_name,
+            class_name: class_name.unwrap_or_default(),
             idempotent,
             deadline,
+            operation,
         }
     }
 }
--- a/crates/core/src/document/call_profile.rs
+++ b/crates/core/src/document/call_profile.rs
@@ -17,4 +17,6 @@
     pub idempotent: bool,
     /// Longest time that the call may take.
     pub deadline: Duration,
+    /// Position of the operation in the document, from the most specific; absent where none covers the call.
+    pub operation: Option<u16>,
 }
--- a/crates/node/src/config/convert.rs
+++ b/crates/node/src/config/convert.rs
@@ -10,17 +10,19 @@
 use coltsfootport_core::routing::RoutingConfig;
 
 use super::{
-    AdmissionMode, AdmissionSettings, OnceSettings, RetriesSettings, Settings, ShutdownSettings,
-    SpreadSettings,
+    AdmissionMode, OnceSettings, RetriesSettings, Settings, ShutdownSettings, SpreadSettings,
 };
 
-impl From<&AdmissionSettings> for AdmissionConfig {
-    fn from(settings: &AdmissionSettings) -> Self {
+impl From<&Settings> for AdmissionConfig {
+    fn from(settings: &Settings) -> Self {
+        let connections = settings.target.connections;
+        let settings = &settings.admission;
         Self {
             mode: settings.mode.into(),
             initial_limit: settings.initial_limit,
             min_limit: settings.min_limit,
-            max_limit: settings.max_limit,
+            // Each call at the target has a connection of its own.
+            max_limit: settings.max_limit.min(connections),
             queue_length: settings.queue_length as usize,
             level_shedding: settings.level_shedding,
             deadline_check: settings.deadline_check,
--- a/crates/node/src/config/timeline.rs
+++ b/crates/node/src/config/timeline.rs
@@ -11,7 +11,7 @@
 
 impl Default for TimelineSettings {
     fn default() -> Self {
-        Self { capacity: 4096 }
+        Self { capacity: 16_384 }
     }
 }
 
--- a/crates/node/src/data/answer.rs
+++ b/crates/node/src/data/answer.rs
@@ -7,6 +7,7 @@
 use coltsfootport_core::once::{AnswerSize, Identity};
 use coltsfootport_core::outcome::Outcome;
 use http::{HeaderMap, StatusCode};
+use rand::Rng;
 
 /// A target's whole answer.
 #[derive(Clone, Debug)]
@@ -66,7 +67,7 @@
     pub fn unsent(kind: ErrorKind, identity: Identity) -> Self {
         Self {
             outcome: identity.outcome_unsent(kind),
-            ..Self::new(kind, DEFAULT_RETRY_AFTER)
+            ..Self::new(kind, jittered(DEFAULT_RETRY_AFTER))
         }
     }
 
@@ -76,12 +77,17 @@
             return self;
         }
         Self {
-            retry_after: DEFAULT_RETRY_AFTER,
+            retry_after: jittered(DEFAULT_RETRY_AFTER),
             ..self
         }
     }
 }
 
+/// Callers that are refused together must not come back together.
+fn jittered(time: Duration) -> Duration {
+    time.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
 /// When a caller may come back where no host said so.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
--- a/crates/node/src/entry/budget.rs
+++ b/crates/node/src/entry/budget.rs
@@ -1,5 +1,6 @@
 //! Where an entry takes retries from.
 
+use coltsfootport_core::admission::Level;
 use coltsfootport_core::allowance::Allowance;
 use coltsfootport_core::invariant::Invariant;
 
@@ -37,6 +38,13 @@
         }
     }
 
+    /// Notes the admission level below the call, for callers of the operation that it serves.
+    pub fn level_below(&self, level: Level) {
+        if let Self::Flight(gate, flight) = self {
+            gate.level_below(*flight, level);
+        }
+    }
+
     /// Takes out one retry; false where none is left.
     pub async fn spend(&mut self) -> bool {
         match self {
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -121,11 +121,13 @@
             return course.pass_over();
         }
         match self.attempt(call, route, budget).await {
-            Attempt::Replied(reply) => Step::from(reply.verdict),
+            Attempt::Replied(reply) if call.idempotent => Step::from(reply.verdict),
+            Attempt::Replied(reply) => Step::from(movable(sent_once(reply.verdict))),
             Attempt::NotSent => course.pass_over(),
-            Attempt::Lost | Attempt::Expired if !call.idempotent => {
-                Step::from(moved(self.settle(call).await))
+            Attempt::Lost if !call.idempotent => {
+                Step::from(movable(self.pursue(call, budget).await))
             }
+            Attempt::Expired if !call.idempotent => Step::from(movable(self.settle(call).await)),
             Attempt::Lost => Step::Failed(Refused::from(ErrorKind::AnswerLost)),
             Attempt::Expired => Step::Failed(Refused::from(ErrorKind::ExpiredInFlight)),
         }
@@ -162,6 +164,7 @@
                 if let Err(breach) = budget.give_back(granted, reply.allowance_left) {
                     setup.recorder.breach(breach);
                 }
+                budget.level_below(reply.report.level);
                 route
                     .guard
                     .done(route_result(&reply.verdict), Some(reply.report.clone()));
@@ -222,10 +225,8 @@
         if self.setup.clock.now() + LEAST_TIME_FOR_RETRY >= call.deadline {
             return false;
         }
-        if !self.setup.routes.spend_retry(&call.service).await {
-            return false;
-        }
-        budget.spend().await
+        // The request's own allowance first: a request that has none must not use up the budget of the others.
+        budget.spend().await && self.setup.routes.spend_retry(&call.service).await
     }
 
     fn note_retry(&self, call: &Call, error: ErrorKind, retries: u16) {
@@ -268,10 +269,26 @@
     }
 }
 
-/// A call that no caller holds a token of may run elsewhere once its home refused it for good.
-fn moved(verdict: Verdict) -> Verdict {
+/// What a home's refusal of a token means where the token was made for this call alone.
+///
+/// Nobody else can have sent it, so that a home which refused it, or is another run than the token names, has not run the
+/// call; another host may.
+fn movable(verdict: Verdict) -> Verdict {
+    let Verdict::Refused(refused) = verdict else {
+        return verdict;
+    };
+    match refused.kind {
+        ErrorKind::TokenRefused | ErrorKind::BadToken | ErrorKind::TokenExpired => {
+            Verdict::Refused(Refused::new(ErrorKind::NoTarget, refused.retry_after))
+        }
+        _ => Verdict::Refused(refused),
+    }
+}
+
+/// A home that answers that it is another run than the token names can't have run a call that was sent to it alone.
+fn sent_once(verdict: Verdict) -> Verdict {
     match verdict {
-        Verdict::Refused(refused) if refused.kind == ErrorKind::TokenRefused => {
+        Verdict::Refused(refused) if refused.kind == ErrorKind::HomeLost => {
             Verdict::Refused(Refused::new(ErrorKind::NoTarget, refused.retry_after))
         }
         other => other,
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -23,6 +23,10 @@
 impl Outgoing {
     /// An answer without a token.
     pub fn new(request: RequestId, verdict: Verdict) -> Self {
+        let verdict = match verdict {
+            Verdict::Refused(refused) => Verdict::Refused(refused.with_time()),
+            answered => answered,
+        };
         Self {
             request,
             verdict,
--- a/crates/node/src/entry/pinned.rs
+++ b/crates/node/src/entry/pinned.rs
@@ -27,25 +27,41 @@
         budget: &mut Budget,
     ) -> Verdict {
         call.once = Some(once.clone());
-        let mut sent = false;
-        loop {
-            let attempt = match self.setup.routes.home(&once.token).await {
-                Some(route) => self.attempt(&mut call, route, budget).await,
-                None => Attempt::NotSent,
-            };
-            match attempt {
+        match self.attempt_at_home(&mut call, &once, budget).await {
+            Attempt::Replied(reply) => reply.verdict,
+            Attempt::NotSent => Verdict::Refused(Refused::unsent(ErrorKind::NoTarget, identity)),
+            Attempt::Lost => self.pursue(&mut call, budget).await,
+            Attempt::Expired => self.settle(&call).await,
+        }
+    }
+
+    /// Learns what became of a call with a token after contact to its home was lost.
+    ///
+    /// The home knows the token and its try, so that sending it again joins the first sending or hears its answer.
+    pub(super) async fn pursue(&self, call: &mut Call, budget: &mut Budget) -> Verdict {
+        let Some(once) = call.once.clone() else {
+            return Verdict::from(ErrorKind::AnswerLost);
+        };
+        while self.may_repeat(call, budget).await {
+            match self.attempt_at_home(call, &once, budget).await {
                 Attempt::Replied(reply) => return reply.verdict,
-                Attempt::NotSent if !sent => {
-                    let refused = Refused::unsent(ErrorKind::NoTarget, identity);
-                    return Verdict::Refused(refused);
-                }
-                // The home knows the token and this try, so sending it again joins the first or hears its answer.
-                Attempt::Lost if self.may_repeat(&call, budget).await => sent = true,
-                Attempt::NotSent | Attempt::Lost | Attempt::Expired => {
-                    return self.settle(&call).await;
-                }
+                Attempt::Lost => {}
+                Attempt::NotSent | Attempt::Expired => break,
             }
         }
+        self.settle(call).await
+    }
+
+    async fn attempt_at_home(
+        &self,
+        call: &mut Call,
+        once: &OnceCall,
+        budget: &mut Budget,
+    ) -> Attempt {
+        match self.setup.routes.home(&once.token).await {
+            Some(route) => self.attempt(call, route, budget).await,
+            None => Attempt::NotSent,
+        }
     }
 
     /// Asks the home what became of a call after contact was lost, and has it refuse the call if it did not run.
--- a/crates/node/src/entry/prepare.rs
+++ b/crates/node/src/entry/prepare.rs
@@ -46,7 +46,7 @@
             headers: end_to_end(&inbound.headers),
             class: class.class,
             class_name: class.name,
-            operation: operation_of(inbound),
+            operation: operation_name(profile.operation),
             deadline: origin.deadline(started + limit),
             allowance: 0,
             depth: origin.depth(),
@@ -91,16 +91,10 @@
     }
 }
 
-/// The operation by which levels of the subtree are kept: the method and the first segment of the path.
-fn operation_of(inbound: &Inbound) -> SmolStr {
-    let path = inbound.path.split('?').next().unwrap_or_default();
-    let first = path
-        .trim_start_matches('/')
-        .split('/')
-        .next()
-        .unwrap_or_default();
-    let first: String = first.chars().take(LONGEST_OPERATION).collect();
-    SmolStr::from(format!("{} {first}", inbound.method))
+/// The name by which levels of an operation's subtree are kept; bounded by the document, since callers choose paths freely.
+fn operation_name(operation: Option<u16>) -> SmolStr {
+    match operation {
+        Some(position) => SmolStr::from(position.to_string()),
+        None => SmolStr::new_static("other"),
+    }
 }
-
-const LONGEST_OPERATION: usize = 24;
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -69,10 +69,7 @@
         req: Request<Incoming>,
         connection: CallerConnection,
     ) -> Response<HttpAnswer> {
-        if req.uri().path() == TOKENS_PATH {
-            return self.serve_tokens(&req).await;
-        }
-        self.serve(req, connection, Listener::Callers).await
+        self.serve_any(req, connection, Listener::Callers).await
     }
 
     /// Answers a call of the node's own target.
@@ -81,7 +78,19 @@
         req: Request<Incoming>,
         connection: CallerConnection,
     ) -> Response<HttpAnswer> {
-        self.serve(req, connection, Listener::Egress).await
+        self.serve_any(req, connection, Listener::Egress).await
+    }
+
+    async fn serve_any(
+        self,
+        req: Request<Incoming>,
+        connection: CallerConnection,
+        listener: Listener,
+    ) -> Response<HttpAnswer> {
+        if req.uri().path() == TOKENS_PATH {
+            return self.serve_tokens(&req).await;
+        }
+        self.serve(req, connection, listener).await
     }
 
     async fn serve(
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -17,7 +17,7 @@
 use rand::{Rng, SeedableRng};
 use slotmap::SlotMap;
 use smol_str::SmolStr;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::{
     Admittance, ContextHandle, Departure, Entered, Flight, FlightEnd, FlightGuard, FlightKey,
@@ -26,6 +26,7 @@
 use crate::clock::SharedClock;
 use crate::data::{Answer, HostReport, Refused};
 use crate::recorder::Recorder;
+use crate::spread::Published;
 
 /// What the gate is made of.
 #[derive(Clone)]
@@ -50,6 +51,8 @@
     pub recorder: Recorder,
     /// Where the phases of the node's life are told.
     pub life: mpsc::UnboundedSender<LifecycleEvent>,
+    /// What is published, for the revision that others hear of.
+    pub published: watch::Receiver<Arc<Published>>,
 }
 
 /// The task that decides which calls the target runs.
@@ -73,7 +76,9 @@
     actions: Vec<Action>,
     drained: Vec<oneshot::Sender<()>>,
     rng: SmallRng,
-    revision: u64,
+    published: watch::Receiver<Arc<Published>>,
+    /// Calls that wait, for those whose callers leave.
+    waiting: Vec<FlightKey>,
     tx: mpsc::UnboundedSender<GateMessage>,
     rx: mpsc::UnboundedReceiver<GateMessage>,
 }
@@ -95,7 +100,8 @@
             actions: Vec::new(),
             drained: Vec::new(),
             rng: SmallRng::from_os_rng(),
-            revision: 0,
+            published: setup.published,
+            waiting: Vec::new(),
             node: setup.node,
             service: setup.service,
             entering: None,
@@ -252,6 +258,7 @@
             bucket: admittance.bucket,
             deadline: admittance.deadline,
         };
+        self.drop_left();
         let call = self.admission.offer(offer, now);
         self.lifecycle.accepted();
         let flight = Flight {
@@ -433,8 +440,43 @@
         self.poll_life(now);
     }
 
+    /// Takes calls out of the queue whose callers have left.
+    ///
+    /// Clients that give up and try again would otherwise fill the queue with calls that nobody waits for, and the living ones
+    /// are refused.
+    fn drop_left(&mut self) {
+        let waiting = std::mem::take(&mut self.waiting);
+        for key in waiting {
+            let Some(flight) = self.flights.get(key) else {
+                continue;
+            };
+            if flight.phase != FlightPhase::Queued {
+                continue;
+            }
+            if self.is_left(flight) {
+                self.abandon(key);
+            } else {
+                self.waiting.push(key);
+            }
+        }
+    }
+
+    fn is_left(&self, flight: &Flight) -> bool {
+        let joined = flight
+            .record
+            .is_some_and(|record| self.joined.contains_key(&record));
+        !joined
+            && flight
+                .reply
+                .as_ref()
+                .is_some_and(oneshot::Sender::is_closed)
+    }
+
     fn note_queued(&mut self) {
-        let Some(flight) = self.entering.take().and_then(|key| self.flights.get(key)) else {
+        let Some(key) = self.entering.take() else {
+            return;
+        };
+        let Some(flight) = self.flights.get(key) else {
             return;
         };
         if flight.phase != FlightPhase::Queued {
@@ -444,6 +486,7 @@
             class: flight.class,
             ahead: self.admission.queued().saturating_sub(1) as u32,
         };
+        self.waiting.push(key);
         self.recorder.record(Some(flight.request), event);
     }
 
@@ -612,7 +655,7 @@
             queued: self.admission.queued() as u32,
             limit: self.admission.limit(),
             level: self.admission.level().min(below),
-            revision: self.revision,
+            revision: self.published.borrow().revision,
         }
     }
 
--- a/crates/node/src/host/runner.rs
+++ b/crates/node/src/host/runner.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootport_core::error_kind::ErrorKind;
-use coltsfootport_core::id::Incarnation;
+use coltsfootport_core::id::{Incarnation, ServiceName};
 use coltsfootport_core::once::{Refusal, Token, Try};
 use coltsfootport_core::timeline::Event;
 use tokio::sync::oneshot;
@@ -20,6 +20,8 @@
 /// What a host is made of.
 #[derive(Clone)]
 pub struct HostSetup {
+    /// The service of the target.
+    pub service: ServiceName,
     /// The gate in front of the target.
     pub gate: GateHandle,
     /// The target.
@@ -57,6 +59,10 @@
             allowance: call.allowance,
         };
         self.setup.recorder.record(Some(call.request), event);
+        // A list that lags may still show this node's name with the service of the instance that it replaced.
+        if call.service != self.setup.service {
+            return self.aside(&call, Verdict::from(ErrorKind::NoTarget)).await;
+        }
         match self.setup.gate.enter(Admittance::from(&call)).await {
             Entered::Admitted(guard) if call.once.is_some() => self.run_detached(call, guard).await,
             Entered::Admitted(guard) => {
--- a/crates/node/src/http/headers.rs
+++ b/crates/node/src/http/headers.rs
@@ -35,14 +35,26 @@
 /// Internal headers from a caller could otherwise pass for context that a node gave out.
 pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let mut kept = HeaderMap::with_capacity(headers.len());
+    let named = named_by_connection(headers);
     for (name, value) in headers {
-        if !is_hop_by_hop(name) && !name.as_str().starts_with(INTERNAL_PREFIX) {
+        if !is_hop_by_hop(name)
+            && !named.iter().any(|other| other == name.as_str())
+            && !name.as_str().starts_with(INTERNAL_PREFIX)
+        {
             kept.append(name.clone(), value.clone());
         }
     }
     kept
 }
 
+/// Headers that the sender meant for this connection only.
+fn named_by_connection(headers: &HeaderMap) -> Vec<String> {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    let names = texts.flat_map(|text| text.split(','));
+    names.map(|name| name.trim().to_ascii_lowercase()).collect()
+}
+
 const INTERNAL_PREFIX: &str = "coltsfootport-";
 
 fn is_hop_by_hop(name: &HeaderName) -> bool {
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -67,22 +67,23 @@
         Recorder::new(name.clone(), Arc::clone(&clock), metrics.clone(), capacity);
     tokio::spawn(recording.run());
 
+    let (published_tx, published) = watch::channel(Arc::new(Published::default()));
     let (life_tx, life_rx) = mpsc::unbounded_channel();
     let (gate_task, gate) = Gate::new(GateSetup {
         node: name.clone(),
         service: settings.node.service.clone(),
         incarnation,
         started,
-        admission: AdmissionConfig::from(&settings.admission),
+        admission: AdmissionConfig::from(&settings),
         once: OnceConfig::from(&settings.once),
         lifecycle: LifecycleConfig::from(&settings.shutdown),
         clock: Arc::clone(&clock),
         recorder: recorder.clone(),
+        published: published.clone(),
         life: life_tx,
     });
     let gate_task = tokio::spawn(gate_task.run());
 
-    let (published_tx, published) = watch::channel(Arc::new(Published::default()));
     let (words_tx, words) = mpsc::unbounded_channel();
     let (routes_task, routes) = Routes::new(RoutesSetup {
         routing: RoutingConfig::from(&settings),
@@ -105,6 +106,7 @@
     );
     tokio::spawn(pool_task.run());
     let host = Host::new(HostSetup {
+        service: settings.node.service.clone(),
         gate: gate.clone(),
         target: TargetClient::new(pool, settings.target.address, body_limit),
         incarnation,
@@ -127,7 +129,9 @@
         head: HEAD_ALLOWANCE + settings.limits.header_bytes as usize,
         body: body_limit,
     };
+    let streams = Arc::new(Semaphore::new(MOST_STREAMS as usize));
     let services = PeerServices {
+        streams: Arc::clone(&streams),
         host: host.clone(),
         gate: gate.clone(),
         routes: routes.clone(),
@@ -257,6 +261,9 @@
     }
     // Requests that this node still carries to other hosts are answered before it ends.
     let _ = tokio::time::timeout(settings.shutdown.drain, callers).await;
+    // The last answers are still on their way to other nodes.
+    let ended = streams.acquire_many(MOST_STREAMS);
+    let _ = tokio::time::timeout(LAST_ANSWERS, ended).await;
     endpoint.close(quinn::VarInt::from_u32(0), b"stopped");
     let _ = tokio::time::timeout(CLOSE_PATIENCE, endpoint.wait_idle()).await;
     Ok(())
@@ -265,6 +272,12 @@
 /// Bytes of a frame's head beyond the HTTP headers.
 const HEAD_ALLOWANCE: usize = 32 * 1024;
 
+/// Streams of peers that are served at a time.
+const MOST_STREAMS: u32 = 16_384;
+
+/// How long the last answers to peers may take once nothing is in flight.
+const LAST_ANSWERS: std::time::Duration = std::time::Duration::from_secs(5);
+
 /// How long peers are given to take in that connections are closed.
 const CLOSE_PATIENCE: std::time::Duration = std::time::Duration::from_millis(500);
 
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -1,13 +1,17 @@
 //! Serves the streams that peers open.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use bytes::Bytes;
 use coltsfootport_core::once::{Refusal, Try};
 use quinn::{Connection, Endpoint, RecvStream, SendStream};
+use tokio::sync::Semaphore;
 
 use super::link::FrameLimits;
 use super::{HubHandle, Link};
 use crate::clock::SharedClock;
-use crate::data::HostReport;
+use crate::data::{Answer, HostReport};
 use crate::gate::GateHandle;
 use crate::host::Host;
 use crate::metrics::{Metrics, Rejected};
@@ -22,6 +26,8 @@
 /// What the streams of peers are served with.
 #[derive(Clone)]
 pub struct PeerServices {
+    /// Places for streams at a time; all are free again when the last answer has been taken in by its peer.
+    pub streams: Arc<Semaphore>,
     /// Runs calls.
     pub host: Host,
     /// Refuses tokens.
@@ -90,8 +96,12 @@
 /// Serves the streams that the peer opens on a connection, whoever opened the connection itself.
 pub(super) async fn serve_connection(connection: Connection, services: PeerServices) {
     while let Ok((tx, rx)) = connection.accept_bi().await {
+        let Ok(place) = Arc::clone(&services.streams).acquire_owned().await else {
+            return;
+        };
         let services = services.clone();
         tokio::spawn(async move {
+            let _place = place;
             let metrics = services.metrics.clone();
             match serve_stream(tx, rx, services).await {
                 Ok(()) | Err(FrameError::Cut) => {}
@@ -136,6 +146,8 @@
     let body = reply.body();
     let head = ReplyFrame::new(&reply, services.recorder.stamp());
     write_frame(&mut tx, &PeerReply::Call(Box::new(head)), body).await?;
+    // Until the peer has taken in the whole answer, this node must not end: closing the endpoint would cut it off.
+    let _ = tokio::time::timeout(TAKE_IN, tx.stopped()).await;
     Ok(())
 }
 
@@ -168,7 +180,7 @@
     Ok(())
 }
 
-fn refusal_frame(refusal: Refusal<std::sync::Arc<crate::data::Answer>>) -> RefusalFrame {
+fn refusal_frame(refusal: Refusal<Arc<Answer>>) -> RefusalFrame {
     match refusal {
         Refusal::Running => RefusalFrame::Running,
         Refusal::Ran(answer) => RefusalFrame::Ran {
@@ -181,3 +193,6 @@
         Refusal::RefusedForGood => RefusalFrame::RefusedForGood,
     }
 }
+
+/// How long a peer may take to acknowledge an answer.
+const TAKE_IN: Duration = Duration::from_secs(5);
--- a/crates/node/src/routes/task.rs
+++ b/crates/node/src/routes/task.rs
@@ -51,6 +51,8 @@
     minter: Minter,
     addresses: Map<NodeName, SocketAddr>,
     told: Map<NodeName, Told>,
+    /// Highest revision of published entries held here.
+    known: u64,
     rng: SmallRng,
     clock: SharedClock,
     published: watch::Receiver<Arc<Published>>,
@@ -79,6 +81,7 @@
             minter: Minter::new(),
             addresses: Map::default(),
             told: Map::default(),
+            known: 0,
             rng: SmallRng::from_os_rng(),
             clock: setup.clock,
             published: setup.published,
@@ -110,11 +113,15 @@
     fn take_published(&mut self) {
         let published = Arc::clone(&self.published.borrow_and_update());
         let now = self.clock.now();
+        self.known = published.revision;
+        self.levels.expire(now);
         self.addresses = published
             .nodes
             .iter()
             .map(|node| (node.view.node.clone(), node.peer))
             .collect();
+        let addresses = &self.addresses;
+        self.told.retain(|node, _| addresses.contains_key(node));
         self.router.update(
             published
                 .nodes
@@ -238,13 +245,15 @@
             incarnation: report.incarnation,
             state: report.state,
         };
-        if self.told.get(&report.node) == Some(&told) {
+        let newer = report.revision > self.known;
+        if self.told.get(&report.node) == Some(&told) && !newer {
             return;
         }
         self.told.insert(report.node.clone(), told);
         if report.state == NodeState::Leaving {
             self.router.leaving(&report.node, report.incarnation);
         }
+        self.known = self.known.max(report.revision);
         let _ = self.words.send(Word::from(report));
     }
 
--- a/crates/node/src/spread/exchange.rs
+++ b/crates/node/src/spread/exchange.rs
@@ -69,7 +69,7 @@
     pub(super) fn replied(&mut self, node: &NodeName, reply: ControlReply) {
         match reply {
             ControlReply::Digest(theirs) => {
-                if theirs.serving {
+                if theirs.serving && self.start_peers.insert(node.clone()) {
                     self.start_up.heard_peer(&theirs.digest);
                 }
                 self.take_digest(&theirs);
@@ -208,6 +208,7 @@
             incarnation: Incarnation(frame.incarnation),
             state: frame.state,
             tick: Tick(frame.tick),
+            revision: 0,
         }
     }
 }
--- a/crates/node/src/spread/message.rs
+++ b/crates/node/src/spread/message.rs
@@ -18,6 +18,8 @@
     Asked(ControlRequest, oneshot::Sender<ControlReply>),
     /// A peer replied to this node's request.
     Replied(NodeName, ControlReply),
+    /// A peer did not reply in time.
+    NoReply,
     /// A peer could not be reached.
     Unreachable(NodeName),
     /// This node has begun to serve.
--- a/crates/node/src/spread/peers.rs
+++ b/crates/node/src/spread/peers.rs
@@ -12,7 +12,7 @@
 
 impl Spread {
     /// Tells all peers of new entries, small ones whole.
-    pub(super) fn tell_news(&self, news: &[Entry]) {
+    pub(super) fn tell_news(&mut self, news: &[Entry]) {
         let (whole, notices): (Vec<&Entry>, Vec<&Entry>) = news
             .iter()
             .partition(|entry| self.gossip.push_form(entry.value.len()) == PushForm::Whole);
@@ -25,7 +25,7 @@
     }
 
     /// Passes on what a node told about itself.
-    pub(super) fn pass_on(&self, word: &Word) {
+    pub(super) fn pass_on(&mut self, word: &Word) {
         self.tell_peers(&ControlRequest::Words(vec![WordFrame::from(word)]));
     }
 
@@ -56,25 +56,37 @@
         self.ask(&node, ControlRequest::Digest(self.digest_frame()));
     }
 
-    fn tell_peers(&self, request: &ControlRequest) {
-        for peer in self.gossip.push_targets() {
-            self.ask(peer, request.clone());
+    /// Compares copies with every peer that was not heard yet, so that a starting node knows of the newest before it serves.
+    pub(super) fn ask_at_start(&mut self) {
+        let peers = self.gossip.push_targets().to_vec();
+        for peer in peers {
+            if !self.start_peers.contains(&peer) {
+                self.ask(&peer, ControlRequest::Digest(self.digest_frame()));
+            }
+        }
+    }
+
+    fn tell_peers(&mut self, request: &ControlRequest) {
+        let peers = self.gossip.push_targets().to_vec();
+        for peer in peers {
+            self.ask(&peer, request.clone());
         }
     }
 
     /// Sends a request; the reply comes back as a message to this task.
-    pub(super) fn ask(&self, node: &NodeName, request: ControlRequest) {
+    pub(super) fn ask(&mut self, node: &NodeName, request: ControlRequest) {
         let Some(entry) = self.view.get(node) else {
             return;
         };
         let (node, address) = (node.clone(), entry.peer);
+        self.unanswered += 1;
         let (hub, tx) = (self.setup.hub.clone(), self.setup.tx.clone());
         tokio::spawn(async move {
             let message = match hub.link(&node, address).await {
                 None => SpreadMessage::Unreachable(node),
                 Some(link) => match link.control(request, PATIENCE).await {
                     Ok(reply) => SpreadMessage::Replied(node, reply),
-                    Err(_) => return,
+                    Err(_) => SpreadMessage::NoReply,
                 },
             };
             let _ = tx.send(message);
--- a/crates/node/src/spread/task.rs
+++ b/crates/node/src/spread/task.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coltsfootport_core::collections::Map;
+use coltsfootport_core::collections::{Map, Set};
 use coltsfootport_core::dissemination::{
     Digest, Entry, GossipPlan, InForce, Key, Offer, PullConfig, Pulls, ReaderPolicy, Replica,
     Revision, StartUp, Verdict,
@@ -21,6 +21,8 @@
 use slog::{info, warn};
 use smol_str::SmolStr;
 
+use crate::wire::ControlRequest;
+
 use super::{DocumentInForce, NodeEntry, Published, SpreadMessage, SpreadSetup, Word};
 
 /// The task that owns the replica of published entries and the view of the fleet.
@@ -34,16 +36,21 @@
     pub(super) gossip: GossipPlan,
     pub(super) pulls: Pulls,
     pub(super) start_up: StartUp,
+    /// Peers whose copies were heard of at the start.
+    pub(super) start_peers: Set<NodeName>,
     /// Digest of the peer with which versions are being compared.
     pub(super) compared: Option<Digest>,
     pub(super) last_read: Option<Instant>,
     pub(super) reachable: bool,
     pub(super) serving: bool,
+    /// Requests to peers that are not answered yet.
+    pub(super) unanswered: usize,
     /// When each node that the list still shows as live was heard to leave.
     pub(super) left: Map<NodeName, Instant>,
     pub(super) rng: SmallRng,
     epoch: u64,
     reader: bool,
+    ready: bool,
 }
 
 impl Spread {
@@ -58,14 +65,17 @@
             gossip: GossipPlan::new(setup.gossip, &setup.node, &view),
             pulls: Pulls::new(PullConfig::default()),
             start_up: StartUp::new(setup.start_up, setup.started),
+            start_peers: Set::default(),
             compared: None,
             last_read: None,
             reachable: false,
             serving: false,
+            unanswered: 0,
             left: Map::default(),
             rng: SmallRng::from_os_rng(),
             epoch: view.epoch(),
             reader: false,
+            ready: false,
             view,
             setup,
         }
@@ -84,6 +94,7 @@
                 _ = tick.tick() => self.advance(),
             }
             self.read_if_due();
+            self.serve_if_ready();
         }
     }
 
@@ -94,8 +105,13 @@
             SpreadMessage::Asked(request, reply) => {
                 let _ = reply.send(self.answer(request));
             }
-            SpreadMessage::Replied(node, reply) => self.replied(&node, reply),
+            SpreadMessage::Replied(node, reply) => {
+                self.unanswered -= 1;
+                self.replied(&node, reply);
+            }
+            SpreadMessage::NoReply => self.unanswered -= 1,
             SpreadMessage::Unreachable(node) => {
+                self.unanswered -= 1;
                 self.view.unreachable(&node, self.now());
                 self.view_changed();
             }
@@ -168,6 +184,10 @@
     pub(super) fn hear(&mut self, word: Word) {
         let now = self.now();
         let (node, state) = (word.node.clone(), word.state);
+        if word.revision > self.replica.revision().0 {
+            let after = self.replica.complete().0;
+            self.ask(&node, ControlRequest::PullSince(after));
+        }
         let outcome = self
             .view
             .heard(&word.node, word.incarnation, word.state, word.tick, now);
@@ -195,9 +215,18 @@
         self.exchange_digests(now);
         self.retry_pulls(now);
         self.probe_left(now);
-        if !self.setup.published.borrow().ready && self.start_up.ready(now) {
-            self.publish();
+    }
+
+    /// Lets the node serve once it has the newest of what the platform and its peers hold.
+    ///
+    /// While a peer is still asked, something newer, or the last good version behind an invalid one, may be on its way; a node
+    /// that served before it came would act on an older document than all others.
+    fn serve_if_ready(&mut self) {
+        if self.ready || self.unanswered > 0 || !self.start_up.ready(self.now()) {
+            return;
         }
+        self.ready = true;
+        self.publish();
     }
 
     /// Follows a changed view: other peers, perhaps another reader, and another snapshot.
@@ -210,6 +239,9 @@
         self.config_reads.observe(&self.setup.node, &self.view, now);
         self.list_reads.observe(&self.setup.node, &self.view, now);
         self.gossip.update(&self.setup.node, &self.view);
+        if !self.ready {
+            self.ask_at_start();
+        }
         self.note_reader(
             self.config_reads
                 .is_reader(&self.setup.node, &self.view, now),
@@ -248,12 +280,11 @@
             .collect();
         let revision = self.replica.revision().0;
         self.setup.metrics.documents.set_platform_revision(revision);
-        let ready = self.start_up.ready(self.now());
         self.setup.published.send_replace(Arc::new(Published {
             documents,
             nodes,
             revision,
-            ready,
+            ready: self.ready,
         }));
     }
 
--- a/crates/node/src/spread/word.rs
+++ b/crates/node/src/spread/word.rs
@@ -16,6 +16,8 @@
     pub state: NodeState,
     /// When it was told, by the node's own tick.
     pub tick: Tick,
+    /// Revision of the newest entry that it holds; 0 in words that are passed on.
+    pub revision: u64,
 }
 
 impl From<&HostReport> for Word {
@@ -25,6 +27,7 @@
             incarnation: report.incarnation,
             state: report.state,
             tick: Tick(report.tick.0),
+            revision: report.revision,
         }
     }
 }
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -96,7 +96,7 @@
     assert_eq!(settings.spread, SpreadSettings::default());
     assert_eq!(settings.shutdown, ShutdownSettings::default());
     assert_eq!(settings.log, LogSettings::default());
-    assert_eq!(settings.timeline, TimelineSettings { capacity: 4096 });
+    assert_eq!(settings.timeline, TimelineSettings { capacity: 16_384 });
     assert_eq!(settings.runtime, RuntimeSettings { worker_threads: 0 });
 }
 
