--- a/crates/core/src/admission/config.rs
+++ b/crates/core/src/admission/config.rs
@@ -58,7 +58,7 @@
     pub window_samples: usize,
     /// Service time, as a multiple of the uncongested one, above which the target counts as congested.
     pub tolerance: f64,
-    /// Share of failed calls in a window above which the limit is cut.
+    /// Share of failed calls above that of a quiet time from which the limit is cut.
     pub failure_share: f64,
     /// Time after which the uncongested service time is measured again.
     pub base_lifetime: Duration,
@@ -80,7 +80,7 @@
             cold_start: Duration::from_secs(2),
             cold_share: 0.25,
             window: Duration::from_millis(100),
-            window_samples: 10,
+            window_samples: 20,
             tolerance: 1.25,
             failure_share: 0.1,
             base_lifetime: Duration::from_secs(10),
--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -314,8 +314,8 @@
         let (min, samples) = (self.cfg.window, self.cfg.window_samples);
         if let Some(seen) = self.window.close(min, samples, self.in_flight, now) {
             self.limit.update(&self.cfg, seen, now);
-            if let Some(median) = seen.median {
-                self.estimate.update(median, now);
+            if let Some(times) = seen.times {
+                self.estimate.update(times.median, now);
             }
         }
         let fell = self.level.advance(self.queue.is_empty(), now);
--- a/crates/core/src/admission/level_control.rs
+++ b/crates/core/src/admission/level_control.rs
@@ -18,7 +18,7 @@
 const OVERLOAD_SHARE: f64 = 0.95;
 
 /// Admitted demand after a window of overload, as a share of what was served: keeps the slots in use.
-const SERVED_SHARE: f64 = 1.05;
+const SERVED_SHARE: f64 = 1.15;
 
 /// Growth of the admitted demand after the first calm window.
 const GROWTH: f64 = 0.05;
--- a/crates/core/src/admission/limit.rs
+++ b/crates/core/src/admission/limit.rs
@@ -1,9 +1,9 @@
 //! The learnt concurrency limit.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use super::config::{AdmissionConfig, LimitRule};
-use super::window::Seen;
+use super::window::{Seen, Times};
 
 /// Smallest factor of one cut by the gradient rule.
 const GRADIENT_FLOOR: f64 = 0.7;
@@ -17,8 +17,11 @@
 /// A series of cuts down to this share of its first limit must shorten service times.
 const JUDGED_SHARE: f64 = 0.8;
 
-/// Service time after such a series, as a share of that before, from which the series counts as useless.
-const NOT_SHORTENED: f64 = 0.92;
+/// Service time or failures after such a series, as a share of those before, from which the series counts as useless.
+const NOT_LESS: f64 = 0.92;
+
+/// Standard errors by which a mean service time must differ before it counts as longer or shorter.
+const SURE: f64 = 2.0;
 
 /// Weight of a shorter service time in the uncongested one.
 const BASE_WEIGHT: f64 = 0.3;
@@ -31,16 +34,23 @@
 
 /// Moves the limit at the end of each window.
 ///
-/// Service times above `tolerance` times the uncongested one count as queueing inside the target. Two guards keep this
-/// from misleading. A deep service that slows down lengthens service times here although nothing queues here, and cutting
-/// the limit would cost throughput: one would see the limit at its minimum and an idle target. So a series of cuts that
-/// doesn't shorten service times is taken back, and the longer time becomes the uncongested one. The other way round,
-/// under lasting congestion the uncongested time would be forgotten and the limit creep upwards with every lifetime of the
-/// base: so one window in each lifetime runs at a lower limit and measures it again.
+/// Service times above `tolerance` times the uncongested one count as queueing inside the target. Three guards keep this
+/// from misleading.
+///
+/// - Service times vary without any queueing. With a plain comparison the shortest windows make the base and all others
+///   look congested: the limit falls to its minimum and stays there. So a difference counts only where it is larger than
+///   the standard error of the window explains.
+/// - A deep service that slows down or fails makes calls long or failed here although nothing queues here, and cutting
+///   the limit would cost throughput; one would see the limit at its minimum and an idle target. So a series of cuts that
+///   makes neither service times shorter nor failures fewer is taken back, and what was seen becomes the new base.
+/// - Under lasting congestion the uncongested time would be forgotten and the limit creep upwards with every lifetime of
+///   the base. So one window in each lifetime runs at a lower limit and measures it again.
 #[derive(Clone, Debug)]
 pub(super) struct LimitControl {
     limit: f64,
     base: Option<Base>,
+    /// Share of failures that cuts have not made smaller.
+    base_failed: f64,
     cuts: Option<Cuts>,
     /// The limit to go back to after a measuring window.
     probed_from: Option<f64>,
@@ -57,14 +67,15 @@
 struct Cuts {
     limit: f64,
     seconds: f64,
+    failed: f64,
 }
 
 impl LimitControl {
     pub(super) fn new(cfg: &AdmissionConfig) -> Self {
-        let limit = f64::from(cfg.initial_limit);
         Self {
-            limit,
+            limit: f64::from(cfg.initial_limit),
             base: None,
+            base_failed: 0.0,
             cuts: None,
             probed_from: None,
         }
@@ -76,29 +87,39 @@
 
     /// Moves the limit by what a window has shown.
     pub(super) fn update(&mut self, cfg: &AdmissionConfig, seen: Seen, now: Instant) {
-        let failing = seen.failed > cfg.failure_share;
-        let used = f64::from(seen.peak) >= self.limit * USED_SHARE;
-        let Some(seconds) = seen.median.as_ref().map(Duration::as_secs_f64) else {
-            self.scale(cfg, if failing && used { CUT } else { 1.0 });
+        self.base_failed = self.base_failed.min(seen.failed);
+        let failing = seen.failed > self.base_failed + cfg.failure_share;
+        let used = f64::from(seen.peak) >= self.limit.floor() * USED_SHARE;
+        let Some(times) = seen.times else {
+            self.without_times(cfg, failing && used, seen.failed);
             return;
         };
         if let Some(limit) = self.probed_from.take() {
             self.base = Some(Base {
-                seconds,
+                seconds: times.mean,
                 confirmed: now,
             });
             self.limit = limit;
             return;
         }
-        let base = self.confirm(seconds, now);
+        let base = self.confirm(&times, now);
         if !used {
             self.cuts = None;
-            self.forget_base(cfg, seconds, now);
+            self.forget_base(cfg, times.mean, now);
             return;
         }
-        let ratio = cfg.tolerance * base / seconds.max(f64::EPSILON);
+        let ratio = cfg.tolerance * base / (times.mean - SURE * times.error).max(f64::EPSILON);
         if ratio < 1.0 || failing {
-            self.cut(cfg, ratio, failing, seconds, now);
+            let ratio = if failing { ratio.min(CUT) } else { ratio };
+            self.cut(
+                cfg,
+                ratio,
+                Cuts {
+                    limit: self.limit,
+                    seconds: times.mean,
+                    failed: seen.failed,
+                },
+            );
             return;
         }
         self.cuts = None;
@@ -110,17 +131,33 @@
         self.grow(cfg);
     }
 
+    /// A window in which every call failed.
+    fn without_times(&mut self, cfg: &AdmissionConfig, failing: bool, failed: f64) {
+        if failing {
+            self.cut(
+                cfg,
+                CUT,
+                Cuts {
+                    limit: self.limit,
+                    seconds: 0.0,
+                    failed,
+                },
+            );
+        }
+    }
+
     /// Takes a service time into the uncongested one, which is returned.
-    fn confirm(&mut self, seconds: f64, now: Instant) -> f64 {
+    fn confirm(&mut self, times: &Times, now: Instant) -> f64 {
         let base = self.base.get_or_insert(Base {
-            seconds,
+            seconds: times.mean,
             confirmed: now,
         });
-        if seconds <= base.seconds * BASE_CONFIRMED {
+        if times.mean <= base.seconds * BASE_CONFIRMED {
             base.confirmed = now;
         }
-        if seconds < base.seconds {
-            base.seconds += (seconds - base.seconds) * BASE_WEIGHT;
+        let surely = times.mean + SURE * times.error;
+        if surely < base.seconds {
+            base.seconds += (surely - base.seconds) * BASE_WEIGHT;
         }
         base.seconds
     }
@@ -139,40 +176,36 @@
         }
     }
 
-    fn cut(
-        &mut self,
-        cfg: &AdmissionConfig,
-        ratio: f64,
-        failing: bool,
-        seconds: f64,
-        now: Instant,
-    ) {
-        let before = *self.cuts.get_or_insert(Cuts {
-            limit: self.limit,
-            seconds,
-        });
-        let judged = self.limit <= before.limit * JUDGED_SHARE;
-        if judged && !failing && seconds > before.seconds * NOT_SHORTENED {
-            self.limit = before.limit;
-            self.cuts = None;
-            self.base = Some(Base {
-                seconds,
-                confirmed: now,
-            });
+    fn cut(&mut self, cfg: &AdmissionConfig, ratio: f64, current: Cuts) {
+        let before = *self.cuts.get_or_insert(current);
+        let judged = current.limit <= before.limit * JUDGED_SHARE;
+        if judged && before.is_useless(&current) {
+            self.take_back(cfg, before, current);
             return;
         }
         if judged {
-            self.cuts = Some(Cuts {
-                limit: self.limit,
-                seconds,
-            });
+            self.cuts = Some(current);
         }
         let factor = match cfg.limit_rule {
             LimitRule::Aimd => CUT,
-            LimitRule::Gradient if failing => ratio.clamp(GRADIENT_FLOOR, CUT),
             LimitRule::Gradient => ratio.clamp(GRADIENT_FLOOR, 1.0),
         };
         self.scale(cfg, factor);
+        // At the minimum no further cut can be judged, and the limit would stay there for good.
+        if self.limit >= current.limit {
+            self.take_back(cfg, before, current);
+        }
+    }
+
+    /// Goes back to the limit before the cuts and takes what is seen now for normal.
+    fn take_back(&mut self, cfg: &AdmissionConfig, before: Cuts, current: Cuts) {
+        self.limit = before.limit;
+        self.cuts = None;
+        self.base_failed = current.failed;
+        if let Some(base) = &mut self.base {
+            base.seconds = base.seconds.max(current.seconds);
+        }
+        self.scale(cfg, 1.0);
     }
 
     fn grow(&mut self, cfg: &AdmissionConfig) {
@@ -187,3 +220,12 @@
         self.limit = (self.limit * factor).max(f64::from(cfg.min_limit.max(1)));
     }
 }
+
+impl Cuts {
+    /// Whether what is seen after the cuts is no better than before them.
+    fn is_useless(&self, current: &Self) -> bool {
+        let no_shorter = current.seconds >= self.seconds * NOT_LESS;
+        let no_fewer = current.failed >= self.failed * NOT_LESS;
+        no_shorter && no_fewer
+    }
+}
--- a/crates/core/src/admission/window.rs
+++ b/crates/core/src/admission/window.rs
@@ -18,14 +18,24 @@
 /// A closed window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Seen {
-    /// Median service time of calls that started within the window.
-    pub(super) median: Option<Duration>,
+    /// Service times of calls that started within the window.
+    pub(super) times: Option<Times>,
     /// Share of failed calls.
     pub(super) failed: f64,
     /// Most calls in flight at once.
     pub(super) peak: u32,
 }
 
+/// Service times of a window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Times {
+    pub(super) median: Duration,
+    /// Mean in seconds.
+    pub(super) mean: f64,
+    /// Standard error of the mean in seconds.
+    pub(super) error: f64,
+}
+
 impl Window {
     pub(super) fn new(in_flight: u32, now: Instant) -> Self {
         Self {
@@ -71,7 +81,7 @@
             return None;
         }
         let seen = Seen {
-            median: median(&mut self.samples),
+            times: times(&mut self.samples),
             failed: f64::from(self.failed) / f64::from(self.finished.max(1)),
             peak: self.peak,
         };
@@ -84,11 +94,19 @@
     }
 }
 
-fn median(samples: &mut [Duration]) -> Option<Duration> {
+fn times(samples: &mut [Duration]) -> Option<Times> {
     if samples.is_empty() {
         return None;
     }
+    let count = samples.len() as f64;
+    let mean = samples.iter().map(Duration::as_secs_f64).sum::<f64>() / count;
+    let square = |time: &Duration| (time.as_secs_f64() - mean).powi(2);
+    let variance = samples.iter().map(square).sum::<f64>() / (count - 1.0).max(1.0);
     let middle = samples.len() / 2;
     let (_, median, _) = samples.select_nth_unstable(middle);
-    Some(*median)
+    Some(Times {
+        median: *median,
+        mean,
+        error: (variance / count).sqrt(),
+    })
 }
