--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -294,7 +294,7 @@
             return;
         };
         if matches!(refusal, Refusal::Queue | Refusal::Wait) {
-            self.level.refused();
+            self.level.refused(call.class);
         }
         let counters = self.count(call.class);
         match refusal {
--- a/crates/core/src/admission/level_control.rs
+++ b/crates/core/src/admission/level_control.rs
@@ -8,6 +8,9 @@
 /// Weight of a window's arrivals in the demand of a class.
 const DEMAND_WEIGHT: f64 = 0.5;
 
+/// Weight of a window's served calls in their rate; their noise would else be taken for a loss of capacity.
+const SERVED_WEIGHT: f64 = 0.25;
+
 /// Least share of a class that counts when its demand is reckoned from its admitted part.
 const MIN_SHARE: f64 = 0.1;
 
@@ -20,6 +23,10 @@
 /// Admitted demand after a window of overload, as a share of what was served: keeps the slots in use.
 const SERVED_SHARE: f64 = 1.15;
 
+/// Least admitted demand after a window of overload, as a share of what was served: the queue drains at this load, and
+/// lower steps only add up to idle slots and calls shed in vain.
+const DRAIN_SHARE: f64 = 0.95;
+
 /// Growth of the admitted demand after the first calm window.
 const GROWTH: f64 = 0.05;
 
@@ -57,6 +64,8 @@
     /// Calls served per second, smoothed.
     served_rate: f64,
     refused: u32,
+    /// Those of the highest class among them.
+    refused_highest: u32,
     queue_was_empty: bool,
     calm_windows: u32,
     standing: bool,
@@ -74,6 +83,7 @@
             served: 0,
             served_rate: 0.0,
             refused: 0,
+            refused_highest: 0,
             queue_was_empty: true,
             calm_windows: 0,
             standing: false,
@@ -105,8 +115,9 @@
     }
 
     /// Counts a call that found no place although it was within the level.
-    pub(super) fn refused(&mut self) {
+    pub(super) fn refused(&mut self, class: Class) {
         self.refused += 1;
+        self.refused_highest += u32::from(class == Class::HIGHEST);
     }
 
     pub(super) fn queue_empty(&mut self) {
@@ -149,7 +160,7 @@
         } else {
             self.served_rate
         };
-        self.served_rate = before + (served - before) * DEMAND_WEIGHT;
+        self.served_rate = before + (served - before) * SERVED_WEIGHT;
     }
 
     fn next_level(&mut self, windows: u32) -> Level {
@@ -169,9 +180,25 @@
 
     fn lowered(&self) -> Level {
         let admitted = self.admitted() * OVERLOAD_SHARE;
-        let level = self.level_for(admitted.min(self.served_rate * SERVED_SHARE));
-        let below = Level::from_position(self.level.position().saturating_sub(1));
-        level.min(below)
+        let least = self.served_rate * DRAIN_SHARE;
+        let most = self.served_rate * SERVED_SHARE;
+        let level = self.level_for(admitted.clamp(least, most));
+        level.max(self.lowest_next()).min(self.level)
+    }
+
+    /// The lowest level that may follow.
+    ///
+    /// Were the highest class shed in the window in which lower ones still start, calls of both would be judged by an
+    /// estimate from before: one would see a bid refused and a lookup served at the same time. So the level stops above
+    /// the highest class for one window, and goes on only if the queue has not sufficed for that class.
+    fn lowest_next(&self) -> Level {
+        if self.level.class == Class::HIGHEST && self.refused_highest > 0 {
+            return Level::FLOOR;
+        }
+        Level {
+            class: Class::HIGHEST,
+            bucket: u8::MAX,
+        }
     }
 
     fn raised(&self, doublings: u32) -> Level {
@@ -208,6 +235,7 @@
         self.within = [0; Class::COUNT];
         self.served = 0;
         self.refused = 0;
+        self.refused_highest = 0;
         self.queue_was_empty = queue_empty;
     }
 }
--- a/crates/core/src/admission/limit.rs
+++ b/crates/core/src/admission/limit.rs
@@ -29,6 +29,9 @@
 /// A service time within this factor of the uncongested one confirms it.
 const BASE_CONFIRMED: f64 = 1.05;
 
+/// Most rise of the uncongested service time at once.
+const BASE_RISE: f64 = 2.5;
+
 /// Limit of a window that measures the uncongested service time, as a share of the limit over the tolerance.
 const PROBE_SHARE: f64 = 0.8;
 
@@ -52,6 +55,8 @@
     /// Share of failures that cuts have not made smaller.
     base_failed: f64,
     cuts: Option<Cuts>,
+    /// Whether the window before was congested.
+    congested: bool,
     /// The limit to go back to after a measuring window.
     probed_from: Option<f64>,
 }
@@ -77,6 +82,7 @@
             base: None,
             base_failed: 0.0,
             cuts: None,
+            congested: false,
             probed_from: None,
         }
     }
@@ -109,7 +115,14 @@
             return;
         }
         let ratio = cfg.tolerance * base / (times.mean - SURE * times.error).max(f64::EPSILON);
-        if ratio < 1.0 || failing {
+        let congested_before = self.congested;
+        self.congested = ratio < 1.0 || failing;
+        if self.congested && !congested_before {
+            // The load may still have been rising within this window. Were the series of cuts judged against it, the
+            // cuts would look useless at each onset of a surge and the limit stay too high.
+            return;
+        }
+        if self.congested {
             let ratio = if failing { ratio.min(CUT) } else { ratio };
             self.cut(
                 cfg,
@@ -203,7 +216,9 @@
         self.cuts = None;
         self.base_failed = current.failed;
         if let Some(base) = &mut self.base {
-            base.seconds = base.seconds.max(current.seconds);
+            base.seconds = current
+                .seconds
+                .clamp(base.seconds, base.seconds * BASE_RISE);
         }
         self.scale(cfg, 1.0);
     }
@@ -211,7 +226,7 @@
     fn grow(&mut self, cfg: &AdmissionConfig) {
         let step = match cfg.limit_rule {
             LimitRule::Aimd => 1.0,
-            LimitRule::Gradient => self.limit.sqrt(),
+            LimitRule::Gradient => self.limit.sqrt() / 2.0,
         };
         self.limit = (self.limit + step).min(f64::from(cfg.max_limit));
     }
