--- a/crates/core/src/allowance/moved.rs
+++ b/crates/core/src/allowance/moved.rs
@@ -2,6 +2,9 @@
 
 use crate::invariant::Invariant;
 
+/// The share of an allowance that stays with the hop: one in this many.
+const KEPT_ONE_IN: u16 = 4;
+
 /// Retries that the holder may still make or give away.
 ///
 /// The allowance is moved, never copied, so it has neither `Clone` nor `Copy`. What is given with an attempt leaves the
@@ -20,16 +23,13 @@
 
     /// Takes out the part for one attempt and returns it.
     ///
-    /// One retry stays here, in case the answer of the attempt is lost together with its part, as long as another can go
-    /// along. The last retry goes along: most failures happen further down and bring back what was left.
+    /// A quarter stays here, rounded down, in case the answer of the attempt is lost together with its part, or the target
+    /// makes another call meanwhile. The rest goes along: most failures happen further down and bring back what was left,
+    /// and only the hop next to a failure may retry, so a retry kept here is of no use there.
     pub fn grant(&mut self) -> u16 {
-        let kept = self.left.min(1);
-        let granted = if self.left > 1 {
-            self.left - kept
-        } else {
-            self.left
-        };
-        self.left -= granted;
+        let kept = self.left / KEPT_ONE_IN;
+        let granted = self.left - kept;
+        self.left = kept;
         granted
     }
 
