--- a/crates/core/examples/embed.rs
+++ b/crates/core/examples/embed.rs
@@ -39,6 +39,7 @@
     };
     let mut admission = Admission::new(cfg, epoch);
     let mut running: Map<CallKey, Instant> = Map::default();
+    let mut slots = [epoch; SLOTS as usize];
     let mut rng = SmallRng::seed_from_u64(1);
     let mut actions = Vec::new();
     for tick in 0..TICKS {
@@ -70,7 +71,7 @@
         for action in actions.drain(..) {
             match action {
                 Action::Start(key) => {
-                    running.insert(key, now + SERVICE_TIME);
+                    running.insert(key, end_of_work(&mut slots, now));
                 }
                 // A server answers the error here, with the time to come back.
                 Action::Refuse(_, _) => {}
@@ -91,6 +92,13 @@
     println!("a refused lookup is told to come back after {again:.1?}");
 }
 
+/// Takes the slot that is free first and answers when its work ends.
+fn end_of_work(slots: &mut [Instant], now: Instant) -> Instant {
+    let slot = slots.iter_mut().min().expect("a worker has slots");
+    *slot = (*slot).max(now) + SERVICE_TIME;
+    *slot
+}
+
 /// A client whose first two attempts are shed.
 fn call_with_retries() {
     let now = Instant::now();
