--- a/crates/node/src/commands/node.rs
+++ b/crates/node/src/commands/node.rs
@@ -38,13 +38,13 @@
         &settings.node.name,
         &settings.node.service,
     );
-    for warning in loaded.warnings {
+    for warning in &loaded.warnings {
         warn!(log, "setting replaced by its default"; "fault" => warning.to_string());
     }
     let Ok(runtime) = runtime(settings.runtime.worker_threads as usize) else {
         return Exit::Failed;
     };
-    match runtime.block_on(node::run(settings, log.new(o!()))) {
+    match runtime.block_on(node::run(settings, loaded.warnings, log.new(o!()))) {
         Ok(()) => Exit::Ok,
         Err(e) => {
             crit!(log, "node failed"; "error" => e.to_string());
--- a/crates/node/src/config/settings.rs
+++ b/crates/node/src/config/settings.rs
@@ -1,7 +1,6 @@
 //! All settings of one node.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use coltsfootport_core::jsonc::{self, Fault, FaultKind, Item, Need, Section};
 
@@ -90,15 +89,12 @@
         let platform = read_required(&mut root, "platform", PlatformSettings::read);
         let tls = read_required(&mut root, "tls", TlsSettings::read);
         let fleet_keys = read_fleet_keys(&mut root);
-        let cold_start = target
-            .as_ref()
-            .map(|target| target.cold_start)
-            .unwrap_or_default();
+        let hints = target.clone().unwrap_or_default();
         let settings = Self {
             advertise,
             limits: root.section("limits", LimitsSettings::read),
             retries: root.section("retries", RetriesSettings::read),
-            admission: read_admission(&mut root, cold_start),
+            admission: read_admission(&mut root, &hints),
             once: root.section("once", OnceSettings::read),
             routing: root.section("routing", RoutingSettings::read),
             spread: root.section("spread", SpreadSettings::read),
@@ -153,11 +149,14 @@
     Some(keys)
 }
 
-/// Reads `admission`, whose time of a cold start is the target's unless it says otherwise.
-fn read_admission(root: &mut Section<'_, '_>, cold_start: Duration) -> AdmissionSettings {
+/// Reads `admission`, which begins with the target's slots and cold start unless it says otherwise.
+fn read_admission(root: &mut Section<'_, '_>, target: &TargetSettings) -> AdmissionSettings {
+    let default = AdmissionSettings::default();
+    let initial_limit = target.slots.clamp(default.min_limit, default.max_limit);
     let default = AdmissionSettings {
-        cold_start,
-        ..Default::default()
+        initial_limit,
+        cold_start: target.cold_start,
+        ..default
     };
     match root.optional("admission").and_then(Item::section) {
         Some(section) => AdmissionSettings::read(section, default),
--- a/crates/node/src/config/target.rs
+++ b/crates/node/src/config/target.rs
@@ -27,7 +27,7 @@
     fn default() -> Self {
         Self {
             address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0),
-            slots: 64,
+            slots: 32,
             connections: 256,
             connect_timeout: Duration::from_millis(250),
             health_path: None,
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -230,7 +230,6 @@
     }
 
     fn note_retry(&self, call: &Call, error: ErrorKind, retries: u16) {
-        self.setup.metrics.calls.retried(error);
         let event = Event::Retried {
             error,
             attempt: retries + 1,
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -205,10 +205,12 @@
             None => None,
             Some(Arrival::Run(record)) => Some(record),
             Some(Arrival::Join(record)) => {
+                self.note_token(&admittance, |attempt| Event::TokenJoined { attempt });
                 self.join(record, admittance.deadline, reply);
                 return;
             }
             Some(Arrival::Replay(answer)) => {
+                self.note_token(&admittance, |attempt| Event::TokenReplayed { attempt });
                 let _ = reply.send(Entered::Replayed(answer));
                 return;
             }
@@ -220,6 +222,16 @@
         self.admit(admittance, record, reply, now);
     }
 
+    fn note_token<E>(&self, admittance: &Admittance, event: E)
+    where
+        E: FnOnce(u16) -> Event,
+    {
+        let number = admittance.once.as_ref().map_or(0, |once| once.number.0);
+        let number = u16::try_from(number).unwrap_or(u16::MAX);
+        self.recorder
+            .record(Some(admittance.request), event(number));
+    }
+
     /// Answers a call while no new work is taken.
     ///
     /// A token's try is refused for good before its caller hears "not run": while the node is still starting, an older try
--- a/crates/node/src/host/runner.rs
+++ b/crates/node/src/host/runner.rs
@@ -15,6 +15,7 @@
 use crate::gate::{
     Admittance, ContextHandle, Departure, Entered, FlightEnd, FlightGuard, GateHandle,
 };
+use crate::metrics::Metrics;
 use crate::recorder::Recorder;
 
 /// What a host is made of.
@@ -32,6 +33,8 @@
     pub clock: SharedClock,
     /// Where events are recorded.
     pub recorder: Recorder,
+    /// Metrics of the process.
+    pub metrics: Metrics,
 }
 
 /// Runs calls at this node's target; cheap to clone.
@@ -125,6 +128,7 @@
         patience: Instant,
         caller: Option<&oneshot::Sender<Option<Executed>>>,
     ) -> Option<Executed> {
+        let began = self.setup.clock.now();
         let connection = self.setup.target.connection().await;
         let Some(connection) = connection else {
             return self.withdraw(guard, ErrorKind::NoTarget).await;
@@ -141,6 +145,7 @@
         if let Err(kind) = self.setup.gate.dispatch(guard.key()).await {
             return self.withdraw(guard, kind).await;
         }
+        self.note_added(began);
         let exchange = self.setup.target.exchange(connection, req);
         let done = tokio::time::timeout_at(patience.into(), exchange).await;
         match done.unwrap_or(Err(TargetError::Lost(ErrorKind::ExpiredInFlight))) {
@@ -152,6 +157,12 @@
         }
     }
 
+    fn note_added(&self, began: Instant) {
+        let now = self.setup.clock.now();
+        let added = now.saturating_duration_since(began);
+        self.setup.metrics.calls.added(added);
+    }
+
     async fn answered(&self, guard: FlightGuard, answer: Arc<Answer>) -> Option<Executed> {
         let end = FlightEnd::Answered(Arc::clone(&answer));
         let departure = self.setup.gate.finish(guard.release(), end).await?;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -6,6 +6,7 @@
 mod control;
 mod documents;
 mod faults;
+mod from_event;
 mod peers;
 mod tokens;
 
--- a/crates/node/src/metrics/faults.rs
+++ b/crates/node/src/metrics/faults.rs
@@ -1,7 +1,7 @@
 //! Metrics of rejected input and breached invariants.
 
 use coltsfootport_core::invariant::Invariant;
-use prometheus::{Error, IntCounterVec, Registry};
+use prometheus::{Error, IntCounter, IntCounterVec, Registry};
 
 use super::build;
 
@@ -21,7 +21,7 @@
 pub struct FaultMetrics {
     breaches: IntCounterVec,
     rejected: IntCounterVec,
-    stamps: IntCounterVec,
+    stamps: IntCounter,
 }
 
 impl FaultMetrics {
@@ -39,11 +39,10 @@
                 "Input from outside that was rejected, by what it was.",
                 &["what"],
             )?,
-            stamps: build::counters(
+            stamps: build::counter(
                 reg,
                 "clock_stamps_ignored_total",
-                "Time line stamps of a peer that lay too far ahead, by peer.",
-                &["peer"],
+                "Time line stamps of peers that lay too far ahead.",
             )?,
         };
         for invariant in Invariant::ALL {
@@ -77,8 +76,8 @@
     }
 
     /// Counts a peer's stamp that was ignored.
-    pub fn stamp_ignored(&self, peer: &str) {
-        self.stamps.with_label_values(&[peer]).inc();
+    pub fn stamp_ignored(&self) {
+        self.stamps.inc();
     }
 }
 
--- /dev/null
+++ b/crates/node/src/metrics/from_event.rs
@@ -0,0 +1,33 @@
+//! Counters that follow from the events of the time line.
+
+use std::time::Duration;
+
+use coltsfootport_core::timeline::Event;
+
+use super::{Metrics, TokenEvent};
+
+impl Metrics {
+    /// Counts an event, so that the time line and the counters can't tell different stories.
+    pub fn note(&self, event: &Event) {
+        match event {
+            Event::Admitted { elapsed_us, .. } => {
+                self.admission.waited(Duration::from_micros(*elapsed_us));
+            }
+            Event::Retried { error, .. } => self.calls.retried(*error),
+            Event::TokenMinted { count, .. } => {
+                self.tokens.count(TokenEvent::Minted, (*count).into());
+            }
+            Event::TokenReplayed { .. } => self.tokens.count(TokenEvent::Replayed, 1),
+            Event::TokenJoined { .. } => self.tokens.count(TokenEvent::Joined, 1),
+            Event::TokenBurned { .. } => self.tokens.count(TokenEvent::Burned, 1),
+            Event::DocumentInForce { service, revision } => {
+                self.documents.set_in_force(service, *revision);
+            }
+            Event::DocumentRejected { service, .. } => self.documents.rejected(service),
+            Event::ReaderBecame => self.documents.set_reader(true),
+            Event::ReaderCeased => self.documents.set_reader(false),
+            Event::InvariantBreached { invariant } => self.faults.breached(*invariant),
+            _ => {}
+        }
+    }
+}
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -8,10 +8,13 @@
 use coltsfootport_core::allowance::{Backoff, EdgeBudgetConfig, RetryPolicy};
 use coltsfootport_core::dissemination::{GossipConfig, ReaderConfig, StartUpConfig};
 use coltsfootport_core::id::Incarnation;
+use coltsfootport_core::jsonc::Fault;
 use coltsfootport_core::lifecycle::LifecycleConfig;
 use coltsfootport_core::once::{KeyRing, KeyRingError, OnceConfig};
 use coltsfootport_core::routing::RoutingConfig;
+use coltsfootport_core::timeline::Event;
 use slog::{Logger, info};
+use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc, watch};
 
@@ -56,7 +59,7 @@
 }
 
 /// Runs a node until it has been stopped and its last call has ended.
-pub async fn run(settings: Settings, log: Logger) -> Result<(), NodeError> {
+pub async fn run(settings: Settings, warnings: Vec<Fault>, log: Logger) -> Result<(), NodeError> {
     let clock: SharedClock = Arc::new(SystemClock);
     let started = clock.now();
     let incarnation = Incarnation::random();
@@ -66,6 +69,10 @@
     let (recorder, recording) =
         Recorder::new(name.clone(), Arc::clone(&clock), metrics.clone(), capacity);
     tokio::spawn(recording.run());
+    for warning in warnings {
+        let text = SmolStr::from(warning.to_string());
+        recorder.record(None, Event::SettingsWarning { text });
+    }
 
     let (published_tx, published) = watch::channel(Arc::new(Published::default()));
     let (life_tx, life_rx) = mpsc::unbounded_channel();
@@ -112,6 +119,7 @@
         incarnation,
         clock: Arc::clone(&clock),
         recorder: recorder.clone(),
+        metrics: metrics.clone(),
     });
 
     let tls = TlsMaterial::parse(
--- a/crates/node/src/recorder.rs
+++ b/crates/node/src/recorder.rs
@@ -5,7 +5,7 @@
 
 use coltsfootport_core::id::{NodeName, RequestId};
 use coltsfootport_core::invariant::Invariant;
-use coltsfootport_core::timeline::{Event, Filter, Hlc, Record, Ring, Stamp};
+use coltsfootport_core::timeline::{Event, Filter, Hlc, Observed, Record, Ring, Stamp};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::SharedClock;
@@ -66,6 +66,7 @@
 
     /// Records an event now.
     pub fn record(&self, request: Option<RequestId>, event: Event) {
+        self.metrics.note(&event);
         let at = self.stamp();
         let record = Record {
             at,
@@ -88,15 +89,18 @@
     /// Takes note of a stamp that a peer sent.
     pub fn observe(&self, peer: Stamp) {
         let wall = self.clock.wall();
-        self.hlc
+        let observed = self
+            .hlc
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .observe(peer, wall);
+        if observed == Observed::TooFarAhead {
+            self.metrics.faults.stamp_ignored();
+        }
     }
 
     /// Reports a breached invariant: counted, recorded, and fatal in builds for tests.
     pub fn breach(&self, invariant: Invariant) {
-        self.metrics.faults.breached(invariant);
         self.record(None, Event::InvariantBreached { invariant });
         if cfg!(debug_assertions) {
             eprintln!("invariant breached: {}", invariant.as_str());
--- a/crates/node/src/spread/task.rs
+++ b/crates/node/src/spread/task.rs
@@ -113,6 +113,8 @@
             SpreadMessage::Unreachable(node) => {
                 self.unanswered -= 1;
                 self.view.unreachable(&node, self.now());
+                let event = Event::PeerDown { peer: node };
+                self.setup.recorder.record(None, event);
                 self.view_changed();
             }
             SpreadMessage::Serving => self.serving = true,
@@ -154,19 +156,16 @@
         let parsed = Document::parse_for(&service, &entry.value).map(Arc::new);
         let fault = first_fault(&parsed);
         let revision = entry.revision.0;
-        let metrics = &self.setup.metrics.documents;
         let event = match self.documents.offer(&entry.key, entry.revision, parsed) {
             Offer::InForce => {
                 self.replica
                     .judge(&entry.key, entry.revision, Verdict::Valid);
-                metrics.set_in_force(&service, revision);
                 info!(self.setup.log, "document in force"; "document" => %service, "revision" => revision);
                 Event::DocumentInForce { service, revision }
             }
             Offer::Rejected => {
                 self.replica
                     .judge(&entry.key, entry.revision, Verdict::Invalid);
-                metrics.rejected(&service);
                 warn!(self.setup.log, "document rejected"; "document" => %service, "revision" => revision, "fault" => %fault);
                 Event::DocumentRejected {
                     service,
@@ -254,7 +253,6 @@
             return;
         }
         self.reader = reader;
-        self.setup.metrics.documents.set_reader(reader);
         let event = if reader {
             Event::ReaderBecame
         } else {
--- a/crates/node/tests/operations_page.rs
+++ b/crates/node/tests/operations_page.rs
@@ -41,7 +41,7 @@
     metrics.calls.retried(ErrorKind::Shed);
     metrics.documents.set_in_force(&"bidding".into(), 1);
     metrics.documents.rejected(&"bidding".into());
-    metrics.faults.stamp_ignored("bidding-1");
+    metrics.faults.stamp_ignored();
     let text = metrics.encode();
     let helps = text
         .lines()
