routing.domain_first is honoured

Cause: the setting was read and checked, and nothing used it; targets of the own failure domain always came first. Seen while cutting the links between two failure domains had no effect on any call, with domain_first false. Ruled out: the fault proxy (its links were set and counted); the subset (both peers were in it). Conclusion: where the setting is off the router is given the empty failure domain, which is nobody's.

--- a/crates/node/src/config/convert.rs
+++ b/crates/node/src/config/convert.rs
@@ -5,6 +5,7 @@
 use coltsfootport_core::admission::{self, AdmissionConfig};
 use coltsfootport_core::allowance::{Backoff, EdgeBudgetConfig};
 use coltsfootport_core::dissemination::{GossipConfig, ReaderConfig, StartUpConfig};
+use coltsfootport_core::id::DomainName;
 use coltsfootport_core::lifecycle::LifecycleConfig;
 use coltsfootport_core::once::{FleetKey, OnceConfig};
 use coltsfootport_core::routing::RoutingConfig;
@@ -89,7 +90,7 @@
         let subset = settings.routing.subset as usize;
         Self {
             node: settings.node.name.clone(),
-            domain: settings.node.domain.clone(),
+            domain: own_domain(settings),
             region: settings.node.region.clone(),
             subset_min: subset,
             ejection_failures: settings.routing.eject_failures,
@@ -131,6 +132,15 @@
     }
 }
 
+/// The failure domain whose targets come first; the empty name is nobody's.
+fn own_domain(settings: &Settings) -> DomainName {
+    if settings.routing.domain_first {
+        settings.node.domain.clone()
+    } else {
+        DomainName::default()
+    }
+}
+
 impl From<&super::FleetKey> for FleetKey {
     fn from(key: &super::FleetKey) -> Self {
         Self {
