A peer without calls is judged anew after a while

Cause: the mean latency of a peer was believed for as long as no new call came. A peer whose last call was slow, as one with a handshake in it, lost each comparison and so never got the call that would have corrected it. Ruled out: ejection, leaving and the list (status of both callers showed the peer live, not ejected, with nothing in flight); the load report (the peer's own node was idle). Conclusion: a peer with nothing in flight whose served calls have faded counts as unseen, and its next call starts a new mean.

--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -54,6 +54,10 @@
 
     pub(super) fn sent(&mut self, cfg: &RoutingConfig, now: Instant) {
         self.fade(cfg, now);
+        if self.is_forgotten() {
+            self.flight_time = 0.0;
+            self.served = 0.0;
+        }
         self.in_flight += 1;
     }
 
@@ -85,13 +89,13 @@
     /// Mean time of a served call by Little's law: time in flight over calls served, both fading.
     ///
     /// A peer that stops answering gets slower with every moment that its calls hang, before any of them has failed; a
-    /// mean over finished calls alone would not see it until the first timeout.
+    /// mean over finished calls alone would not see it until the first timeout. None where little was seen of late.
     pub(super) fn latency(&self, cfg: &RoutingConfig, now: Instant) -> Option<Duration> {
-        if self.served < MIN_SERVED {
-            return None;
-        }
         let mut load = self.clone();
         load.fade(cfg, now);
+        if self.served < MIN_SERVED || load.is_forgotten() {
+            return None;
+        }
         let seconds = load.flight_time / load.served.max(f64::MIN_POSITIVE);
         Duration::try_from_secs_f64(seconds).ok()
     }
@@ -121,6 +125,14 @@
         self.in_flight
     }
 
+    /// Whether too little was seen of late to speak of a mean.
+    ///
+    /// Without calls nothing corrects the mean: were it kept, a peer whose last call was slow would lose each comparison
+    /// and never get the call that shows it to be fast again, seen as a healthy target without work.
+    fn is_forgotten(&self) -> bool {
+        self.in_flight == 0 && self.served < MIN_SERVED
+    }
+
     fn fade(&mut self, cfg: &RoutingConfig, now: Instant) {
         let factor = self.fading(cfg, now);
         let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -253,6 +253,27 @@
 /// Symptom: a common cause (a deep service is down) ejects every peer, and the last one gets all the load.
 /// Sequence: all peers fail in a row.
 /// Cause: ejection without a bound.
+/// Symptom: a healthy peer of three gets no call for minutes.
+/// Sequence: its first call took long, as with a handshake in it; it loses each comparison and gets no call to show better.
+/// Cause: the latency of a peer without calls does not age.
+#[test]
+fn a_peer_that_was_slow_once_is_tried_again() {
+    let start = Instant::now();
+    let mut router = router(&[("n1", "a1"), ("n2", "a1"), ("n3", "a1")], start);
+    let slow = key(&router, "n3");
+    attempt(&mut router, slow, RouteResult::Served, ms(800), start);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut picked = 0;
+    for i in 0..1000 {
+        let now = start + ms(1000 + 10 * i);
+        let peer = router.pick(&service(), &[], now, &mut rng);
+        let peer = peer.expect("a live peer");
+        picked += usize::from(peer == slow);
+        attempt(&mut router, peer, RouteResult::Served, ms(8), now);
+    }
+    assert!(picked > 100, "{picked} of 1000 calls in 10 s");
+}
+
 #[test]
 fn ejection_is_bounded_and_timed() {
     struct Case {
