A target's own repeats draw on the allowance whatever ended the first

Cause: a call of a target's own counted as failed only where a node refused it. Where the service below answered with an error, or the target gave the call up and closed its connection, the target's next try passed as a new call and cost nothing, so that retries multiplied from hop to hop. Each own call is now begun at the gate and counts as failed unless it ended with a success that its target was still there to take; calls that ask for the same thing go one after the other, since whether the second is a retry is not known before the first has ended.

--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -20,6 +20,9 @@
     pub token: Option<SmolStr>,
 }
 
+/// HTTP statuses from here on are errors.
+const LEAST_ERROR_STATUS: u16 = 400;
+
 impl Outgoing {
     /// An answer without a token.
     pub fn new(request: RequestId, verdict: Verdict) -> Self {
@@ -42,6 +45,14 @@
         }
     }
 
+    /// Whether the target answered without an error of its own.
+    pub fn is_success(&self) -> bool {
+        match &self.verdict {
+            Verdict::Answered(answer) => answer.status.as_u16() < LEAST_ERROR_STATUS,
+            Verdict::Refused(_) => false,
+        }
+    }
+
     /// What is known about whether the request ran.
     pub fn outcome(&self) -> Outcome {
         match &self.verdict {
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -17,10 +17,10 @@
 use super::dispatcher::micros;
 use super::prepare::Prepared;
 use super::tokens::TokenIssuer;
-use super::{Budget, Dispatcher, Inbound, Origin, Outgoing};
+use super::{Dispatcher, Inbound, Origin, Outgoing};
 use crate::clock::SharedClock;
 use crate::data::{Refused, Verdict};
-use crate::gate::{ContextHandle, GateHandle, Parent};
+use crate::gate::{ContextHandle, GateHandle, OwnCall};
 use crate::http::{BodyError, CallerConnection, HttpAnswer, names, read_whole};
 use crate::metrics::{Listener, Metrics, Rejected};
 use crate::recorder::Recorder;
@@ -181,7 +181,7 @@
             Err(kind) => return Answered::aside(RequestId::random(), kind, identity),
         };
         let request = origin.request();
-        let prepared = match self.prepare(&inbound, &origin, request, started) {
+        let mut prepared = match self.prepare(&inbound, &origin, request, started) {
             Ok(prepared) => prepared,
             Err(kind) => {
                 return self
@@ -201,29 +201,28 @@
             allowance: 0,
         };
         self.recorder.record(Some(request), event);
-        let outgoing = self.dispatch(prepared, identity, &inbound, &origin).await;
+        let outgoing = match self.own_call(&origin, &inbound, &mut prepared).await {
+            Ok(own) => {
+                let outgoing = self.dispatch(prepared, identity).await;
+                // A target that left while its answer was made will ask again.
+                if let Some(own) = own.filter(|_| outgoing.is_success() && !connection.is_closed())
+                {
+                    own.succeeded();
+                }
+                outgoing
+            }
+            Err(kind) => Outgoing::new(request, Verdict::Refused(Refused::unsent(kind, identity))),
+        };
         Answered { class, outgoing }
     }
 
-    async fn dispatch(
-        &self,
-        prepared: Prepared,
-        identity: Identity,
-        inbound: &Inbound,
-        origin: &Origin,
-    ) -> Outgoing {
+    async fn dispatch(&self, prepared: Prepared, identity: Identity) -> Outgoing {
         let Prepared {
             call,
             mut budget,
             once,
         } = prepared;
         let request = call.request;
-        if let Origin::Flight(parent) = origin
-            && !self.may_call(parent, inbound, &mut budget).await
-        {
-            let refused = Refused::unsent(ErrorKind::Shed, identity);
-            return Outgoing::new(request, Verdict::Refused(refused));
-        }
         let service = call.service.clone();
         let verdict = match once {
             Some(once) => {
@@ -234,31 +233,36 @@
             None => self.dispatcher.send(call, &mut budget).await,
         };
         let mut outgoing = Outgoing::new(request, verdict);
-        if let (Origin::Flight(parent), Some(_)) = (origin, outgoing.error()) {
-            self.gate
-                .own_call_failed(parent.flight, inbound.fingerprint());
-        }
         if identity != Identity::None && needs_fresh_token(&outgoing) {
             outgoing.token = self.tokens.issue_one(&service).await;
         }
         outgoing
     }
 
-    /// Whether a target's own call is new or pays for its repetition.
+    /// Lets a target's own call begin, which is new or pays for its repetition.
     ///
     /// A target that retries by itself would multiply the attempts beyond the allowance of its request.
-    async fn may_call(&self, parent: &Parent, inbound: &Inbound, budget: &mut Budget) -> bool {
+    async fn own_call(
+        &self,
+        origin: &Origin,
+        inbound: &Inbound,
+        prepared: &mut Prepared,
+    ) -> Result<Option<OwnCall>, ErrorKind> {
+        let Origin::Flight(parent) = origin else {
+            return Ok(None);
+        };
         if !self.limits.allowance_enabled {
-            return true;
+            return Ok(None);
         }
-        if !self
-            .gate
-            .is_repeat(parent.flight, inbound.fingerprint())
+        let begun = self.gate.own_call(parent.flight, inbound.fingerprint());
+        let own = tokio::time::timeout_at(prepared.call.deadline.into(), begun)
             .await
-        {
-            return true;
+            .map_err(|_| ErrorKind::ExpiredBeforeDispatch)?
+            .ok_or(ErrorKind::UnknownContext)?;
+        if own.repeats() && !prepared.budget.spend().await {
+            return Err(ErrorKind::Shed);
         }
-        budget.spend().await
+        Ok(Some(own))
     }
 
     async fn refuse_early(
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -5,6 +5,7 @@
 mod guard;
 mod handle;
 mod message;
+mod own_call;
 mod task;
 
 pub use context::ContextHandle;
@@ -12,4 +13,5 @@
 pub use guard::FlightGuard;
 pub use handle::GateHandle;
 pub use message::{Admittance, Departure, Entered, FlightEnd, GateMessage, GateStatus, Parent};
+pub use own_call::{OwnCall, OwnCalls};
 pub use task::{Gate, GateSetup};
--- a/crates/node/src/gate/flight.rs
+++ b/crates/node/src/gate/flight.rs
@@ -5,14 +5,13 @@
 use coltsfootport_core::admission::CallKey;
 use coltsfootport_core::allowance::Allowance;
 use coltsfootport_core::class::Class;
-use coltsfootport_core::collections::Set;
 use coltsfootport_core::id::RequestId;
 use coltsfootport_core::once::RecordKey;
 use slotmap::new_key_type;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
-use super::Entered;
+use super::{Entered, OwnCalls};
 
 new_key_type! {
     /// Key of a call in flight.
@@ -59,6 +58,6 @@
     pub phase: FlightPhase,
     /// Where its admission is awaited, until it is decided.
     pub reply: Option<oneshot::Sender<Entered>>,
-    /// Fingerprints of its target's own calls that failed; a repeat of one is a retry.
-    pub failed_calls: Set<u64>,
+    /// Its target's own calls; a repeat of a failed one is a retry.
+    pub own_calls: OwnCalls,
 }
--- a/crates/node/src/gate/handle.rs
+++ b/crates/node/src/gate/handle.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Admittance, ContextHandle, Departure, Entered, FlightEnd, FlightKey, GateMessage, GateStatus,
-    Parent,
+    OwnCall, Parent,
 };
 use crate::data::{Answer, HostReport, Refused};
 
@@ -82,18 +82,10 @@
             .unwrap_or(false)
     }
 
-    /// Whether a target's own call repeats one that failed.
-    pub async fn is_repeat(&self, flight: FlightKey, fingerprint: u64) -> bool {
-        self.ask(|reply| GateMessage::IsRepeat(flight, fingerprint, reply))
+    /// Waits until no other call of the target asks for the same thing; `None` where the call in flight has ended.
+    pub async fn own_call(&self, flight: FlightKey, fingerprint: u64) -> Option<OwnCall> {
+        self.ask(|reply| GateMessage::OwnCall(flight, fingerprint, reply))
             .await
-            .unwrap_or(true)
-    }
-
-    /// Notes that a target's own call failed.
-    pub fn own_call_failed(&self, flight: FlightKey, fingerprint: u64) {
-        let _ = self
-            .tx
-            .send(GateMessage::OwnCallFailed(flight, fingerprint));
     }
 
     /// Notes the admission level heard below an operation of this target.
--- a/crates/node/src/gate/message.rs
+++ b/crates/node/src/gate/message.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
-use super::{ContextHandle, FlightGuard, FlightKey};
+use super::{ContextHandle, FlightGuard, FlightKey, OwnCall};
 use crate::data::{Answer, Call, HostReport, OnceCall, Refused};
 
 /// What the gate needs to know of a call that asks to run here.
@@ -133,10 +133,17 @@
     },
     /// One retry out of the allowance.
     Spend(FlightKey, oneshot::Sender<bool>),
-    /// Whether a target's own call repeats one that failed.
-    IsRepeat(FlightKey, u64, oneshot::Sender<bool>),
-    /// A target's own call failed.
-    OwnCallFailed(FlightKey, u64),
+    /// A target's own call, with its fingerprint, wants to begin.
+    OwnCall(FlightKey, u64, oneshot::Sender<OwnCall>),
+    /// A target's own call ended.
+    OwnCallEnded {
+        /// The call in flight that it served.
+        flight: FlightKey,
+        /// What it asked for.
+        fingerprint: u64,
+        /// Whether the target got it.
+        succeeded: bool,
+    },
     /// Admission level heard below an operation of this target.
     LevelBelow(FlightKey, Level),
     /// Refuses all tries of a token up to a number for good.
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -7,7 +7,7 @@
     Action, Admission, AdmissionConfig, CallKey, Finish, Level, LevelBoard, LevelBoardConfig, Offer,
 };
 use coltsfootport_core::allowance::Allowance;
-use coltsfootport_core::collections::{Map, Set};
+use coltsfootport_core::collections::Map;
 use coltsfootport_core::error_kind::ErrorKind;
 use coltsfootport_core::id::{Incarnation, NodeName, ServiceName};
 use coltsfootport_core::lifecycle::{Lifecycle, LifecycleConfig, LifecycleEvent, Phase};
@@ -21,7 +21,7 @@
 
 use super::{
     Admittance, ContextHandle, Departure, Entered, Flight, FlightEnd, FlightGuard, FlightKey,
-    FlightPhase, GateHandle, GateMessage, GateStatus, Parent,
+    FlightPhase, GateHandle, GateMessage, GateStatus, OwnCalls, Parent,
 };
 use crate::clock::SharedClock;
 use crate::data::{Answer, HostReport, Refused};
@@ -172,13 +172,20 @@
                     .is_some_and(|f| f.allowance.spend());
                 let _ = reply.send(spent);
             }
-            GateMessage::IsRepeat(key, fingerprint, reply) => {
-                let known = self.flights.get(key);
-                let _ = reply.send(known.is_none_or(|f| f.failed_calls.contains(&fingerprint)));
+            GateMessage::OwnCall(key, fingerprint, reply) => {
+                if let Some(flight) = self.flights.get_mut(key) {
+                    flight.own_calls.begin(key, fingerprint, reply, &self.tx);
+                }
             }
-            GateMessage::OwnCallFailed(key, fingerprint) => {
+            GateMessage::OwnCallEnded {
+                flight: key,
+                fingerprint,
+                succeeded,
+            } => {
                 if let Some(flight) = self.flights.get_mut(key) {
-                    flight.failed_calls.insert(fingerprint);
+                    flight
+                        .own_calls
+                        .ended(key, fingerprint, succeeded, &self.tx);
                 }
             }
             GateMessage::LevelBelow(key, level) => self.level_below(key, level),
@@ -287,7 +294,7 @@
             record,
             phase: FlightPhase::Queued,
             reply: Some(reply),
-            failed_calls: Set::default(),
+            own_calls: OwnCalls::default(),
         };
         let key = self.flights.insert(flight);
         self.by_call.insert(call, key);
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -9,7 +9,7 @@
 mod report;
 mod token_pool;
 
-pub use self::ending::Ending;
+pub use self::ending::{Ending, Expected};
 pub use self::generator::run;
 pub use self::operation::Operation;
 pub use self::plan::{Arrivals, Behaviour, LoadPlan, Stage};
