A node that leaves closes connections with their answers

Cause: a drained node closed idle connections and its socket at once. A request that its caller was just sending on such a connection, or on one that waited in the kernel's queue or had only just been made, met a closed connection, which its caller can't tell from a lost answer. Ruled out: the calls in flight and the answers on their way to peers (every broken call had started at no target). Conclusion: from the start of leaving each answer says that its connection is closed; once drained the node takes what waits in the kernel's queue, serves what arrives within 200 ms or lies unread, and then closes. Where a request and the close cross on the network HTTP/1.1 leaves a rest, which no server can take away.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -6,6 +6,7 @@
 mod listener;
 mod pool;
 mod respond;
+mod stage;
 
 pub use body::{BodyError, read_whole};
 pub use connection::CallerConnection;
@@ -13,3 +14,4 @@
 pub use listener::{Listener, ListenerLimits};
 pub use pool::{PoolHandle, PooledSender, TargetPool};
 pub use respond::{HttpAnswer, answer_target, json, refuse};
+pub use stage::ListenerStage;
--- a/crates/node/src/http/connection.rs
+++ b/crates/node/src/http/connection.rs
@@ -20,6 +20,12 @@
         Self(Arc::new(stream))
     }
 
+    /// Whether bytes of the caller wait in the kernel.
+    pub fn has_unread(&self) -> bool {
+        let mut buf = [MaybeUninit::uninit(); 1];
+        matches!(SockRef::from(&*self.0).peek(&mut buf), Ok(1..))
+    }
+
     /// Whether the caller has closed its side.
     ///
     /// A process that was paused finds a request and the caller's close in the same socket buffer. Without this look the
--- a/crates/node/src/http/listener.rs
+++ b/crates/node/src/http/listener.rs
@@ -6,15 +6,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::{HeaderValue, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
-use super::{CallerConnection, HttpAnswer};
+use super::{CallerConnection, HttpAnswer, ListenerStage};
 
 /// Limits of a listener, all of which bound memory that a caller can take.
 #[derive(Clone, Copy, Debug)]
@@ -32,35 +34,37 @@
 pub struct Listener {
     socket: TcpListener,
     limits: ListenerLimits,
-    closing: watch::Receiver<bool>,
+    stage: watch::Receiver<ListenerStage>,
 }
 
 impl Listener {
-    /// A listener on a bound socket which winds its connections up when `closing` turns true.
+    /// A listener on a bound socket which winds its connections up as `stage` says.
     pub fn new(
         socket: TcpListener,
         limits: ListenerLimits,
-        closing: watch::Receiver<bool>,
+        stage: watch::Receiver<ListenerStage>,
     ) -> Self {
         Self {
             socket,
             limits,
-            closing,
+            stage,
         }
     }
 
-    /// Serves until `closing` turns true and every connection has finished its request.
+    /// Serves until the stage is `Closing` and every connection has finished its request.
     pub async fn run<H, F>(mut self, handler: H)
     where
         H: Fn(Request<Incoming>, CallerConnection) -> F + Clone + Send + 'static,
         F: Future<Output = Response<HttpAnswer>> + Send + 'static,
     {
         let room = Arc::new(Semaphore::new(self.limits.connections));
-        self.accept(&room, handler).await;
-        let _ = room.acquire_many(self.limits.connections as u32).await;
+        self.accept(&room, &handler).await;
+        let limits = self.limits;
+        self.accept_rest(&room, &handler).await;
+        let _ = room.acquire_many(limits.connections as u32).await;
     }
 
-    async fn accept<H, F>(&mut self, room: &Arc<Semaphore>, handler: H)
+    async fn accept<H, F>(&mut self, room: &Arc<Semaphore>, handler: &H)
     where
         H: Fn(Request<Incoming>, CallerConnection) -> F + Clone + Send + 'static,
         F: Future<Output = Response<HttpAnswer>> + Send + 'static,
@@ -68,36 +72,71 @@
         loop {
             let permit = tokio::select! {
                 permit = Arc::clone(room).acquire_owned() => permit,
-                _ = self.closing.wait_for(|closing| *closing) => return,
+                () = is_closing(&mut self.stage) => return,
             };
             let Ok(permit) = permit else { return };
             let accepted = tokio::select! {
                 accepted = self.socket.accept() => accepted,
-                _ = self.closing.wait_for(|closing| *closing) => return,
+                () = is_closing(&mut self.stage) => return,
             };
             let Ok((stream, _)) = accepted else {
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
-            let connection = serve(stream, self.limits, self.closing.clone(), handler.clone());
-            tokio::spawn(async move {
-                connection.await;
-                drop(permit);
-            });
+            self.serve(stream, permit, handler);
         }
     }
+
+    /// Takes the connections that wait in the kernel's queue and closes the socket.
+    ///
+    /// To their callers they are open, and a request may be on its way; closing the socket over them would reset them.
+    async fn accept_rest<H, F>(self, room: &Arc<Semaphore>, handler: &H)
+    where
+        H: Fn(Request<Incoming>, CallerConnection) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<HttpAnswer>> + Send + 'static,
+    {
+        loop {
+            let Ok(permit) = Arc::clone(room).acquire_owned().await else {
+                return;
+            };
+            // The kernel is asked directly: the runtime may not yet have heard of a connection that waits.
+            let Ok((stream, _)) = SockRef::from(&self.socket).accept() else {
+                return;
+            };
+            let stream = std::net::TcpStream::from(stream);
+            let _ = stream.set_nonblocking(true);
+            if let Ok(stream) = TcpStream::from_std(stream) {
+                self.serve(stream, permit, handler);
+            }
+        }
+    }
+
+    fn serve<H, F>(&self, stream: TcpStream, permit: OwnedSemaphorePermit, handler: &H)
+    where
+        H: Fn(Request<Incoming>, CallerConnection) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<HttpAnswer>> + Send + 'static,
+    {
+        let connection = serve(stream, self.limits, self.stage.clone(), handler.clone());
+        tokio::spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    }
 }
 
 /// Pause after a failed accept, as when the process has no file descriptor left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// How long an open connection may still bring a request once the node has drained.
+const LAST_REQUEST_WAIT: Duration = Duration::from_millis(200);
+
 /// The smallest buffer that hyper takes.
 const LEAST_HEADER_BYTES: usize = 8192;
 
 async fn serve<H, F>(
     stream: TcpStream,
     limits: ListenerLimits,
-    mut closing: watch::Receiver<bool>,
+    mut stage: watch::Receiver<ListenerStage>,
     handler: H,
 ) where
     H: Fn(Request<Incoming>, CallerConnection) -> F + Clone + Send + 'static,
@@ -106,9 +145,12 @@
     let _ = stream.set_nodelay(true);
     let connection = CallerConnection::new(stream);
     let io = TokioIo::new(connection.clone());
+    let caller = connection.clone();
+    let now = stage.clone();
     let service = service_fn(move |req| {
         let answer = handler(req, connection.clone());
-        async move { Ok::<_, Infallible>(answer.await) }
+        let now = now.clone();
+        async move { Ok::<_, Infallible>(last_where_leaving(answer.await, &now)) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -118,8 +160,33 @@
     let mut serving = pin!(builder.serve_connection(io, service));
     tokio::select! {
         _ = serving.as_mut() => return,
-        _ = closing.wait_for(|closing| *closing) => {}
+        () = is_closing(&mut stage) => {}
+    }
+    // A connection that has just been made is closed at once by hyper, with its first request on its way.
+    tokio::select! {
+        _ = serving.as_mut() => return,
+        () = tokio::time::sleep(LAST_REQUEST_WAIT) => {}
+    }
+    // A request that has arrived and was not yet read is served; its answer closes the connection.
+    if !caller.has_unread() {
+        serving.as_mut().graceful_shutdown();
     }
-    serving.as_mut().graceful_shutdown();
     let _ = serving.await;
 }
+
+async fn is_closing(stage: &mut watch::Receiver<ListenerStage>) {
+    let _ = stage
+        .wait_for(|stage| *stage >= ListenerStage::Closing)
+        .await;
+}
+
+fn last_where_leaving(
+    mut res: Response<HttpAnswer>,
+    stage: &watch::Receiver<ListenerStage>,
+) -> Response<HttpAnswer> {
+    if *stage.borrow() >= ListenerStage::Leaving {
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(header::CONNECTION, close);
+    }
+    res
+}
--- a/crates/node/src/node/life.rs
+++ b/crates/node/src/node/life.rs
@@ -10,6 +10,7 @@
 
 use crate::gate::GateHandle;
 use crate::host::Host;
+use crate::http::ListenerStage;
 use crate::peers::HubHandle;
 use crate::recorder::Recorder;
 use crate::spread::{Published, SpreadHandle};
@@ -31,8 +32,8 @@
     pub published: watch::Receiver<Arc<Published>>,
     /// Turns true when an operator asks the node to drain.
     pub stopping: watch::Receiver<bool>,
-    /// Closes the listeners.
-    pub closing: watch::Sender<bool>,
+    /// Winds the listeners up.
+    pub listeners: watch::Sender<ListenerStage>,
     /// What the lifecycle asks for.
     pub events: mpsc::UnboundedReceiver<LifecycleEvent>,
     /// The node's log.
@@ -76,6 +77,7 @@
     /// hosts, so that a planned stop cuts off nobody.
     async fn stop(&mut self) {
         info!(self.log, "node leaves");
+        let _ = self.listeners.send(ListenerStage::Leaving);
         let gate = self.gate.clone();
         let drained = gate.leave();
         tokio::pin!(drained);
@@ -85,7 +87,7 @@
                 Some(event) = self.events.recv() => self.handle(event).await,
             }
         }
-        let _ = self.closing.send(true);
+        let _ = self.listeners.send(ListenerStage::Closing);
         info!(self.log, "node drained");
     }
 
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -26,7 +26,7 @@
 use crate::entry::{Dispatcher, DispatcherSetup, EntryLimits, EntryService, TokenIssuer};
 use crate::gate::{Gate, GateSetup};
 use crate::host::{Host, HostSetup, TargetClient};
-use crate::http::{Listener, ListenerLimits, TargetPool};
+use crate::http::{Listener, ListenerLimits, ListenerStage, TargetPool};
 use crate::metrics::Metrics;
 use crate::operators::{self, QUERY_QUEUE};
 use crate::peers::{FrameLimits, Hub, PeerServer, PeerServices, TlsError, TlsMaterial, bind};
@@ -203,7 +203,7 @@
         log: log.clone(),
     };
 
-    let (closing, closed) = watch::channel(false);
+    let (listeners, stage) = watch::channel(ListenerStage::Open);
     let limits = ListenerLimits {
         connections: settings.limits.connections as usize,
         header_bytes: settings.limits.header_bytes as usize,
@@ -212,8 +212,8 @@
     let callers = listen("callers", settings.listen.callers).await?;
     let egress = listen("egress", settings.listen.egress).await?;
     let for_operators = listen("operators", settings.listen.operators).await?;
-    let callers = Listener::new(callers, limits, closed.clone());
-    let egress = Listener::new(egress, limits, closed.clone());
+    let callers = Listener::new(callers, limits, stage.clone());
+    let egress = Listener::new(egress, limits, stage);
     // Calls of the target have places of their own: were all taken by callers, none of these could ever end.
     let for_target = EntryService {
         places: Arc::new(Semaphore::new(settings.limits.in_flight as usize)),
@@ -258,7 +258,7 @@
         recorder,
         published,
         stopping,
-        closing,
+        listeners,
         events: life_rx,
         log,
     };
