--- a/crates/node/src/node/life.rs
+++ b/crates/node/src/node/life.rs
@@ -11,6 +11,7 @@
 
 use crate::gate::GateHandle;
 use crate::host::Host;
+use crate::http::ListenerStage;
 use crate::peers::HubHandle;
 use crate::recorder::Recorder;
 use crate::spread::{Published, SpreadHandle};
@@ -32,8 +33,8 @@
     pub published: watch::Receiver<Arc<Published>>,
     /// Turns true when an operator asks the node to drain.
     pub stopping: watch::Receiver<bool>,
-    /// Closes the listeners.
-    pub closing: watch::Sender<bool>,
+    /// Winds the listeners up.
+    pub listeners: watch::Sender<ListenerStage>,
     /// What the lifecycle asks for.
     pub events: mpsc::UnboundedReceiver<LifecycleEvent>,
     /// The node's log.
@@ -78,6 +79,7 @@
     async fn stop(&mut self) {
         info!(self.log, "node leaves");
         self.spread.state(NodeState::Leaving);
+        let _ = self.listeners.send(ListenerStage::Leaving);
         let gate = self.gate.clone();
         let drained = gate.leave();
         tokio::pin!(drained);
@@ -87,7 +89,7 @@
                 Some(event) = self.events.recv() => self.handle(event).await,
             }
         }
-        let _ = self.closing.send(true);
+        let _ = self.listeners.send(ListenerStage::Closing);
         info!(self.log, "node drained");
     }
 
