Peers speak for themselves only, end their frames in time and keep nobody out

Cause: the name in a greeting, announcement, digest or news was believed whatever the certificate said; a frame could take for ever to arrive, so one peer could take all places for streams; headers of a peer's call went to the target as they came. Ruled out: lengths of 4 GiB, far stamps, ticks and deadlines, unknown classes: refused or clamped before this change. Conclusion: the name is checked against the certificate, a frame has limits.header_timeout_ms to arrive, a certificate has four connections, hop-by-hop headers are dropped at the host.

--- a/crates/node/src/host/target.rs
+++ b/crates/node/src/host/target.rs
@@ -61,7 +61,9 @@
         let mut req = Request::new(body);
         *req.method_mut() = call.method.clone();
         *req.uri_mut() = call.path.parse().map_err(|_| ErrorKind::BadRequest)?;
-        *req.headers_mut() = call.headers.clone();
+        // The peer that sent the call may have put in anything: a length or an encoding of its own choice would let the target
+        // take the body for a further request, seen as answers that belong to other calls.
+        *req.headers_mut() = end_to_end(&call.headers);
         let left = call
             .deadline
             .saturating_duration_since(now)
--- a/crates/node/src/http/listener.rs
+++ b/crates/node/src/http/listener.rs
@@ -92,7 +92,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// The smallest buffer that hyper takes.
-const LEAST_HEADER_BYTES: usize = 8192;
+pub(super) const LEAST_HEADER_BYTES: usize = 8192;
 
 async fn serve<H, F>(
     stream: TcpStream,
--- a/crates/node/src/http/pool.rs
+++ b/crates/node/src/http/pool.rs
@@ -5,11 +5,13 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 
+use super::listener::LEAST_HEADER_BYTES;
+
 /// Sends requests over one connection.
 type Sender = SendRequest<Full<Bytes>>;
 
@@ -27,6 +29,7 @@
     tx: mpsc::UnboundedSender<PoolMessage>,
     address: SocketAddr,
     connect_timeout: Duration,
+    header_bytes: usize,
 }
 
 /// A connection taken out of the pool.
@@ -44,17 +47,19 @@
 }
 
 impl TargetPool {
-    /// A pool that keeps at most `capacity` idle connections.
+    /// A pool that keeps at most `capacity` idle connections and reads answers whose heads have at most `header_bytes`.
     pub fn new(
         address: SocketAddr,
         capacity: usize,
         connect_timeout: Duration,
+        header_bytes: usize,
     ) -> (Self, PoolHandle) {
         let (tx, rx) = mpsc::unbounded_channel();
         let handle = PoolHandle {
             tx,
             address,
             connect_timeout,
+            header_bytes: header_bytes.max(LEAST_HEADER_BYTES),
         };
         (
             Self {
@@ -115,7 +120,10 @@
             .ok()?
             .ok()?;
         let _ = stream.set_nodelay(true);
-        let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        let mut builder = Builder::new();
+        builder.max_buf_size(self.header_bytes);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.ok()?;
         tokio::spawn(connection);
         Some(self.pooled(sender))
     }
--- a/crates/node/src/metrics/faults.rs
+++ b/crates/node/src/metrics/faults.rs
@@ -12,6 +12,8 @@
     Frame,
     /// A peer's certificate that is not of the fleet.
     Certificate,
+    /// A peer that speaks under the name of another node.
+    Name,
     /// A token that is forged or malformed.
     Token,
 }
@@ -84,13 +86,14 @@
 
 impl Rejected {
     /// Everything that can be rejected.
-    pub const ALL: [Self; 3] = [Self::Frame, Self::Certificate, Self::Token];
+    pub const ALL: [Self; 4] = [Self::Frame, Self::Certificate, Self::Name, Self::Token];
 
     /// The label in metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Frame => "frame",
             Self::Certificate => "certificate",
+            Self::Name => "name",
             Self::Token => "token",
         }
     }
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -103,6 +103,7 @@
         settings.target.address,
         settings.target.connections as usize,
         settings.target.connect_timeout,
+        settings.limits.header_bytes as usize,
     );
     tokio::spawn(pool_task.run());
     let host = Host::new(HostSetup {
@@ -140,6 +141,7 @@
         recorder: recorder.clone(),
         metrics: metrics.clone(),
         limits: frames,
+        frame_time: settings.limits.header_timeout,
     };
     let (hub_task, hub) = Hub::new(endpoint.clone(), services.clone());
     tokio::spawn(hub_task.run());
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -2,12 +2,14 @@
 
 mod endpoint;
 mod hub;
+mod identity;
 mod link;
 mod server;
 mod tls;
 
 pub use endpoint::bind;
 pub use hub::{Hub, HubHandle};
+pub use identity::PeerIdentity;
 pub use link::{FrameLimits, Link, LinkError};
 pub use server::{PeerServer, PeerServices};
 pub use tls::{TlsError, TlsMaterial};
--- a/crates/node/src/peers/hub.rs
+++ b/crates/node/src/peers/hub.rs
@@ -1,5 +1,6 @@
 //! The task that owns the connections to peers.
 
+use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -11,13 +12,15 @@
 use super::server::serve_connection;
 use super::{Link, PeerServices};
 use crate::data::HostReport;
+use crate::metrics::Rejected;
 use crate::wire::{ControlReply, ControlRequest, HelloFrame};
 
 /// The task that owns the connections to peers and opens them when they are first needed.
 pub struct Hub {
     endpoint: Endpoint,
     services: PeerServices,
-    inbound: Vec<Link>,
+    inbound: Vec<Inbound>,
+    hashes: RandomState,
     slots: Map<NodeName, Slot>,
     tx: mpsc::UnboundedSender<HubMessage>,
     rx: mpsc::UnboundedReceiver<HubMessage>,
@@ -38,6 +41,14 @@
     TellAll(ControlRequest, Duration),
 }
 
+/// A connection that a peer opened.
+#[derive(Debug)]
+struct Inbound {
+    link: Link,
+    /// Hash of the certificate that the peer showed.
+    certificate: u64,
+}
+
 #[derive(Debug)]
 enum Slot {
     Opening(SocketAddr, Vec<oneshot::Sender<Option<Link>>>),
@@ -65,6 +76,7 @@
                 endpoint,
                 services,
                 inbound,
+                hashes: RandomState::new(),
                 slots,
                 tx,
                 rx,
@@ -90,9 +102,23 @@
         }
     }
 
+    /// Takes note of a connection that a peer opened, and closes the oldest where it has too many.
+    ///
+    /// Places for streams are shared by all peers. One that opens connection after connection would take them all, seen as
+    /// calls from other nodes that expire unserved.
     fn accepted(&mut self, link: Link) {
-        self.inbound.retain(|link| !link.is_closed());
-        self.inbound.push(link);
+        self.inbound.retain(|inbound| !inbound.link.is_closed());
+        let certificate = self.hashes.hash_one(link.identity());
+        let mut same = self
+            .inbound
+            .iter()
+            .filter(|inbound| inbound.certificate == certificate);
+        if let Some(oldest) = same.next()
+            && same.count() + 2 > MOST_CONNECTIONS
+        {
+            oldest.link.close();
+        }
+        self.inbound.push(Inbound { link, certificate });
     }
 
     /// Tells everybody who has a connection here, in either direction.
@@ -101,7 +127,8 @@
             Slot::Open(_, link) => Some(link),
             Slot::Opening(..) | Slot::Failed(_) => None,
         });
-        for link in opened.chain(&self.inbound).filter(|link| !link.is_closed()) {
+        let inbound = self.inbound.iter().map(|inbound| &inbound.link);
+        for link in opened.chain(inbound).filter(|link| !link.is_closed()) {
             let (link, request) = (link.clone(), request.clone());
             tokio::spawn(async move { link.control(request, patience).await });
         }
@@ -219,18 +246,25 @@
         .await
         .ok()?
         .ok()?;
-    let link = services.link(connection.clone());
+    let link = services.link(connection.clone(), Some(node.clone()));
     let own = services.host.report().await?;
     let hello = HelloFrame::new(&own, services.recorder.stamp());
     let greeting = link.control(ControlRequest::Greet(hello), CONNECT_TIME);
     let ControlReply::Hello(HelloFrame { report, .. }) = greeting.await.ok()? else {
         return None;
     };
+    if report.node != node.0 {
+        services.metrics.faults.rejected(Rejected::Name);
+        return None;
+    }
     services.routes.heard(HostReport::from(report));
     tokio::spawn(serve_connection(connection, services));
     Some(link)
 }
 
+/// Connections that one certificate may have open to this node; a node that restarts needs two for a while.
+const MOST_CONNECTIONS: usize = 4;
+
 /// Time for the handshake and again for the greeting.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
 
--- a/crates/node/src/peers/link.rs
+++ b/crates/node/src/peers/link.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfootport_core::id::NodeName;
 use quinn::{Connection, VarInt};
 
+use super::PeerIdentity;
 use crate::data::{Call, Reply};
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, Rejected};
 use crate::recorder::Recorder;
 use crate::wire::{
     CallFrame, ControlReply, ControlRequest, FrameError, PeerReply, PeerRequest, read_body,
@@ -26,6 +28,8 @@
 #[derive(Clone, Debug)]
 pub struct Link {
     connection: Connection,
+    /// The node that this one connected to; unknown where the other end connected.
+    node: Option<NodeName>,
     limits: FrameLimits,
     metrics: Metrics,
 }
@@ -42,10 +46,16 @@
 }
 
 impl Link {
-    /// Wraps an open connection.
-    pub fn new(connection: Connection, limits: FrameLimits, metrics: Metrics) -> Self {
+    /// Wraps an open connection; `node` is whose certificate was asked for where this node opened it.
+    pub fn new(
+        connection: Connection,
+        node: Option<NodeName>,
+        limits: FrameLimits,
+        metrics: Metrics,
+    ) -> Self {
         Self {
             connection,
+            node,
             limits,
             metrics,
         }
@@ -56,6 +66,11 @@
         self.connection.close_reason().is_some()
     }
 
+    /// Who the other end is; `None` where it showed no certificate.
+    pub fn identity(&self) -> Option<PeerIdentity> {
+        PeerIdentity::of(&self.connection)
+    }
+
     /// Ends the connection.
     pub fn close(&self) {
         self.connection.close(VarInt::from_u32(0), b"closed");
@@ -93,6 +108,15 @@
         let PeerReply::Call(frame) = head.value else {
             return Err(FrameError::Malformed.into());
         };
+        // A host could otherwise report another as leaving or as full, seen as an instance that gets no work.
+        if self
+            .node
+            .as_ref()
+            .is_some_and(|node| node.0 != frame.report.node)
+        {
+            self.metrics.faults.rejected(Rejected::Name);
+            return Err(FrameError::Name.into());
+        }
         recorder.observe(frame.stamp);
         let body = read_body(&mut rx, frame.body_len, self.limits.body).await?;
         Ok(frame.into_reply(body)?)
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -1,15 +1,18 @@
 //! Serves the streams that peers open.
 
+use std::future::IntoFuture;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfootport_core::id::NodeName;
 use coltsfootport_core::once::{Refusal, Try};
 use quinn::{Connection, Endpoint, RecvStream, SendStream};
 use tokio::sync::Semaphore;
+use tokio::time::timeout;
 
 use super::link::FrameLimits;
-use super::{HubHandle, Link};
+use super::{HubHandle, Link, PeerIdentity};
 use crate::clock::SharedClock;
 use crate::data::{Answer, HostReport};
 use crate::gate::GateHandle;
@@ -44,6 +47,8 @@
     pub metrics: Metrics,
     /// Limits of what is read.
     pub limits: FrameLimits,
+    /// Time in which a handshake, or a whole frame, must arrive.
+    pub frame_time: Duration,
 }
 
 /// Accepts connections of peers.
@@ -55,8 +60,8 @@
 }
 
 impl PeerServices {
-    pub(super) fn link(&self, connection: Connection) -> Link {
-        Link::new(connection, self.limits, self.metrics.clone())
+    pub(super) fn link(&self, connection: Connection, node: Option<NodeName>) -> Link {
+        Link::new(connection, node, self.limits, self.metrics.clone())
     }
 
     fn hear(&self, hello: HelloFrame) {
@@ -77,16 +82,24 @@
 
     /// Runs until the endpoint is closed.
     pub async fn run(self) {
+        let handshakes = Arc::new(Semaphore::new(MOST_HANDSHAKES));
         while let Some(incoming) = self.endpoint.accept().await {
+            // Anybody can begin handshakes, under any sender's address, and each takes memory until it ends.
+            let Ok(place) = Arc::clone(&handshakes).try_acquire_owned() else {
+                incoming.refuse();
+                continue;
+            };
             let (services, hub) = (self.services.clone(), self.hub.clone());
             tokio::spawn(async move {
-                match incoming.await {
-                    Ok(connection) => {
-                        hub.accepted(services.link(connection.clone()));
+                let handshake = timeout(services.frame_time, incoming.into_future()).await;
+                drop(place);
+                match handshake {
+                    Ok(Ok(connection)) => {
+                        hub.accepted(services.link(connection.clone(), None));
                         serve_connection(connection, services).await;
                     }
                     // A peer without a certificate of the fleet ends here, before any stream.
-                    Err(_) => services.metrics.faults.rejected(Rejected::Certificate),
+                    Ok(Err(_)) | Err(_) => services.metrics.faults.rejected(Rejected::Certificate),
                 }
             });
         }
@@ -95,46 +108,73 @@
 
 /// Serves the streams that the peer opens on a connection, whoever opened the connection itself.
 pub(super) async fn serve_connection(connection: Connection, services: PeerServices) {
+    let identity = PeerIdentity::of(&connection);
     while let Ok((tx, rx)) = connection.accept_bi().await {
         let Ok(place) = Arc::clone(&services.streams).acquire_owned().await else {
             return;
         };
-        let services = services.clone();
+        let (services, identity) = (services.clone(), identity.clone());
         tokio::spawn(async move {
             let _place = place;
             let metrics = services.metrics.clone();
-            match serve_stream(tx, rx, services).await {
+            match serve_stream(tx, rx, identity, services).await {
                 Ok(()) | Err(FrameError::Cut) => {}
+                Err(FrameError::Name) => metrics.faults.rejected(Rejected::Name),
                 Err(_) => metrics.faults.rejected(Rejected::Frame),
             }
         });
     }
 }
 
+/// What a peer asks for, whole.
+enum Asked {
+    Call(Box<CallFrame>, Bytes),
+    Control(ControlRequest),
+}
+
 async fn serve_stream(
     tx: SendStream,
     mut rx: RecvStream,
+    identity: Option<PeerIdentity>,
     services: PeerServices,
 ) -> Result<(), FrameError> {
-    let Head { value, bytes } =
-        read_head(&mut rx, services.limits.head.max(services.limits.body)).await?;
+    // A peer that stops halfway would keep its place and its buffer for ever, and with enough streams everybody's.
+    let reading = timeout(services.frame_time, read(&mut rx, &services)).await;
+    match reading.unwrap_or(Err(FrameError::Slow))? {
+        // Boxed, so that a stream whose frame has not arrived takes little memory.
+        Asked::Call(frame, body) => Box::pin(serve_call(*frame, body, tx, services)).await,
+        Asked::Control(request) => {
+            let sender = request.sender().cloned().map(NodeName);
+            if sender.is_some_and(|sender| !identity.is_some_and(|own| own.is(&sender))) {
+                return Err(FrameError::Name);
+            }
+            Box::pin(serve_control(request, tx, services)).await
+        }
+    }
+}
+
+async fn read(rx: &mut RecvStream, services: &PeerServices) -> Result<Asked, FrameError> {
+    let limits = services.limits;
+    let Head { value, bytes } = read_head(rx, limits.head.max(limits.body)).await?;
     match value {
-        PeerRequest::Call(frame) => serve_call(*frame, tx, rx, services).await,
+        PeerRequest::Call(frame) => {
+            let body = read_body(rx, frame.body_len, limits.body).await?;
+            Ok(Asked::Call(frame, body))
+        }
         PeerRequest::Control(request) => {
             services.metrics.control.received(request.kind(), bytes);
-            serve_control(request, tx, services).await
+            Ok(Asked::Control(request))
         }
     }
 }
 
 async fn serve_call(
     frame: CallFrame,
+    body: Bytes,
     mut tx: SendStream,
-    mut rx: RecvStream,
     services: PeerServices,
 ) -> Result<(), FrameError> {
     services.recorder.observe(frame.stamp);
-    let body = read_body(&mut rx, frame.body_len, services.limits.body).await?;
     let call = frame.into_call(body, services.clock.now())?;
     let reply = tokio::select! {
         reply = services.host.run(call) => reply,
@@ -144,11 +184,15 @@
         return Err(FrameError::Cut);
     };
     let body = reply.body();
-    let head = ReplyFrame::new(&reply, services.recorder.stamp());
-    write_frame(&mut tx, &PeerReply::Call(Box::new(head)), body).await?;
-    // Until the peer has taken in the whole answer, this node must not end: closing the endpoint would cut it off.
-    let _ = tokio::time::timeout(TAKE_IN, tx.stopped()).await;
-    Ok(())
+    let head = PeerReply::Call(Box::new(ReplyFrame::new(&reply, services.recorder.stamp())));
+    // Until the peer has taken in the whole answer, this node must not end: closing the endpoint would cut it off. But a
+    // peer that never reads would keep the answer in memory for ever.
+    let answering = async {
+        write_frame(&mut tx, &head, body).await?;
+        let _ = tx.stopped().await;
+        Ok(())
+    };
+    timeout(TAKE_IN, answering).await.unwrap_or(Ok(()))
 }
 
 async fn serve_control(
@@ -175,7 +219,10 @@
         published => services.spread.answer(published).await,
     };
     let reply = PeerReply::Control(reply);
-    let written = write_frame(&mut tx, &reply, Bytes::new()).await?;
+    let writing = write_frame(&mut tx, &reply, Bytes::new());
+    let written = timeout(TAKE_IN, writing)
+        .await
+        .unwrap_or(Err(FrameError::Slow))?;
     services.metrics.control.sent(kind, written);
     Ok(())
 }
@@ -194,5 +241,8 @@
     }
 }
 
-/// How long a peer may take to acknowledge an answer.
+/// Handshakes at a time that are not finished.
+const MOST_HANDSHAKES: usize = 512;
+
+/// How long a peer may take to read and acknowledge an answer.
 const TAKE_IN: Duration = Duration::from_secs(5);
--- a/crates/node/src/wire/control.rs
+++ b/crates/node/src/wire/control.rs
@@ -182,6 +182,25 @@
     }
 }
 
+impl ControlRequest {
+    /// The name under which the sender speaks of itself; `None` where the message names no sender.
+    pub fn sender(&self) -> Option<&SmolStr> {
+        match self {
+            Self::Greet(hello) | Self::Announce(hello) => Some(&hello.report.node),
+            Self::Digest(digest) => Some(&digest.node),
+            Self::News(news) => Some(&news.node),
+            Self::Ping
+            | Self::Refuse { .. }
+            | Self::PullSince(_)
+            | Self::PullKeys(_)
+            | Self::Versions(_)
+            | Self::PullList(_)
+            | Self::Entries(_)
+            | Self::Words(_) => None,
+        }
+    }
+}
+
 impl HelloFrame {
     /// A greeting that tells the state of this node.
     pub fn new(report: &HostReport, stamp: Stamp) -> Self {
--- a/crates/node/src/wire/frame.rs
+++ b/crates/node/src/wire/frame.rs
@@ -39,6 +39,12 @@
     /// The body is not the one that was sent.
     #[error("length or checksum of the body differ")]
     Checksum,
+    /// The frame did not arrive in time.
+    #[error("the frame did not arrive in time")]
+    Slow,
+    /// The sender speaks under a name that its certificate does not bear.
+    #[error("the sender speaks under the name of another node")]
+    Name,
 }
 
 impl From<ReadExactError> for FrameError {
--- a/crates/rig/src/fleet/running.rs
+++ b/crates/rig/src/fleet/running.rs
@@ -34,6 +34,8 @@
     pub client: Client,
     /// The fault proxy between the nodes, where the plan asks for it.
     pub proxy: Option<Proxy>,
+    /// Keys and authority of the fleet.
+    pub keys: FleetKeys,
     /// Faults between failure domains.
     faults: BTreeMap<DomainPair, LinkFaults>,
     /// Platforms by failure domain; one for all under the empty name where there is no proxy.
@@ -90,15 +92,14 @@
             members,
             client,
             proxy,
+            keys,
             platforms: BTreeMap::new(),
             faults: BTreeMap::new(),
         };
         fleet.start_platforms(&programs).await?;
         fleet.publish_all(&plan.services).await?;
         for service in &plan.services {
-            fleet
-                .start_service(service, &plan, &keys, &programs)
-                .await?;
+            fleet.start_service(service, &plan, &programs).await?;
         }
         fleet.all_ready().await?;
         Ok(fleet)
@@ -340,7 +341,6 @@
         &mut self,
         service: &ServicePlan,
         plan: &FleetPlan,
-        keys: &FleetKeys,
         programs: &Programs,
     ) -> Result<(), RigError> {
         let platforms: BTreeMap<SmolStr, SocketAddr> = self
@@ -355,7 +355,7 @@
             .filter(|member| member.service == service.name);
         for member in members {
             let domain = if proxied { member.domain.as_str() } else { "" };
-            let mut overrides = keys.sections(&programs.node, &member.name)?;
+            let mut overrides = self.keys.sections(&programs.node, &member.name)?;
             overrides.push(plan.node.clone());
             overrides.push(service.node.clone());
             let settings = node_settings(
--- a/crates/rig/tests/common/mod.rs
+++ b/crates/rig/tests/common/mod.rs
@@ -80,3 +80,20 @@
 pub fn text(answer: &ClientAnswer) -> String {
     String::from_utf8_lossy(&answer.body).into_owned()
 }
+
+/// A counter of a node, 0 where it is not shown.
+pub async fn metric(client: &Client, operators: SocketAddr, name: &str) -> u64 {
+    let call = ClientCall::new(operators, Method::GET, "/metrics");
+    let page = text(&client.send(call).await.expect("metrics"));
+    let lines = page.lines().filter(|line| line.contains(name));
+    let numbers = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+    numbers.sum()
+}
+
+/// Resident memory of a process in bytes.
+pub fn resident(pid: i32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("a process");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+    number.expect("a number of KiB") * 1024
+}
