--- a/crates/node/src/http/listener.rs
+++ b/crates/node/src/http/listener.rs
@@ -131,7 +131,7 @@
 const LAST_REQUEST_WAIT: Duration = Duration::from_millis(200);
 
 /// The smallest buffer that hyper takes.
-const LEAST_HEADER_BYTES: usize = 8192;
+pub(super) const LEAST_HEADER_BYTES: usize = 8192;
 
 async fn serve<H, F>(
     stream: TcpStream,
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -110,6 +110,7 @@
         settings.target.address,
         settings.target.connections as usize,
         settings.target.connect_timeout,
+        settings.limits.header_bytes as usize,
     );
     tokio::spawn(pool_task.run());
     let host = Host::new(HostSetup {
@@ -148,6 +149,7 @@
         recorder: recorder.clone(),
         metrics: metrics.clone(),
         limits: frames,
+        frame_time: settings.limits.header_timeout,
     };
     let (hub_task, hub) = Hub::new(endpoint.clone(), services.clone());
     tokio::spawn(hub_task.run());
