--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -13,6 +13,7 @@
 mod level_control;
 mod limit;
 mod queue;
+mod refusal;
 mod window;
 
 pub use call::{Action, CallKey, Finish, Offer};
--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -12,9 +12,9 @@
 use super::level_control::LevelControl;
 use super::limit::LimitControl;
 use super::queue::{Order, Queue, doomed_at};
+use super::refusal::Refusal;
 use super::window::Window;
 use crate::class::Class;
-use crate::error_kind::ErrorKind;
 use crate::invariant::Invariant;
 
 /// Decides which calls start at a target, which wait and which are refused.
@@ -168,6 +168,7 @@
         self.cold_since = now;
         self.limit = LimitControl::new(&self.cfg);
         self.window = Window::new(self.in_flight, now);
+        self.held.clear();
     }
 
     /// The level below which calls are admitted now; told upwards with each answer.
@@ -407,25 +408,3 @@
         &mut self.counters[usize::from(class.0)]
     }
 }
-
-/// Why admission refuses a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Refusal {
-    /// Above the admission level.
-    Level,
-    /// The queue was full of calls that go first.
-    Queue,
-    /// Too little time even if it started at once.
-    Deadline,
-    /// Too little time for the wait and the service.
-    Wait,
-}
-
-impl Refusal {
-    fn kind(self) -> ErrorKind {
-        match self {
-            Self::Level | Self::Queue => ErrorKind::Shed,
-            Self::Deadline | Self::Wait => ErrorKind::DeadlineTooShort,
-        }
-    }
-}
--- a/crates/core/src/admission/limit.rs
+++ b/crates/core/src/admission/limit.rs
@@ -1,9 +1,14 @@
 //! The learnt concurrency limit.
 
+mod cuts;
+mod overshoot;
+
 use std::time::Instant;
 
 use super::config::{AdmissionConfig, LimitRule};
 use super::window::{Seen, Times};
+use cuts::Cuts;
+use overshoot::{NormalFailures, Overshoot};
 
 /// Smallest factor of one cut by the gradient rule.
 const GRADIENT_FLOOR: f64 = 0.7;
@@ -14,32 +19,12 @@
 /// Largest factor of one cut for failures.
 const FAILURE_CUT: f64 = 0.95;
 
-/// Failures in a window below which they count as chance.
-const MIN_FAILURES: u32 = 4;
-
-/// Weight of a window's share of failures in that which counts as normal, unless it is beyond that.
-const BASE_FAILED_WEIGHT: f64 = 0.05;
-
 /// Factor of one cut by the AIMD rule.
 const CUT: f64 = 0.9;
 
 /// Share of the limit that must have been in use for a window to say anything about the limit.
 const USED_SHARE: f64 = 0.9;
 
-/// A series of cuts down to this share of its first limit must shorten service times.
-const JUDGED_SHARE: f64 = 0.8;
-
-/// Service time after such a series, as a share of that before, from which the series counts as useless.
-const NOT_SHORTENED: f64 = 0.92;
-
-/// Share of failures after such a series, as a share of that before, up to which the series counts as useful.
-const FAILED_LESS: f64 = 0.7;
-
-/// A series of cuts for failures is judged at this share of the calls that were in use before.
-///
-/// It is low because a target that sheds fails most calls until the limit is near its slots.
-const JUDGED_SHARE_FAILING: f64 = 0.35;
-
 /// Standard errors by which a mean service time must differ before it counts as longer or shorter.
 const SURE: f64 = 2.0;
 
@@ -72,8 +57,7 @@
 pub(super) struct LimitControl {
     limit: f64,
     base: Option<Base>,
-    /// Share of failures that cuts have not made smaller.
-    base_failed: f64,
+    normal: NormalFailures,
     cuts: Option<Cuts>,
     /// The limit above which the target fails calls.
     ceiling: Option<Ceiling>,
@@ -89,39 +73,18 @@
     confirmed: Instant,
 }
 
-/// More calls than the target takes.
-#[derive(Clone, Copy, Debug)]
-struct Overshoot {
-    /// Calls that were at the target at most.
-    used: f64,
-    /// Calls that it took of these.
-    accepted: f64,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Ceiling {
     limit: f64,
     until: Instant,
 }
 
-/// A series of cuts: what stood before the first one.
-#[derive(Clone, Copy, Debug)]
-struct Cuts {
-    limit: f64,
-    /// Calls in use when the series began.
-    used: f64,
-    seconds: f64,
-    failed: f64,
-    /// Whether failures and not service times are the reason of the cuts.
-    failing: bool,
-}
-
 impl LimitControl {
     pub(super) fn new(cfg: &AdmissionConfig) -> Self {
         Self {
             limit: f64::from(cfg.initial_limit),
             base: None,
-            base_failed: 0.0,
+            normal: NormalFailures::default(),
             cuts: None,
             ceiling: None,
             congested: false,
@@ -135,7 +98,7 @@
 
     /// Moves the limit by what a window has shown.
     pub(super) fn update(&mut self, cfg: &AdmissionConfig, seen: Seen, now: Instant) {
-        let overshoot = self.overshoot(cfg, &seen);
+        let overshoot = self.normal.overshoot(cfg, self.limit, &seen);
         let used = f64::from(seen.peak) >= self.limit.floor() * USED_SHARE;
         if let Some(overshoot) = overshoot {
             self.cut_overshoot(cfg, &seen, overshoot, now);
@@ -213,21 +176,6 @@
         }
     }
 
-    /// Failures beyond the normal share, as far as they are no chance.
-    fn overshoot(&mut self, cfg: &AdmissionConfig, seen: &Seen) -> Option<Overshoot> {
-        let excess = seen.failed - self.base_failed;
-        let normal = self.base_failed;
-        let error = (normal * (1.0 - normal) / f64::from(seen.finished.max(1))).sqrt();
-        if seen.failures < MIN_FAILURES || excess <= cfg.failure_share + SURE * error {
-            self.base_failed += excess * BASE_FAILED_WEIGHT;
-            return None;
-        }
-        // Below its limit the target would have been sent more: what was in use is what counts.
-        let used = self.limit.min(f64::from(seen.peak));
-        let accepted = seen.accepted.ceil();
-        Some(Overshoot { used, accepted })
-    }
-
     /// Goes down to what the target takes.
     ///
     /// A target that sheds by itself knows no classes: above its slots it fails bids and lookups alike. It answers at once,
@@ -242,7 +190,7 @@
         now: Instant,
     ) {
         // As with service times, the first window of a large overshoot may show a load that was still rising.
-        let large = seen.failed - self.base_failed > LARGE_OVERSHOOT;
+        let large = seen.failed - self.normal.share > LARGE_OVERSHOOT;
         if !std::mem::replace(&mut self.congested, true) && large {
             return;
         }
@@ -318,7 +266,7 @@
     fn take_back(&mut self, cfg: &AdmissionConfig, before: Cuts, current: Cuts) {
         self.limit = before.limit;
         self.cuts = None;
-        self.base_failed = current.failed.min(before.failed);
+        self.normal.share = current.failed.min(before.failed);
         self.ceiling = None;
         if let Some(base) = &mut self.base {
             base.seconds = current
@@ -350,23 +298,3 @@
         LimitRule::Gradient => ratio.clamp(GRADIENT_FLOOR, 1.0),
     }
 }
-
-impl Cuts {
-    fn judged_share(&self) -> f64 {
-        if self.failing {
-            JUDGED_SHARE_FAILING
-        } else {
-            JUDGED_SHARE
-        }
-    }
-
-    /// Whether what is seen after the cuts is no better than before them.
-    ///
-    /// A target that sheds calls above its slots fails hardly any below them; failures that stay are of another cause.
-    fn is_useless(&self, current: &Self) -> bool {
-        if self.failing {
-            return current.failed > self.failed * FAILED_LESS;
-        }
-        current.seconds >= self.seconds * NOT_SHORTENED
-    }
-}
