--- a/crates/node/src/wire/control.rs
+++ b/crates/node/src/wire/control.rs
@@ -185,7 +185,7 @@
     pub fn sender(&self) -> Option<&SmolStr> {
         match self {
             Self::Greet(hello) | Self::Announce(hello) => Some(&hello.report.node),
-            Self::Digest(digest) => Some(&digest.node),
+            Self::Digest(digest) => Some(&digest.word.node),
             Self::News(news) => Some(&news.node),
             Self::Ping
             | Self::Refuse { .. }
--- a/crates/rig/tests/hostile_peers.rs
+++ b/crates/rig/tests/hostile_peers.rs
@@ -137,8 +137,12 @@
 
 fn digest(node: &str) -> DigestFrame {
     DigestFrame {
-        node: node.into(),
-        serving: true,
+        word: WordFrame {
+            node: node.into(),
+            incarnation: u128::MAX,
+            state: NodeState::Leaving,
+            tick: u64::MAX,
+        },
         digest: Default::default(),
         list: u64::MAX,
         config_age_ms: Some(u64::MAX),
