A repetition that finds no way is not taken for a call that was never sent

Cause: an entry whose attempt at the token's home was lost sends the call again. Where that repetition found no connection, or the deadline had passed, the call was answered as one that never left the entry: "not-run", no-target, with a fresh token. The first sending was at the target all the while, so a caller that took the fresh token ran its call twice. Ruled out: the home and its table; its records showed the one run. Conclusion: once anything was sent, the home is asked; where it can't be, the answer is "unknown".

--- a/crates/node/src/entry/pinned.rs
+++ b/crates/node/src/entry/pinned.rs
@@ -26,16 +26,22 @@
         budget: &mut Budget,
     ) -> Verdict {
         call.once = Some(once.clone());
+        let mut sent = false;
         loop {
-            let Some(route) = self.setup.routes.home(&once.token).await else {
-                return self.never_sent(&once);
+            let attempt = match self.setup.routes.home(&once.token).await {
+                Some(route) => self.attempt(&mut call, route, budget).await,
+                None => Attempt::NotSent,
             };
-            match self.attempt(&mut call, route, budget).await {
+            match attempt {
                 Attempt::Replied(reply) => return reply.verdict,
-                Attempt::NotSent => return self.never_sent(&once),
+                Attempt::NotSent if !sent => return self.never_sent(&once),
                 // The home knows the token and this try, so sending it again joins the first or hears its answer.
-                Attempt::Lost if self.may_repeat(&call, budget).await => {}
-                Attempt::Lost | Attempt::Expired => return self.settle(&call).await,
+                Attempt::Lost if self.may_repeat(&call, budget).await => sent = true,
+                // Symptom of taking a repetition that found no way for a call that was never sent: "not run" and a fresh
+                // token for a call that runs, so that its caller places it a second time.
+                Attempt::NotSent | Attempt::Lost | Attempt::Expired => {
+                    return self.settle(&call).await;
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/rig/tests/common/bids.rs
@@ -0,0 +1,300 @@
+//! Calls that must run at most once, sent over a fleet and compared with what its targets counted.
+
+use std::future::Future;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use coltsfootport_rig::error::RigError;
+use coltsfootport_rig::fleet::{Fleet, FleetPlan, ServicePlan};
+use coltsfootport_rig::http::{ClientAnswer, ClientCall};
+use coltsfootport_rig::target::{Echo, KEY_HEADER, Settings};
+use http::Method;
+use serde_json::{Value, json};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+use super::PATIENCE;
+
+/// The node whose target runs the bids of most tests; it is alone in failure domain `a`.
+pub const HOME: &str = "bidding-1";
+
+/// A second target of the same service, in failure domain `b`.
+pub const OTHER: &str = "bidding-2";
+
+/// An entry in failure domain `b`.
+pub const ENTRY_B: &str = "front-1";
+
+/// An entry in failure domain `c`.
+pub const ENTRY_C: &str = "front-2";
+
+/// A further wait after everything is at rest, in which a call that was wrongly kept would run.
+const REST: Duration = Duration::from_millis(200);
+
+/// Two targets of bids and two nodes of another service, which serve as entries only; the nodes' settings are patched.
+pub fn plan(target: Settings, node: Value) -> FleetPlan {
+    let bidding = ServicePlan {
+        target,
+        ..ServicePlan::new("bidding", &["a", "b"])
+    };
+    let mut settings = json!({
+        // Short enough for the end of a peer to be noticed within a call.
+        "limits": {"idle_timeout_ms": 500},
+        "admission": {"mode": "off"},
+    });
+    for (section, fields) in node.as_object().expect("sections") {
+        settings[section] = fields.clone();
+    }
+    FleetPlan {
+        services: vec![bidding, ServicePlan::new("front", &["b", "c"])],
+        proxied: true,
+        node: settings,
+        ..FleetPlan::default()
+    }
+}
+
+/// Looks until `wanted` holds.
+pub async fn until<F, W>(what: &str, mut wanted: F)
+where
+    F: FnMut() -> W,
+    W: Future<Output = bool>,
+{
+    let look = async {
+        while !wanted().await {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let met = timeout(PATIENCE, look).await;
+    assert!(met.is_ok(), "{what}: not in time");
+}
+
+/// What a caller was told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// The call ran; this is the key of the sending that ran, as its target saw it.
+    Ran { key: String, replayed: bool },
+    /// No sending up to this one ran or will run.
+    NotRun {
+        error: String,
+        fresh: Option<String>,
+    },
+    /// It may have run.
+    Unknown { error: String },
+    /// No answer came.
+    Nothing,
+}
+
+impl Told {
+    /// What an answer tells.
+    pub fn of(answer: &Result<ClientAnswer, RigError>) -> Self {
+        let Ok(answer) = answer else {
+            return Self::Nothing;
+        };
+        let header = |name: &str| answer.header(name).map(str::to_owned);
+        let error = header("coltsfootport-error").unwrap_or_default();
+        match answer.header("coltsfootport-outcome") {
+            Some("ran") if error.is_empty() => {
+                let echo: Echo = serde_json::from_slice(&answer.body).expect("a whole echo");
+                let replayed = header("coltsfootport-replayed").is_some();
+                Self::Ran {
+                    key: echo.key.to_string(),
+                    replayed,
+                }
+            }
+            Some("not-run") => Self::NotRun {
+                error,
+                fresh: header("coltsfootport-token"),
+            },
+            _ => {
+                assert_eq!(header("coltsfootport-token"), None, "a token after {error}");
+                Self::Unknown { error }
+            }
+        }
+    }
+
+    /// The error kind, empty where there is none.
+    pub fn error(&self) -> &str {
+        match self {
+            Self::NotRun { error, .. } | Self::Unknown { error } => error,
+            Self::Ran { .. } | Self::Nothing => "",
+        }
+    }
+
+    /// Whether the caller was told that it did not run.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::NotRun { .. })
+    }
+}
+
+/// A call with a token, each sending of which has a key of its own at the target.
+#[derive(Clone, Debug)]
+pub struct Bid {
+    key: String,
+    token: String,
+    sent: u32,
+    /// Whether sendings bear their numbers.
+    pub numbered: bool,
+    /// The deadline of each sending in milliseconds.
+    pub deadline_ms: u64,
+    /// When the caller gives a sending up and closes its connection.
+    pub patience: Duration,
+}
+
+impl Bid {
+    /// A bid whose token names the current run of `home`, which answers.
+    pub async fn at(fleet: &Fleet, home: &str, key: &str) -> Self {
+        let token = token(fleet, ENTRY_B, home).await;
+        Self::of(key, token)
+    }
+
+    /// A bid with a token.
+    pub fn of(key: &str, token: String) -> Self {
+        Self {
+            key: key.to_owned(),
+            token,
+            sent: 0,
+            numbered: true,
+            deadline_ms: 4000,
+            patience: PATIENCE,
+        }
+    }
+
+    /// The token.
+    pub fn token(&self) -> &str {
+        &self.token
+    }
+
+    /// Sends the bid once more, without waiting for the answer.
+    pub fn send(&mut self, fleet: &Fleet, entry: &str) -> JoinHandle<Told> {
+        self.sent += 1;
+        let addr = fleet.member(entry).addresses.callers;
+        let mut call = ClientCall::new(addr, Method::POST, "/bidding/bids");
+        let key = format!("{}#{}", self.key, self.sent);
+        call.headers
+            .insert(KEY_HEADER, key.parse().expect("a plain key"));
+        let token = self.token.parse().expect("a plain token");
+        call.headers.insert("coltsfootport-token", token);
+        call.headers
+            .insert("coltsfootport-deadline-ms", self.deadline_ms.into());
+        if self.numbered {
+            call.headers.insert("coltsfootport-try", self.sent.into());
+        }
+        call.timeout = self.patience;
+        let client = fleet.client.clone();
+        tokio::spawn(async move { Told::of(&client.send(call).await) })
+    }
+
+    /// Sends the bid once more and waits for what is told.
+    pub async fn told(&mut self, fleet: &Fleet, entry: &str) -> Told {
+        self.send(fleet, entry).await.expect("a sending")
+    }
+
+    /// The numbers of the sendings that were started at any target, once for each start.
+    pub async fn runs(&self, fleet: &Fleet) -> Vec<u32> {
+        let mut runs = Vec::new();
+        for counts in fleet.counts("bidding").await.expect("counts") {
+            for number in 1..=self.sent {
+                let key = format!("{}#{number}", self.key);
+                let started = counts.keys.get(key.as_str()).map_or(0, |runs| runs.started);
+                runs.extend((0..started).map(|_| number));
+            }
+        }
+        runs
+    }
+
+    /// Checks every answer against what the targets have started up to now; `told` holds sendings 1, 2, and so on.
+    pub async fn check(&self, fleet: &Fleet, told: &[Told], case: &str) -> Vec<u32> {
+        let runs = self.runs(fleet).await;
+        assert!(runs.len() <= 1, "{case}: {runs:?} ran, told {told:?}");
+        for (told_of, number) in told.iter().zip(1..) {
+            let is_true = match told_of {
+                Told::Ran { key, .. } => {
+                    runs.len() == 1 && *key == format!("{}#{}", self.key, runs[0])
+                }
+                // Refused for good: neither this sending nor an earlier one. A later one may have run.
+                Told::NotRun { .. } => runs.iter().all(|run| *run > number),
+                Told::Unknown { .. } | Told::Nothing => true,
+            };
+            assert!(
+                is_true,
+                "{case}: sending {number} of {told:?}; {runs:?} ran"
+            );
+        }
+        runs
+    }
+
+    /// [`Bid::check`] now and once everything is at rest; also no node counts a breach of its own.
+    pub async fn check_at_rest(&self, fleet: &Fleet, told: &[Told], case: &str) -> Vec<u32> {
+        self.check(fleet, told, case).await;
+        at_rest(fleet).await;
+        let breaches = fleet.breaches().await.expect("statuses");
+        assert_eq!(breaches, Vec::<String>::new(), "{case}");
+        self.check(fleet, told, case).await
+    }
+}
+
+/// A token of `home` from an entry, or none if that gives none now.
+pub async fn try_token(fleet: &Fleet, entry: &str, home: &str) -> Option<String> {
+    let addr = fleet.member(entry).addresses.callers;
+    let path = "/coltsfootport/tokens?service=bidding&count=16";
+    let call = ClientCall::new(addr, Method::POST, path);
+    let answer = fleet.client.send(call).await.ok()?;
+    let page: Value = serde_json::from_slice(&answer.body).ok()?;
+    let tokens = page["tokens"].as_array()?;
+    let texts = tokens.iter().filter_map(Value::as_str);
+    let mut of_home = texts.filter(|text| is_of(text, home));
+    of_home.next().map(str::to_owned)
+}
+
+/// A token of the current run of `home`, which `entry` reaches.
+pub async fn token(fleet: &Fleet, entry: &str, home: &str) -> String {
+    let mut last = Told::Nothing;
+    for probe in 0..PROBES {
+        // The home itself is asked, since an entry prefers homes of its own failure domain.
+        if let Some(token) = try_token(fleet, home, home).await {
+            let mut bid = Bid::of(&format!("probe-{probe}"), token);
+            last = bid.told(fleet, entry).await;
+        }
+        if matches!(last, Told::Ran { .. })
+            && let Some(token) = try_token(fleet, home, home).await
+        {
+            return token;
+        }
+        sleep(PROBE_PAUSE).await;
+    }
+    panic!("no token of {home} that runs through {entry}: {last:?}");
+}
+
+const PROBES: u32 = 400;
+const PROBE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Whether a token names this home; the seal hides nothing.
+fn is_of(token: &str, home: &str) -> bool {
+    let buf = URL_SAFE_NO_PAD.decode(token).expect("base64");
+    buf.windows(home.len()).any(|part| part == home.as_bytes())
+}
+
+/// Waits until each node answers, no call is in flight at any node or target, and a while longer.
+pub async fn at_rest(fleet: &Fleet) {
+    for _ in 0..2 {
+        until("no call in flight", || async {
+            for member in fleet.members.values() {
+                let Ok(counts) = member.counts(&fleet.client).await else {
+                    return false;
+                };
+                let Ok(status) = fleet.status(&member.name).await else {
+                    return false;
+                };
+                let admission = &status["admission"];
+                let at_node = [&admission["in_flight"], &admission["queued"]];
+                let is_idle = at_node.iter().all(|n| n.as_u64() == Some(0));
+                if !is_idle || counts.in_flight + counts.queued > 0 {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+        sleep(REST).await;
+    }
+}
--- a/crates/rig/tests/common/mod.rs
+++ b/crates/rig/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test program uses some of these")]
 
+pub mod bids;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
