The answer after several attempts counts each of them

Cause: a call without a token whose first host ran it and lost the answer was sent to a second host; where that refused it, the caller was told the last refusal alone, "not-run". Ruled out: hosts; each spoke truly of its own attempt. Conclusion: once an attempt may have run, a later "not-run" is answered as that attempt's "unknown".

--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -9,6 +9,7 @@
 use coltsfootport_core::id::NodeName;
 use coltsfootport_core::invariant::Invariant;
 use coltsfootport_core::once::Try;
+use coltsfootport_core::outcome::Outcome;
 use coltsfootport_core::routing::{PeerKey, RouteResult};
 use coltsfootport_core::timeline::Event;
 use rand::SeedableRng;
@@ -83,23 +84,25 @@
         let mut unsent = 0;
         let mut retries = 0;
         let mut failure = Refused::from(ErrorKind::NoTarget);
+        let mut lost = None;
         loop {
             let route = match self.setup.routes.pick(pick_of(&call, &excluded)).await {
                 Choice::Go(route) => *route,
                 Choice::Shed(retry_after) => {
-                    return Verdict::Refused(Refused {
+                    let shed = Refused {
                         kind: ErrorKind::Shed,
                         retry_after,
-                    });
+                    };
+                    return Verdict::Refused(told(shed, lost));
                 }
-                Choice::Nobody => return Verdict::Refused(with_time(failure)),
+                Choice::Nobody => return Verdict::Refused(told(failure, lost)),
             };
             let peer = route.guard.peer();
             if !call.idempotent && !self.bind(&mut call, &route).await {
                 route.guard.done(RouteResult::Lost, None);
                 unsent += 1;
                 if unsent >= MOST_UNSENT {
-                    return Verdict::Refused(with_time(failure));
+                    return Verdict::Refused(told(failure, lost));
                 }
                 excluded.extend(peer);
                 continue;
@@ -124,8 +127,11 @@
                 Attempt::Lost => Refused::from(ErrorKind::AnswerLost),
                 Attempt::Expired => Refused::from(ErrorKind::ExpiredInFlight),
             };
+            if failure.kind.rule().outcome == Outcome::Unknown {
+                lost = Some(failure);
+            }
             if !self.may_retry(&call, failure.kind, budget).await {
-                return Verdict::Refused(with_time(failure));
+                return Verdict::Refused(told(failure, lost));
             }
             self.setup.metrics.calls.retried(failure.kind);
             let event = Event::Retried {
@@ -286,6 +292,17 @@
     }
 }
 
+/// What a caller is told after several attempts, the last of which ended with `failure`.
+///
+/// The last one alone would say "not run" where a host refused the call that an earlier host had run and whose answer was
+/// lost.
+fn told(failure: Refused, lost: Option<Refused>) -> Refused {
+    match lost {
+        Some(lost) if failure.kind.rule().outcome == Outcome::NotRun => with_time(lost),
+        _ => with_time(failure),
+    }
+}
+
 pub(super) fn route_result(verdict: &Verdict) -> RouteResult {
     match verdict {
         Verdict::Answered(_) => RouteResult::Served,
