Records of expired tokens are dropped also while messages keep coming

Cause: the gate dropped them only when it slept for a second without a message. A gate with more than one message a second kept them until its table was full, and refused tries were never dropped at all, so that floors would rise and refuse unused tokens. Ruled out: the table; expire() drops them when it is called. Figures: not_run, a_token_past_its_retention_never_runs, before: a record with 1 s retention and 1 s margin was still there after 20 s of status requests. After: gone, the test passes. Conclusion: the next drop has a time of its own.

--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -68,6 +68,8 @@
     drained: Vec<oneshot::Sender<()>>,
     rng: SmallRng,
     revision: u64,
+    /// When records of expired tokens are dropped next.
+    expire_at: Instant,
     tx: mpsc::UnboundedSender<GateMessage>,
     rx: mpsc::UnboundedReceiver<GateMessage>,
 }
@@ -89,6 +91,7 @@
             drained: Vec::new(),
             rng: SmallRng::from_os_rng(),
             revision: 0,
+            expire_at: now + LONGEST_SLEEP,
             node: setup.node,
             incarnation: setup.incarnation,
             clock: setup.clock,
@@ -111,12 +114,23 @@
                     Some(message) => self.handle(message),
                     None => return,
                 },
-                _ = tokio::time::sleep_until(wake_at.into()) => self.once.expire(self.clock.now()),
+                _ = tokio::time::sleep_until(wake_at.into()) => {}
             }
+            self.expire();
             self.settle();
         }
     }
 
+    /// Drops what is due at its own times: a gate with a message every second never sleeps long enough to wake for it, and
+    /// its expired records would fill the table.
+    fn expire(&mut self) {
+        let now = self.clock.now();
+        if now >= self.expire_at {
+            self.once.expire(now);
+            self.expire_at = now + LONGEST_SLEEP;
+        }
+    }
+
     fn wake_at(&self, now: Instant) -> Instant {
         let admission = self.admission.next_wakeup();
         let life = self.lifecycle.wake_at();
