Chaos: calls stay at their targets long enough to be met by faults

Cause: at 5 ms a run is hardly ever at its target when its node is restarted, so that no seed of the tests noticed a home that takes tokens of its former run. Ruled out: more load; the machine is shared. Conclusion: exponential service times of 25 ms; seed 5 in the fixed set.

--- a/crates/rig/src/chaos/plan.rs
+++ b/crates/rig/src/chaos/plan.rs
@@ -11,7 +11,7 @@
 use crate::fleet::{FleetPlan, ServicePlan};
 use crate::load::Behaviour;
 use crate::platform::FaultMode;
-use crate::target;
+use crate::target::{self, ServiceTime};
 
 /// The service whose calls must run at most once.
 pub(super) const BIDDING: &str = "bidding";
@@ -24,6 +24,9 @@
 /// Retry allowance of the documents while no fault changes it.
 pub(super) const RETRY_ALLOWANCE: u16 = 2;
 
+/// Mean service time of the targets while no fault changes it: long enough for faults to meet calls at work.
+pub(super) const SERVICE_MS: f64 = 25.0;
+
 /// Nodes that faults strike.
 const NODES: [&str; 5] = [
     "bidding-1",
@@ -81,6 +84,8 @@
         let target = target::Settings {
             downstream: vec!["GET /prices/p/1".parse().expect("a method and a path")],
             downstream_required: false,
+            service_ms: SERVICE_MS,
+            service_time: ServiceTime::Exponential,
             ignore_cancel: self.seed.is_multiple_of(2),
             ..target::Settings::default()
         };
@@ -160,8 +165,5 @@
 }
 
 fn one_of(rng: &mut StdRng, names: &[&str]) -> SmolStr {
-    names
-        .choose(rng)
-        .map(|name| SmolStr::new(name))
-        .unwrap_or_default()
+    names.choose(rng).map(SmolStr::new).unwrap_or_default()
 }
--- a/crates/rig/src/chaos/strike.rs
+++ b/crates/rig/src/chaos/strike.rs
@@ -3,7 +3,7 @@
 use serde_json::json;
 
 use super::fault::{Direction, Fault};
-use super::plan::{BIDDING, RETRY_ALLOWANCE};
+use super::plan::{BIDDING, RETRY_ALLOWANCE, SERVICE_MS};
 use crate::error::RigError;
 use crate::fleet::{Fleet, ServicePlan};
 use crate::platform::{FaultMode, FaultScope, InstanceState};
@@ -92,8 +92,6 @@
     fleet.all_ready().await
 }
 
-const SERVICE_MS: f64 = 5.0;
-
 fn kill(fleet: &mut Fleet, node: &str) -> Result<(), RigError> {
     let member = fleet.member_mut(node);
     match member.node {
--- a/crates/rig/tests/chaos.rs
+++ b/crates/rig/tests/chaos.rs
@@ -10,8 +10,8 @@
 // Cause: to be found by the printed plan, which `coltsfootport-rig chaos --seed` runs again.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_random_faults() {
-    for seed in [1, 2, 3] {
-        let plan = ChaosPlan::of_seed(seed, 6.0, 2);
+    for (seed, seconds, rounds) in [(1, 6.0, 2), (2, 6.0, 2), (5, 7.0, 1)] {
+        let plan = ChaosPlan::of_seed(seed, seconds, rounds);
         let report = chaos::run(&plan).await.expect("a run");
         assert!(
             report.breaches.is_empty(),
