--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -196,7 +196,11 @@
                 None => Attempt::Lost,
             };
         }
-        let Some(link) = setup.hub.link(&route.node, route.address).await else {
+        let link = match call.once {
+            Some(_) => setup.hub.link_to_home(&route.node, route.address).await,
+            None => setup.hub.link(&route.node, route.address).await,
+        };
+        let Some(link) = link else {
             return Attempt::NotSent;
         };
         match link.call(call, &setup.recorder).await {
--- a/crates/node/src/entry/pinned.rs
+++ b/crates/node/src/entry/pinned.rs
@@ -106,7 +106,11 @@
             );
         }
         let asking = async {
-            let link = self.setup.hub.link(&route.node, route.address).await?;
+            let link = self
+                .setup
+                .hub
+                .link_to_home(&route.node, route.address)
+                .await?;
             let request = ControlRequest::Refuse {
                 token: once.token.clone(),
                 up_to: once.number.0,
--- a/crates/node/src/peers/hub.rs
+++ b/crates/node/src/peers/hub.rs
@@ -32,9 +32,21 @@
     tx: mpsc::UnboundedSender<HubMessage>,
 }
 
+/// Whether another peer would do as well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Insistence {
+    AnyPeer,
+    ThisPeer,
+}
+
 #[derive(Debug)]
 enum HubMessage {
-    Get(NodeName, SocketAddr, oneshot::Sender<Option<Link>>),
+    Get(
+        NodeName,
+        SocketAddr,
+        Insistence,
+        oneshot::Sender<Option<Link>>,
+    ),
     Opened(NodeName, SocketAddr, Option<Link>, u32),
     Forget(NodeName),
     Accepted(Link),
@@ -51,11 +63,19 @@
 
 #[derive(Debug)]
 enum Slot {
-    Opening(SocketAddr, Vec<oneshot::Sender<Option<Link>>>),
+    Opening(SocketAddr, Vec<Waiting>),
     Open(SocketAddr, Link),
     Failed(Failure),
 }
 
+/// A call that waits for a connection.
+#[derive(Debug)]
+struct Waiting {
+    reply: oneshot::Sender<Option<Link>>,
+    /// Whether it joined an attempt that had begun before and needs one of its own if that fails.
+    insists: bool,
+}
+
 /// A peer that could not be reached.
 #[derive(Clone, Copy, Debug)]
 struct Failure {
@@ -89,7 +109,9 @@
     pub async fn run(mut self) {
         while let Some(message) = self.rx.recv().await {
             match message {
-                HubMessage::Get(node, address, reply) => self.get(node, address, reply),
+                HubMessage::Get(node, address, insistence, reply) => {
+                    self.get(node, address, insistence, reply);
+                }
                 HubMessage::Opened(node, address, link, failures) => {
                     self.opened(node, address, link, failures);
                 }
@@ -134,26 +156,38 @@
         }
     }
 
-    fn get(&mut self, node: NodeName, address: SocketAddr, reply: oneshot::Sender<Option<Link>>) {
+    fn get(
+        &mut self,
+        node: NodeName,
+        address: SocketAddr,
+        insistence: Insistence,
+        reply: oneshot::Sender<Option<Link>>,
+    ) {
         match self.slots.get_mut(&node) {
             Some(Slot::Open(at, link)) if *at == address && !link.is_closed() => {
                 let _ = reply.send(Some(link.clone()));
             }
             // Concurrent calls to one peer wait for one handshake instead of making one each.
-            Some(Slot::Opening(at, waiting)) if *at == address => waiting.push(reply),
-            Some(Slot::Failed(failure)) if failure.is_fresh(address, self.services.clock.now()) => {
+            Some(Slot::Opening(at, waiting)) if *at == address => {
+                let insists = insistence == Insistence::ThisPeer;
+                waiting.push(Waiting { reply, insists });
+            }
+            Some(Slot::Failed(failure))
+                if insistence == Insistence::AnyPeer
+                    && failure.is_fresh(address, self.services.clock.now()) =>
+            {
                 let _ = reply.send(None);
             }
-            _ => self.open(node, address, reply),
+            _ => self.open(node, address, vec![Waiting::first(reply)]),
         }
     }
 
-    fn open(&mut self, node: NodeName, address: SocketAddr, reply: oneshot::Sender<Option<Link>>) {
+    fn open(&mut self, node: NodeName, address: SocketAddr, waiting: Vec<Waiting>) {
         let failures = match self.slots.get(&node) {
             Some(Slot::Failed(failure)) if failure.address == address => failure.failures,
             _ => 0,
         };
-        let slot = Slot::Opening(address, vec![reply]);
+        let slot = Slot::Opening(address, waiting);
         self.slots.insert(node.clone(), slot);
         let opening = open(
             self.endpoint.clone(),
@@ -178,14 +212,36 @@
         let Some(Slot::Opening(_, waiting)) = self.slots.remove(&node) else {
             return;
         };
-        for reply in waiting {
-            let _ = reply.send(link.clone());
+        // An attempt that began while the peer was cut off tells nothing of the moment after; those who joined it and have
+        // nobody else to turn to get an attempt of their own.
+        let failed = link.is_none();
+        let (again, done): (Vec<_>, Vec<_>) = waiting
+            .into_iter()
+            .partition(|waiting| failed && waiting.insists);
+        for waiting in done {
+            let _ = waiting.reply.send(link.clone());
         }
         let slot = match link {
             Some(link) => Slot::Open(address, link),
             None => Slot::Failed(Failure::new(address, failures, self.services.clock.now())),
         };
-        self.slots.insert(node, slot);
+        self.slots.insert(node.clone(), slot);
+        if !again.is_empty() {
+            let again = again
+                .into_iter()
+                .map(|waiting| Waiting::first(waiting.reply));
+            self.open(node, address, again.collect());
+        }
+    }
+}
+
+impl Waiting {
+    /// A call for which the attempt is made.
+    fn first(reply: oneshot::Sender<Option<Link>>) -> Self {
+        Self {
+            reply,
+            insists: false,
+        }
     }
 }
 
@@ -208,12 +264,25 @@
 }
 
 impl HubHandle {
-    /// The connection to a peer, opened if need be; `None` when it can't be reached.
+    /// The connection to a peer, opened if need be; `None` when it can't be reached or could not a moment ago.
     pub async fn link(&self, node: &NodeName, address: SocketAddr) -> Option<Link> {
+        self.get(node, address, Insistence::AnyPeer).await
+    }
+
+    /// The same for a peer that nobody can stand in for: it is tried again even where it could not be reached a moment ago.
+    pub async fn link_to_home(&self, node: &NodeName, address: SocketAddr) -> Option<Link> {
+        self.get(node, address, Insistence::ThisPeer).await
+    }
+
+    async fn get(
+        &self,
+        node: &NodeName,
+        address: SocketAddr,
+        insistence: Insistence,
+    ) -> Option<Link> {
         let (reply, link) = oneshot::channel();
-        self.tx
-            .send(HubMessage::Get(node.clone(), address, reply))
-            .ok()?;
+        let message = HubMessage::Get(node.clone(), address, insistence, reply);
+        self.tx.send(message).ok()?;
         link.await.ok().flatten()
     }
 
