Test programs side by side keep to ports of their own

Cause: programs with neighbouring process ids began to look for free ports 131 apart, and a fleet of 26 instances takes 131. Two programs started together gave out the same ports, seen as nodes that end at their start or a fleet that reaches another's. Ruled out: slowness (the nodes had ended after less than a second; the limit is 20 s). Conclusion: the distance is 1009.

--- a/crates/rig/src/process/ports.rs
+++ b/crates/rig/src/process/ports.rs
@@ -15,8 +15,8 @@
 /// Number of ports that are given out.
 const COUNT: u16 = 20_000;
 
-/// Distance between the first ports of two processes with neighbouring ids.
-const STRIDE: u32 = 131;
+/// Distance between the first ports of two processes with neighbouring ids; more than the largest fleets of one take.
+const STRIDE: u32 = 1009;
 
 static NEXT: AtomicU16 = AtomicU16::new(0);
 
