Calls of the stops' proof have the time that they ask for

Cause: the tests ask with a limit of 5 s, which the document's default of 1 s cuts; on a machine with a load of 25 on 12 cores some calls ran out of it and were truthfully answered "unknown" (expired-in-flight), which the tests count as cut off. Ruled out: the stop (no answer-lost and no broken connection among them; in one run the ten calls came before the stop). Conclusion: their document grants 5 s; the verdict stays as strict.

--- a/crates/rig/tests/graceful_stop.rs
+++ b/crates/rig/tests/graceful_stop.rs
@@ -19,6 +19,9 @@
 /// Longest time that a node with calls of at most a few seconds may take to end.
 const STOP_TIME: Duration = Duration::from_secs(15);
 
+/// Time limit of a call in milliseconds, as long as that of [`flow::Ask::get`].
+const DEADLINE_MS: u64 = 5000;
+
 /// Failure domains, one for each instance.
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
@@ -57,6 +60,14 @@
     node
 }
 
+/// The default document with time enough that no call runs out of it on a busy machine.
+fn document(service: &str, case: &Case) -> String {
+    let text = ServicePlan::document(service, case.allowance);
+    let mut document: Value = serde_json::from_str(&text).expect("a document");
+    document["deadline_ms"] = json!(DEADLINE_MS);
+    document.to_string()
+}
+
 async fn start(case: &Case) -> Fleet {
     let front = Settings {
         slots: case.slots,
@@ -71,7 +82,7 @@
         ..Settings::default()
     };
     let service = |name, target| ServicePlan {
-        document: ServicePlan::document(name, case.allowance),
+        document: document(name, case),
         target,
         ..ServicePlan::new(name, &DOMAINS)
     };
