Demo: a surge with faults on real processes, and a table of what held

Cause: there was no single command that shows what the system is for. The demo runs 12 nodes with targets and platform as processes of their own, a 4x surge with clients that send up to 4 times at once, a kill and a change of a document, and judges ten promises from client reports, targets' own counts and node statuses. The load report gains the p99 of each second, which recovery times need. Ruled out: tokio's process feature (it would also reach the node); the time line command runs on a blocking thread.

--- a/crates/rig/src/cli.rs
+++ b/crates/rig/src/cli.rs
@@ -13,6 +13,7 @@
 use crate::cli::platform::{PlatformOptions, platform_options};
 use crate::cli::proxy::{ProxyOptions, proxy_options};
 use crate::cli::target::{TargetOptions, target_options};
+use crate::demo;
 use crate::error::RigError;
 
 /// Stand-ins, fault proxy and load generator for testing coltsfootport
@@ -31,6 +32,9 @@
     /// Open-loop load generator; prints its report as JSON
     #[bpaf(command)]
     Load(#[bpaf(external(load_options))] LoadOptions),
+    /// A surge with faults on a small fleet of real processes; ends with 0 only if every promise held
+    #[bpaf(command)]
+    Demo,
 }
 
 /// Parses the command line of this process; prints help or the fault and ends it where there is nothing to run.
@@ -40,15 +44,19 @@
 
 /// Runs a subcommand until it ends or the process is told to stop.
 pub fn run(command: Command) -> Result<(), RigError> {
-    let runtime = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    // The commands that run a whole fleet carry proxy and load in this one process; the others are one small process each.
+    let mut builder = match command {
+        Command::Demo => runtime::Builder::new_multi_thread(),
+        _ => runtime::Builder::new_current_thread(),
+    };
+    let runtime = builder.enable_all().build()?;
     runtime.block_on(async {
         match command {
             Command::Platform(options) => platform::run(options).await,
             Command::Target(options) => target::run(options).await,
             Command::Proxy(options) => proxy::run(options).await,
             Command::Load(options) => load::run(options).await,
+            Command::Demo => demo::run().await,
         }
     })
 }
--- /dev/null
+++ b/crates/rig/src/demo/probe.rs
@@ -0,0 +1,65 @@
+//! One request and its time line over all nodes.
+
+use std::net::SocketAddr;
+use std::process::Command;
+
+use http::Method;
+use tokio::task::spawn_blocking;
+
+use crate::error::RigError;
+use crate::fleet::{Fleet, Programs};
+use crate::http::ClientCall;
+
+use super::plan::{DEEPEST, FIRST};
+use super::promise::Promise;
+
+const REQUEST_HEADER: &str = "coltsfootport-request";
+
+/// The merged events of one request.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TimeLine {
+    /// One line an event.
+    pub text: String,
+}
+
+impl TimeLine {
+    /// Sends one request and asks all nodes for its events.
+    pub async fn of_one_request(fleet: &Fleet) -> Result<Self, RigError> {
+        // An entry beside another service, so that the whole way between nodes is shown.
+        let entry = fleet.member(&format!("{DEEPEST}-1")).addresses;
+        let path = format!("/{FIRST}/lots/1");
+        let call = ClientCall::new(entry.callers, Method::GET, path);
+        let answer = fleet.client.send(call).await?;
+        let request = answer.header(REQUEST_HEADER).unwrap_or_default();
+        Self::read(entry.operators, request).await
+    }
+
+    async fn read(operators: SocketAddr, request: &str) -> Result<Self, RigError> {
+        let node = Programs::beside_this()?.node;
+        let mut command = Command::new(node);
+        command
+            .args(["timeline", "--operators", &operators.to_string()])
+            .args(["--all", "--request", request]);
+        let output = spawn_blocking(move || command.output()).await;
+        let output = output.map_err(|e| RigError::Settings(e.to_string()))??;
+        Ok(Self {
+            text: String::from_utf8_lossy(&output.stdout).into_owned(),
+        })
+    }
+
+    /// The events reach from the entry to the deepest target and back.
+    pub fn promise(&self) -> Promise {
+        let lines: Vec<&str> = self.text.lines().collect();
+        let is_received = lines.first().is_some_and(|line| line.contains(" received"));
+        let is_answered = lines.last().is_some_and(|line| line.contains(" answered"));
+        let deepest = format!(" {DEEPEST}-");
+        let is_deep = lines
+            .iter()
+            .any(|line| line.contains(&deepest) && line.contains(" dispatched"));
+        Promise::new(
+            "one request is seen from the entry to the deepest target and back",
+            format!("{} events in one order", lines.len()),
+            is_received && is_answered && is_deep,
+        )
+    }
+}
--- a/crates/rig/src/error.rs
+++ b/crates/rig/src/error.rs
@@ -36,4 +36,7 @@
     /// A child process did not become ready in time.
     #[error("{0} is not ready in time")]
     NotReady(String),
+    /// Promises of the demo did not hold.
+    #[error("{0} of the promises did not hold")]
+    Broken(usize),
 }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins, fault proxy, load generator and process harness for testing coltsfootport.
 
 pub mod cli;
+pub mod demo;
 pub mod error;
 pub mod fleet;
 pub mod http;
--- a/crates/rig/src/load/recorder.rs
+++ b/crates/rig/src/load/recorder.rs
@@ -41,6 +41,8 @@
 /// Collects calls into a report.
 pub struct Recorder {
     report: LoadReport,
+    /// Latencies of whole answers by the second in which they came.
+    latencies: Vec<Vec<Duration>>,
     classes: Vec<ClassRecord>,
     /// Position in `classes` of each operation.
     class_of: Vec<usize>,
@@ -71,6 +73,7 @@
                 seconds: plan.seconds(),
                 ..LoadReport::default()
             },
+            latencies: Vec::new(),
             classes,
             class_of,
             keeps_key: keeps_key.collect(),
@@ -97,6 +100,8 @@
         class.report.endings.add(ending);
         if ending == Ending::Whole {
             class.on_whole(call.due, call.ended);
+            let latency = call.ended.saturating_sub(call.due);
+            entry_of_second(&mut self.latencies, call.ended).push(latency);
         }
         if self.keeps_key[call.operation] {
             self.report.keys.push(KeyEnding {
@@ -109,6 +114,9 @@
 
     /// The report.
     pub fn finish(mut self) -> LoadReport {
+        for (second, latencies) in self.report.by_second.iter_mut().zip(self.latencies) {
+            second.p99_ms = p99_ms(latencies);
+        }
         self.report.classes = self.classes.into_iter().map(ClassRecord::finish).collect();
         self.report
     }
@@ -154,6 +162,16 @@
     }
 }
 
+/// The latency that 99 in 100 stay within; 0 where there is none.
+fn p99_ms(mut latencies: Vec<Duration>) -> f64 {
+    latencies.sort_unstable();
+    let rank = (latencies.len() * 99).div_ceil(100);
+    match rank.checked_sub(1) {
+        Some(index) => millis(latencies[index]),
+        None => 0.0,
+    }
+}
+
 fn entry_of_second<T>(series: &mut Vec<T>, at: Duration) -> &mut T
 where
     T: Clone + Default,
--- a/crates/rig/src/load/report.rs
+++ b/crates/rig/src/load/report.rs
@@ -84,12 +84,15 @@
 }
 
 /// One second of a run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SecondReport {
     /// Calls that were due.
     pub calls: u64,
     /// Calls of any start that ended.
     pub endings: EndingCounts,
+    /// 99 in 100 of the whole answers that came in it took at most this, in milliseconds; 0 where none came.
+    #[serde(default)]
+    pub p99_ms: f64,
 }
 
 /// How a non-idempotent call ended.
