--- a/crates/core/src/dissemination/replica.rs
+++ b/crates/core/src/dissemination/replica.rs
@@ -1,15 +1,18 @@
 //! The copy of the published entries that every node holds.
 
+mod compare;
 mod slot;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 use crate::collections::{Map, Set};
 
-use super::{Comparison, Digest, Entry, Key, KeyVersion, Revision};
+use super::{Entry, Key, Revision};
 
+use compare::Settled;
 use slot::Slot;
 
+pub use compare::Difference;
 pub use slot::Verdict;
 
 /// Revisions above `complete` that are remembered, so that pushes which arrive out of order still close the gap.
@@ -32,6 +35,7 @@
     complete: Revision,
     ahead: BTreeSet<Revision>,
     hash: u64,
+    settled: VecDeque<Settled>,
     stale: u64,
     conflicts: u64,
 }
@@ -46,10 +50,12 @@
     ///
     /// `highest` is given where the batch holds every entry above [`Replica::complete`] up to that revision: a read of
     /// the platform after `complete`, or the last part of a peer's [`Replica::since`] with the peer's `complete`. It is
-    /// `None` for pushes. Each version returned must be judged before the next batch is applied.
+    /// `None` for pushes. Each version returned must be judged, in the order of the result, before the next batch is applied.
     pub fn apply(&mut self, entries: Vec<Entry>, highest: Option<Revision>) -> Vec<Applied> {
         let mut applied = Vec::new();
-        for entry in entries {
+        // In order of revision, so that verdicts given in the order of the result never go from a higher valid version to
+        // a lower one.
+        for entry in sorted(entries) {
             self.note(entry.revision);
             applied.extend(self.take(entry));
         }
@@ -90,29 +96,6 @@
         self.conflicts
     }
 
-    /// The summary to send to peers.
-    pub fn digest(&self) -> Digest {
-        Digest {
-            highest: self.highest,
-            complete: self.complete,
-            count: self.slots.len().try_into().unwrap_or(u32::MAX),
-            hash: self.hash,
-        }
-    }
-
-    /// How a peer's replica relates to this one.
-    pub fn compare(&self, theirs: &Digest) -> Comparison {
-        let ours = self.digest();
-        if ours.same_versions(theirs) {
-            return Comparison::Same;
-        }
-        match theirs.highest.cmp(&ours.highest) {
-            std::cmp::Ordering::Greater => Comparison::TheyAreNewer,
-            std::cmp::Ordering::Less => Comparison::WeAreNewer,
-            std::cmp::Ordering::Equal => Comparison::Differ,
-        }
-    }
-
     /// Everything above a revision, in order of revision, with the versions in force behind invalid ones.
     pub fn since(&self, after: Revision) -> Vec<Entry> {
         let newer = self
@@ -122,44 +105,6 @@
         sorted(newer.flat_map(Slot::entries).cloned().collect())
     }
 
-    /// The versions held, in order of key.
-    pub fn versions(&self) -> Vec<KeyVersion> {
-        let mut versions: Vec<KeyVersion> = self.slots.values().map(Slot::version).collect();
-        versions.sort_unstable_by(|a, b| a.key.cmp(&b.key));
-        versions
-    }
-
-    /// The keys of which a peer holds something that this node lacks.
-    pub fn missing(&self, theirs: &[KeyVersion]) -> Vec<Key> {
-        theirs
-            .iter()
-            .filter(|version| {
-                self.slots
-                    .get(&version.key)
-                    .is_none_or(|slot| slot.lacks(version))
-            })
-            .map(|version| version.key.clone())
-            .collect()
-    }
-
-    /// The keys of which this node holds something that a peer with these versions lacks.
-    pub fn missing_there(&self, theirs: &[KeyVersion]) -> Vec<Key> {
-        let known: Map<&Key, &KeyVersion> = theirs
-            .iter()
-            .map(|version| (&version.key, version))
-            .collect();
-        let lacks = |slot: &&Slot| {
-            known
-                .get(&slot.latest().key)
-                .is_none_or(|version| slot.is_ahead_of(version))
-        };
-        self.slots
-            .values()
-            .filter(lacks)
-            .map(|slot| slot.latest().key.clone())
-            .collect()
-    }
-
     /// What this node holds of some keys, to answer a pull.
     pub fn pick(&self, keys: &[Key]) -> Vec<Entry> {
         let keys: Set<&Key> = keys.iter().collect();
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -159,7 +159,7 @@
     }
 
     fn upsert(&mut self, view: PeerView, fresh_since: Option<Instant>, now: Instant) -> PeerKey {
-        if let Some(&key) = self.by_name.get(&view.node)
+        if let Some(key) = self.key_of(&view.node)
             && let Some(peer) = self.peers.get_mut(key)
         {
             peer.update(view, now);
--- a/crates/core/tests/lifecycle.rs
+++ b/crates/core/tests/lifecycle.rs
@@ -21,6 +21,7 @@
 
 struct Case {
     name: &'static str,
+    accept_for_ms: u64,
     steps: &'static [Step],
     phase: Phase,
     may_accept: bool,
@@ -34,110 +35,77 @@
 #[test]
 fn a_stop_takes_no_new_work_and_finishes_the_rest() {
     use Step::*;
+    let base = Case {
+        name: "",
+        accept_for_ms: 0,
+        steps: &[],
+        phase: Phase::Leaving,
+        may_accept: false,
+        may_dispatch: false,
+        breaches: 0,
+        cut_off: 0,
+    };
+    #[rustfmt::skip]
     let cases = [
         Case {
             name: "a starting node takes nothing",
-            steps: &[Accept, Dispatch],
-            phase: Phase::Starting,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 1,
-            cut_off: 0,
+            steps: &[Accept, Dispatch], phase: Phase::Starting, breaches: 1, ..base
         },
         Case {
             name: "a serving node takes work",
-            steps: &[Ready, Accept, Dispatch, Finish],
-            phase: Phase::Serving,
-            may_accept: true,
-            may_dispatch: true,
-            breaches: 0,
-            cut_off: 0,
+            steps: &[Ready, Accept, Dispatch, Finish], phase: Phase::Serving, may_accept: true,
+            may_dispatch: true, ..base
         },
         Case {
             name: "queued work still runs while leaving",
-            steps: &[Ready, Accept, Accept, Leave, Dispatch],
-            phase: Phase::Leaving,
-            may_accept: false,
-            may_dispatch: true,
-            breaches: 0,
-            cut_off: 0,
+            steps: &[Ready, Accept, Accept, Leave, Dispatch], may_dispatch: true, ..base
         },
         Case {
             name: "work that came after leaving is refused and reported",
-            steps: &[Ready, Accept, Leave, Accept, Dispatch, Dispatch],
-            phase: Phase::Leaving,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 1,
-            cut_off: 0,
+            steps: &[Ready, Accept, Leave, Accept, Dispatch, Dispatch], breaches: 1, ..base
         },
         Case {
             name: "an idle node waits until its leaving is known",
-            steps: &[Ready, Leave, Wait(2_900)],
-            phase: Phase::Leaving,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
-            cut_off: 0,
+            steps: &[Ready, Leave, Wait(2_900)], ..base
         },
         Case {
             name: "an idle node ends once its leaving is known",
-            steps: &[Ready, Leave, Wait(3_000), Accept, Dispatch],
-            phase: Phase::Stopped,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 1,
-            cut_off: 0,
+            steps: &[Ready, Leave, Wait(3_000), Accept, Dispatch], phase: Phase::Stopped,
+            breaches: 1, ..base
         },
         Case {
             name: "a call in flight is waited for past the drain limit",
-            steps: &[Ready, Accept, Dispatch, Leave, Wait(120_000)],
-            phase: Phase::Leaving,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
-            cut_off: 0,
+            steps: &[Ready, Accept, Dispatch, Leave, Wait(120_000)], ..base
         },
         Case {
             name: "the end follows the last answer",
             steps: &[
-                Ready,
-                Accept,
-                Accept,
-                Dispatch,
-                Leave,
-                Withdraw,
-                Wait(9_000),
-                Finish,
-                Wait(1),
+                Ready, Accept, Accept, Dispatch, Leave, Withdraw, Wait(9_000), Finish, Wait(1),
             ],
-            phase: Phase::Stopped,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
-            cut_off: 0,
+            phase: Phase::Stopped, ..base
         },
         Case {
             name: "a start that completes late doesn't revive a leaving node",
-            steps: &[Leave, Ready, Accept],
-            phase: Phase::Leaving,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
-            cut_off: 0,
+            steps: &[Leave, Ready, Accept], ..base
+        },
+        Case {
+            name: "calls under way when leaving is announced are taken for a while",
+            accept_for_ms: 500,
+            steps: &[Ready, Leave, Wait(499), Accept, Dispatch, Wait(1), Accept, Dispatch],
+            breaches: 1, ..base
+        },
+        Case {
+            name: "but not by a node that never served", accept_for_ms: 500,
+            steps: &[Leave, Accept, Dispatch], breaches: 1, ..base
         },
         Case {
             name: "what is given up is counted",
-            steps: &[Ready, Accept, Accept, Dispatch, Leave, Abandon],
-            phase: Phase::Stopped,
-            may_accept: false,
-            may_dispatch: false,
-            breaches: 0,
-            cut_off: 2,
+            steps: &[Ready, Accept, Accept, Dispatch, Leave, Abandon], phase: Phase::Stopped,
+            cut_off: 2, ..base
         },
     ];
     for case in cases {
-        let mut run = Run::new();
+        let mut run = Run::new(Duration::from_millis(case.accept_for_ms));
         for step in case.steps {
             run.step(*step);
         }
@@ -155,7 +123,7 @@
 #[test]
 fn leaving_is_repeated_and_a_long_drain_is_reported_once() {
     use Step::*;
-    let mut run = Run::new();
+    let mut run = Run::new(Duration::ZERO);
     for step in [
         Ready,
         Accept,
@@ -199,7 +167,7 @@
     /// count that loses work.
     #[test]
     fn any_order_of_events_keeps_the_promises(steps in proptest::collection::vec(step(), 1..60)) {
-        let mut run = Run::new();
+        let mut run = Run::new(Duration::ZERO);
         let mut phase = Phase::Starting;
         let mut left_at: Option<Instant> = None;
         let mut taken_before_leaving = 0;
@@ -249,8 +217,12 @@
 }
 
 impl Run {
-    fn new() -> Self {
-        let node = Lifecycle::new(LifecycleConfig::default());
+    fn new(accept_for: Duration) -> Self {
+        let cfg = LifecycleConfig {
+            accept_for,
+            ..LifecycleConfig::default()
+        };
+        let node = Lifecycle::new(cfg);
         Self {
             node,
             now: Instant::now(),
--- a/crates/node/src/entry/pinned.rs
+++ b/crates/node/src/entry/pinned.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use coltsfootport_core::error_kind::ErrorKind;
-use coltsfootport_core::once::{Refusal, Try};
+use coltsfootport_core::once::{Identity, Refusal};
 use coltsfootport_core::routing::RouteResult;
 use http::StatusCode;
 
 use super::Budget;
-use super::dispatcher::{Attempt, Dispatcher, with_time};
+use super::dispatcher::{Attempt, Dispatcher};
 use crate::data::{Answer, Call, OnceCall, Refused, Verdict};
 use crate::routes::Route;
 use crate::wire::{ControlReply, ControlRequest, HeaderFrame, RefusalFrame};
@@ -23,19 +23,27 @@
         &self,
         mut call: Call,
         once: OnceCall,
+        identity: Identity,
         budget: &mut Budget,
     ) -> Verdict {
         call.once = Some(once.clone());
+        let mut sent = false;
         loop {
-            let Some(route) = self.setup.routes.home(&once.token).await else {
-                return self.never_sent(&once);
+            let attempt = match self.setup.routes.home(&once.token).await {
+                Some(route) => self.attempt(&mut call, route, budget).await,
+                None => Attempt::NotSent,
             };
-            match self.attempt(&mut call, route, budget).await {
+            match attempt {
                 Attempt::Replied(reply) => return reply.verdict,
-                Attempt::NotSent => return self.never_sent(&once),
+                Attempt::NotSent if !sent => {
+                    let refused = Refused::unsent(ErrorKind::NoTarget, identity);
+                    return Verdict::Refused(refused);
+                }
                 // The home knows the token and this try, so sending it again joins the first or hears its answer.
-                Attempt::Lost if self.may_repeat(&call, budget).await => {}
-                Attempt::Lost | Attempt::Expired => return self.settle(&call).await,
+                Attempt::Lost if self.may_repeat(&call, budget).await => sent = true,
+                Attempt::NotSent | Attempt::Lost | Attempt::Expired => {
+                    return self.settle(&call).await;
+                }
             }
         }
     }
@@ -52,7 +60,7 @@
                 ..(*answer).clone()
             }),
             Refusal::RefusedForGood => {
-                Verdict::Refused(with_time(Refused::from(ErrorKind::TokenRefused)))
+                Verdict::Refused(Refused::from(ErrorKind::TokenRefused).with_time())
             }
             Refusal::AnswerGone => Verdict::from(ErrorKind::AnswerGone),
             Refusal::Running => Verdict::from(ErrorKind::ExpiredInFlight),
@@ -98,16 +106,6 @@
             .flatten()
     }
 
-    /// The verdict where this try has not left this node.
-    ///
-    /// An earlier try may have left another node, so only a first try is known not to have run.
-    fn never_sent(&self, once: &OnceCall) -> Verdict {
-        if once.number <= Try(1) {
-            return Verdict::Refused(with_time(Refused::from(ErrorKind::NoTarget)));
-        }
-        Verdict::from(ErrorKind::HomeLost)
-    }
-
     async fn may_repeat(&self, call: &Call, budget: &mut Budget) -> bool {
         self.setup.clock.now() < call.deadline && budget.spend().await
     }
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -1,35 +1,38 @@
 //! Answers the HTTP requests of callers and of the node's own target.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use coltsfootport_core::allowance::Allowance;
 use coltsfootport_core::class::Class;
 use coltsfootport_core::error_kind::ErrorKind;
 use coltsfootport_core::id::{RequestId, ServiceName};
+use coltsfootport_core::once::{Identity, Try};
+use coltsfootport_core::outcome::Outcome;
 use coltsfootport_core::timeline::Event;
-use http::{Method, Request, Response};
+use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
-use smol_str::SmolStr;
-use tokio::sync::watch;
+use slog::{Logger, debug};
+use tokio::sync::{Semaphore, watch};
 
+use super::dispatcher::micros;
+use super::prepare::Prepared;
 use super::tokens::TokenIssuer;
 use super::{Budget, Dispatcher, Inbound, Origin, Outgoing};
 use crate::clock::SharedClock;
-use crate::data::{AttemptId, Call, OnceCall, Refused, Verdict};
+use crate::data::{Refused, Verdict};
 use crate::gate::{ContextHandle, GateHandle, Parent};
-use crate::http::{
-    BodyError, CallerConnection, HttpAnswer, end_to_end, json, names, read_whole, refuse,
-};
+use crate::http::{BodyError, CallerConnection, HttpAnswer, names, read_whole};
 use crate::metrics::{Listener, Metrics, Rejected};
 use crate::recorder::Recorder;
-use crate::spread::{DocumentInForce, Published};
+use crate::spread::Published;
 
 /// Limits of what an entry takes in.
 #[derive(Clone, Copy, Debug)]
 pub struct EntryLimits {
     /// Largest body in bytes.
     pub body_bytes: usize,
+    /// Time in which a body must arrive.
+    pub body_time: Duration,
     /// Whether requests bring one allowance for their whole chain; off only for comparison, when each hop has its own.
     pub allowance_enabled: bool,
 }
@@ -47,19 +50,16 @@
     pub published: watch::Receiver<Arc<Published>>,
     /// Limits.
     pub limits: EntryLimits,
+    /// Places for calls at a time, which bound the memory that callers can take.
+    pub places: Arc<Semaphore>,
     /// The process's clock.
     pub clock: SharedClock,
     /// Where events are recorded.
     pub recorder: Recorder,
     /// Metrics of the process.
     pub metrics: Metrics,
-}
-
-/// A call with everything that decides how it is sent.
-struct Prepared {
-    call: Call,
-    budget: Budget,
-    once: Option<OnceCall>,
+    /// The node's log.
+    pub log: Logger,
 }
 
 impl EntryService {
@@ -91,18 +91,17 @@
         listener: Listener,
     ) -> Response<HttpAnswer> {
         let started = self.clock.now();
-        let outgoing = match self.read(req).await {
-            Ok(inbound) => self.answer(inbound, connection, listener, started).await,
-            Err(kind) => Answered::aside(RequestId::random(), kind),
+        let identity = identity_of(req.headers());
+        let Answered { class, outgoing } = match self.places.try_acquire() {
+            Ok(_place) => {
+                self.take(req, identity, connection, listener, started)
+                    .await
+            }
+            Err(_) => Answered::aside(RequestId::random(), ErrorKind::Shed, identity),
         };
-        let Answered { class, outgoing } = outgoing;
         let (outcome, error) = (outgoing.outcome(), outgoing.error());
         self.metrics.calls.answered(listener, class, outcome, error);
-        let elapsed_us = self
-            .clock
-            .now()
-            .saturating_duration_since(started)
-            .as_micros() as u64;
+        let elapsed_us = micros(self.clock.now(), started);
         let event = match &outgoing.verdict {
             Verdict::Answered(answer) => Event::Answered {
                 status: answer.status.as_u16(),
@@ -115,9 +114,33 @@
             },
         };
         self.recorder.record(Some(outgoing.request), event);
+        debug!(self.log, "request ended";
+            "request" => %outgoing.request,
+            "outcome" => outcome.as_str(),
+            "error" => error.map(ErrorKind::as_str),
+            "elapsed_us" => elapsed_us);
         outgoing.into_response()
     }
 
+    async fn take(
+        &self,
+        req: Request<Incoming>,
+        identity: Identity,
+        connection: CallerConnection,
+        listener: Listener,
+        started: Instant,
+    ) -> Answered {
+        // A sender that stops halfway would keep its place and its buffer for ever.
+        let reading = tokio::time::timeout(self.limits.body_time, self.read(req));
+        match reading.await.unwrap_or(Err(ErrorKind::BadRequest)) {
+            Ok(inbound) => {
+                self.answer(inbound, identity, connection, listener, started)
+                    .await
+            }
+            Err(kind) => Answered::aside(RequestId::random(), kind, identity),
+        }
+    }
+
     async fn read(&self, req: Request<Incoming>) -> Result<Inbound, ErrorKind> {
         let (parts, body) = req.into_parts();
         let (service, path) = Inbound::split(&parts.uri)?;
@@ -139,23 +162,28 @@
     async fn answer(
         &self,
         inbound: Inbound,
+        identity: Identity,
         connection: CallerConnection,
         listener: Listener,
         started: Instant,
     ) -> Answered {
         let origin = match self.origin(&inbound, listener).await {
             Ok(origin) => origin,
-            Err(kind) => return Answered::aside(RequestId::random(), kind),
+            Err(kind) => return Answered::aside(RequestId::random(), kind, identity),
         };
         let request = origin.request();
         let prepared = match self.prepare(&inbound, &origin, request, started) {
             Ok(prepared) => prepared,
-            Err(kind) => return self.refuse_early(request, &inbound.service, kind).await,
+            Err(kind) => {
+                return self
+                    .refuse_early(request, &inbound.service, kind, identity)
+                    .await;
+            }
         };
         let class = prepared.call.class;
         // A paused process finds a request together with its caller's close; running it would serve nobody.
         if !prepared.call.idempotent && connection.is_closed() {
-            return Answered::aside(request, ErrorKind::Cancelled);
+            return Answered::aside(request, ErrorKind::Cancelled, identity);
         }
         let event = Event::Received {
             service: inbound.service.clone(),
@@ -164,11 +192,17 @@
             allowance: 0,
         };
         self.recorder.record(Some(request), event);
-        let outgoing = self.dispatch(prepared, &inbound, &origin).await;
+        let outgoing = self.dispatch(prepared, identity, &inbound, &origin).await;
         Answered { class, outgoing }
     }
 
-    async fn dispatch(&self, prepared: Prepared, inbound: &Inbound, origin: &Origin) -> Outgoing {
+    async fn dispatch(
+        &self,
+        prepared: Prepared,
+        identity: Identity,
+        inbound: &Inbound,
+        origin: &Origin,
+    ) -> Outgoing {
         let Prepared {
             call,
             mut budget,
@@ -178,12 +212,16 @@
         if let Origin::Flight(parent) = origin
             && !self.may_call(parent, inbound, &mut budget).await
         {
-            return Outgoing::new(request, Verdict::from(ErrorKind::Shed));
+            let refused = Refused::unsent(ErrorKind::Shed, identity);
+            return Outgoing::new(request, Verdict::Refused(refused));
         }
         let service = call.service.clone();
-        let held = once.is_some();
         let verdict = match once {
-            Some(once) => self.dispatcher.send_pinned(call, once, &mut budget).await,
+            Some(once) => {
+                self.dispatcher
+                    .send_pinned(call, once, identity, &mut budget)
+                    .await
+            }
             None => self.dispatcher.send(call, &mut budget).await,
         };
         let mut outgoing = Outgoing::new(request, verdict);
@@ -191,7 +229,7 @@
             self.gate
                 .own_call_failed(parent.flight, inbound.fingerprint());
         }
-        if held && outgoing.error().is_some_and(needs_fresh_token) {
+        if identity != Identity::None && needs_fresh_token(&outgoing) {
             outgoing.token = self.tokens.issue_one(&service).await;
         }
         outgoing
@@ -219,12 +257,14 @@
         request: RequestId,
         service: &ServiceName,
         kind: ErrorKind,
+        identity: Identity,
     ) -> Answered {
         if kind == ErrorKind::BadToken {
             self.metrics.faults.rejected(Rejected::Token);
         }
-        let mut answered = Answered::aside(request, kind);
-        if kind == ErrorKind::TokenRequired {
+        let mut answered = Answered::aside(request, kind, identity);
+        let refused_token = identity != Identity::None && needs_fresh_token(&answered.outgoing);
+        if kind == ErrorKind::TokenRequired || refused_token {
             answered.outgoing.token = self.tokens.issue_one(service).await;
         }
         answered
@@ -246,98 +286,6 @@
             .ok_or(ErrorKind::UnknownContext)?;
         Ok(Origin::Flight(parent))
     }
-
-    fn prepare(
-        &self,
-        inbound: &Inbound,
-        origin: &Origin,
-        request: RequestId,
-        started: Instant,
-    ) -> Result<Prepared, ErrorKind> {
-        let DocumentInForce { revision, document } = self.document(&inbound.service)?;
-        let profile = document.profile(inbound.method.as_str(), &inbound.path);
-        let limit = inbound
-            .time_limit()?
-            .unwrap_or(profile.deadline)
-            .min(profile.deadline);
-        let class = origin.class(profile.class, profile.class_name);
-        let once = self.once(inbound, profile.idempotent)?;
-        let call = Call {
-            request,
-            attempt: AttemptId(0),
-            service: inbound.service.clone(),
-            method: inbound.method.clone(),
-            path: inbound.path.clone(),
-            headers: end_to_end(&inbound.headers),
-            class: class.class,
-            class_name: class.name,
-            operation: operation_of(inbound),
-            deadline: origin.deadline(started + limit),
-            allowance: 0,
-            depth: origin.depth(),
-            idempotent: profile.idempotent,
-            revision,
-            once: None,
-            body: inbound.body.clone(),
-        };
-        let budget = match origin {
-            Origin::Flight(parent) if self.limits.allowance_enabled => {
-                Budget::Flight(self.gate.clone(), parent.flight)
-            }
-            _ => Budget::Own(Allowance::new(document.retry_allowance)),
-        };
-        Ok(Prepared { call, budget, once })
-    }
-
-    fn document(&self, service: &ServiceName) -> Result<DocumentInForce, ErrorKind> {
-        let published = self.published.borrow();
-        if published.documents.is_empty() {
-            return Err(ErrorKind::NotReady);
-        }
-        published
-            .documents
-            .get(service)
-            .cloned()
-            .ok_or(ErrorKind::UnknownService)
-    }
-
-    fn once(&self, inbound: &Inbound, idempotent: bool) -> Result<Option<OnceCall>, ErrorKind> {
-        let number = inbound.number()?;
-        if let Some(text) = inbound.text(&names::TOKEN)? {
-            let token = self.tokens.open(text, &inbound.service)?;
-            return Ok(Some(OnceCall { token, number }));
-        }
-        let keyed = inbound.headers.contains_key(names::IDEMPOTENCY_KEY);
-        if keyed && !idempotent {
-            return Err(ErrorKind::TokenRequired);
-        }
-        Ok(None)
-    }
-
-    async fn serve_tokens(&self, req: &Request<Incoming>) -> Response<HttpAnswer> {
-        if req.method() != Method::POST {
-            return refuse(Refused::from(ErrorKind::BadRequest));
-        }
-        let query = TokenQuery::parse(req.uri().query().unwrap_or_default());
-        let Some(query) = query else {
-            return refuse(Refused::from(ErrorKind::BadRequest));
-        };
-        if let Err(kind) = self.document(&query.service) {
-            return refuse(super::dispatcher::with_time(Refused::from(kind)));
-        }
-        match self.tokens.issue(&query.service, query.count).await {
-            Ok(page) => {
-                let count = page.tokens.len() as u32;
-                let event = Event::TokenMinted {
-                    service: query.service,
-                    count,
-                };
-                self.recorder.record(None, event);
-                json(serde_json::to_string(&page).unwrap_or_default())
-            }
-            Err(kind) => refuse(super::dispatcher::with_time(Refused::from(kind))),
-        }
-    }
 }
 
 /// Path under which callers ask for tokens.
@@ -350,8 +298,9 @@
 }
 
 impl Answered {
-    fn aside(request: RequestId, kind: ErrorKind) -> Self {
-        let refused = super::dispatcher::with_time(Refused::from(kind));
+    /// The end of a call of which nothing was sent.
+    fn aside(request: RequestId, kind: ErrorKind, identity: Identity) -> Self {
+        let refused = Refused::unsent(kind, identity);
         Self {
             class: Class::LOWEST,
             outgoing: Outgoing::new(request, Verdict::Refused(refused)),
@@ -359,47 +308,28 @@
     }
 }
 
-struct TokenQuery {
-    service: ServiceName,
-    count: usize,
+/// What the headers say of whether the caller holds a token and has sent it before.
+fn identity_of(headers: &HeaderMap) -> Identity {
+    let number = headers.get(names::TRY);
+    let number = number.and_then(|value| value.to_str().ok()?.parse().ok());
+    Identity::of(headers.contains_key(names::TOKEN), number.map(Try))
 }
 
-impl TokenQuery {
-    fn parse(query: &str) -> Option<Self> {
-        let mut service = None;
-        let mut count = 1;
-        for pair in query.split('&') {
-            match pair.split_once('=')? {
-                ("service", name) => service = Some(ServiceName::from(name)),
-                ("count", number) => count = number.parse().ok().filter(|count| *count > 0)?,
-                _ => return None,
-            }
-        }
-        Some(Self {
-            service: service?,
-            count,
-        })
-    }
-}
-
-/// Whether the caller's token is of no more use after this error.
-fn needs_fresh_token(kind: ErrorKind) -> bool {
-    matches!(
-        kind,
-        ErrorKind::NoTarget | ErrorKind::Leaving | ErrorKind::TableFull
-    )
+/// Whether the caller's token is of no more use, and the call is known not to have run.
+///
+/// After any other outcome a fresh token would invite a second run.
+fn needs_fresh_token(outgoing: &Outgoing) -> bool {
+    outgoing.outcome() == Outcome::NotRun
+        && matches!(
+            outgoing.error(),
+            Some(
+                ErrorKind::NoTarget
+                    | ErrorKind::Leaving
+                    | ErrorKind::TableFull
+                    | ErrorKind::TokenRefused
+                    | ErrorKind::HomeLost
+                    | ErrorKind::BadToken
+                    | ErrorKind::TokenExpired
+            )
+        )
 }
-
-/// The operation by which levels of the subtree are kept: the method and the first segment of the path.
-fn operation_of(inbound: &Inbound) -> SmolStr {
-    let path = inbound.path.split('?').next().unwrap_or_default();
-    let first = path
-        .trim_start_matches('/')
-        .split('/')
-        .next()
-        .unwrap_or_default();
-    let first: String = first.chars().take(LONGEST_OPERATION).collect();
-    SmolStr::from(format!("{} {first}", inbound.method))
-}
-
-const LONGEST_OPERATION: usize = 24;
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -32,6 +32,8 @@
 pub struct GateSetup {
     /// Name of the node.
     pub node: NodeName,
+    /// Service of its target.
+    pub service: ServiceName,
     /// This run of the node.
     pub incarnation: Incarnation,
     /// When this run began.
@@ -53,6 +55,7 @@
 /// The task that decides which calls the target runs.
 pub struct Gate {
     node: NodeName,
+    service: ServiceName,
     incarnation: Incarnation,
     clock: SharedClock,
     recorder: Recorder,
@@ -62,8 +65,11 @@
     lifecycle: Lifecycle,
     flights: SlotMap<FlightKey, Flight>,
     by_call: Map<CallKey, FlightKey>,
+    by_record: Map<RecordKey, FlightKey>,
     joined: Map<RecordKey, Vec<oneshot::Sender<Entered>>>,
     below: LevelBoard,
+    /// A call that asked to run by the message at hand.
+    entering: Option<FlightKey>,
     actions: Vec<Action>,
     drained: Vec<oneshot::Sender<()>>,
     rng: SmallRng,
@@ -83,6 +89,7 @@
             lifecycle: Lifecycle::new(setup.lifecycle),
             flights: SlotMap::with_key(),
             by_call: Map::default(),
+            by_record: Map::default(),
             joined: Map::default(),
             below: LevelBoard::new(LevelBoardConfig::default()),
             actions: Vec::new(),
@@ -90,6 +97,8 @@
             rng: SmallRng::from_os_rng(),
             revision: 0,
             node: setup.node,
+            service: setup.service,
+            entering: None,
             incarnation: setup.incarnation,
             clock: setup.clock,
             recorder: setup.recorder,
@@ -180,7 +189,9 @@
 
     fn enter(&mut self, admittance: Admittance, reply: oneshot::Sender<Entered>) {
         let now = self.clock.now();
-        if !self.lifecycle.may_accept() && !self.is_running(&admittance, now) {
+        let live = admittance.once.as_ref();
+        let live = live.is_some_and(|once| self.once.is_live(&once.token));
+        if !self.lifecycle.may_accept() && !live {
             self.enter_closed(&admittance, reply, now);
             return;
         }
@@ -188,7 +199,7 @@
             None => None,
             Some(Arrival::Run(record)) => Some(record),
             Some(Arrival::Join(record)) => {
-                self.joined.entry(record).or_default().push(reply);
+                self.join(record, admittance.deadline, reply);
                 return;
             }
             Some(Arrival::Replay(answer)) => {
@@ -203,16 +214,6 @@
         self.admit(admittance, record, reply, now);
     }
 
-    fn is_running(&mut self, admittance: &Admittance, now: Instant) -> bool {
-        let Some(once) = &admittance.once else {
-            return false;
-        };
-        matches!(
-            self.once.refuse(&once.token, once.number, now),
-            Refusal::Running
-        )
-    }
-
     /// Answers a call while no new work is taken.
     ///
     /// A token's try is refused for good before its caller hears "not run": while the node is still starting, an older try
@@ -260,6 +261,8 @@
             operation: admittance.operation,
             deadline: admittance.deadline,
             depth: admittance.depth,
+            sending: admittance.sending,
+            entered: now,
             allowance: Allowance::new(admittance.allowance),
             call,
             record,
@@ -269,6 +272,19 @@
         };
         let key = self.flights.insert(flight);
         self.by_call.insert(call, key);
+        if let Some(record) = record {
+            self.by_record.insert(record, key);
+        }
+        self.entering = Some(key);
+    }
+
+    /// Lets a further try of a token wait for the first, and the call last as long as the most patient of them.
+    fn join(&mut self, record: RecordKey, deadline: Instant, reply: oneshot::Sender<Entered>) {
+        self.joined.entry(record).or_default().push(reply);
+        let flight = self.by_record.get(&record);
+        if let Some(flight) = flight.and_then(|key| self.flights.get_mut(*key)) {
+            flight.deadline = flight.deadline.max(deadline);
+        }
     }
 
     fn arrive(&mut self, admittance: &Admittance, now: Instant) -> Option<Arrival<Arc<Answer>>> {
@@ -320,8 +336,8 @@
         }
         flight.phase = FlightPhase::Dispatched;
         let event = Event::Dispatched {
-            attempt: flight.depth.into(),
-            elapsed_us: 0,
+            attempt: flight.sending,
+            elapsed_us: micros(now, flight.entered),
         };
         self.recorder.record(Some(flight.request), event);
         Ok(())
@@ -348,8 +364,9 @@
                 FlightEnd::Withdrawn(ErrorKind::Cancelled)
             }
         };
+        let elapsed_us = micros(self.clock.now(), flight.entered);
         self.recorder
-            .record(Some(flight.request), Event::Cancelled { elapsed_us: 0 });
+            .record(Some(flight.request), Event::Cancelled { elapsed_us });
         self.end(key, end);
     }
 
@@ -370,6 +387,7 @@
     }
 
     fn end_record(&mut self, record: RecordKey, end: FlightEnd, now: Instant) {
+        self.by_record.remove(&record);
         let joined = self.joined.remove(&record).unwrap_or_default();
         match end {
             FlightEnd::Answered(answer) => {
@@ -410,10 +428,25 @@
             self.admission.poll(now, &mut actions);
         }
         self.actions = actions;
+        self.note_queued();
         self.check();
         self.poll_life(now);
     }
 
+    fn note_queued(&mut self) {
+        let Some(flight) = self.entering.take().and_then(|key| self.flights.get(key)) else {
+            return;
+        };
+        if flight.phase != FlightPhase::Queued {
+            return;
+        }
+        let event = Event::Queued {
+            class: flight.class,
+            ahead: self.admission.queued().saturating_sub(1) as u32,
+        };
+        self.recorder.record(Some(flight.request), event);
+    }
+
     fn start(&mut self, call: CallKey) {
         let Some(&key) = self.by_call.get(&call) else {
             return;
@@ -424,14 +457,29 @@
         flight.phase = FlightPhase::Admitted;
         let event = Event::Admitted {
             class: flight.class,
-            elapsed_us: 0,
+            elapsed_us: micros(self.clock.now(), flight.entered),
         };
         self.recorder.record(Some(flight.request), event);
         let Some(reply) = flight.reply.take() else {
             return;
         };
-        // A receiver that has gone drops the guard inside the message, which abandons the call.
-        let _ = reply.send(Entered::Admitted(FlightGuard::new(key, self.tx.clone())));
+        let record = flight.record;
+        let joined = record.and_then(|record| self.joined.remove(&record));
+        let mut waiting = std::iter::once(reply).chain(joined.unwrap_or_default());
+        let mut guard = FlightGuard::new(key, self.tx.clone());
+        // The first caller may have left while a later try of its token waits; that one then runs the call. Where nobody is
+        // left, dropping the guard abandons it.
+        for reply in waiting.by_ref() {
+            match reply.send(Entered::Admitted(guard)) {
+                Ok(()) => break,
+                Err(Entered::Admitted(unsent)) => guard = unsent,
+                Err(_) => return,
+            }
+        }
+        let left: Vec<_> = waiting.collect();
+        if let Some(record) = record.filter(|_| !left.is_empty()) {
+            self.joined.insert(record, left);
+        }
     }
 
     fn shed(&mut self, call: CallKey, kind: ErrorKind) {
@@ -443,7 +491,7 @@
         };
         self.lifecycle.withdrawn();
         let event = Event::Shed {
-            service: ServiceName::default(),
+            service: self.service.clone(),
             class: flight.class,
             level: self.admission.level().position(),
         };
@@ -559,7 +607,7 @@
             node: self.node.clone(),
             incarnation: self.incarnation,
             tick: self.once.tick(now),
-            leaving: self.lifecycle.phase() >= Phase::Leaving,
+            state: self.lifecycle.node_state(),
             in_flight: self.admission.in_flight(),
             queued: self.admission.queued() as u32,
             limit: self.admission.limit(),
@@ -591,10 +639,7 @@
             .mul_f64(turns + 1.0)
             .max(LEAST_RETRY_AFTER);
         let retry_after = wait.mul_f64(self.rng.random_range(1.0..RETRY_AFTER_SPREAD));
-        Refused {
-            kind,
-            retry_after: retry_after.min(MOST_RETRY_AFTER),
-        }
+        Refused::new(kind, retry_after.min(MOST_RETRY_AFTER))
     }
 }
 
@@ -604,6 +649,10 @@
 const MOST_RETRY_AFTER: Duration = Duration::from_secs(10);
 const RETRY_AFTER_SPREAD: f64 = 3.0;
 
+fn micros(now: Instant, since: Instant) -> u64 {
+    now.saturating_duration_since(since).as_micros() as u64
+}
+
 fn admission_end(end: &FlightEnd) -> Finish {
     match end {
         FlightEnd::Answered(answer) if answer.status.is_server_error() => Finish::Failed,
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -6,16 +6,18 @@
 
 use coltsfootport_core::admission::AdmissionConfig;
 use coltsfootport_core::allowance::{Backoff, EdgeBudgetConfig, RetryPolicy};
+use coltsfootport_core::dissemination::{GossipConfig, ReaderConfig, StartUpConfig};
 use coltsfootport_core::id::Incarnation;
 use coltsfootport_core::lifecycle::LifecycleConfig;
 use coltsfootport_core::once::{KeyRing, KeyRingError, OnceConfig};
 use coltsfootport_core::routing::RoutingConfig;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 
 use super::desk::{Desk, DeskSetup};
 use super::life::Life;
+use super::meter::meter;
 use crate::clock::{SharedClock, SystemClock};
 use crate::config::{AdmissionMode, Settings};
 use crate::entry::{Dispatcher, DispatcherSetup, EntryLimits, EntryService, TokenIssuer};
@@ -27,7 +29,7 @@
 use crate::peers::{FrameLimits, Hub, PeerServer, PeerServices, TlsError, TlsMaterial, bind};
 use crate::recorder::Recorder;
 use crate::routes::{Routes, RoutesSetup};
-use crate::spread::{PlatformClient, Published, Spread, SpreadSetup};
+use crate::spread::{PlatformClient, Published, Spread, SpreadHandle, SpreadSetup};
 
 /// Why a node could not start or run on.
 #[derive(Debug, thiserror::Error)]
@@ -68,6 +70,7 @@
     let (life_tx, life_rx) = mpsc::unbounded_channel();
     let (gate_task, gate) = Gate::new(GateSetup {
         node: name.clone(),
+        service: settings.node.service.clone(),
         incarnation,
         started,
         admission: AdmissionConfig::from(&settings.admission),
@@ -91,17 +94,8 @@
     });
     tokio::spawn(routes_task.run());
 
-    let platform = PlatformClient::new(settings.platform.address, settings.platform.timeout);
-    let (spread_task, spread) = Spread::new(SpreadSetup {
-        platform,
-        watch: settings.platform.watch,
-        clock: Arc::clone(&clock),
-        recorder: recorder.clone(),
-        metrics: metrics.clone(),
-        published: published_tx,
-        words,
-    });
-    tokio::spawn(spread_task.run());
+    let (spread_tx, spread_rx) = mpsc::unbounded_channel();
+    let spread = SpreadHandle::new(spread_tx.clone());
 
     let body_limit = settings.limits.body_bytes as usize;
     let (pool_task, pool) = TargetPool::new(
@@ -137,19 +131,35 @@
         host: host.clone(),
         gate: gate.clone(),
         routes: routes.clone(),
+        spread: spread.clone(),
         clock: Arc::clone(&clock),
         recorder: recorder.clone(),
         metrics: metrics.clone(),
         limits: frames,
     };
-    let (hub_task, hub) = Hub::new(
-        endpoint.clone(),
-        services.clone(),
-        settings.target.connect_timeout,
-    );
+    let (hub_task, hub) = Hub::new(endpoint.clone(), services.clone());
     tokio::spawn(hub_task.run());
     tokio::spawn(PeerServer::new(endpoint.clone(), services, hub.clone()).run());
 
+    let spread_task = Spread::new(SpreadSetup {
+        node: name.clone(),
+        started,
+        reader: ReaderConfig::from(&settings),
+        gossip: GossipConfig::from(&settings.spread),
+        start_up: StartUpConfig::from(&settings.spread),
+        platform: PlatformClient::new(settings.platform.address, settings.platform.timeout),
+        hub: hub.clone(),
+        clock: Arc::clone(&clock),
+        recorder: recorder.clone(),
+        metrics: metrics.clone(),
+        log: log.clone(),
+        published: published_tx,
+        words,
+        tx: spread_tx,
+        rx: spread_rx,
+    });
+    tokio::spawn(spread_task.run());
+
     let keys = KeyRing::new(settings.fleet_keys.iter().map(Into::into).collect())?;
     let tokens = TokenIssuer::new(routes.clone(), hub.clone(), Arc::new(keys));
     let dispatcher = Dispatcher::new(DispatcherSetup {
@@ -169,13 +179,16 @@
         tokens,
         gate: gate.clone(),
         published: published.clone(),
+        places: Arc::new(Semaphore::new(settings.limits.in_flight as usize)),
         limits: EntryLimits {
             body_bytes: body_limit,
+            body_time: settings.limits.header_timeout,
             allowance_enabled: settings.retries.allowance_enabled,
         },
         clock: Arc::clone(&clock),
         recorder: recorder.clone(),
         metrics: metrics.clone(),
+        log: log.clone(),
     };
 
     let (closing, closed) = watch::channel(false);
@@ -189,11 +202,17 @@
     let for_operators = listen("operators", settings.listen.operators).await?;
     let callers = Listener::new(callers, limits, closed.clone());
     let egress = Listener::new(egress, limits, closed.clone());
-    let for_callers = entry.clone();
+    // Calls of the target have places of their own: were all taken by callers, none of these could ever end.
+    let for_target = EntryService {
+        places: Arc::new(Semaphore::new(settings.limits.in_flight as usize)),
+        ..entry.clone()
+    };
     let callers = tokio::spawn(
-        callers.run(move |req, connection| for_callers.clone().serve_caller(req, connection)),
+        callers.run(move |req, connection| entry.clone().serve_caller(req, connection)),
+    );
+    tokio::spawn(
+        egress.run(move |req, connection| for_target.clone().serve_target(req, connection)),
     );
-    tokio::spawn(egress.run(move |req, connection| entry.clone().serve_target(req, connection)));
 
     let (queries_tx, queries) = mpsc::channel(QUERY_QUEUE);
     let (stop, stopping) = watch::channel(false);
@@ -202,7 +221,7 @@
         incarnation,
         gate: gate.clone(),
         routes: routes.clone(),
-        spread,
+        spread: spread.clone(),
         recorder: recorder.clone(),
         metrics: metrics.clone(),
         published: published.clone(),
@@ -210,6 +229,12 @@
         queries,
     });
     tokio::spawn(desk.run());
+    tokio::spawn(meter(
+        gate.clone(),
+        routes,
+        metrics.clone(),
+        settings.once.capacity as usize,
+    ));
     tokio::spawn(operators::serve(for_operators, queries_tx, metrics));
     info!(log, "node started"; "incarnation" => incarnation.to_string());
 
@@ -217,6 +242,7 @@
         gate,
         host,
         hub,
+        spread: spread.clone(),
         recorder,
         published,
         stopping,
@@ -229,7 +255,8 @@
         // Without its gate a node can decide nothing; ending is the one safe thing.
         _ = gate_task => {}
     }
-    let _ = callers.await;
+    // Requests that this node still carries to other hosts are answered before it ends.
+    let _ = tokio::time::timeout(settings.shutdown.drain, callers).await;
     endpoint.close(quinn::VarInt::from_u32(0), b"stopped");
     let _ = tokio::time::timeout(CLOSE_PATIENCE, endpoint.wait_idle()).await;
     Ok(())
--- a/crates/node/src/peers/link.rs
+++ b/crates/node/src/peers/link.rs
@@ -6,6 +6,7 @@
 use quinn::{Connection, VarInt};
 
 use crate::data::{Call, Reply};
+use crate::metrics::Metrics;
 use crate::recorder::Recorder;
 use crate::wire::{
     CallFrame, ControlReply, ControlRequest, FrameError, PeerReply, PeerRequest, read_body,
@@ -26,6 +27,7 @@
 pub struct Link {
     connection: Connection,
     limits: FrameLimits,
+    metrics: Metrics,
 }
 
 /// Why an exchange with a peer failed.
@@ -41,8 +43,12 @@
 
 impl Link {
     /// Wraps an open connection.
-    pub fn new(connection: Connection, limits: FrameLimits) -> Self {
-        Self { connection, limits }
+    pub fn new(connection: Connection, limits: FrameLimits, metrics: Metrics) -> Self {
+        Self {
+            connection,
+            limits,
+            metrics,
+        }
     }
 
     /// Whether the connection has ended.
@@ -57,6 +63,23 @@
 
     /// Sends a call and waits for its whole reply; dropping the future cancels the call at the host.
     pub async fn call(&self, call: &Call, recorder: &Recorder) -> Result<Reply, LinkError> {
+        let exchange = self.exchange_call(call, recorder);
+        tokio::pin!(exchange);
+        let mut heard = self.datagrams_heard();
+        loop {
+            tokio::select! {
+                done = &mut exchange => return done,
+                () = tokio::time::sleep(SILENCE) => {}
+            }
+            if !self.is_alive(heard).await {
+                self.close();
+                return Err(LinkError::Lost(FrameError::Cut));
+            }
+            heard = self.datagrams_heard();
+        }
+    }
+
+    async fn exchange_call(&self, call: &Call, recorder: &Recorder) -> Result<Reply, LinkError> {
         let (mut tx, mut rx) = self
             .connection
             .open_bi()
@@ -66,8 +89,8 @@
         let frame = CallFrame::new(call, stamp, recorder.now());
         let head = PeerRequest::Call(Box::new(frame));
         write_frame(&mut tx, &head, call.body.clone()).await?;
-        let head: PeerReply = read_head(&mut rx, self.limits.head).await?;
-        let PeerReply::Call(frame) = head else {
+        let head = read_head(&mut rx, self.limits.head).await?;
+        let PeerReply::Call(frame) = head.value else {
             return Err(FrameError::Malformed.into());
         };
         recorder.observe(frame.stamp);
@@ -75,6 +98,23 @@
         Ok(frame.into_reply(body)?)
     }
 
+    /// Whether the peer was heard since `heard` datagrams, or answers when asked.
+    ///
+    /// A peer that was killed, paused or cut off sends nothing, and the transport's own timeout is far longer than a call has
+    /// time: callers would wait for their whole deadline although another host could have answered. A slow call on a quiet
+    /// connection looks the same, so the peer is asked before it is given up.
+    async fn is_alive(&self, heard: u64) -> bool {
+        if self.datagrams_heard() != heard {
+            return true;
+        }
+        let asked = self.control(ControlRequest::Ping, PING_PATIENCE).await;
+        asked.is_ok() || self.datagrams_heard() != heard
+    }
+
+    fn datagrams_heard(&self) -> u64 {
+        self.connection.stats().udp_rx.datagrams
+    }
+
     /// Sends a control request and waits at most `patience` for its reply.
     pub async fn control(
         &self,
@@ -93,8 +133,13 @@
             .await
             .map_err(|_| LinkError::NotSent)?;
         let _ = tx.set_priority(CONTROL_PRIORITY);
-        write_frame(&mut tx, &PeerRequest::Control(request), Bytes::new()).await?;
-        match read_head(&mut rx, self.limits.body).await? {
+        let kind = request.kind();
+        let request = PeerRequest::Control(request);
+        let written = write_frame(&mut tx, &request, Bytes::new()).await?;
+        self.metrics.control.sent(kind, written);
+        let head = read_head(&mut rx, self.limits.body).await?;
+        self.metrics.control.received(kind, head.bytes);
+        match head.value {
             PeerReply::Control(reply) => Ok(reply),
             PeerReply::Call(_) => Err(FrameError::Malformed.into()),
         }
@@ -103,3 +148,9 @@
 
 /// Control messages go before calls on a connection, so that load does not delay them.
 const CONTROL_PRIORITY: i32 = 1;
+
+/// Time without a reply after which it is looked whether the peer is alive.
+const SILENCE: Duration = Duration::from_millis(150);
+
+/// Time in which a living peer answers a ping, above what a busy instance is late.
+const PING_PATIENCE: Duration = Duration::from_millis(350);
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -13,9 +13,10 @@
 use crate::metrics::{Metrics, Rejected};
 use crate::recorder::Recorder;
 use crate::routes::RoutesHandle;
+use crate::spread::SpreadHandle;
 use crate::wire::{
-    CallFrame, ControlReply, ControlRequest, FrameError, HeaderFrame, HelloFrame, PeerReply,
-    PeerRequest, RefusalFrame, ReplyFrame, ReportFrame, read_body, read_head, write_frame,
+    CallFrame, ControlReply, ControlRequest, FrameError, Head, HeaderFrame, HelloFrame, PeerReply,
+    PeerRequest, RefusalFrame, ReplyFrame, read_body, read_head, write_frame,
 };
 
 /// What the streams of peers are served with.
@@ -27,6 +28,8 @@
     pub gate: GateHandle,
     /// Takes note of what peers tell about themselves.
     pub routes: RoutesHandle,
+    /// Exchanges what is published.
+    pub spread: SpreadHandle,
     /// The process's clock.
     pub clock: SharedClock,
     /// Where events are recorded.
@@ -45,6 +48,17 @@
     hub: HubHandle,
 }
 
+impl PeerServices {
+    pub(super) fn link(&self, connection: Connection) -> Link {
+        Link::new(connection, self.limits, self.metrics.clone())
+    }
+
+    fn hear(&self, hello: HelloFrame) {
+        self.recorder.observe(hello.stamp);
+        self.routes.heard(HostReport::from(hello.report));
+    }
+}
+
 impl PeerServer {
     /// A server on the peers' endpoint.
     pub fn new(endpoint: Endpoint, services: PeerServices, hub: HubHandle) -> Self {
@@ -62,7 +76,7 @@
             tokio::spawn(async move {
                 match incoming.await {
                     Ok(connection) => {
-                        hub.accepted(Link::new(connection.clone(), services.limits));
+                        hub.accepted(services.link(connection.clone()));
                         serve_connection(connection, services).await;
                     }
                     // A peer without a certificate of the fleet ends here, before any stream.
@@ -92,9 +106,14 @@
     mut rx: RecvStream,
     services: PeerServices,
 ) -> Result<(), FrameError> {
-    match read_head(&mut rx, services.limits.head).await? {
+    let Head { value, bytes } =
+        read_head(&mut rx, services.limits.head.max(services.limits.body)).await?;
+    match value {
         PeerRequest::Call(frame) => serve_call(*frame, tx, rx, services).await,
-        PeerRequest::Control(request) => serve_control(request, tx, services).await,
+        PeerRequest::Control(request) => {
+            services.metrics.control.received(request.kind(), bytes);
+            serve_control(request, tx, services).await
+        }
     }
 }
 
@@ -125,28 +144,27 @@
     mut tx: SendStream,
     services: PeerServices,
 ) -> Result<(), FrameError> {
+    let kind = request.kind();
     let reply = match request {
-        ControlRequest::Greet => match services.host.report().await {
-            Some(report) => ControlReply::Hello(HelloFrame {
-                stamp: services.recorder.stamp(),
-                report: ReportFrame::from(&report),
-            }),
-            None => return Err(FrameError::Cut),
-        },
+        ControlRequest::Greet(hello) => {
+            services.hear(hello);
+            let report = services.host.report().await.ok_or(FrameError::Cut)?;
+            ControlReply::Hello(HelloFrame::new(&report, services.recorder.stamp()))
+        }
+        ControlRequest::Ping => ControlReply::Done,
         ControlRequest::Announce(hello) => {
-            services.recorder.observe(hello.stamp);
-            services.routes.heard(HostReport::from(hello.report));
+            services.hear(hello);
             ControlReply::Done
         }
         ControlRequest::Refuse { token, up_to } => {
             let refusal = services.gate.refuse(token, Try(up_to)).await;
             ControlReply::Refuse(refusal_frame(refusal))
         }
-        ControlRequest::Digest(_) | ControlRequest::Pull(_) | ControlRequest::Push(_) => {
-            ControlReply::Done
-        }
+        published => services.spread.answer(published).await,
     };
-    write_frame(&mut tx, &PeerReply::Control(reply), Bytes::new()).await?;
+    let reply = PeerReply::Control(reply);
+    let written = write_frame(&mut tx, &reply, Bytes::new()).await?;
+    services.metrics.control.sent(kind, written);
     Ok(())
 }
 
--- a/crates/node/src/routes/task.rs
+++ b/crates/node/src/routes/task.rs
@@ -10,6 +10,7 @@
 };
 use coltsfootport_core::collections::Map;
 use coltsfootport_core::id::{Incarnation, NodeName, ServiceName};
+use coltsfootport_core::membership::NodeState;
 use coltsfootport_core::once::{Minter, Token};
 use coltsfootport_core::routing::{LoadReport, PeerKey, RouteResult, Router, RoutingConfig};
 use rand::SeedableRng;
@@ -62,7 +63,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Told {
     incarnation: Incarnation,
-    leaving: bool,
+    state: NodeState,
 }
 
 impl Routes {
@@ -135,7 +136,7 @@
             RoutesMessage::Done(end) => self.done(end),
             RoutesMessage::Heard(report) => self.heard(&report),
             RoutesMessage::Mint(home, service, reply) => {
-                let _ = reply.send(self.minter.mint(&home, &service));
+                let _ = reply.send(self.minter.mint(&home, &service, self.clock.now()));
             }
             RoutesMessage::SpendRetry(service, reply) => self.spend_retry(service, reply),
             RoutesMessage::Peers(reply) => {
@@ -230,17 +231,18 @@
     }
 
     fn heard(&mut self, report: &HostReport) {
+        let now = self.clock.now();
         self.minter
-            .heard(report.node.clone(), report.incarnation, report.tick);
+            .heard(report.node.clone(), report.incarnation, report.tick, now);
         let told = Told {
             incarnation: report.incarnation,
-            leaving: report.leaving,
+            state: report.state,
         };
         if self.told.get(&report.node) == Some(&told) {
             return;
         }
         self.told.insert(report.node.clone(), told);
-        if report.leaving {
+        if report.state == NodeState::Leaving {
             self.router.leaving(&report.node, report.incarnation);
         }
         let _ = self.words.send(Word::from(report));
@@ -273,7 +275,11 @@
         Some(PeerLoad {
             node: node.clone(),
             service: view.service.clone(),
-            leaving: view.leaving || self.told.get(node).is_some_and(|told| told.leaving),
+            leaving: view.leaving
+                || self
+                    .told
+                    .get(node)
+                    .is_some_and(|told| told.state == NodeState::Leaving),
             in_flight: self.router.in_flight(key),
             ejected: self.router.is_ejected(key, now),
         })
--- a/crates/node/src/wire/answer_frame.rs
+++ b/crates/node/src/wire/answer_frame.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use coltsfootport_core::error_kind::ErrorKind;
+use coltsfootport_core::membership::NodeState;
 use coltsfootport_core::timeline::Stamp;
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
@@ -61,8 +62,8 @@
     pub incarnation: u128,
     /// Its monotonic tick in milliseconds.
     pub tick: u64,
-    /// Whether it is leaving.
-    pub leaving: bool,
+    /// Whether it takes work.
+    pub state: NodeState,
     /// Calls at its target.
     pub in_flight: u32,
     /// Calls that wait.
@@ -122,10 +123,10 @@
             Self::Refused {
                 kind,
                 retry_after_ms,
-            } => Ok(Verdict::Refused(Refused {
+            } => Ok(Verdict::Refused(Refused::new(
                 kind,
-                retry_after: Duration::from_millis(retry_after_ms.into()),
-            })),
+                Duration::from_millis(retry_after_ms.into()),
+            ))),
         }
     }
 }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod process;
 pub mod proxy;
 pub mod target;
+pub mod timer;
