--- a/crates/rig/src/experiment/client_links.rs
+++ b/crates/rig/src/experiment/client_links.rs
@@ -47,7 +47,7 @@
 }
 
 /// Sets the latency between failure domains, which also ends every cut.
-pub(super) fn set_domain_latency(fleet: &Fleet) {
+pub(super) fn set_domain_latency(fleet: &mut Fleet) {
     let faults = LinkFaults::both(DirectionFaults::latency(DOMAIN_LATENCY));
     fleet.heal();
     for from in DOMAINS {
--- a/crates/rig/src/experiment/run.rs
+++ b/crates/rig/src/experiment/run.rs
@@ -86,7 +86,7 @@
         let retries = self.variant.target_retries();
         let deployment = Deployment::new(self.user, options.scale, retries)?;
         let mut fleet = Fleet::start(self.fleet_plan(&deployment)).await?;
-        set_domain_latency(&fleet);
+        set_domain_latency(&mut fleet);
         let links = ClientLinks::open(&fleet).await?;
         sleep(SETTLE).await;
         trigger::prepare(self.scenario, &fleet).await?;
