Latency that nodes add, and what a node costs

Cause: neither was measured. Latency sends by both ways in turn in one run; cost starts one fleet for each value of what is varied and fits lines. A fleet command that is told to stop now ends its children too: before, a signal left them running.

--- a/crates/rig/src/cli.rs
+++ b/crates/rig/src/cli.rs
@@ -1,6 +1,8 @@
 //! The command line.
 
+mod cost;
 mod experiment;
+mod latency;
 mod load;
 mod platform;
 mod proxy;
@@ -10,7 +12,9 @@
 use tokio::runtime;
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::cli::cost::{CostArgs, cost_args};
 use crate::cli::experiment::{ExperimentArgs, experiment_args};
+use crate::cli::latency::{LatencyArgs, latency_args};
 use crate::cli::load::{LoadOptions, load_options};
 use crate::cli::platform::{PlatformOptions, platform_options};
 use crate::cli::proxy::{ProxyOptions, proxy_options};
@@ -40,6 +44,12 @@
     /// Both users' fleets under overload and faults, in several variants of the policy
     #[bpaf(command)]
     Experiment(#[bpaf(external(experiment_args))] ExperimentArgs),
+    /// Latency that the nodes add to a call
+    #[bpaf(command)]
+    Latency(#[bpaf(external(latency_args))] LatencyArgs),
+    /// Processor, memory, control bytes and platform calls against what the nodes have to carry
+    #[bpaf(command)]
+    Cost(#[bpaf(external(cost_args))] CostArgs),
 }
 
 /// Parses the command line of this process; prints help or the fault and ends it where there is nothing to run.
@@ -51,7 +61,9 @@
 pub fn run(command: Command) -> Result<(), RigError> {
     // The commands that run a whole fleet carry proxy and load in this one process; the others are one small process each.
     let mut builder = match command {
-        Command::Demo | Command::Experiment(_) => runtime::Builder::new_multi_thread(),
+        Command::Demo | Command::Experiment(_) | Command::Latency(_) | Command::Cost(_) => {
+            runtime::Builder::new_multi_thread()
+        }
         _ => runtime::Builder::new_current_thread(),
     };
     let runtime = builder.enable_all().build()?;
@@ -61,12 +73,31 @@
             Command::Target(options) => target::run(options).await,
             Command::Proxy(options) => proxy::run(options).await,
             Command::Load(options) => load::run(options).await,
-            Command::Demo => demo::run().await,
-            Command::Experiment(args) => experiment::run(args).await,
+            Command::Demo => until_stopped(demo::run()).await,
+            Command::Experiment(args) => until_stopped(experiment::run(args)).await,
+            Command::Latency(args) => until_stopped(latency::run(args)).await,
+            Command::Cost(args) => until_stopped(cost::run(args)).await,
         }
     })
 }
 
+/// Runs a command with child processes until its end or until the process is told to stop.
+///
+/// A signal that ended the process at once would leave its children behind, seen as nodes that run on for ever; dropping
+/// the command's future ends them.
+async fn until_stopped<F>(command: F) -> Result<(), RigError>
+where
+    F: Future<Output = Result<(), RigError>>,
+{
+    tokio::select! {
+        result = command => result,
+        stopped = stopped() => {
+            stopped?;
+            Err(RigError::Stopped)
+        }
+    }
+}
+
 /// Waits for the first of the signals that ask a process to stop.
 async fn stopped() -> Result<(), RigError> {
     let mut terminate = signal(SignalKind::terminate())?;
--- a/crates/rig/src/error.rs
+++ b/crates/rig/src/error.rs
@@ -36,6 +36,9 @@
     /// A child process did not become ready in time.
     #[error("{0} is not ready in time")]
     NotReady(String),
+    /// The process was told to stop.
+    #[error("stopped before the end")]
+    Stopped,
     /// Promises of the demo did not hold.
     #[error("{0} of the promises did not hold")]
     Broken(usize),
--- a/crates/rig/src/experiment.rs
+++ b/crates/rig/src/experiment.rs
@@ -22,6 +22,7 @@
 pub use self::options::ExperimentOptions;
 pub use self::outcome::Outcome;
 pub use self::recovery::{Recovery, Second};
+pub(crate) use self::run::load_average;
 pub use self::run::run;
 pub use self::scenario::Scenario;
 pub use self::spread::Spread;
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,11 +1,13 @@
 //! Stand-ins, fault proxy, load generator and process harness for testing coltsfootport.
 
 pub mod cli;
+pub mod cost;
 pub mod demo;
 pub mod error;
 pub mod experiment;
 pub mod fleet;
 pub mod http;
+pub mod latency;
 pub mod load;
 pub mod platform;
 pub mod plot;
