The limit is learnt from the target's own time, without that of services below

Cause: with whole service times, a queue in front of the deepest service lengthened the calls of every service above it. The gate now knows while a target's own calls are under way. The limit learns from the rest of the service time, the deadline check from all of it; a failure with a failed or open call below says nothing of the target.

--- a/crates/core/src/admission/call.rs
+++ b/crates/core/src/admission/call.rs
@@ -30,6 +30,8 @@
     Served,
     /// The target shed the call, broke its connection or ran past the deadline.
     Failed,
+    /// The call failed for a further service that the target had called; says nothing of the target itself.
+    FailedBelow,
     /// The caller left before the answer.
     Cancelled,
 }
--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -43,6 +43,8 @@
     class: Class,
     /// When the call went to the target; none while it waits.
     started: Option<Instant>,
+    /// Time in which the target waited for further services.
+    below: Duration,
 }
 
 impl Admission {
@@ -77,6 +79,7 @@
         let key = self.calls.insert(Call {
             class: offer.class,
             started: None,
+            below: Duration::ZERO,
         });
         if let Some(refusal) = self.refusal(&offer, now) {
             self.refuse(key, refusal);
@@ -92,6 +95,13 @@
         key
     }
 
+    /// Notes how long the target waited for further services on behalf of a call; told before its end.
+    pub fn waited_below(&mut self, key: CallKey, time: Duration) {
+        if let Some(call) = self.calls.get_mut(key) {
+            call.below = time;
+        }
+    }
+
     /// Takes the end of a started call.
     pub fn finish(&mut self, key: CallKey, finish: Finish, now: Instant) {
         let Some(call) = self.calls.get(key).copied() else {
@@ -104,11 +114,11 @@
         self.calls.remove(key);
         self.actions.retain(|action| *action != Action::Start(key));
         self.in_flight -= 1;
-        self.learn(started, finish, now);
+        self.learn(started, call.below, finish, now);
         let counters = self.count(call.class);
         match finish {
             Finish::Served => counters.served += 1,
-            Finish::Failed => counters.failed += 1,
+            Finish::Failed | Finish::FailedBelow => counters.failed += 1,
             Finish::Cancelled => counters.cancelled += 1,
         }
         self.advance(now);
@@ -335,7 +345,7 @@
         }
     }
 
-    fn learn(&mut self, started: Instant, finish: Finish, now: Instant) {
+    fn learn(&mut self, started: Instant, below: Duration, finish: Finish, now: Instant) {
         self.window.finished(finish == Finish::Failed);
         if finish == Finish::Served {
             self.level.served();
@@ -344,7 +354,7 @@
         // in time would keep the estimate of its good days, seen as calls started that all run past their deadlines.
         let took = now.saturating_duration_since(started);
         if finish == Finish::Served || took > self.estimate.get(now) {
-            self.window.sample(started, now);
+            self.window.sample(started, below, now);
         }
     }
 
--- a/crates/core/src/admission/window.rs
+++ b/crates/core/src/admission/window.rs
@@ -9,12 +9,21 @@
 #[derive(Clone, Debug)]
 pub(super) struct Window {
     begun: Instant,
-    samples: Vec<Duration>,
+    samples: Vec<Sample>,
     finished: u32,
     failed: u32,
     peak: u32,
 }
 
+/// Service time of one call.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    /// From its start to its end.
+    whole: Duration,
+    /// The same without the time in which the target waited for further services.
+    own: Duration,
+}
+
 /// A closed window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Seen {
@@ -29,8 +38,9 @@
 /// Service times of a window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Times {
+    /// Median of the whole service times.
     pub(super) median: Duration,
-    /// Mean in seconds.
+    /// Mean of the own service times in seconds.
     pub(super) mean: f64,
     /// Standard error of the mean in seconds.
     pub(super) error: f64,
@@ -61,9 +71,15 @@
     ///
     /// Calls that started before the window ran under an older limit: their service times would be taken for the effect
     /// of the newest move and the limit would overshoot, seen as swings that last twice the service time.
-    pub(super) fn sample(&mut self, started: Instant, now: Instant) {
+    ///
+    /// Time that the target waited for further services is kept apart. A queue in front of a deep service lengthens the
+    /// calls of every service above it: taken for queueing here it would cut their limits down to the minimum one after
+    /// the other, seen as calls of the highest class shed by services that have nothing to do.
+    pub(super) fn sample(&mut self, started: Instant, below: Duration, now: Instant) {
         if started >= self.begun && self.samples.len() < MAX_SAMPLES {
-            self.samples.push(now.saturating_duration_since(started));
+            let whole = now.saturating_duration_since(started);
+            let own = whole.saturating_sub(below);
+            self.samples.push(Sample { whole, own });
         }
     }
 
@@ -94,18 +110,19 @@
     }
 }
 
-fn times(samples: &mut [Duration]) -> Option<Times> {
+fn times(samples: &mut [Sample]) -> Option<Times> {
     if samples.is_empty() {
         return None;
     }
     let count = samples.len() as f64;
-    let mean = samples.iter().map(Duration::as_secs_f64).sum::<f64>() / count;
-    let square = |time: &Duration| (time.as_secs_f64() - mean).powi(2);
+    let own = |sample: &Sample| sample.own.as_secs_f64();
+    let mean = samples.iter().map(own).sum::<f64>() / count;
+    let square = |sample: &Sample| (own(sample) - mean).powi(2);
     let variance = samples.iter().map(square).sum::<f64>() / (count - 1.0).max(1.0);
     let middle = samples.len() / 2;
-    let (_, median, _) = samples.select_nth_unstable(middle);
+    let (_, median, _) = samples.select_nth_unstable_by_key(middle, |sample| sample.whole);
     Some(Times {
-        median: *median,
+        median: median.whole,
         mean,
         error: (variance / count).sqrt(),
     })
--- a/crates/core/src/error_kind.rs
+++ b/crates/core/src/error_kind.rs
@@ -155,5 +155,10 @@
 }
 
 const fn row(status: u16, outcome: Outcome, hop_may_retry: bool, retry_after: bool) -> AnswerRule {
-    AnswerRule { status, outcome, hop_may_retry, retry_after }
+    AnswerRule {
+        status,
+        outcome,
+        hop_may_retry,
+        retry_after,
+    }
 }
--- a/crates/core/src/id/request_id.rs
+++ b/crates/core/src/id/request_id.rs
@@ -35,6 +35,8 @@
         if text.len() != 32 {
             return Err(ParseRequestIdError);
         }
-        u128::from_str_radix(text, 16).map(Self).map_err(|_| ParseRequestIdError)
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ParseRequestIdError)
     }
 }
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -215,6 +215,10 @@
             let refused = Refused::unsent(ErrorKind::Shed, identity);
             return Outgoing::new(request, Verdict::Refused(refused));
         }
+        let _below = match origin {
+            Origin::Flight(parent) => Some(self.gate.own_call(parent.flight)),
+            _ => None,
+        };
         let service = call.service.clone();
         let verdict = match once {
             Some(once) => {
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -1,5 +1,7 @@
 //! The gate: one task that decides which calls its target runs, and keeps every call in flight here.
 
+mod below;
+mod below_guard;
 mod context;
 mod flight;
 mod guard;
@@ -7,6 +9,8 @@
 mod message;
 mod task;
 
+pub use below::Below;
+pub use below_guard::BelowGuard;
 pub use context::ContextHandle;
 pub use flight::{Flight, FlightKey, FlightPhase};
 pub use guard::FlightGuard;
--- /dev/null
+++ b/crates/node/src/gate/below_guard.rs
@@ -0,0 +1,28 @@
+//! Ownership of a target's own call.
+
+use tokio::sync::mpsc;
+
+use super::{FlightKey, GateMessage};
+
+/// Tells the gate when a target's own call ends, also where it is given up at any await.
+///
+/// Without it a cancelled call would count as under way for ever, and its parent as waiting below.
+#[derive(Debug)]
+pub struct BelowGuard {
+    flight: FlightKey,
+    tx: mpsc::UnboundedSender<GateMessage>,
+}
+
+impl BelowGuard {
+    /// Notes that a call on behalf of this call in flight began.
+    pub fn new(flight: FlightKey, tx: mpsc::UnboundedSender<GateMessage>) -> Self {
+        let _ = tx.send(GateMessage::OwnCallBegan(flight));
+        Self { flight, tx }
+    }
+}
+
+impl Drop for BelowGuard {
+    fn drop(&mut self) {
+        let _ = self.tx.send(GateMessage::OwnCallEnded(self.flight));
+    }
+}
--- a/crates/node/src/gate/flight.rs
+++ b/crates/node/src/gate/flight.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
-use super::Entered;
+use super::{Below, Entered};
 
 new_key_type! {
     /// Key of a call in flight.
@@ -61,4 +61,13 @@
     pub reply: Option<oneshot::Sender<Entered>>,
     /// Fingerprints of its target's own calls that failed; a repeat of one is a retry.
     pub failed_calls: Set<u64>,
+    /// Its target's own calls.
+    pub below: Below,
+}
+
+impl Flight {
+    /// Whether a failure may come from a further service: an own call of the target failed or is still under way.
+    pub fn may_have_failed_below(&self) -> bool {
+        self.below.is_under_way() || !self.failed_calls.is_empty()
+    }
 }
--- a/crates/node/src/gate/handle.rs
+++ b/crates/node/src/gate/handle.rs
@@ -9,8 +9,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{
-    Admittance, ContextHandle, Departure, Entered, FlightEnd, FlightKey, GateMessage, GateStatus,
-    Parent,
+    Admittance, BelowGuard, ContextHandle, Departure, Entered, FlightEnd, FlightKey, GateMessage,
+    GateStatus, Parent,
 };
 use crate::data::{Answer, HostReport, Refused};
 
@@ -89,6 +89,11 @@
             .unwrap_or(true)
     }
 
+    /// Notes that a target's own call began, and with the guard's end that it ended.
+    pub fn own_call(&self, flight: FlightKey) -> BelowGuard {
+        BelowGuard::new(flight, self.tx.clone())
+    }
+
     /// Notes that a target's own call failed.
     pub fn own_call_failed(&self, flight: FlightKey, fingerprint: u64) {
         let _ = self
--- a/crates/node/src/gate/message.rs
+++ b/crates/node/src/gate/message.rs
@@ -137,6 +137,10 @@
     IsRepeat(FlightKey, u64, oneshot::Sender<bool>),
     /// A target's own call failed.
     OwnCallFailed(FlightKey, u64),
+    /// A target's own call began.
+    OwnCallBegan(FlightKey),
+    /// A target's own call ended, whatever its end.
+    OwnCallEnded(FlightKey),
     /// Admission level heard below an operation of this target.
     LevelBelow(FlightKey, Level),
     /// Refuses all tries of a token up to a number for good.
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -20,8 +20,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{
-    Admittance, ContextHandle, Departure, Entered, Flight, FlightEnd, FlightGuard, FlightKey,
-    FlightPhase, GateHandle, GateMessage, GateStatus, Parent,
+    Admittance, Below, ContextHandle, Departure, Entered, Flight, FlightEnd, FlightGuard,
+    FlightKey, FlightPhase, GateHandle, GateMessage, GateStatus, Parent,
 };
 use crate::clock::SharedClock;
 use crate::data::{Answer, HostReport, Refused};
@@ -175,6 +175,18 @@
                     flight.failed_calls.insert(fingerprint);
                 }
             }
+            GateMessage::OwnCallBegan(key) => {
+                let now = self.clock.now();
+                if let Some(flight) = self.flights.get_mut(key) {
+                    flight.below.began(now);
+                }
+            }
+            GateMessage::OwnCallEnded(key) => {
+                let now = self.clock.now();
+                if let Some(flight) = self.flights.get_mut(key) {
+                    flight.below.ended(now);
+                }
+            }
             GateMessage::LevelBelow(key, level) => self.level_below(key, level),
             GateMessage::Refuse(token, up_to, reply) => {
                 let _ = reply.send(self.refuse(&token, up_to));
@@ -269,6 +281,7 @@
             phase: FlightPhase::Queued,
             reply: Some(reply),
             failed_calls: Set::default(),
+            below: Below::default(),
         };
         let key = self.flights.insert(flight);
         self.by_call.insert(call, key);
@@ -379,7 +392,10 @@
             FlightPhase::Dispatched => self.lifecycle.finished(),
             FlightPhase::Queued | FlightPhase::Admitted => self.lifecycle.withdrawn(),
         }
-        self.admission.finish(flight.call, admission_end(&end), now);
+        let waited = flight.below.total(now);
+        self.admission.waited_below(flight.call, waited);
+        let finish = admission_end(&end, flight.may_have_failed_below());
+        self.admission.finish(flight.call, finish, now);
         if let Some(record) = flight.record {
             self.end_record(record, end, now);
         }
@@ -653,8 +669,12 @@
     now.saturating_duration_since(since).as_micros() as u64
 }
 
-fn admission_end(end: &FlightEnd) -> Finish {
+fn admission_end(end: &FlightEnd, below: bool) -> Finish {
     match end {
+        FlightEnd::Answered(answer) if answer.status.is_server_error() && below => {
+            Finish::FailedBelow
+        }
+        FlightEnd::Lost(_) if below => Finish::FailedBelow,
         FlightEnd::Answered(answer) if answer.status.is_server_error() => Finish::Failed,
         FlightEnd::Answered(_) => Finish::Served,
         FlightEnd::Lost(_) => Finish::Failed,
