--- a/crates/rig/src/latency/run.rs
+++ b/crates/rig/src/latency/run.rs
@@ -167,21 +167,25 @@
         runs.len(),
         loads.join(", ")
     );
-    let rows: [(&str, fn(&LatencyRun) -> Quantiles); 3] = [
-        ("caller, target", |run| run.direct),
-        ("caller, entry, host, target", |run| run.through_nodes),
-        ("added", |run| run.added),
-    ];
-    for (name, way) in rows {
-        let spread = |quantile: fn(&Quantiles) -> f64| {
-            Spread::of(runs.iter().map(|run| quantile(&way(run))).collect())
-        };
-        text.push_str(&format!(
-            "| {name} | {} | {} | {} |\n",
-            spread(|q| q.p50_ms),
-            spread(|q| q.p99_ms),
-            spread(|q| q.p999_ms)
-        ));
-    }
+    text.push_str(&row("caller, target", runs, |run| run.direct));
+    text.push_str(&row("caller, entry, host, target", runs, |run| {
+        run.through_nodes
+    }));
+    text.push_str(&row("added", runs, |run| run.added));
     text
 }
+
+fn row<W>(name: &str, runs: &[LatencyRun], way: W) -> String
+where
+    W: Fn(&LatencyRun) -> Quantiles,
+{
+    let spread = |quantile: fn(&Quantiles) -> f64| {
+        Spread::of(runs.iter().map(|run| quantile(&way(run))).collect())
+    };
+    format!(
+        "| {name} | {} | {} | {} |\n",
+        spread(|q| q.p50_ms),
+        spread(|q| q.p99_ms),
+        spread(|q| q.p999_ms)
+    )
+}
