--- a/crates/node/src/config/convert.rs
+++ b/crates/node/src/config/convert.rs
@@ -5,22 +5,25 @@
 use coltsfootport_core::admission::{self, AdmissionConfig};
 use coltsfootport_core::allowance::{Backoff, EdgeBudgetConfig};
 use coltsfootport_core::dissemination::{GossipConfig, ReaderConfig, StartUpConfig};
+use coltsfootport_core::id::DomainName;
 use coltsfootport_core::lifecycle::LifecycleConfig;
 use coltsfootport_core::once::{FleetKey, OnceConfig};
 use coltsfootport_core::routing::RoutingConfig;
 
 use super::{
-    AdmissionMode, AdmissionSettings, OnceSettings, RetriesSettings, Settings, ShutdownSettings,
-    SpreadSettings,
+    AdmissionMode, OnceSettings, RetriesSettings, Settings, ShutdownSettings, SpreadSettings,
 };
 
-impl From<&AdmissionSettings> for AdmissionConfig {
-    fn from(settings: &AdmissionSettings) -> Self {
+impl From<&Settings> for AdmissionConfig {
+    fn from(settings: &Settings) -> Self {
+        let connections = settings.target.connections;
+        let settings = &settings.admission;
         Self {
             mode: settings.mode.into(),
             initial_limit: settings.initial_limit,
             min_limit: settings.min_limit,
-            max_limit: settings.max_limit,
+            // Each call at the target has a connection of its own.
+            max_limit: settings.max_limit.min(connections),
             queue_length: settings.queue_length as usize,
             level_shedding: settings.level_shedding,
             deadline_check: settings.deadline_check,
@@ -87,7 +90,7 @@
         let subset = settings.routing.subset as usize;
         Self {
             node: settings.node.name.clone(),
-            domain: settings.node.domain.clone(),
+            domain: own_domain(settings),
             region: settings.node.region.clone(),
             subset_min: subset,
             ejection_failures: settings.routing.eject_failures,
@@ -129,6 +132,15 @@
     }
 }
 
+/// The failure domain whose targets come first; the empty name is nobody's.
+fn own_domain(settings: &Settings) -> DomainName {
+    if settings.routing.domain_first {
+        settings.node.domain.clone()
+    } else {
+        DomainName::default()
+    }
+}
+
 impl From<&super::FleetKey> for FleetKey {
     fn from(key: &super::FleetKey) -> Self {
         Self {
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -7,6 +7,7 @@
 mod guard;
 mod handle;
 mod message;
+mod own_call;
 mod task;
 
 pub use below::Below;
@@ -16,4 +17,5 @@
 pub use guard::FlightGuard;
 pub use handle::GateHandle;
 pub use message::{Admittance, Departure, Entered, FlightEnd, GateMessage, GateStatus, Parent};
+pub use own_call::{OwnCall, OwnCalls};
 pub use task::{Gate, GateSetup};
--- a/crates/node/src/gate/below.rs
+++ b/crates/node/src/gate/below.rs
@@ -8,6 +8,7 @@
     under_way: u32,
     since: Option<Instant>,
     total: Duration,
+    failed: bool,
 }
 
 impl Below {
@@ -18,7 +19,8 @@
     }
 
     /// A call to a further service ended.
-    pub fn ended(&mut self, now: Instant) {
+    pub fn ended(&mut self, succeeded: bool, now: Instant) {
+        self.failed |= !succeeded;
         self.under_way = self.under_way.saturating_sub(1);
         if self.under_way == 0 {
             self.total = self.total(now);
@@ -26,9 +28,9 @@
         }
     }
 
-    /// Whether a call to a further service is under way.
-    pub fn is_under_way(&self) -> bool {
-        self.under_way > 0
+    /// Whether a failure may come from a further service: a call there failed or is still under way.
+    pub fn may_have_failed(&self) -> bool {
+        self.failed || self.under_way > 0
     }
 
     /// Time so far; calls side by side count once.
--- a/crates/node/src/gate/below_guard.rs
+++ b/crates/node/src/gate/below_guard.rs
@@ -11,18 +11,31 @@
 pub struct BelowGuard {
     flight: FlightKey,
     tx: mpsc::UnboundedSender<GateMessage>,
+    succeeded: bool,
 }
 
 impl BelowGuard {
     /// Notes that a call on behalf of this call in flight began.
     pub fn new(flight: FlightKey, tx: mpsc::UnboundedSender<GateMessage>) -> Self {
-        let _ = tx.send(GateMessage::OwnCallBegan(flight));
-        Self { flight, tx }
+        let _ = tx.send(GateMessage::BelowBegan(flight));
+        Self {
+            flight,
+            tx,
+            succeeded: false,
+        }
+    }
+
+    /// Notes that the call was answered with success, and ends it.
+    pub fn succeeded(mut self) {
+        self.succeeded = true;
     }
 }
 
 impl Drop for BelowGuard {
     fn drop(&mut self) {
-        let _ = self.tx.send(GateMessage::OwnCallEnded(self.flight));
+        let _ = self.tx.send(GateMessage::BelowEnded {
+            flight: self.flight,
+            succeeded: self.succeeded,
+        });
     }
 }
--- a/crates/node/src/gate/flight.rs
+++ b/crates/node/src/gate/flight.rs
@@ -5,14 +5,13 @@
 use coltsfootport_core::admission::CallKey;
 use coltsfootport_core::allowance::Allowance;
 use coltsfootport_core::class::Class;
-use coltsfootport_core::collections::Set;
 use coltsfootport_core::id::RequestId;
 use coltsfootport_core::once::RecordKey;
 use slotmap::new_key_type;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
-use super::{Below, Entered};
+use super::{Below, Entered, OwnCalls};
 
 new_key_type! {
     /// Key of a call in flight.
@@ -59,15 +58,8 @@
     pub phase: FlightPhase,
     /// Where its admission is awaited, until it is decided.
     pub reply: Option<oneshot::Sender<Entered>>,
-    /// Fingerprints of its target's own calls that failed; a repeat of one is a retry.
-    pub failed_calls: Set<u64>,
-    /// Its target's own calls.
+    /// Its target's own calls; a repeat of a failed one is a retry.
+    pub own_calls: OwnCalls,
+    /// Time that its target spends on its own calls.
     pub below: Below,
 }
-
-impl Flight {
-    /// Whether a failure may come from a further service: an own call of the target failed or is still under way.
-    pub fn may_have_failed_below(&self) -> bool {
-        self.below.is_under_way() || !self.failed_calls.is_empty()
-    }
-}
--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -7,7 +7,7 @@
     Action, Admission, AdmissionConfig, CallKey, Finish, Level, LevelBoard, LevelBoardConfig, Offer,
 };
 use coltsfootport_core::allowance::Allowance;
-use coltsfootport_core::collections::{Map, Set};
+use coltsfootport_core::collections::Map;
 use coltsfootport_core::error_kind::ErrorKind;
 use coltsfootport_core::id::{Incarnation, NodeName, ServiceName};
 use coltsfootport_core::lifecycle::{Lifecycle, LifecycleConfig, LifecycleEvent, Phase};
@@ -17,15 +17,16 @@
 use rand::{Rng, SeedableRng};
 use slotmap::SlotMap;
 use smol_str::SmolStr;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::{
     Admittance, Below, ContextHandle, Departure, Entered, Flight, FlightEnd, FlightGuard,
-    FlightKey, FlightPhase, GateHandle, GateMessage, GateStatus, Parent,
+    FlightKey, FlightPhase, GateHandle, GateMessage, GateStatus, OwnCalls, Parent,
 };
 use crate::clock::SharedClock;
 use crate::data::{Answer, HostReport, Refused};
 use crate::recorder::Recorder;
+use crate::spread::Published;
 
 /// What the gate is made of.
 #[derive(Clone)]
@@ -50,6 +51,8 @@
     pub recorder: Recorder,
     /// Where the phases of the node's life are told.
     pub life: mpsc::UnboundedSender<LifecycleEvent>,
+    /// What is published, for the revision that others hear of.
+    pub published: watch::Receiver<Arc<Published>>,
 }
 
 /// The task that decides which calls the target runs.
@@ -73,7 +76,9 @@
     actions: Vec<Action>,
     drained: Vec<oneshot::Sender<()>>,
     rng: SmallRng,
-    revision: u64,
+    published: watch::Receiver<Arc<Published>>,
+    /// Calls that wait, for those whose callers leave.
+    waiting: Vec<FlightKey>,
     tx: mpsc::UnboundedSender<GateMessage>,
     rx: mpsc::UnboundedReceiver<GateMessage>,
 }
@@ -95,7 +100,8 @@
             actions: Vec::new(),
             drained: Vec::new(),
             rng: SmallRng::from_os_rng(),
-            revision: 0,
+            published: setup.published,
+            waiting: Vec::new(),
             node: setup.node,
             service: setup.service,
             entering: None,
@@ -166,25 +172,35 @@
                     .is_some_and(|f| f.allowance.spend());
                 let _ = reply.send(spent);
             }
-            GateMessage::IsRepeat(key, fingerprint, reply) => {
-                let known = self.flights.get(key);
-                let _ = reply.send(known.is_none_or(|f| f.failed_calls.contains(&fingerprint)));
+            GateMessage::OwnCall(key, fingerprint, reply) => {
+                if let Some(flight) = self.flights.get_mut(key) {
+                    flight.own_calls.begin(key, fingerprint, reply, &self.tx);
+                }
             }
-            GateMessage::OwnCallFailed(key, fingerprint) => {
+            GateMessage::OwnCallEnded {
+                flight: key,
+                fingerprint,
+                succeeded,
+            } => {
                 if let Some(flight) = self.flights.get_mut(key) {
-                    flight.failed_calls.insert(fingerprint);
+                    flight
+                        .own_calls
+                        .ended(key, fingerprint, succeeded, &self.tx);
                 }
             }
-            GateMessage::OwnCallBegan(key) => {
+            GateMessage::BelowBegan(key) => {
                 let now = self.clock.now();
                 if let Some(flight) = self.flights.get_mut(key) {
                     flight.below.began(now);
                 }
             }
-            GateMessage::OwnCallEnded(key) => {
+            GateMessage::BelowEnded {
+                flight: key,
+                succeeded,
+            } => {
                 let now = self.clock.now();
                 if let Some(flight) = self.flights.get_mut(key) {
-                    flight.below.ended(now);
+                    flight.below.ended(succeeded, now);
                 }
             }
             GateMessage::LevelBelow(key, level) => self.level_below(key, level),
@@ -211,10 +227,12 @@
             None => None,
             Some(Arrival::Run(record)) => Some(record),
             Some(Arrival::Join(record)) => {
+                self.note_token(&admittance, |attempt| Event::TokenJoined { attempt });
                 self.join(record, admittance.deadline, reply);
                 return;
             }
             Some(Arrival::Replay(answer)) => {
+                self.note_token(&admittance, |attempt| Event::TokenReplayed { attempt });
                 let _ = reply.send(Entered::Replayed(answer));
                 return;
             }
@@ -226,6 +244,16 @@
         self.admit(admittance, record, reply, now);
     }
 
+    fn note_token<E>(&self, admittance: &Admittance, event: E)
+    where
+        E: FnOnce(u16) -> Event,
+    {
+        let number = admittance.once.as_ref().map_or(0, |once| once.number.0);
+        let number = u16::try_from(number).unwrap_or(u16::MAX);
+        self.recorder
+            .record(Some(admittance.request), event(number));
+    }
+
     /// Answers a call while no new work is taken.
     ///
     /// A token's try is refused for good before its caller hears "not run": while the node is still starting, an older try
@@ -264,6 +292,7 @@
             bucket: admittance.bucket,
             deadline: admittance.deadline,
         };
+        self.drop_left();
         let call = self.admission.offer(offer, now);
         self.lifecycle.accepted();
         let flight = Flight {
@@ -280,7 +309,7 @@
             record,
             phase: FlightPhase::Queued,
             reply: Some(reply),
-            failed_calls: Set::default(),
+            own_calls: OwnCalls::default(),
             below: Below::default(),
         };
         let key = self.flights.insert(flight);
@@ -394,7 +423,7 @@
         }
         let waited = flight.below.total(now);
         self.admission.waited_below(flight.call, waited);
-        let finish = admission_end(&end, flight.may_have_failed_below());
+        let finish = admission_end(&end, flight.below.may_have_failed());
         self.admission.finish(flight.call, finish, now);
         if let Some(record) = flight.record {
             self.end_record(record, end, now);
@@ -449,8 +478,43 @@
         self.poll_life(now);
     }
 
+    /// Takes calls out of the queue whose callers have left.
+    ///
+    /// Clients that give up and try again would otherwise fill the queue with calls that nobody waits for, and the living ones
+    /// are refused.
+    fn drop_left(&mut self) {
+        let waiting = std::mem::take(&mut self.waiting);
+        for key in waiting {
+            let Some(flight) = self.flights.get(key) else {
+                continue;
+            };
+            if flight.phase != FlightPhase::Queued {
+                continue;
+            }
+            if self.is_left(flight) {
+                self.abandon(key);
+            } else {
+                self.waiting.push(key);
+            }
+        }
+    }
+
+    fn is_left(&self, flight: &Flight) -> bool {
+        let joined = flight
+            .record
+            .is_some_and(|record| self.joined.contains_key(&record));
+        !joined
+            && flight
+                .reply
+                .as_ref()
+                .is_some_and(oneshot::Sender::is_closed)
+    }
+
     fn note_queued(&mut self) {
-        let Some(flight) = self.entering.take().and_then(|key| self.flights.get(key)) else {
+        let Some(key) = self.entering.take() else {
+            return;
+        };
+        let Some(flight) = self.flights.get(key) else {
             return;
         };
         if flight.phase != FlightPhase::Queued {
@@ -460,6 +524,7 @@
             class: flight.class,
             ahead: self.admission.queued().saturating_sub(1) as u32,
         };
+        self.waiting.push(key);
         self.recorder.record(Some(flight.request), event);
     }
 
@@ -628,7 +693,7 @@
             queued: self.admission.queued() as u32,
             limit: self.admission.limit(),
             level: self.admission.level().min(below),
-            revision: self.revision,
+            revision: self.published.borrow().revision,
         }
     }
 
--- a/crates/node/src/metrics/faults.rs
+++ b/crates/node/src/metrics/faults.rs
@@ -1,7 +1,7 @@
 //! Metrics of rejected input and breached invariants.
 
 use coltsfootport_core::invariant::Invariant;
-use prometheus::{Error, IntCounterVec, Registry};
+use prometheus::{Error, IntCounter, IntCounterVec, Registry};
 
 use super::build;
 
@@ -12,6 +12,8 @@
     Frame,
     /// A peer's certificate that is not of the fleet.
     Certificate,
+    /// A peer that speaks under the name of another node.
+    Name,
     /// A token that is forged or malformed.
     Token,
 }
@@ -21,7 +23,7 @@
 pub struct FaultMetrics {
     breaches: IntCounterVec,
     rejected: IntCounterVec,
-    stamps: IntCounterVec,
+    stamps: IntCounter,
 }
 
 impl FaultMetrics {
@@ -39,11 +41,10 @@
                 "Input from outside that was rejected, by what it was.",
                 &["what"],
             )?,
-            stamps: build::counters(
+            stamps: build::counter(
                 reg,
                 "clock_stamps_ignored_total",
-                "Time line stamps of a peer that lay too far ahead, by peer.",
-                &["peer"],
+                "Time line stamps of peers that lay too far ahead.",
             )?,
         };
         for invariant in Invariant::ALL {
@@ -77,20 +78,21 @@
     }
 
     /// Counts a peer's stamp that was ignored.
-    pub fn stamp_ignored(&self, peer: &str) {
-        self.stamps.with_label_values(&[peer]).inc();
+    pub fn stamp_ignored(&self) {
+        self.stamps.inc();
     }
 }
 
 impl Rejected {
     /// Everything that can be rejected.
-    pub const ALL: [Self; 3] = [Self::Frame, Self::Certificate, Self::Token];
+    pub const ALL: [Self; 4] = [Self::Frame, Self::Certificate, Self::Name, Self::Token];
 
     /// The label in metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Frame => "frame",
             Self::Certificate => "certificate",
+            Self::Name => "name",
             Self::Token => "token",
         }
     }
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -8,10 +8,13 @@
 use coltsfootport_core::allowance::{Backoff, EdgeBudgetConfig, RetryPolicy};
 use coltsfootport_core::dissemination::{GossipConfig, ReaderConfig, StartUpConfig};
 use coltsfootport_core::id::Incarnation;
+use coltsfootport_core::jsonc::Fault;
 use coltsfootport_core::lifecycle::LifecycleConfig;
 use coltsfootport_core::once::{KeyRing, KeyRingError, OnceConfig};
 use coltsfootport_core::routing::RoutingConfig;
+use coltsfootport_core::timeline::Event;
 use slog::{Logger, info};
+use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc, watch};
 
@@ -23,7 +26,7 @@
 use crate::entry::{Dispatcher, DispatcherSetup, EntryLimits, EntryService, TokenIssuer};
 use crate::gate::{Gate, GateSetup};
 use crate::host::{Host, HostSetup, TargetClient};
-use crate::http::{Listener, ListenerLimits, TargetPool};
+use crate::http::{Listener, ListenerLimits, ListenerStage, TargetPool};
 use crate::metrics::Metrics;
 use crate::operators::{self, QUERY_QUEUE};
 use crate::peers::{FrameLimits, Hub, PeerServer, PeerServices, TlsError, TlsMaterial, bind};
@@ -56,7 +59,7 @@
 }
 
 /// Runs a node until it has been stopped and its last call has ended.
-pub async fn run(settings: Settings, log: Logger) -> Result<(), NodeError> {
+pub async fn run(settings: Settings, warnings: Vec<Fault>, log: Logger) -> Result<(), NodeError> {
     let clock: SharedClock = Arc::new(SystemClock);
     let started = clock.now();
     let incarnation = Incarnation::random();
@@ -66,23 +69,28 @@
     let (recorder, recording) =
         Recorder::new(name.clone(), Arc::clone(&clock), metrics.clone(), capacity);
     tokio::spawn(recording.run());
+    for warning in warnings {
+        let text = SmolStr::from(warning.to_string());
+        recorder.record(None, Event::SettingsWarning { text });
+    }
 
+    let (published_tx, published) = watch::channel(Arc::new(Published::default()));
     let (life_tx, life_rx) = mpsc::unbounded_channel();
     let (gate_task, gate) = Gate::new(GateSetup {
         node: name.clone(),
         service: settings.node.service.clone(),
         incarnation,
         started,
-        admission: AdmissionConfig::from(&settings.admission),
+        admission: AdmissionConfig::from(&settings),
         once: OnceConfig::from(&settings.once),
         lifecycle: LifecycleConfig::from(&settings.shutdown),
         clock: Arc::clone(&clock),
         recorder: recorder.clone(),
+        published: published.clone(),
         life: life_tx,
     });
     let gate_task = tokio::spawn(gate_task.run());
 
-    let (published_tx, published) = watch::channel(Arc::new(Published::default()));
     let (words_tx, words) = mpsc::unbounded_channel();
     let (routes_task, routes) = Routes::new(RoutesSetup {
         routing: RoutingConfig::from(&settings),
@@ -102,14 +110,17 @@
         settings.target.address,
         settings.target.connections as usize,
         settings.target.connect_timeout,
+        settings.limits.header_bytes as usize,
     );
     tokio::spawn(pool_task.run());
     let host = Host::new(HostSetup {
+        service: settings.node.service.clone(),
         gate: gate.clone(),
         target: TargetClient::new(pool, settings.target.address, body_limit),
         incarnation,
         clock: Arc::clone(&clock),
         recorder: recorder.clone(),
+        metrics: metrics.clone(),
     });
 
     let tls = TlsMaterial::parse(
@@ -127,7 +138,9 @@
         head: HEAD_ALLOWANCE + settings.limits.header_bytes as usize,
         body: body_limit,
     };
+    let streams = Arc::new(Semaphore::new(MOST_STREAMS as usize));
     let services = PeerServices {
+        streams: Arc::clone(&streams),
         host: host.clone(),
         gate: gate.clone(),
         routes: routes.clone(),
@@ -136,6 +149,7 @@
         recorder: recorder.clone(),
         metrics: metrics.clone(),
         limits: frames,
+        frame_time: settings.limits.header_timeout,
     };
     let (hub_task, hub) = Hub::new(endpoint.clone(), services.clone());
     tokio::spawn(hub_task.run());
@@ -143,6 +157,7 @@
 
     let spread_task = Spread::new(SpreadSetup {
         node: name.clone(),
+        incarnation,
         started,
         reader: ReaderConfig::from(&settings),
         gossip: GossipConfig::from(&settings.spread),
@@ -191,7 +206,7 @@
         log: log.clone(),
     };
 
-    let (closing, closed) = watch::channel(false);
+    let (listeners, stage) = watch::channel(ListenerStage::Open);
     let limits = ListenerLimits {
         connections: settings.limits.connections as usize,
         header_bytes: settings.limits.header_bytes as usize,
@@ -200,8 +215,8 @@
     let callers = listen("callers", settings.listen.callers).await?;
     let egress = listen("egress", settings.listen.egress).await?;
     let for_operators = listen("operators", settings.listen.operators).await?;
-    let callers = Listener::new(callers, limits, closed.clone());
-    let egress = Listener::new(egress, limits, closed.clone());
+    let callers = Listener::new(callers, limits, stage.clone());
+    let egress = Listener::new(egress, limits, stage);
     // Calls of the target have places of their own: were all taken by callers, none of these could ever end.
     let for_target = EntryService {
         places: Arc::new(Semaphore::new(settings.limits.in_flight as usize)),
@@ -246,7 +261,7 @@
         recorder,
         published,
         stopping,
-        closing,
+        listeners,
         events: life_rx,
         log,
     };
@@ -257,6 +272,9 @@
     }
     // Requests that this node still carries to other hosts are answered before it ends.
     let _ = tokio::time::timeout(settings.shutdown.drain, callers).await;
+    // The last answers are still on their way to other nodes.
+    let ended = streams.acquire_many(MOST_STREAMS);
+    let _ = tokio::time::timeout(LAST_ANSWERS, ended).await;
     endpoint.close(quinn::VarInt::from_u32(0), b"stopped");
     let _ = tokio::time::timeout(CLOSE_PATIENCE, endpoint.wait_idle()).await;
     Ok(())
@@ -265,6 +283,12 @@
 /// Bytes of a frame's head beyond the HTTP headers.
 const HEAD_ALLOWANCE: usize = 32 * 1024;
 
+/// Streams of peers that are served at a time.
+const MOST_STREAMS: u32 = 16_384;
+
+/// How long the last answers to peers may take once nothing is in flight.
+const LAST_ANSWERS: std::time::Duration = std::time::Duration::from_secs(5);
+
 /// How long peers are given to take in that connections are closed.
 const CLOSE_PATIENCE: std::time::Duration = std::time::Duration::from_millis(500);
 
--- a/crates/node/src/spread/task.rs
+++ b/crates/node/src/spread/task.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coltsfootport_core::collections::Map;
+use coltsfootport_core::collections::{Map, Set};
 use coltsfootport_core::dissemination::{
     Digest, Entry, GossipPlan, InForce, Key, Offer, PullConfig, Pulls, ReaderPolicy, Replica,
     Revision, StartUp, Verdict,
@@ -12,7 +12,7 @@
 use coltsfootport_core::id::{NodeName, ServiceName};
 use coltsfootport_core::jsonc::Fault;
 use coltsfootport_core::membership::{
-    InstanceEntry, MembershipConfig, NodeState, View, WordOutcome,
+    InstanceEntry, MembershipConfig, NodeState, Tick, View, WordOutcome,
 };
 use coltsfootport_core::routing::PeerView;
 use coltsfootport_core::timeline::Event;
@@ -21,6 +21,8 @@
 use slog::{info, warn};
 use smol_str::SmolStr;
 
+use crate::wire::ControlRequest;
+
 use super::{DocumentInForce, NodeEntry, Published, SpreadMessage, SpreadSetup, Word};
 
 /// The task that owns the replica of published entries and the view of the fleet.
@@ -34,16 +36,22 @@
     pub(super) gossip: GossipPlan,
     pub(super) pulls: Pulls,
     pub(super) start_up: StartUp,
+    /// Peers whose copies were heard of at the start.
+    pub(super) start_peers: Set<NodeName>,
     /// Digest of the peer with which versions are being compared.
     pub(super) compared: Option<Digest>,
     pub(super) last_read: Option<Instant>,
     pub(super) reachable: bool,
-    pub(super) serving: bool,
+    /// State of this node.
+    pub(super) state: NodeState,
+    /// Requests to peers that are not answered yet.
+    pub(super) unanswered: usize,
     /// When each node that the list still shows as live was heard to leave.
     pub(super) left: Map<NodeName, Instant>,
     pub(super) rng: SmallRng,
     epoch: u64,
     reader: bool,
+    ready: bool,
 }
 
 impl Spread {
@@ -58,14 +66,17 @@
             gossip: GossipPlan::new(setup.gossip, &setup.node, &view),
             pulls: Pulls::new(PullConfig::default()),
             start_up: StartUp::new(setup.start_up, setup.started),
+            start_peers: Set::default(),
             compared: None,
             last_read: None,
             reachable: false,
-            serving: false,
+            state: NodeState::Starting,
+            unanswered: 0,
             left: Map::default(),
             rng: SmallRng::from_os_rng(),
             epoch: view.epoch(),
             reader: false,
+            ready: false,
             view,
             setup,
         }
@@ -84,6 +95,7 @@
                 _ = tick.tick() => self.advance(),
             }
             self.read_if_due();
+            self.serve_if_ready();
         }
     }
 
@@ -94,12 +106,22 @@
             SpreadMessage::Asked(request, reply) => {
                 let _ = reply.send(self.answer(request));
             }
-            SpreadMessage::Replied(node, reply) => self.replied(&node, reply),
+            SpreadMessage::Replied(node, reply) => {
+                self.unanswered -= 1;
+                self.replied(&node, reply);
+            }
+            SpreadMessage::NoReply => self.unanswered -= 1,
             SpreadMessage::Unreachable(node) => {
+                self.unanswered -= 1;
                 self.view.unreachable(&node, self.now());
+                let event = Event::PeerDown { peer: node };
+                self.setup.recorder.record(None, event);
                 self.view_changed();
             }
-            SpreadMessage::Serving => self.serving = true,
+            SpreadMessage::State(state) => {
+                self.state = state;
+                self.hear(self.own_word());
+            }
             SpreadMessage::Documents(reply) => {
                 let _ = reply.send(self.document_status());
             }
@@ -138,19 +160,16 @@
         let parsed = Document::parse_for(&service, &entry.value).map(Arc::new);
         let fault = first_fault(&parsed);
         let revision = entry.revision.0;
-        let metrics = &self.setup.metrics.documents;
         let event = match self.documents.offer(&entry.key, entry.revision, parsed) {
             Offer::InForce => {
                 self.replica
                     .judge(&entry.key, entry.revision, Verdict::Valid);
-                metrics.set_in_force(&service, revision);
                 info!(self.setup.log, "document in force"; "document" => %service, "revision" => revision);
                 Event::DocumentInForce { service, revision }
             }
             Offer::Rejected => {
                 self.replica
                     .judge(&entry.key, entry.revision, Verdict::Invalid);
-                metrics.rejected(&service);
                 warn!(self.setup.log, "document rejected"; "document" => %service, "revision" => revision, "fault" => %fault);
                 Event::DocumentRejected {
                     service,
@@ -168,6 +187,10 @@
     pub(super) fn hear(&mut self, word: Word) {
         let now = self.now();
         let (node, state) = (word.node.clone(), word.state);
+        if word.revision > self.replica.revision().0 {
+            let after = self.replica.complete().0;
+            self.ask(&node, ControlRequest::PullSince(after));
+        }
         let outcome = self
             .view
             .heard(&word.node, word.incarnation, word.state, word.tick, now);
@@ -187,6 +210,18 @@
         self.view_changed();
     }
 
+    /// What this node tells about itself.
+    pub(super) fn own_word(&self) -> Word {
+        let age = self.now().saturating_duration_since(self.setup.started);
+        Word {
+            node: self.setup.node.clone(),
+            incarnation: self.setup.incarnation,
+            state: self.state,
+            tick: Tick(u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            revision: 0,
+        }
+    }
+
     fn advance(&mut self) {
         let now = self.now();
         if self.view.advance(now) {
@@ -195,9 +230,18 @@
         self.exchange_digests(now);
         self.retry_pulls(now);
         self.probe_left(now);
-        if !self.setup.published.borrow().ready && self.start_up.ready(now) {
-            self.publish();
+    }
+
+    /// Lets the node serve once it has the newest of what the platform and its peers hold.
+    ///
+    /// While a peer is still asked, something newer, or the last good version behind an invalid one, may be on its way; a node
+    /// that served before it came would act on an older document than all others.
+    fn serve_if_ready(&mut self) {
+        if self.ready || self.unanswered > 0 || !self.start_up.ready(self.now()) {
+            return;
         }
+        self.ready = true;
+        self.publish();
     }
 
     /// Follows a changed view: other peers, perhaps another reader, and another snapshot.
@@ -210,6 +254,9 @@
         self.config_reads.observe(&self.setup.node, &self.view, now);
         self.list_reads.observe(&self.setup.node, &self.view, now);
         self.gossip.update(&self.setup.node, &self.view);
+        if !self.ready {
+            self.ask_at_start();
+        }
         self.note_reader(
             self.config_reads
                 .is_reader(&self.setup.node, &self.view, now),
@@ -222,7 +269,6 @@
             return;
         }
         self.reader = reader;
-        self.setup.metrics.documents.set_reader(reader);
         let event = if reader {
             Event::ReaderBecame
         } else {
@@ -231,6 +277,10 @@
         self.setup.recorder.record(None, event);
     }
 
+    pub(super) fn is_ready(&self) -> bool {
+        self.ready
+    }
+
     pub(super) fn is_reader(&self) -> bool {
         self.reader
     }
@@ -248,12 +298,11 @@
             .collect();
         let revision = self.replica.revision().0;
         self.setup.metrics.documents.set_platform_revision(revision);
-        let ready = self.start_up.ready(self.now());
         self.setup.published.send_replace(Arc::new(Published {
             documents,
             nodes,
             revision,
-            ready,
+            ready: self.ready,
         }));
     }
 
--- a/crates/node/src/wire/control.rs
+++ b/crates/node/src/wire/control.rs
@@ -105,10 +105,8 @@
 /// What a node holds of everything published.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct DigestFrame {
-    /// The sender.
-    pub node: SmolStr,
-    /// Whether the sender serves, so that its word counts at the start of others.
-    pub serving: bool,
+    /// The sender's word about itself; its copies count at the start of others where it serves.
+    pub word: WordFrame,
     /// Its copy of the entries.
     pub digest: Digest,
     /// Revision of its list of instances.
@@ -182,6 +180,25 @@
     }
 }
 
+impl ControlRequest {
+    /// The name under which the sender speaks of itself; `None` where the message names no sender.
+    pub fn sender(&self) -> Option<&SmolStr> {
+        match self {
+            Self::Greet(hello) | Self::Announce(hello) => Some(&hello.report.node),
+            Self::Digest(digest) => Some(&digest.word.node),
+            Self::News(news) => Some(&news.node),
+            Self::Ping
+            | Self::Refuse { .. }
+            | Self::PullSince(_)
+            | Self::PullKeys(_)
+            | Self::Versions(_)
+            | Self::PullList(_)
+            | Self::Entries(_)
+            | Self::Words(_) => None,
+        }
+    }
+}
+
 impl HelloFrame {
     /// A greeting that tells the state of this node.
     pub fn new(report: &HostReport, stamp: Stamp) -> Self {
--- a/crates/rig/tests/common/mod.rs
+++ b/crates/rig/tests/common/mod.rs
@@ -42,18 +42,24 @@
 where
     W: Fn(&TargetCounts) -> bool,
 {
-    let look = async {
+    let look = async || Some(counts(client, target).await).filter(&wanted);
+    until(look).await
+}
+
+/// Looks again and again until there is something to see.
+pub async fn until<T, L>(look: L) -> T
+where
+    L: AsyncFn() -> Option<T>,
+{
+    let looks = async {
         loop {
-            let counts = counts(client, target).await;
-            if wanted(&counts) {
-                return counts;
+            if let Some(seen) = look().await {
+                return seen;
             }
             sleep(Duration::from_millis(5)).await;
         }
     };
-    timeout(PATIENCE, look)
-        .await
-        .expect("counts as wanted in time")
+    timeout(PATIENCE, looks).await.expect("seen in time")
 }
 
 /// A `GET` with a key.
@@ -74,3 +80,20 @@
 pub fn text(answer: &ClientAnswer) -> String {
     String::from_utf8_lossy(&answer.body).into_owned()
 }
+
+/// A counter of a node, 0 where it is not shown.
+pub async fn metric(client: &Client, operators: SocketAddr, name: &str) -> u64 {
+    let call = ClientCall::new(operators, Method::GET, "/metrics");
+    let page = text(&client.send(call).await.expect("metrics"));
+    let lines = page.lines().filter(|line| line.contains(name));
+    let numbers = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+    numbers.sum()
+}
+
+/// Resident memory of a process in bytes.
+pub fn resident(pid: i32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("a process");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+    number.expect("a number of KiB") * 1024
+}
