--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -49,6 +49,8 @@
     deadline: Instant,
     /// When the call went to the target; none while it waits.
     started: Option<Instant>,
+    /// Time in which the target waited for further services.
+    below: Duration,
 }
 
 impl Admission {
@@ -88,6 +90,7 @@
             class,
             deadline,
             started: None,
+            below: Duration::ZERO,
         });
         if let Some(refusal) = self.refusal(&offer, now) {
             self.refuse(key, refusal);
@@ -103,6 +106,13 @@
         key
     }
 
+    /// Notes how long the target waited for further services on behalf of a call; told before its end.
+    pub fn waited_below(&mut self, key: CallKey, time: Duration) {
+        if let Some(call) = self.calls.get_mut(key) {
+            call.below = time;
+        }
+    }
+
     /// Takes the end of a started call.
     pub fn finish(&mut self, key: CallKey, finish: Finish, now: Instant) {
         let Some(call) = self.calls.get(key).copied() else {
@@ -119,11 +129,11 @@
         if finish == Finish::Failed && early {
             self.hold_slot(started, now);
         }
-        self.learn(started, finish, early, now);
+        self.learn(started, call.below, finish, early, now);
         let counters = self.count(call.class);
         match finish {
             Finish::Served => counters.served += 1,
-            Finish::Failed => counters.failed += 1,
+            Finish::Failed | Finish::FailedBelow => counters.failed += 1,
             Finish::Cancelled => counters.cancelled += 1,
         }
         self.advance(now);
@@ -380,7 +390,14 @@
         }
     }
 
-    fn learn(&mut self, started: Instant, finish: Finish, early: bool, now: Instant) {
+    fn learn(
+        &mut self,
+        started: Instant,
+        below: Duration,
+        finish: Finish,
+        early: bool,
+        now: Instant,
+    ) {
         // Failures past the deadline or the usual time are seen in the service times; early ones tell that the target
         // sheds or is broken.
         self.window.finished();
@@ -394,7 +411,7 @@
         // in time would keep the estimate of its good days, seen as calls started that all run past their deadlines.
         let long = now >= started + self.expected_time(now);
         if finish == Finish::Served || long {
-            self.window.sample(started, now);
+            self.window.sample(started, below, now);
         }
     }
 
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -201,6 +201,10 @@
             allowance: 0,
         };
         self.recorder.record(Some(request), event);
+        let below = match &origin {
+            Origin::Flight(parent) => Some(self.gate.below(parent.flight)),
+            _ => None,
+        };
         let outgoing = match self.own_call(&origin, &inbound, &mut prepared).await {
             Ok(own) => {
                 let outgoing = self.dispatch(prepared, identity).await;
@@ -213,6 +217,9 @@
             }
             Err(kind) => Outgoing::new(request, Verdict::Refused(Refused::unsent(kind, identity))),
         };
+        if let Some(below) = below.filter(|_| outgoing.is_success()) {
+            below.succeeded();
+        }
         Answered { class, outgoing }
     }
 
--- a/crates/node/src/gate/flight.rs
+++ b/crates/node/src/gate/flight.rs
@@ -11,7 +11,7 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
-use super::{Entered, OwnCalls};
+use super::{Below, Entered, OwnCalls};
 
 new_key_type! {
     /// Key of a call in flight.
@@ -60,4 +60,6 @@
     pub reply: Option<oneshot::Sender<Entered>>,
     /// Its target's own calls; a repeat of a failed one is a retry.
     pub own_calls: OwnCalls,
+    /// Time that its target spends on its own calls.
+    pub below: Below,
 }
--- a/crates/node/src/gate/handle.rs
+++ b/crates/node/src/gate/handle.rs
@@ -9,8 +9,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{
-    Admittance, ContextHandle, Departure, Entered, FlightEnd, FlightKey, GateMessage, GateStatus,
-    OwnCall, Parent,
+    Admittance, BelowGuard, ContextHandle, Departure, Entered, FlightEnd, FlightKey, GateMessage,
+    GateStatus, OwnCall, Parent,
 };
 use crate::data::{Answer, HostReport, Refused};
 
@@ -93,6 +93,11 @@
             .await
     }
 
+    /// Notes that a target's own call began, and with the guard's end that it ended.
+    pub fn below(&self, flight: FlightKey) -> BelowGuard {
+        BelowGuard::new(flight, self.tx.clone())
+    }
+
     /// Notes the admission level heard below an operation of this target.
     pub fn level_below(&self, flight: FlightKey, level: Level) {
         let _ = self.tx.send(GateMessage::LevelBelow(flight, level));
--- a/crates/node/src/gate/message.rs
+++ b/crates/node/src/gate/message.rs
@@ -144,6 +144,15 @@
         /// Whether the target got it.
         succeeded: bool,
     },
+    /// A target's own call arrived.
+    BelowBegan(FlightKey),
+    /// A target's own call was answered or given up.
+    BelowEnded {
+        /// The call in flight that it served.
+        flight: FlightKey,
+        /// Whether it was answered with success.
+        succeeded: bool,
+    },
     /// Admission level heard below an operation of this target.
     LevelBelow(FlightKey, Level),
     /// Refuses all tries of a token up to a number for good.
--- a/crates/rig/src/load/recorder.rs
+++ b/crates/rig/src/load/recorder.rs
@@ -44,6 +44,8 @@
 /// Collects calls into a report.
 pub struct Recorder {
     report: LoadReport,
+    /// Latencies of whole answers by the second in which they came.
+    latencies: Vec<Vec<Duration>>,
     classes: Vec<ClassRecord>,
     /// Position in `classes` of each operation.
     class_of: Vec<usize>,
@@ -74,6 +76,7 @@
                 seconds: plan.seconds(),
                 ..LoadReport::default()
             },
+            latencies: Vec::new(),
             classes,
             class_of,
             keeps_key: keeps_key.collect(),
@@ -100,6 +103,8 @@
         class.report.endings.add(ending);
         if ending == Ending::Whole {
             class.on_whole(&call);
+            let latency = call.ended.saturating_sub(call.due);
+            entry_of_second(&mut self.latencies, call.ended).push(latency);
         }
         if self.keeps_key[call.operation] {
             self.report.keys.push(KeyEnding {
@@ -112,6 +117,9 @@
 
     /// The report.
     pub fn finish(mut self) -> LoadReport {
+        for (second, latencies) in self.report.by_second.iter_mut().zip(self.latencies) {
+            second.p99_ms = p99_ms(latencies);
+        }
         self.report.classes = self.classes.into_iter().map(ClassRecord::finish).collect();
         self.report
     }
@@ -153,6 +161,16 @@
     }
 }
 
+/// The latency that 99 in 100 stay within; 0 where there is none.
+fn p99_ms(mut latencies: Vec<Duration>) -> f64 {
+    latencies.sort_unstable();
+    let rank = (latencies.len() * 99).div_ceil(100);
+    match rank.checked_sub(1) {
+        Some(index) => millis(latencies[index]),
+        None => 0.0,
+    }
+}
+
 fn histogram() -> Histogram<u64> {
     let histogram = Histogram::new_with_bounds(1, MAX_LATENCY_US, DIGITS);
     histogram.expect("the bounds are constants in their valid range")
