--- a/crates/node/src/http/body.rs
+++ b/crates/node/src/http/body.rs
@@ -1,8 +1,10 @@
 //! Whole bodies of bounded size.
 
+use std::error::Error;
+use std::pin::pin;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Body;
 use hyper::body::Incoming;
@@ -63,9 +65,23 @@
 where
     B: Body<Data = Bytes, Error = hyper::Error>,
 {
-    match Limited::new(body, limit).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-        Err(_) => Err(BodyError::Cut),
+    let mut body = pin!(Limited::new(body, limit));
+    // Copied together, since frames that are kept one by one cost many times their size where a caller sends single bytes.
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(BodyError::from)?;
+        if let Ok(data) = frame.into_data() {
+            whole.extend_from_slice(&data);
+        }
+    }
+    Ok(whole.freeze())
+}
+
+impl From<Box<dyn Error + Send + Sync>> for BodyError {
+    fn from(e: Box<dyn Error + Send + Sync>) -> Self {
+        match e.is::<LengthLimitError>() {
+            true => Self::TooLarge,
+            false => Self::Cut,
+        }
     }
 }
