--- a/crates/node/src/gate/task.rs
+++ b/crates/node/src/gate/task.rs
@@ -7,7 +7,7 @@
     Action, Admission, AdmissionConfig, CallKey, Finish, Level, LevelBoard, LevelBoardConfig, Offer,
 };
 use coltsfootport_core::allowance::Allowance;
-use coltsfootport_core::collections::{Map, Set};
+use coltsfootport_core::collections::Map;
 use coltsfootport_core::error_kind::ErrorKind;
 use coltsfootport_core::id::{Incarnation, NodeName, ServiceName};
 use coltsfootport_core::lifecycle::{Lifecycle, LifecycleConfig, LifecycleEvent, Phase};
@@ -21,7 +21,7 @@
 
 use super::{
     Admittance, ContextHandle, Departure, Entered, Flight, FlightEnd, FlightGuard, FlightKey,
-    FlightPhase, GateHandle, GateMessage, GateStatus, Parent,
+    FlightPhase, GateHandle, GateMessage, GateStatus, OwnCalls, Parent,
 };
 use crate::clock::SharedClock;
 use crate::data::{Answer, HostReport, Refused};
@@ -172,13 +172,20 @@
                     .is_some_and(|f| f.allowance.spend());
                 let _ = reply.send(spent);
             }
-            GateMessage::IsRepeat(key, fingerprint, reply) => {
-                let known = self.flights.get(key);
-                let _ = reply.send(known.is_none_or(|f| f.failed_calls.contains(&fingerprint)));
+            GateMessage::OwnCall(key, fingerprint, reply) => {
+                if let Some(flight) = self.flights.get_mut(key) {
+                    flight.own_calls.begin(key, fingerprint, reply, &self.tx);
+                }
             }
-            GateMessage::OwnCallFailed(key, fingerprint) => {
+            GateMessage::OwnCallEnded {
+                flight: key,
+                fingerprint,
+                succeeded,
+            } => {
                 if let Some(flight) = self.flights.get_mut(key) {
-                    flight.failed_calls.insert(fingerprint);
+                    flight
+                        .own_calls
+                        .ended(key, fingerprint, succeeded, &self.tx);
                 }
             }
             GateMessage::LevelBelow(key, level) => self.level_below(key, level),
@@ -205,10 +212,12 @@
             None => None,
             Some(Arrival::Run(record)) => Some(record),
             Some(Arrival::Join(record)) => {
+                self.note_token(&admittance, |attempt| Event::TokenJoined { attempt });
                 self.join(record, admittance.deadline, reply);
                 return;
             }
             Some(Arrival::Replay(answer)) => {
+                self.note_token(&admittance, |attempt| Event::TokenReplayed { attempt });
                 let _ = reply.send(Entered::Replayed(answer));
                 return;
             }
@@ -220,6 +229,16 @@
         self.admit(admittance, record, reply, now);
     }
 
+    fn note_token<E>(&self, admittance: &Admittance, event: E)
+    where
+        E: FnOnce(u16) -> Event,
+    {
+        let number = admittance.once.as_ref().map_or(0, |once| once.number.0);
+        let number = u16::try_from(number).unwrap_or(u16::MAX);
+        self.recorder
+            .record(Some(admittance.request), event(number));
+    }
+
     /// Answers a call while no new work is taken.
     ///
     /// A token's try is refused for good before its caller hears "not run": while the node is still starting, an older try
@@ -275,7 +294,7 @@
             record,
             phase: FlightPhase::Queued,
             reply: Some(reply),
-            failed_calls: Set::default(),
+            own_calls: OwnCalls::default(),
         };
         let key = self.flights.insert(flight);
         self.by_call.insert(call, key);
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -8,10 +8,13 @@
 use coltsfootport_core::allowance::{Backoff, EdgeBudgetConfig, RetryPolicy};
 use coltsfootport_core::dissemination::{GossipConfig, ReaderConfig, StartUpConfig};
 use coltsfootport_core::id::Incarnation;
+use coltsfootport_core::jsonc::Fault;
 use coltsfootport_core::lifecycle::LifecycleConfig;
 use coltsfootport_core::once::{KeyRing, KeyRingError, OnceConfig};
 use coltsfootport_core::routing::RoutingConfig;
+use coltsfootport_core::timeline::Event;
 use slog::{Logger, info};
+use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc, watch};
 
@@ -23,7 +26,7 @@
 use crate::entry::{Dispatcher, DispatcherSetup, EntryLimits, EntryService, TokenIssuer};
 use crate::gate::{Gate, GateSetup};
 use crate::host::{Host, HostSetup, TargetClient};
-use crate::http::{Listener, ListenerLimits, TargetPool};
+use crate::http::{Listener, ListenerLimits, ListenerStage, TargetPool};
 use crate::metrics::Metrics;
 use crate::operators::{self, QUERY_QUEUE};
 use crate::peers::{FrameLimits, Hub, PeerServer, PeerServices, TlsError, TlsMaterial, bind};
@@ -56,7 +59,7 @@
 }
 
 /// Runs a node until it has been stopped and its last call has ended.
-pub async fn run(settings: Settings, log: Logger) -> Result<(), NodeError> {
+pub async fn run(settings: Settings, warnings: Vec<Fault>, log: Logger) -> Result<(), NodeError> {
     let clock: SharedClock = Arc::new(SystemClock);
     let started = clock.now();
     let incarnation = Incarnation::random();
@@ -66,6 +69,10 @@
     let (recorder, recording) =
         Recorder::new(name.clone(), Arc::clone(&clock), metrics.clone(), capacity);
     tokio::spawn(recording.run());
+    for warning in warnings {
+        let text = SmolStr::from(warning.to_string());
+        recorder.record(None, Event::SettingsWarning { text });
+    }
 
     let (published_tx, published) = watch::channel(Arc::new(Published::default()));
     let (life_tx, life_rx) = mpsc::unbounded_channel();
@@ -113,6 +120,7 @@
         incarnation,
         clock: Arc::clone(&clock),
         recorder: recorder.clone(),
+        metrics: metrics.clone(),
     });
 
     let tls = TlsMaterial::parse(
@@ -149,6 +157,7 @@
 
     let spread_task = Spread::new(SpreadSetup {
         node: name.clone(),
+        incarnation,
         started,
         reader: ReaderConfig::from(&settings),
         gossip: GossipConfig::from(&settings.spread),
@@ -197,7 +206,7 @@
         log: log.clone(),
     };
 
-    let (closing, closed) = watch::channel(false);
+    let (listeners, stage) = watch::channel(ListenerStage::Open);
     let limits = ListenerLimits {
         connections: settings.limits.connections as usize,
         header_bytes: settings.limits.header_bytes as usize,
@@ -207,8 +216,8 @@
     let callers = listen("callers", settings.listen.callers).await?;
     let egress = listen("egress", settings.listen.egress).await?;
     let for_operators = listen("operators", settings.listen.operators).await?;
-    let callers = Listener::new(callers, limits, closed.clone());
-    let egress = Listener::new(egress, limits, closed.clone());
+    let callers = Listener::new(callers, limits, stage.clone());
+    let egress = Listener::new(egress, limits, stage);
     // Calls of the target have places of their own: were all taken by callers, none of these could ever end.
     let for_target = EntryService {
         places: Arc::new(Semaphore::new(settings.limits.in_flight as usize)),
@@ -253,7 +262,7 @@
         recorder,
         published,
         stopping,
-        closing,
+        listeners,
         events: life_rx,
         log,
     };
--- a/crates/node/src/spread/exchange.rs
+++ b/crates/node/src/spread/exchange.rs
@@ -4,7 +4,7 @@
 
 use coltsfootport_core::dissemination::{Comparison, Digest, Entry, Key, KeyVersion, Revision};
 use coltsfootport_core::id::{Incarnation, NodeName};
-use coltsfootport_core::membership::{ListDelta, Tick};
+use coltsfootport_core::membership::{ListDelta, NodeState, Tick};
 use smol_str::SmolStr;
 
 use super::{Spread, Word};
@@ -48,7 +48,7 @@
                 ControlReply::Done
             }
             ControlRequest::Entries(entries) => {
-                self.apply(entries.into_iter().map(Entry::from).collect(), None);
+                self.apply_from_peer(entries, None);
                 ControlReply::Done
             }
             ControlRequest::Words(words) => {
@@ -69,14 +69,14 @@
     pub(super) fn replied(&mut self, node: &NodeName, reply: ControlReply) {
         match reply {
             ControlReply::Digest(theirs) => {
-                if theirs.serving && self.start_peers.insert(node.clone()) {
+                if theirs.word.state == NodeState::Serving && self.start_peers.insert(node.clone())
+                {
                     self.start_up.heard_peer(&theirs.digest);
                 }
                 self.take_digest(&theirs);
             }
             ControlReply::Entries { entries, complete } => {
-                let entries = entries.into_iter().map(Entry::from).collect();
-                self.apply(entries, complete.map(Revision));
+                self.apply_from_peer(entries, complete.map(Revision));
             }
             ControlReply::Versions(theirs) => {
                 let theirs: Vec<_> = theirs.into_iter().map(KeyVersion::from).collect();
@@ -91,8 +91,7 @@
     pub(super) fn digest_frame(&self) -> DigestFrame {
         let now = self.now();
         DigestFrame {
-            node: self.setup.node.0.clone(),
-            serving: self.serving,
+            word: WordFrame::from(&self.own_word()),
             digest: self.replica.digest(),
             list: self.view.revision().0,
             config_age_ms: self.config_reads.read_age(now).map(millis),
@@ -103,14 +102,9 @@
     /// Compares a peer's copies with the own ones and fetches what is missing here.
     fn take_digest(&mut self, theirs: &DigestFrame) {
         let now = self.now();
-        let node = NodeName(theirs.node.clone());
-        if let Some(age) = theirs.config_age_ms {
-            self.config_reads
-                .heard_fresh(Duration::from_millis(age), now);
-        }
-        if let Some(age) = theirs.list_age_ms {
-            self.list_reads.heard_fresh(Duration::from_millis(age), now);
-        }
+        let node = NodeName(theirs.word.node.clone());
+        self.hear(Word::from(theirs.word.clone()));
+        self.take_ages(theirs, now);
         if theirs.list > self.view.revision().0 {
             self.ask(&node, ControlRequest::PullList(self.view.revision().0));
         }
@@ -124,6 +118,20 @@
         }
     }
 
+    /// Lets a peer's recent reads stand for own ones.
+    ///
+    /// Not before this node has read for itself: without the list it knows nobody to ask, and peers that found it first would keep
+    /// it from reading; one would see a node that stays in its start while all others serve.
+    fn take_ages(&mut self, theirs: &DigestFrame, now: Instant) {
+        if let Some(age) = theirs.config_age_ms.filter(|_| self.is_ready()) {
+            self.config_reads
+                .heard_fresh(Duration::from_millis(age), now);
+        }
+        if let Some(age) = theirs.list_age_ms.filter(|_| !self.view.is_empty()) {
+            self.list_reads.heard_fresh(Duration::from_millis(age), now);
+        }
+    }
+
     fn ask_versions(&mut self, node: &NodeName, digest: &Digest) {
         self.compared = Some(*digest);
         let versions = self
@@ -157,7 +165,7 @@
         let now = self.now();
         let from = NodeName(news.node);
         if !news.entries.is_empty() {
-            self.apply(news.entries.into_iter().map(Entry::from).collect(), None);
+            self.apply_from_peer(news.entries, None);
         }
         let notices: Vec<_> = news.notices.into_iter().map(KeyVersion::from).collect();
         let wanted: Vec<SmolStr> = self
@@ -175,6 +183,29 @@
         }
     }
 
+    /// Takes in entries of a peer as far as there is room.
+    ///
+    /// Nothing proves that the platform ever held them, so that a peer could fill every node's memory. Own reads are not
+    /// bounded: they bring what was left out here.
+    fn apply_from_peer(&mut self, entries: Vec<EntryFrame>, complete: Option<Revision>) {
+        if entries.is_empty() {
+            self.apply(Vec::new(), complete);
+            return;
+        }
+        let sent = entries.len();
+        let mut room = MOST_BYTES.saturating_sub(self.replica.bytes());
+        let mut taken = Vec::new();
+        for entry in entries {
+            let bytes = entry.key.len() + entry.value.len();
+            if bytes <= room {
+                room -= bytes;
+                taken.push(Entry::from(entry));
+            }
+        }
+        let whole = taken.len() == sent;
+        self.apply(taken, complete.filter(|_| whole));
+    }
+
     fn take_list(&mut self, delta: ListDelta) {
         let now = self.now();
         self.view.apply_delta(delta, now);
@@ -189,6 +220,9 @@
     }
 }
 
+/// Bytes of published entries above which none are taken from peers.
+const MOST_BYTES: usize = 16 * 1024 * 1024;
+
 fn frames(entries: &[Entry]) -> Vec<EntryFrame> {
     entries.iter().map(EntryFrame::from).collect()
 }
--- a/crates/node/src/wire/control.rs
+++ b/crates/node/src/wire/control.rs
@@ -105,10 +105,8 @@
 /// What a node holds of everything published.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct DigestFrame {
-    /// The sender.
-    pub node: SmolStr,
-    /// Whether the sender serves, so that its word counts at the start of others.
-    pub serving: bool,
+    /// The sender's word about itself; its copies count at the start of others where it serves.
+    pub word: WordFrame,
     /// Its copy of the entries.
     pub digest: Digest,
     /// Revision of its list of instances.
@@ -187,7 +185,7 @@
     pub fn sender(&self) -> Option<&SmolStr> {
         match self {
             Self::Greet(hello) | Self::Announce(hello) => Some(&hello.report.node),
-            Self::Digest(digest) => Some(&digest.node),
+            Self::Digest(digest) => Some(&digest.word.node),
             Self::News(news) => Some(&news.node),
             Self::Ping
             | Self::Refuse { .. }
--- a/crates/rig/tests/hostile_peers.rs
+++ b/crates/rig/tests/hostile_peers.rs
@@ -138,8 +138,12 @@
 
 fn digest(node: &str) -> DigestFrame {
     DigestFrame {
-        node: node.into(),
-        serving: true,
+        word: WordFrame {
+            node: node.into(),
+            incarnation: 1,
+            state: NodeState::Serving,
+            tick: u64::MAX,
+        },
         digest: Default::default(),
         list: u64::MAX,
         config_age_ms: Some(u64::MAX),
@@ -388,6 +392,42 @@
     }
 }
 
+// Symptom: memory and traffic of every node grow with what one peer invents.
+// Sequence: a peer passes on words of tens of thousands of nodes, and documents of a hundred services, that don't exist.
+// Cause: words and entries are taken from peers without a bound, and passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn words_and_documents_that_a_peer_invents_take_bounded_room() {
+    let mut fleet = fleet().await;
+    let peer = insider(&fleet).await;
+    let nodes = [VICTIM, "prices-1"];
+    let pids = nodes.map(|name| fleet.member_mut(name).node().expect("a node").pid());
+    let before = pids.map(common::resident);
+    for batch in 0..4 {
+        let word = |i| WordFrame {
+            node: format!("invented-{batch}-{i}").into(),
+            incarnation: 1,
+            state: NodeState::Leaving,
+            tick: 1,
+        };
+        let words = (0..8000).map(word).collect();
+        peer.control(ControlRequest::Words(words)).await;
+    }
+    for i in 0..100 {
+        let entry = EntryFrame {
+            key: format!("documents/invented-{i}").into(),
+            revision: 1000 + i,
+            value: "x".repeat(900_000),
+        };
+        peer.control(ControlRequest::Entries(vec![entry])).await;
+    }
+    for ((name, pid), before) in nodes.iter().zip(pids).zip(before) {
+        let grown = common::resident(pid).saturating_sub(before);
+        println!("{name}: 32000 invented words, 90 MB of documents: {grown} bytes");
+        assert!(grown < 80 << 20, "{name}: {grown} bytes");
+    }
+    serves(&fleet, "the inventions").await;
+}
+
 // Symptom: a call that its caller may still repeat is refused for good, or a node's memory grows with each message.
 // Sequence: a peer asks for the refusal of tokens: of other nodes, of other runs, and of more than there is room for.
 // Cause: a record is kept for each token that anybody names.
