--- a/crates/core/src/dissemination/replica.rs
+++ b/crates/core/src/dissemination/replica.rs
@@ -71,6 +71,14 @@
         self.change(key, |slot| slot.judge(revision, verdict));
     }
 
+    /// Bytes of all keys and values held.
+    pub fn bytes(&self) -> usize {
+        let entries = self.slots.values().flat_map(Slot::entries);
+        entries
+            .map(|entry| entry.key.0.len() + entry.value.len())
+            .sum()
+    }
+
     /// The newest version of a key.
     pub fn get(&self, key: &Key) -> Option<&Entry> {
         self.slots.get(key).map(Slot::latest)
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -12,6 +12,9 @@
 use super::word::Words;
 use super::{InstanceEntry, ListedState, MembershipConfig, NodeState, Tick, WordOutcome};
 
+/// Nodes that the list does not show whose words are kept nevertheless.
+const UNLISTED_WORDS: usize = 1024;
+
 pub use list::ListOutcome;
 
 /// What this node believes about the fleet: the platform's lagging list, corrected by what nodes say of themselves.
@@ -128,8 +131,14 @@
         tick: Tick,
         now: Instant,
     ) -> WordOutcome {
+        let is_full = self.words.len() >= self.listed.len() + UNLISTED_WORDS;
         let outcome = match self.words.get_mut(node) {
             Some(words) => words.hear(incarnation, state, tick, self.cfg.silence, now),
+            // Words are passed on, so a peer can invent names. Each would be kept and passed on by every node, seen as
+            // memory and traffic that grow all over the fleet.
+            None if is_full && !self.listed.contains_key(node) => {
+                return WordOutcome::Stale;
+            }
             None => {
                 self.words
                     .insert(node.clone(), Words::new(incarnation, state, tick, now));
--- a/crates/node/src/spread/exchange.rs
+++ b/crates/node/src/spread/exchange.rs
@@ -48,7 +48,7 @@
                 ControlReply::Done
             }
             ControlRequest::Entries(entries) => {
-                self.apply(entries.into_iter().map(Entry::from).collect(), None);
+                self.apply_from_peer(entries, None);
                 ControlReply::Done
             }
             ControlRequest::Words(words) => {
@@ -76,8 +76,7 @@
                 self.take_digest(&theirs);
             }
             ControlReply::Entries { entries, complete } => {
-                let entries = entries.into_iter().map(Entry::from).collect();
-                self.apply(entries, complete.map(Revision));
+                self.apply_from_peer(entries, complete.map(Revision));
             }
             ControlReply::Versions(theirs) => {
                 let theirs: Vec<_> = theirs.into_iter().map(KeyVersion::from).collect();
@@ -166,7 +165,7 @@
         let now = self.now();
         let from = NodeName(news.node);
         if !news.entries.is_empty() {
-            self.apply(news.entries.into_iter().map(Entry::from).collect(), None);
+            self.apply_from_peer(news.entries, None);
         }
         let notices: Vec<_> = news.notices.into_iter().map(KeyVersion::from).collect();
         let wanted: Vec<SmolStr> = self
@@ -184,6 +183,29 @@
         }
     }
 
+    /// Takes in entries of a peer as far as there is room.
+    ///
+    /// Nothing proves that the platform ever held them, so that a peer could fill every node's memory. Own reads are not
+    /// bounded: they bring what was left out here.
+    fn apply_from_peer(&mut self, entries: Vec<EntryFrame>, complete: Option<Revision>) {
+        if entries.is_empty() {
+            self.apply(Vec::new(), complete);
+            return;
+        }
+        let sent = entries.len();
+        let mut room = MOST_BYTES.saturating_sub(self.replica.bytes());
+        let mut taken = Vec::new();
+        for entry in entries {
+            let bytes = entry.key.len() + entry.value.len();
+            if bytes <= room {
+                room -= bytes;
+                taken.push(Entry::from(entry));
+            }
+        }
+        let whole = taken.len() == sent;
+        self.apply(taken, complete.filter(|_| whole));
+    }
+
     fn take_list(&mut self, delta: ListDelta) {
         let now = self.now();
         self.view.apply_delta(delta, now);
@@ -198,6 +220,9 @@
     }
 }
 
+/// Bytes of published entries above which none are taken from peers.
+const MOST_BYTES: usize = 16 * 1024 * 1024;
+
 fn frames(entries: &[Entry]) -> Vec<EntryFrame> {
     entries.iter().map(EntryFrame::from).collect()
 }
