--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -28,3 +28,8 @@
         SystemTime::now()
     }
 }
+
+/// Microseconds from `since` to `now`, zero where `since` is later.
+pub fn micros(now: Instant, since: Instant) -> u64 {
+    now.saturating_duration_since(since).as_micros() as u64
+}
--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use coltsfootport_core::allowance::{Backoff, RetryPolicy};
 use coltsfootport_core::error_kind::ErrorKind;
@@ -17,7 +17,7 @@
 use super::Budget;
 use super::course::{Course, Step};
 use super::tokens::TokenIssuer;
-use crate::clock::SharedClock;
+use crate::clock::{SharedClock, micros};
 use crate::data::{AttemptId, Call, HostReport, OnceCall, Refused, Reply, Verdict};
 use crate::host::Host;
 use crate::metrics::Metrics;
@@ -298,11 +298,6 @@
     }
 }
 
-/// Microseconds from `since` to `now`.
-pub(super) fn micros(now: Instant, since: Instant) -> u64 {
-    now.saturating_duration_since(since).as_micros() as u64
-}
-
 pub(super) fn route_result(verdict: &Verdict) -> RouteResult {
     match verdict {
         Verdict::Answered(_) => RouteResult::Served,
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -14,11 +14,10 @@
 use slog::{Logger, debug};
 use tokio::sync::{Semaphore, watch};
 
-use super::dispatcher::micros;
 use super::prepare::Prepared;
 use super::tokens::TokenIssuer;
 use super::{Dispatcher, Inbound, Origin, Outgoing};
-use crate::clock::SharedClock;
+use crate::clock::{SharedClock, micros};
 use crate::data::{Refused, Verdict};
 use crate::gate::{ContextHandle, GateHandle, OwnCall};
 use crate::http::{BodyError, CallerConnection, HttpAnswer, names, read_request};
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -3,11 +3,17 @@
 mod below;
 mod below_guard;
 mod context;
+mod deciding;
+mod ending;
+mod entering;
+mod figures;
 mod flight;
 mod guard;
 mod handle;
+mod life;
 mod message;
 mod own_call;
+mod serving;
 mod task;
 
 pub use below::Below;
