One log format, one tick, one reader of files

Cause: log formats and levels, the tick and reading a file or standard input stood twice. Ruled out: nothing. Conclusion: no behaviour changed.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -11,4 +11,4 @@
 pub use entry::{InstanceEntry, ListedState};
 pub use list_delta::ListDelta;
 pub use view::{ListOutcome, View};
-pub use word::{NodeState, Tick, WordOutcome};
+pub use word::{NodeState, WordOutcome};
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -7,10 +7,11 @@
 use crate::collections::Map;
 use crate::dissemination::Revision;
 use crate::id::{Incarnation, NodeName, ServiceName};
+use crate::once::Tick;
 
 use super::listed::Listed;
 use super::word::Words;
-use super::{InstanceEntry, ListedState, MembershipConfig, NodeState, Tick, WordOutcome};
+use super::{InstanceEntry, ListedState, MembershipConfig, NodeState, WordOutcome};
 
 /// Nodes that the list does not show whose words are kept nevertheless.
 const UNLISTED_WORDS: usize = 1024;
--- a/crates/core/src/membership/word.rs
+++ b/crates/core/src/membership/word.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::Incarnation;
+use crate::once::Tick;
 
 /// State that a node tells about itself on its messages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -18,12 +19,6 @@
     Leaving,
 }
 
-/// Position of a word in the life of one incarnation: any number that grows with each word or with time since its start.
-///
-/// Ticks of different incarnations are never compared.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Tick(pub u64);
-
 /// What became of a word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum WordOutcome {
--- a/crates/core/tests/dissemination.rs
+++ b/crates/core/tests/dissemination.rs
@@ -12,7 +12,8 @@
 };
 use coltsfootport_core::id::Incarnation;
 use coltsfootport_core::invariant::Invariant;
-use coltsfootport_core::membership::{NodeState, Tick};
+use coltsfootport_core::membership::NodeState;
+use coltsfootport_core::once::Tick;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -9,8 +9,9 @@
 use coltsfootport_core::dissemination::Revision;
 use coltsfootport_core::id::{Incarnation, ServiceName};
 use coltsfootport_core::membership::{
-    InstanceEntry, ListOutcome, ListedState, MembershipConfig, NodeState, Tick, View, WordOutcome,
+    InstanceEntry, ListOutcome, ListedState, MembershipConfig, NodeState, View, WordOutcome,
 };
+use coltsfootport_core::once::Tick;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
--- a/crates/node/src/commands/check.rs
+++ b/crates/node/src/commands/check.rs
@@ -6,7 +6,7 @@
 use coltsfootport_core::document::Document;
 use coltsfootport_core::jsonc::Fault;
 
-use super::node::read;
+use super::input;
 use crate::cli::{CheckOptions, CheckSubject};
 use crate::config::Settings;
 use crate::exit::Exit;
@@ -22,7 +22,7 @@
 
 /// Checks the file that the options name.
 pub fn run(options: &CheckOptions) -> Exit {
-    match read(&options.file) {
+    match input::read_text(&options.file) {
         Ok(text) => check(options.subject.into(), &options.file, &text),
         Err(e) => {
             eprintln!("coltsfootport: {}: {e}", options.file.display());
--- a/crates/node/src/commands/node.rs
+++ b/crates/node/src/commands/node.rs
@@ -1,21 +1,20 @@
 //! `node`: runs a node until it is stopped.
 
-use std::io::Read;
-use std::path::Path;
-use std::{fs, io};
+use std::io;
 
 use slog::{crit, o, warn};
 use tokio::runtime::{Builder, Runtime};
 
+use super::input;
 use crate::cli::NodeOptions;
-use crate::config::{LogFormat, LogLevel, Settings};
+use crate::config::Settings;
 use crate::exit::Exit;
 use crate::log;
 use crate::node;
 
 /// Loads the settings, starts the log and the runtime, and runs the node.
 pub fn run(options: &NodeOptions) -> Exit {
-    let text = match read(&options.settings) {
+    let text = match input::read_text(&options.settings) {
         Ok(text) => text,
         Err(e) => {
             eprintln!("coltsfootport: {}: {e}", options.settings.display());
@@ -33,8 +32,8 @@
     };
     let settings = loaded.settings;
     let (log, _guard) = log::start(
-        settings.log.format.into(),
-        settings.log.level.into(),
+        settings.log.format,
+        settings.log.level,
         &settings.node.name,
         &settings.node.service,
     );
@@ -53,16 +52,6 @@
     }
 }
 
-/// Reads a file, or standard input where the path is `-`.
-pub fn read(path: &Path) -> io::Result<String> {
-    if path.as_os_str() != "-" {
-        return fs::read_to_string(path);
-    }
-    let mut text = String::new();
-    io::stdin().read_to_string(&mut text)?;
-    Ok(text)
-}
-
 /// A runtime on this thread, or on threads of its own where settings ask for some.
 fn runtime(worker_threads: usize) -> io::Result<Runtime> {
     match worker_threads {
@@ -73,23 +62,3 @@
             .build(),
     }
 }
-
-impl From<LogFormat> for log::LogFormat {
-    fn from(format: LogFormat) -> Self {
-        match format {
-            LogFormat::Json => Self::Json,
-            LogFormat::Terminal => Self::Terminal,
-        }
-    }
-}
-
-impl From<LogLevel> for log::LogLevel {
-    fn from(level: LogLevel) -> Self {
-        match level {
-            LogLevel::Error => Self::Error,
-            LogLevel::Warning => Self::Warning,
-            LogLevel::Info => Self::Info,
-            LogLevel::Debug => Self::Debug,
-        }
-    }
-}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -28,7 +28,7 @@
 pub use limits::LimitsSettings;
 pub use listen::ListenSettings;
 pub use loaded::Loaded;
-pub use log::{LogFormat, LogLevel, LogSettings};
+pub use log::LogSettings;
 pub use node::NodeSettings;
 pub use once::OnceSettings;
 pub use platform::PlatformSettings;
--- a/crates/node/src/config/log.rs
+++ b/crates/node/src/config/log.rs
@@ -2,29 +2,7 @@
 
 use coltsfootport_core::jsonc::Section;
 
-/// How a log record is written.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum LogFormat {
-    /// One JSON object a line, for collectors.
-    #[default]
-    Json,
-    /// Coloured text, for people.
-    Terminal,
-}
-
-/// The least important record that is written.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub enum LogLevel {
-    /// What keeps the node from working.
-    Error,
-    /// What an operator should look at.
-    Warning,
-    /// Changes of state, such as documents and membership.
-    #[default]
-    Info,
-    /// Decisions on single calls.
-    Debug,
-}
+use crate::log::{LogFormat, LogLevel};
 
 /// The log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/node/src/spread/exchange.rs
+++ b/crates/node/src/spread/exchange.rs
@@ -4,7 +4,8 @@
 
 use coltsfootport_core::dissemination::{Comparison, Digest, Entry, Key, KeyVersion, Revision};
 use coltsfootport_core::id::{Incarnation, NodeName};
-use coltsfootport_core::membership::{ListDelta, NodeState, Tick};
+use coltsfootport_core::membership::{ListDelta, NodeState};
+use coltsfootport_core::once::Tick;
 use smol_str::SmolStr;
 
 use super::{Spread, Word};
--- a/crates/node/src/spread/task.rs
+++ b/crates/node/src/spread/task.rs
@@ -12,8 +12,9 @@
 use coltsfootport_core::id::{NodeName, ServiceName};
 use coltsfootport_core::jsonc::Fault;
 use coltsfootport_core::membership::{
-    InstanceEntry, MembershipConfig, NodeState, Tick, View, WordOutcome,
+    InstanceEntry, MembershipConfig, NodeState, View, WordOutcome,
 };
+use coltsfootport_core::once::Tick;
 use coltsfootport_core::routing::PeerView;
 use coltsfootport_core::timeline::Event;
 use rand::SeedableRng;
--- a/crates/node/src/spread/word.rs
+++ b/crates/node/src/spread/word.rs
@@ -1,7 +1,8 @@
 //! What a node tells about itself.
 
 use coltsfootport_core::id::{Incarnation, NodeName};
-use coltsfootport_core::membership::{NodeState, Tick};
+use coltsfootport_core::membership::NodeState;
+use coltsfootport_core::once::Tick;
 
 use crate::data::HostReport;
 
