--- a/crates/rig/tests/hostile_callers.rs
+++ b/crates/rig/tests/hostile_callers.rs
@@ -637,11 +637,15 @@
             Some(outcome),
             "{mode}"
         );
-        while dropped {
-            let next = timeout(PATIENCE, seen.recv()).await.expect(mode);
-            if matches!(next, Some(Seen::Dropped(of)) if of == mode) {
-                break;
+        let until_dropped = async {
+            while let Some(next) = seen.recv().await {
+                if matches!(next, Seen::Dropped(of) if of == mode) {
+                    return;
+                }
             }
+        };
+        if dropped {
+            timeout(PATIENCE, until_dropped).await.expect(mode);
         }
         for _ in 0..3 {
             let answer = send(&fleet, call(&fleet, Method::GET, "/bidding/lots/2", &[])).await;
