Test programs claim blocks of ports

Cause: a port was looked at and bound a moment later by a child, so that test programs side by side could give out the same one. A wider distance between their first ports made it rarer only. Ruled out: slowness; the settings of a target were put to a node of another fleet, which answered "not-ready". Conclusion: a program keeps the first port of each of its blocks bound for its life, so no other takes the block.

--- a/crates/rig/src/process/ports.rs
+++ b/crates/rig/src/process/ports.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::process;
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, PoisonError};
 
 use crate::error::RigError;
 
@@ -12,26 +12,63 @@
 /// by a connection between this look and the child's start, seen as a child that fails to bind now and then.
 const FIRST: u16 = 12_000;
 
-/// Number of ports that are given out.
-const COUNT: u16 = 20_000;
+/// Ports that a process claims together.
+const BLOCK: u16 = 200;
 
-/// Distance between the first ports of two processes with neighbouring ids; more than the largest fleets of one take.
-const STRIDE: u32 = 1009;
+/// Blocks that there are.
+const BLOCKS: u16 = 100;
 
-static NEXT: AtomicU16 = AtomicU16::new(0);
+/// The ports that this process may give out.
+///
+/// Test programs run side by side, and a port found free is bound a moment later only, by a child. Two programs that look
+/// at the same port meanwhile would give it out twice, seen as a node that ends at its start or as a fleet that reaches
+/// another's target. So each program keeps the first port of a block bound for its life and gives out the rest.
+static CLAIMED: Mutex<Claimed> = Mutex::new(Claimed {
+    claims: Vec::new(),
+    next: 0,
+    end: 0,
+});
 
-/// A loopback port free for TCP and UDP, given out once by this process.
-pub fn free_port() -> Result<u16, RigError> {
-    // Test programs run side by side, so each begins at a place of its own.
-    let offset = process::id().wrapping_mul(STRIDE) % u32::from(COUNT);
-    for _ in 0..COUNT {
-        let n = u32::from(NEXT.fetch_add(1, Ordering::Relaxed));
-        let port = FIRST + ((offset + n) % u32::from(COUNT)) as u16;
-        if is_free(port) {
-            return Ok(port);
+struct Claimed {
+    claims: Vec<TcpListener>,
+    next: u16,
+    end: u16,
+}
+
+impl Claimed {
+    fn port(&mut self) -> Result<u16, RigError> {
+        loop {
+            if self.next == self.end {
+                self.claim()?;
+            }
+            let port = self.next;
+            self.next += 1;
+            if is_free(port) {
+                return Ok(port);
+            }
+        }
+    }
+
+    fn claim(&mut self) -> Result<(), RigError> {
+        // Programs begin at places of their own, so that they seldom ask for the same block.
+        let offset = process::id() % u32::from(BLOCKS);
+        for n in 0..u32::from(BLOCKS) {
+            let block = ((offset + n) % u32::from(BLOCKS)) as u16;
+            let first = FIRST + block * BLOCK;
+            if let Ok(claim) = TcpListener::bind(loopback(first)) {
+                self.claims.push(claim);
+                (self.next, self.end) = (first + 1, first + BLOCK);
+                return Ok(());
+            }
         }
+        Err(RigError::Settings("no free port".into()))
     }
-    Err(RigError::Settings("no free port".into()))
+}
+
+/// A port free for TCP and UDP, given out once by this process.
+pub fn free_port() -> Result<u16, RigError> {
+    let mut claimed = CLAIMED.lock().unwrap_or_else(PoisonError::into_inner);
+    claimed.port()
 }
 
 /// Several different free ports.
