A stopping node waits until its last replies have arrived

Cause: a node that had drained closed its connections at once. The replies of the calls that ended last were still under way, so that callers heard "unknown", home-lost, of calls that ran, in every planned stop with an answer of more than a few datagrams, and now and then with a small one. Ruled out: the drain; the target had finished and the gate had the answer. The second sending of the same bid, which was local to another entry, got it. Conclusion: each call of a peer owes a reply until the peer has acknowledged it whole; the end waits at most 2 s for it.

--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -24,7 +24,9 @@
 use crate::http::{Listener, ListenerLimits, TargetPool};
 use crate::metrics::Metrics;
 use crate::operators::{self, QUERY_QUEUE};
-use crate::peers::{FrameLimits, Hub, PeerServer, PeerServices, TlsError, TlsMaterial, bind};
+use crate::peers::{
+    FrameLimits, Hub, PeerServer, PeerServices, Replies, TlsError, TlsMaterial, bind,
+};
 use crate::recorder::Recorder;
 use crate::routes::{Routes, RoutesSetup};
 use crate::spread::{PlatformClient, Published, Spread, SpreadSetup};
@@ -133,6 +135,7 @@
         head: HEAD_ALLOWANCE + settings.limits.header_bytes as usize,
         body: body_limit,
     };
+    let replies = Replies::new();
     let services = PeerServices {
         host: host.clone(),
         gate: gate.clone(),
@@ -141,6 +144,7 @@
         recorder: recorder.clone(),
         metrics: metrics.clone(),
         limits: frames,
+        replies: replies.clone(),
     };
     let (hub_task, hub) = Hub::new(
         endpoint.clone(),
@@ -230,6 +234,7 @@
         _ = gate_task => {}
     }
     let _ = callers.await;
+    let _ = tokio::time::timeout(REPLY_PATIENCE, replies.delivered()).await;
     endpoint.close(quinn::VarInt::from_u32(0), b"stopped");
     let _ = tokio::time::timeout(CLOSE_PATIENCE, endpoint.wait_idle()).await;
     Ok(())
@@ -238,6 +243,9 @@
 /// Bytes of a frame's head beyond the HTTP headers.
 const HEAD_ALLOWANCE: usize = 32 * 1024;
 
+/// How long the replies of the last calls may be under way.
+const REPLY_PATIENCE: std::time::Duration = std::time::Duration::from_secs(2);
+
 /// How long peers are given to take in that connections are closed.
 const CLOSE_PATIENCE: std::time::Duration = std::time::Duration::from_millis(500);
 
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -5,7 +5,7 @@
 use quinn::{Connection, Endpoint, RecvStream, SendStream};
 
 use super::link::FrameLimits;
-use super::{HubHandle, Link};
+use super::{HubHandle, Link, Replies};
 use crate::clock::SharedClock;
 use crate::data::HostReport;
 use crate::gate::GateHandle;
@@ -35,6 +35,8 @@
     pub metrics: Metrics,
     /// Limits of what is read.
     pub limits: FrameLimits,
+    /// Counts the replies that are owed.
+    pub replies: Replies,
 }
 
 /// Accepts connections of peers.
@@ -107,6 +109,7 @@
     services.recorder.observe(frame.stamp);
     let body = read_body(&mut rx, frame.body_len, services.limits.body).await?;
     let call = frame.into_call(body, services.clock.now())?;
+    let _owed = services.replies.owe().await;
     let reply = tokio::select! {
         reply = services.host.run(call) => reply,
         _ = tx.stopped() => None,
@@ -117,6 +120,8 @@
     let body = reply.body();
     let head = ReplyFrame::new(&reply, services.recorder.stamp());
     write_frame(&mut tx, &PeerReply::Call(Box::new(head)), body).await?;
+    // Ends when the peer has acknowledged the whole reply, or is gone.
+    let _ = tx.stopped().await;
     Ok(())
 }
 
--- a/crates/rig/tests/not_run.rs
+++ b/crates/rig/tests/not_run.rs
@@ -7,7 +7,7 @@
 use coltsfootport_rig::fleet::{Fleet, FleetPlan, ServicePlan};
 use coltsfootport_rig::http::ClientCall;
 use coltsfootport_rig::platform::{FaultMode, FaultScope};
-use coltsfootport_rig::proxy::Cut;
+use coltsfootport_rig::proxy::{Cut, DirectionFaults, LinkFaults};
 use coltsfootport_rig::target::{KEY_HEADER, Settings};
 use http::Method;
 use serde_json::{Value, json};
@@ -436,3 +436,25 @@
     }
     assert!(tried > 0, "no call reached the first target");
 }
+
+// Symptom: the last callers of a node that stops as planned hear "unknown" of calls that ran to their end.
+// Sequence: a call runs with a long answer over a link with latency; the node is told to stop; the target answers.
+// Cause: the node closes its connections as soon as nothing runs, with the answer still on its way.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_home_delivers_its_last_answers() {
+    let target = Settings {
+        answer_bytes: 400_000,
+        ..slow(300.0)
+    };
+    let mut fleet = fleet(target, json!({"shutdown": {"announce_ms": 0}})).await;
+    let mut bid = Bid::at(&fleet, HOME, "last").await;
+    let latency = DirectionFaults::latency(Duration::from_millis(15));
+    fleet.set_links("b", "a", &LinkFaults::both(latency));
+    let first = bid.send(&fleet, ENTRY_B);
+    until("it runs", || async { bid.runs(&fleet).await == [1] }).await;
+    let stopped = fleet.member_mut(HOME).stop_node(common::PATIENCE).await;
+    assert!(stopped.expect("a stop"), "the home has not stopped");
+    let first = first.await.expect("a sending");
+    assert!(matches!(first, Told::Ran { .. }), "{first:?}");
+    assert_eq!(bid.check(&fleet, &[first], "last").await, [1]);
+}
