--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -5,11 +5,12 @@
 
 use coltsfootport::commands::check::{self, CheckKind};
 use coltsfootport::config::{
-    AdmissionMode, AdmissionSettings, FleetKey, LimitsSettings, LogLevel, LogSettings,
-    OnceSettings, PlatformSettings, RetriesSettings, RoutingSettings, RuntimeSettings, Secret,
-    Settings, ShutdownSettings, SpreadSettings, TargetSettings, TimelineSettings,
+    AdmissionMode, AdmissionSettings, FleetKey, LimitsSettings, LogSettings, OnceSettings,
+    PlatformSettings, RetriesSettings, RoutingSettings, RuntimeSettings, Secret, Settings,
+    ShutdownSettings, SpreadSettings, TargetSettings, TimelineSettings,
 };
 use coltsfootport::exit::Exit;
+use coltsfootport::log::LogLevel;
 use coltsfootport_core::jsonc::Fault;
 use rcgen::{CertificateParams, KeyPair};
 
