--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -14,11 +14,10 @@
 use slog::{Logger, debug};
 use tokio::sync::{Semaphore, watch};
 
-use super::dispatcher::micros;
 use super::prepare::Prepared;
 use super::tokens::TokenIssuer;
 use super::{Dispatcher, Inbound, Origin, Outgoing};
-use crate::clock::SharedClock;
+use crate::clock::{SharedClock, micros};
 use crate::data::{Refused, Verdict};
 use crate::gate::{ContextHandle, GateHandle, OwnCall};
 use crate::http::{BodyError, CallerConnection, HttpAnswer, names, read_whole};
@@ -88,7 +87,7 @@
         listener: Listener,
     ) -> Response<HttpAnswer> {
         if req.uri().path() == TOKENS_PATH {
-            return self.serve_tokens(&req).await;
+            return Box::pin(self.serve_tokens(&req)).await;
         }
         self.serve(req, connection, listener).await
     }
@@ -142,9 +141,9 @@
         // A sender that stops halfway would keep its place and its buffer for ever.
         let reading = tokio::time::timeout(self.limits.body_time, self.read(req));
         match reading.await.unwrap_or(Err(ErrorKind::BadRequest)) {
+            // Boxed, so that a caller that has not sent its whole body takes little memory.
             Ok(inbound) => {
-                self.answer(inbound, identity, connection, listener, started)
-                    .await
+                Box::pin(self.answer(inbound, identity, connection, listener, started)).await
             }
             Err(kind) => Answered::aside(RequestId::random(), kind, identity),
         }
--- a/crates/node/src/http/listener.rs
+++ b/crates/node/src/http/listener.rs
@@ -25,8 +25,10 @@
     pub connections: usize,
     /// Bytes of a request's head.
     pub header_bytes: usize,
-    /// Time in which a head must arrive.
+    /// Time in which a head must arrive, counted from the connection's begin or the last answer.
     pub header_timeout: Duration,
+    /// Time in which an answer must be read.
+    pub idle_timeout: Duration,
 }
 
 /// A listener for callers or for the node's own target.
@@ -147,10 +149,18 @@
     let io = TokioIo::new(connection.clone());
     let caller = connection.clone();
     let now = stage.clone();
+    let (answering, answered) = watch::channel(false);
     let service = service_fn(move |req| {
-        let answer = handler(req, connection.clone());
+        answering.send_replace(false);
+        let answering = answering.clone();
+        // Boxed, since hyper sets the room for a handler's future aside for as long as a connection is idle.
+        let answer = Box::pin(handler(req, connection.clone()));
         let now = now.clone();
-        async move { Ok::<_, Infallible>(last_where_leaving(answer.await, &now)) }
+        async move {
+            let answer = answer.await;
+            answering.send_replace(true);
+            Ok::<_, Infallible>(last_where_leaving(answer, &now))
+        }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -160,6 +170,7 @@
     let mut serving = pin!(builder.serve_connection(io, service));
     tokio::select! {
         _ = serving.as_mut() => return,
+        () = unread_for_long(answered, limits) => return,
         () = is_closing(&mut stage) => {}
     }
     // A connection that has just been made is closed at once by hyper, with its first request on its way.
@@ -190,3 +201,20 @@
     }
     res
 }
+
+/// Ends when a caller has not taken in its last answer for long.
+///
+/// hyper bounds the time between requests and that of a head, but not that of writing. A caller that never reads its answer
+/// would hold a connection and the answer's body for ever, seen as memory that grows and a node that accepts nobody any more.
+async fn unread_for_long(mut answered: watch::Receiver<bool>, limits: ListenerLimits) {
+    loop {
+        let patience = match *answered.borrow_and_update() {
+            true => limits.idle_timeout,
+            false => Duration::MAX,
+        };
+        match tokio::time::timeout(patience, answered.changed()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) | Err(_) => return,
+        }
+    }
+}
--- a/crates/rig/src/cli.rs
+++ b/crates/rig/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+mod chaos;
 mod cost;
 mod experiment;
 mod latency;
@@ -12,6 +13,7 @@
 use tokio::runtime;
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::cli::chaos::{ChaosOptions, chaos_options};
 use crate::cli::cost::{CostArgs, cost_args};
 use crate::cli::experiment::{ExperimentArgs, experiment_args};
 use crate::cli::latency::{LatencyArgs, latency_args};
@@ -38,6 +40,9 @@
     /// Open-loop load generator; prints its report as JSON
     #[bpaf(command)]
     Load(#[bpaf(external(load_options))] LoadOptions),
+    /// Random faults from a seed under load on real processes; checks every promise after each round
+    #[bpaf(command)]
+    Chaos(#[bpaf(external(chaos_options))] ChaosOptions),
     /// A surge with faults on a small fleet of real processes; ends with 0 only if every promise held
     #[bpaf(command)]
     Demo,
@@ -73,6 +78,7 @@
             Command::Target(options) => target::run(options).await,
             Command::Proxy(options) => proxy::run(options).await,
             Command::Load(options) => load::run(options).await,
+            Command::Chaos(options) => chaos::run(options).await,
             Command::Demo => until_stopped(demo::run()).await,
             Command::Experiment(args) => until_stopped(experiment::run(args)).await,
             Command::Latency(args) => until_stopped(latency::run(args)).await,
