--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -11,6 +11,5 @@
 pub use hub::{Hub, HubHandle};
 pub use identity::PeerIdentity;
 pub use link::{FrameLimits, Link, LinkError};
-pub use replies::{OwedReply, Replies};
 pub use server::{PeerServer, PeerServices};
 pub use tls::{TlsError, TlsMaterial};
