--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -244,8 +244,9 @@
             age / cold_start
         };
         let share = self.cfg.cold_share + (1.0 - self.cfg.cold_share) * warm;
-        let limit = (self.limit.get() * share).floor() as u32;
-        limit.max(self.cfg.min_limit).max(1)
+        // The share comes last: a cold target is spared below the least limit, too.
+        let limit = self.limit.get().max(f64::from(self.cfg.min_limit));
+        ((limit * share).floor() as u32).max(1)
     }
 
     fn has_slot(&self) -> bool {
--- a/crates/node/src/config/settings.rs
+++ b/crates/node/src/config/settings.rs
@@ -152,9 +152,12 @@
 /// Reads `admission`, which begins with the target's slots and cold start unless it says otherwise.
 fn read_admission(root: &mut Section<'_, '_>, target: &TargetSettings) -> AdmissionSettings {
     let default = AdmissionSettings::default();
-    let initial_limit = target.slots.clamp(default.min_limit, default.max_limit);
+    let initial_limit = target.slots.min(default.max_limit);
     let default = AdmissionSettings {
         initial_limit,
+        // Below its slots a target only idles: one that takes longer for each call looks congested, and a limit that follows
+        // it down gives up goodput that a fixed limit keeps.
+        min_limit: initial_limit,
         cold_start: target.cold_start,
         ..default
     };
--- a/crates/node/src/node/start.rs
+++ b/crates/node/src/node/start.rs
@@ -274,8 +274,7 @@
     // Requests that this node still carries to other hosts are answered before it ends.
     let _ = tokio::time::timeout(settings.shutdown.drain, callers).await;
     // The last answers are still on their way to other nodes.
-    let ended = streams.acquire_many(MOST_STREAMS);
-    let _ = tokio::time::timeout(LAST_ANSWERS, ended).await;
+    let _ = tokio::time::timeout(LAST_ANSWERS, all_free(&streams)).await;
     endpoint.close(quinn::VarInt::from_u32(0), b"stopped");
     let _ = tokio::time::timeout(CLOSE_PATIENCE, endpoint.wait_idle()).await;
     Ok(())
@@ -293,6 +292,16 @@
 /// How long peers are given to take in that connections are closed.
 const CLOSE_PATIENCE: std::time::Duration = std::time::Duration::from_millis(500);
 
+/// Waits until no stream is served; streams that come meanwhile are still answered, by refusals.
+async fn all_free(streams: &Semaphore) {
+    while streams.available_permits() < MOST_STREAMS as usize {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
+/// Time between two looks at the streams of a node that ends.
+const LOOK_INTERVAL: std::time::Duration = std::time::Duration::from_millis(5);
+
 fn sheds_early(settings: &Settings) -> bool {
     settings.admission.level_shedding && settings.admission.mode == AdmissionMode::Adaptive
 }
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -16,7 +16,7 @@
 use crate::error::RigError;
 use crate::http::{Client, ClientCall};
 
-pub use self::ports::{free_port, free_ports, loopback};
+pub use self::ports::{block_of, free_port, free_ports, loopback};
 pub use self::spec::{Output, ProcessSpec};
 pub use rustix::process::Signal;
 
--- a/crates/rig/src/process/ports.rs
+++ b/crates/rig/src/process/ports.rs
@@ -65,6 +65,11 @@
     }
 }
 
+/// The first port of the block that a port is in; whoever gives out the block's ports keeps it bound.
+pub fn block_of(port: u16) -> u16 {
+    port - (port - FIRST) % BLOCK
+}
+
 /// A port free for TCP and UDP, given out once by this process.
 pub fn free_port() -> Result<u16, RigError> {
     let mut claimed = CLAIMED.lock().unwrap_or_else(PoisonError::into_inner);
