A paused node serves a request that came while its time for idle connections ran out

Cause: after a pause the time of an idle connection was over in the same moment in which a request on it could be read; the connection was closed and its caller got nothing. Conclusion: an unread request is served first.

--- a/crates/node/src/http/listener.rs
+++ b/crates/node/src/http/listener.rs
@@ -149,7 +149,7 @@
     let io = TokioIo::new(connection.clone());
     let caller = connection.clone();
     let now = stage.clone();
-    let (answering, answered) = watch::channel(false);
+    let (answering, mut answered) = watch::channel(false);
     let service = service_fn(move |req| {
         answering.send_replace(false);
         let answering = answering.clone();
@@ -168,10 +168,22 @@
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.header_bytes.max(LEAST_HEADER_BYTES));
     let mut serving = pin!(builder.serve_connection(io, service));
-    tokio::select! {
-        _ = serving.as_mut() => return,
-        () = unread_for_long(answered, limits) => return,
-        () = is_closing(&mut stage) => {}
+    loop {
+        tokio::select! {
+            _ = serving.as_mut() => return,
+            () = unread_for_long(&mut answered, limits) => {}
+            () = is_closing(&mut stage) => break,
+        }
+        // A process that was paused finds the time over and, in the same moment, a request that came meanwhile. Closing the
+        // connection over it would leave its caller without an answer.
+        let begins = async { caller.has_unread() && begins_soon(&mut answered).await };
+        let begun = tokio::select! {
+            _ = serving.as_mut() => return,
+            begun = begins => begun,
+        };
+        if !begun {
+            return;
+        }
     }
     // A connection that has just been made is closed at once by hyper, with its first request on its way.
     tokio::select! {
@@ -206,7 +218,7 @@
 ///
 /// hyper bounds the time between requests and that of a head, but not that of writing. A caller that never reads its answer
 /// would hold a connection and the answer's body for ever, seen as memory that grows and a node that accepts nobody any more.
-async fn unread_for_long(mut answered: watch::Receiver<bool>, limits: ListenerLimits) {
+async fn unread_for_long(answered: &mut watch::Receiver<bool>, limits: ListenerLimits) {
     loop {
         let patience = match *answered.borrow_and_update() {
             true => limits.idle_timeout,
@@ -218,3 +230,12 @@
         }
     }
 }
+
+/// Whether a request that has arrived is handed to the handler within a short time.
+async fn begins_soon(answered: &mut watch::Receiver<bool>) -> bool {
+    let begun = answered.wait_for(|answered| !answered);
+    matches!(
+        tokio::time::timeout(LAST_REQUEST_WAIT, begun).await,
+        Ok(Ok(_))
+    )
+}
