Two functions that nobody calls are gone

Cause: own_report of the dispatcher and forget of the hub stood without a caller. Conclusion: no behaviour changed.

--- a/crates/node/src/entry/dispatcher.rs
+++ b/crates/node/src/entry/dispatcher.rs
@@ -18,7 +18,7 @@
 use super::course::{Course, Step};
 use super::tokens::TokenIssuer;
 use crate::clock::{SharedClock, micros};
-use crate::data::{AttemptId, Call, HostReport, OnceCall, Refused, Reply, Verdict};
+use crate::data::{AttemptId, Call, OnceCall, Refused, Reply, Verdict};
 use crate::host::Host;
 use crate::metrics::Metrics;
 use crate::peers::{HubHandle, LinkError};
@@ -249,11 +249,6 @@
             tokio::time::sleep(delay).await;
         }
     }
-
-    /// The own report of this node, for its own calls.
-    pub async fn own_report(&self) -> Option<HostReport> {
-        self.setup.host.report().await
-    }
 }
 
 /// Time that must be left for a retry to make sense.
--- a/crates/node/src/peers/hub.rs
+++ b/crates/node/src/peers/hub.rs
@@ -48,7 +48,6 @@
         oneshot::Sender<Option<Link>>,
     ),
     Opened(NodeName, SocketAddr, Option<Link>, u32),
-    Forget(NodeName),
     Accepted(Link),
     TellAll(ControlRequest, Duration),
 }
@@ -115,9 +114,6 @@
                 HubMessage::Opened(node, address, link, failures) => {
                     self.opened(node, address, link, failures);
                 }
-                HubMessage::Forget(node) => {
-                    self.slots.remove(&node);
-                }
                 HubMessage::Accepted(link) => self.accepted(link),
                 HubMessage::TellAll(request, patience) => self.tell_all(request, patience),
             }
@@ -295,11 +291,6 @@
     pub fn tell_all(&self, request: ControlRequest, patience: Duration) {
         let _ = self.tx.send(HubMessage::TellAll(request, patience));
     }
-
-    /// Closes the connection to a peer that has gone.
-    pub fn forget(&self, node: &NodeName) {
-        let _ = self.tx.send(HubMessage::Forget(node.clone()));
-    }
 }
 
 async fn open(
