--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod jsonc;
 pub mod lifecycle;
 pub mod membership;
+pub mod mesh;
 pub mod once;
 pub mod outcome;
 pub mod routing;
--- /dev/null
+++ b/crates/core/src/mesh.rs
@@ -0,0 +1,42 @@
+//! Decisions of a node that routes requests of a service mesh by host and path.
+//!
+//! A mesh has one configuration for all services and a published list of instances. Every node beside a target is both an
+//! entry, which takes requests that begin on its machine, and a host, which runs requests of others at its target.
+
+mod balance;
+mod below;
+mod caller_limits;
+mod config;
+mod dialect;
+mod fleet;
+mod instance;
+mod level;
+mod publisher;
+mod refusal;
+mod retry_budget;
+mod route;
+mod route_table;
+mod shedder;
+mod split;
+mod standing;
+mod target_gate;
+mod update;
+
+pub use balance::Observed;
+pub use below::Below;
+pub use caller_limits::CallerLimits;
+pub use config::{ConfigVersion, MeshConfig, MeshConfigError, RouteKey};
+pub use dialect::Dialect;
+pub use fleet::{Chosen, Fleet, FleetConfig, InstanceKey, SendOutcome};
+pub use instance::Instance;
+pub use level::{LevelConfig, LevelControl};
+pub use publisher::{Publisher, PublisherError};
+pub use refusal::{Refusal, RefusalRule};
+pub use retry_budget::{RetryBudget, RetryBudgetConfig};
+pub use route::{Part, Repeat, Route};
+pub use route_table::RouteTable;
+pub use shedder::{Shedder, ShedderConfig};
+pub use split::Split;
+pub use standing::Standing;
+pub use target_gate::{Entered, GateConfig, TargetGate, Ticket, Waiting};
+pub use update::{Update, UpdateBatch};
--- /dev/null
+++ b/crates/core/src/mesh/balance.rs
@@ -0,0 +1,133 @@
+//! What an entry has seen of one instance, and the score that it gives it.
+
+use std::time::{Duration, Instant};
+
+/// Running estimates about one instance, from answers that this entry got.
+#[derive(Clone, Copy, Debug)]
+pub struct Observed {
+    /// Requests of this entry that are there now.
+    pub outstanding: u32,
+    /// Requests of all entries there, as its host said last, and sent since.
+    busy: f64,
+    busy_at: Option<Instant>,
+    /// Its time for a request over the usual time of that route, as a running mean.
+    slowness: f64,
+    /// Share of failed requests, as a running mean.
+    failures: f64,
+    /// Until when it gets requests only where nobody else can.
+    avoided_until: Option<Instant>,
+    /// Failures in a row to reach its host.
+    unreachable: u32,
+}
+
+impl Default for Observed {
+    fn default() -> Self {
+        Self {
+            outstanding: 0,
+            busy: 0.0,
+            busy_at: None,
+            slowness: 1.0,
+            failures: 0.0,
+            avoided_until: None,
+            unreachable: 0,
+        }
+    }
+}
+
+/// Weight of the newest answer in running means: they settle within some ten answers.
+const NEWEST: f64 = 0.12;
+
+/// A host's own word about its load counts for half of its value after this time without a new one.
+const BUSY_HALF_LIFE: Duration = Duration::from_millis(800);
+
+/// Share of failures from which an instance is avoided.
+const FAILURES_TO_AVOID: f64 = 0.45;
+
+/// How long an instance that fails is avoided before one request tries it again.
+const AVOID_FAILING: Duration = Duration::from_millis(2500);
+
+/// First time for which a host that can't be reached is avoided; doubled each time up to eight times this.
+const AVOID_UNREACHABLE: Duration = Duration::from_millis(250);
+
+/// How far one answer may move the slowness, so that a single slow request says little.
+const SLOWNESS_RANGE: (f64, f64) = (0.2, 5.0);
+
+impl Observed {
+    /// A request goes there.
+    pub fn sent(&mut self, now: Instant) {
+        self.outstanding += 1;
+        self.busy = self.busy_now(now) + 1.0;
+        self.busy_at = Some(now);
+    }
+
+    /// A request that went there has ended.
+    pub fn ended(&mut self) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+    }
+
+    /// The host's word about how many requests it has.
+    pub fn reported(&mut self, busy: u32, now: Instant) {
+        self.busy = f64::from(busy);
+        self.busy_at = Some(now);
+        self.unreachable = 0;
+    }
+
+    /// A whole answer after `relative` times the usual time of its route.
+    pub fn answered(&mut self, relative: f64) {
+        let relative = relative.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
+        self.slowness += NEWEST * (relative - self.slowness);
+        self.failures -= NEWEST * self.failures;
+    }
+
+    /// The target failed or refused a request.
+    pub fn failed(&mut self, now: Instant) {
+        self.failures += NEWEST * (1.0 - self.failures);
+        if self.failures > FAILURES_TO_AVOID {
+            self.avoided_until = Some(now + AVOID_FAILING);
+            // One failure after the pause must be enough to avoid it again, and some successes to trust it.
+            self.failures = FAILURES_TO_AVOID;
+        }
+    }
+
+    /// The host could not be reached.
+    pub fn not_reached(&mut self, now: Instant) {
+        let doublings = self.unreachable.min(3);
+        self.avoided_until = Some(now + AVOID_UNREACHABLE * (1 << doublings));
+        self.unreachable += 1;
+    }
+
+    /// Whether it is avoided now.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        self.avoided_until.is_some_and(|until| now < until)
+    }
+
+    /// Expected time for a request there, in units of the usual time on an idle usual instance.
+    pub fn score(&self, slots: u32, now: Instant) -> f64 {
+        let load = self.busy_now(now).max(f64::from(self.outstanding));
+        let used = (load + 1.0) / f64::from(slots.max(1));
+        let queueing = (used - FREE_SHARE).max(0.0) * QUEUE_WEIGHT;
+        // Retries cost more than time, so failures weigh beyond the time of a second try.
+        let failing = 1.0 + FAILURE_WEIGHT * self.failures;
+        self.slowness * failing * (1.0 + LOAD_WEIGHT * used + queueing)
+    }
+
+    fn busy_now(&self, now: Instant) -> f64 {
+        let Some(at) = self.busy_at else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        self.busy * 0.5_f64.powf(age / BUSY_HALF_LIFE.as_secs_f64())
+    }
+}
+
+/// Share of its slots that an instance can use before requests are likely to wait there.
+const FREE_SHARE: f64 = 0.8;
+
+/// How much a request more than the slots hold adds, in usual times over the whole of the slots.
+const QUEUE_WEIGHT: f64 = 6.0;
+
+/// How much even load below the slots counts: spreads requests before queues form.
+const LOAD_WEIGHT: f64 = 0.5;
+
+/// How much more an instance that fails always would cost.
+const FAILURE_WEIGHT: f64 = 6.0;
--- /dev/null
+++ b/crates/core/src/mesh/config.rs
@@ -0,0 +1,120 @@
+//! A whole configuration of a mesh, as published in one version.
+
+use std::collections::BTreeSet;
+
+use smol_str::SmolStr;
+
+use crate::collections::Set;
+use crate::mesh::{CallerLimits, Route, RouteTable};
+
+/// Version of a configuration; versions compare as their numbers do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConfigVersion(pub u64);
+
+/// Place of a route within its configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RouteKey(u32);
+
+/// A configuration that was checked as a whole.
+#[derive(Clone, Debug)]
+pub struct MeshConfig {
+    version: ConfigVersion,
+    routes: Vec<Route>,
+    table: RouteTable,
+    ranks: Vec<u8>,
+    limits: CallerLimits,
+}
+
+/// Why a configuration can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum MeshConfigError {
+    /// Two routes have the same name.
+    #[error("two routes are named `{0}`")]
+    DuplicateName(SmolStr),
+    /// A prefix does not begin and end with a slash.
+    #[error("route `{0}`: the prefix must begin and end with a slash")]
+    Prefix(SmolStr),
+    /// A route has no part with a positive weight, or a weight that is no number.
+    #[error("route `{0}`: no service with a positive weight")]
+    Weights(SmolStr),
+    /// A route may be tried nowhere.
+    #[error("route `{0}`: at least one attempt must be allowed")]
+    Attempts(SmolStr),
+}
+
+impl MeshConfig {
+    /// Checks the routes and builds their table.
+    ///
+    /// # Errors
+    ///
+    /// The first fault found; nothing of a faulty configuration is used.
+    pub fn new(
+        version: ConfigVersion,
+        routes: Vec<Route>,
+        limits: CallerLimits,
+    ) -> Result<Self, MeshConfigError> {
+        let mut names = Set::default();
+        for route in &routes {
+            check(route)?;
+            if !names.insert(route.name.clone()) {
+                return Err(MeshConfigError::DuplicateName(route.name.clone()));
+            }
+        }
+        let keyed = (0..).map(RouteKey).zip(&routes);
+        let table = RouteTable::new(keyed);
+        let ranks: BTreeSet<u8> = routes.iter().map(|route| route.rank).collect();
+        Ok(Self {
+            version,
+            table,
+            ranks: ranks.into_iter().rev().collect(),
+            routes,
+            limits,
+        })
+    }
+
+    /// The version.
+    pub fn version(&self) -> ConfigVersion {
+        self.version
+    }
+
+    /// All routes.
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+
+    /// The route of a request.
+    pub fn find(&self, host: &str, path: &str) -> Option<(RouteKey, &Route)> {
+        let key = self.table.find(host, path)?;
+        Some((key, self.route(key)))
+    }
+
+    /// A route of this configuration.
+    pub fn route(&self, key: RouteKey) -> &Route {
+        &self.routes[key.0 as usize]
+    }
+
+    /// How many less urgent ranks this configuration has; 0 for the rank that is shed first.
+    pub fn shed_order(&self, rank: u8) -> usize {
+        self.ranks.iter().take_while(|other| **other > rank).count()
+    }
+
+    /// Bounds for callers.
+    pub fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+}
+
+fn check(route: &Route) -> Result<(), MeshConfigError> {
+    let name = || route.name.clone();
+    if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+        return Err(MeshConfigError::Prefix(name()));
+    }
+    let weights_are_numbers = route.parts.iter().all(|part| part.weight >= 0.0);
+    if !weights_are_numbers || !route.parts.iter().any(|part| part.weight > 0.0) {
+        return Err(MeshConfigError::Weights(name()));
+    }
+    if route.max_attempts == 0 {
+        return Err(MeshConfigError::Attempts(name()));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/core/src/mesh/instance.rs
@@ -0,0 +1,27 @@
+//! An instance of the published list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::id::{DomainName, ServiceName};
+
+/// One start of a target, as its entry in the published list tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Instance {
+    /// Id, new at each start of the target.
+    pub id: SmolStr,
+    /// The service that it runs.
+    pub service: ServiceName,
+    /// Where the node beside it reaches it; other nodes use only its IP number.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it has said that it is about to end.
+    pub leaving: bool,
+    /// How long it stays slow after its start, from when the entry was written.
+    pub cold: Duration,
+}
--- /dev/null
+++ b/crates/core/src/mesh/route.rs
@@ -0,0 +1,48 @@
+//! One route of a configuration.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::id::ServiceName;
+
+/// How often a request of a route may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// Running it twice does no harm.
+    Idempotent,
+    /// It may run once at most.
+    AtMostOnce,
+}
+
+/// A service that takes a share of a route's requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    /// The service.
+    pub service: ServiceName,
+    /// Its share, relative to the sum over all parts.
+    pub weight: f64,
+}
+
+/// Where requests of a host and path prefix go, and what holds for them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name, which stays the same over versions of the configuration.
+    pub name: SmolStr,
+    /// Host, in lower case and without a port.
+    pub host: SmolStr,
+    /// Beginning of the path, from slash to slash.
+    pub prefix: SmolStr,
+    /// How often a request may run.
+    pub repeat: Repeat,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer has its full worth.
+    pub latency_target: Duration,
+    /// Urgency; 0 is shed last.
+    pub rank: u8,
+    /// The services that run its requests; one where nothing is split.
+    pub parts: Vec<Part>,
+    /// Most targets that one request may be sent to.
+    pub max_attempts: u32,
+}
--- /dev/null
+++ b/crates/core/src/mesh/standing.rs
@@ -0,0 +1,25 @@
+//! What a node believes about an instance.
+
+use std::time::Instant;
+
+/// Whether an instance may get new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Listed and ready.
+    Ready,
+    /// It has said that it is about to end; nothing new goes there.
+    Leaving,
+    /// Its entry vanished while the publisher was in trouble. Entries lapse then although their instances live, so it goes
+    /// on being used until the entry has had time to come back.
+    Vanished {
+        /// When its absence counts.
+        until: Instant,
+    },
+}
+
+impl Standing {
+    /// Whether new requests may go there.
+    pub fn takes_work(self) -> bool {
+        !matches!(self, Self::Leaving)
+    }
+}
--- a/crates/node/src/cli/options.rs
+++ b/crates/node/src/cli/options.rs
@@ -15,6 +15,9 @@
     /// Run a node beside its target instance
     #[bpaf(command)]
     Node(#[bpaf(external(node_options))] NodeOptions),
+    /// Run a node of a service mesh, which routes by host and path, beside its target instance
+    #[bpaf(command)]
+    Mesh(#[bpaf(external(mesh_options))] MeshOptions),
     /// Check a document or settings without running a node
     #[bpaf(command)]
     Check(#[bpaf(external(check_options))] CheckOptions),
@@ -41,6 +44,15 @@
     pub settings: PathBuf,
 }
 
+/// Options of `mesh`.
+#[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct MeshOptions {
+    /// Settings, JSON with comments; read again on SIGHUP and when they change
+    #[bpaf(argument("FILE"), env("COLTSFOOTPORT_SETTINGS"))]
+    pub settings: PathBuf,
+}
+
 /// What `check` reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CheckSubject {
--- a/crates/node/src/commands.rs
+++ b/crates/node/src/commands.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod input;
 pub mod keys;
+pub mod mesh;
 pub mod node;
 mod output;
 mod runtime;
--- /dev/null
+++ b/crates/node/src/h1/encode.rs
@@ -0,0 +1,80 @@
+//! Heads and chunks as bytes.
+
+use std::io::Write;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use http::{HeaderMap, StatusCode};
+
+use super::{Framing, RequestHead};
+
+/// The chunk that ends a body.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// Bytes of a usual head; saves growing the buffer.
+const USUAL_HEAD: usize = 512;
+
+/// The head of a request, with the framing of its body.
+pub fn request_head(head: &RequestHead, framing: Framing) -> BytesMut {
+    let mut buf = BytesMut::with_capacity(USUAL_HEAD);
+    buf.put_slice(head.method.as_str().as_bytes());
+    buf.put_u8(b' ');
+    buf.put_slice(head.target.as_bytes());
+    buf.put_slice(b" HTTP/1.1\r\n");
+    put_headers(&mut buf, &head.headers);
+    let bodiless = framing == Framing::Length(0) && !takes_body(head);
+    if !bodiless {
+        put_framing(&mut buf, framing);
+    }
+    buf.put_slice(b"\r\n");
+    buf
+}
+
+/// The head of an answer, with the framing of its body.
+pub fn answer_head(status: StatusCode, headers: &HeaderMap, framing: Framing) -> BytesMut {
+    let mut buf = BytesMut::with_capacity(USUAL_HEAD);
+    let reason = status.canonical_reason().unwrap_or("Unknown");
+    let mut writer = (&mut buf).writer();
+    // Writing to memory does not fail.
+    let _ = write!(writer, "HTTP/1.1 {} {reason}\r\n", status.as_u16());
+    put_headers(&mut buf, headers);
+    if status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED {
+        put_framing(&mut buf, framing);
+    }
+    buf.put_slice(b"\r\n");
+    buf
+}
+
+/// One chunk of a body.
+pub fn chunk(data: &Bytes) -> BytesMut {
+    let mut buf = BytesMut::with_capacity(data.len() + 16);
+    let mut writer = (&mut buf).writer();
+    let _ = write!(writer, "{:x}\r\n", data.len());
+    buf.put_slice(data);
+    buf.put_slice(b"\r\n");
+    buf
+}
+
+fn put_headers(buf: &mut BytesMut, headers: &HeaderMap) {
+    for (name, value) in headers {
+        buf.put_slice(name.as_str().as_bytes());
+        buf.put_slice(b": ");
+        buf.put_slice(value.as_bytes());
+        buf.put_slice(b"\r\n");
+    }
+}
+
+fn put_framing(buf: &mut BytesMut, framing: Framing) {
+    match framing {
+        Framing::Length(length) => {
+            let mut writer = buf.writer();
+            let _ = write!(writer, "content-length: {length}\r\n");
+        }
+        Framing::Chunked => buf.put_slice(b"transfer-encoding: chunked\r\n"),
+        Framing::UntilClose => buf.put_slice(b"connection: close\r\n"),
+    }
+}
+
+/// Whether a request without a body should say so, since its method usually has one.
+fn takes_body(head: &RequestHead) -> bool {
+    matches!(head.method.as_str(), "POST" | "PUT" | "PATCH")
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -17,6 +17,7 @@
 fn run(command: Command) -> Exit {
     match command {
         Command::Node(options) => commands::node::run(&options),
+        Command::Mesh(options) => commands::mesh::run(&options),
         Command::Check(options) => commands::check::run(&options),
         Command::Status(options) => commands::status::run(&options),
         Command::Timeline(options) => commands::timeline::run(&options),
--- /dev/null
+++ b/crates/node/src/mesh.rs
@@ -0,0 +1,23 @@
+//! A node that routes requests of a service mesh by host and path, beside one target.
+
+pub mod boot_clock;
+mod call;
+mod callers;
+mod desk;
+mod entry;
+mod feed;
+mod host;
+mod journal;
+mod life;
+mod link;
+mod metrics;
+mod ready;
+mod run;
+mod settings;
+mod settings_file;
+mod target;
+
+pub use run::{MeshError, run};
+pub use settings::{
+    FeedSettings, LoadSettings, MeshNodeSettings, MeshSettings, PublisherKind, RepeatSettings,
+};
--- /dev/null
+++ b/crates/node/src/mesh/callers.rs
@@ -0,0 +1,9 @@
+//! HTTP/1.1 towards callers: read ahead, run side by side, answer in order.
+
+mod connection;
+mod listener;
+mod reader;
+mod slot;
+mod writer;
+
+pub use listener::{CallersConfig, listen};
--- /dev/null
+++ b/crates/node/src/mesh/callers/connection.rs
@@ -0,0 +1,40 @@
+//! One connection from a caller.
+
+use std::sync::Arc;
+
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use super::listener::CallersConfig;
+use super::reader::Reader;
+use super::slot::{Shared, Slot};
+use super::writer::Writer;
+
+/// Serves a caller until one of the two ends the connection.
+///
+/// When the caller leaves, the tasks of its requests are dropped with the set that holds them: what waits is cancelled,
+/// and what may be broken off at a target is.
+pub async fn serve_connection(stream: TcpStream, cfg: CallersConfig) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let (read, write) = stream.into_split();
+    let shared = Arc::new(Shared::default());
+    let (slots, waiting) = mpsc::channel::<Slot>(cfg.pipelined);
+    let mut tasks = JoinSet::new();
+    let writer = Writer::new(write, Arc::clone(&shared), cfg.stopping.clone());
+    let journal = cfg.entry.journal.clone();
+    let mut reader = Reader::new(read, Arc::clone(&shared), cfg);
+    tokio::select! {
+        () = reader.run(slots, &mut tasks) => {
+            if shared.pending() > 0 {
+                journal.caller_left(usize::try_from(shared.pending()).unwrap_or(usize::MAX));
+            }
+        }
+        () = writer.run(waiting) => {
+            tasks.abort_all();
+            reader.linger().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/callers/listener.rs
@@ -0,0 +1,64 @@
+//! Accepts callers.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use coltsfootport_core::mesh::CallerLimits;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use super::connection::serve_connection;
+use crate::mesh::entry::Entry;
+
+/// How callers are served.
+#[derive(Clone)]
+pub struct CallersConfig {
+    /// Serves each request.
+    pub entry: Entry,
+    /// Bounds, as the configuration in force has them.
+    pub limits: watch::Receiver<CallerLimits>,
+    /// Requests of one connection that are worked on at a time.
+    pub pipelined: usize,
+    /// Turns true when the node is about to stop.
+    pub stopping: watch::Receiver<bool>,
+    /// Requests from callers that have no answer yet.
+    pub open: Arc<AtomicUsize>,
+}
+
+/// Pause after a failure to accept, such as a lack of descriptors, so that it does not take the whole processor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts callers for as long as the process lives.
+pub async fn listen(listener: TcpListener, cfg: CallersConfig) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_connection(stream, cfg.clone()));
+            }
+            Err(e) => {
+                warn!(cfg.entry.journal.log(), "a caller can't be accepted"; "reason" => e.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Counts a request without an answer for as long as it lives.
+#[derive(Debug)]
+pub struct OpenRequest(Arc<AtomicUsize>);
+
+impl OpenRequest {
+    /// Counts one more.
+    pub fn new(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::SeqCst);
+        Self(Arc::clone(open))
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -0,0 +1,297 @@
+//! The reading half of a caller's connection.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use coltsfootport_core::mesh::{CallerLimits, Refusal};
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use super::listener::{CallersConfig, OpenRequest};
+use super::slot::{Shared, Slot};
+use crate::h1::{
+    BodyDecoder, Decoded, Framing, H1Error, RequestHead, parse_request, request_framing,
+};
+use crate::mesh::call::{
+    Body, CallerAnswer, CallerRequest, CutShort, HELD_BODY, Refused, WAITING_PIECES,
+};
+
+/// Bytes read at a time.
+const READ_SIZE: usize = 8 * 1024;
+
+/// How long and how much is read after the last answer. Closing with unread bytes resets the connection, and the caller
+/// may lose the answer that it has not read yet.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Reads heads and bodies and starts a task for each request.
+pub struct Reader {
+    read: OwnedReadHalf,
+    buf: BytesMut,
+    shared: Arc<Shared>,
+    cfg: CallersConfig,
+}
+
+/// Why reading has ended.
+enum End {
+    /// The caller has left, or has been silent for too long.
+    Left,
+    /// The connection's last answer has been decided; what has been read since must not run.
+    Closing,
+    /// The caller sent something that is answered by a refusal, after which the connection is closed.
+    Refused(Refusal),
+}
+
+impl Reader {
+    /// A reader at the beginning of a connection.
+    pub fn new(read: OwnedReadHalf, shared: Arc<Shared>, cfg: CallersConfig) -> Self {
+        Self {
+            read,
+            buf: BytesMut::new(),
+            shared,
+            cfg,
+        }
+    }
+
+    /// Reads until the caller leaves. After the connection's last request it goes on reading, without using what comes, to
+    /// see when the caller leaves before its answer.
+    pub async fn run(&mut self, slots: mpsc::Sender<Slot>, tasks: &mut JoinSet<()>) {
+        loop {
+            // Finished tasks keep memory until they are joined.
+            while tasks.try_join_next().is_some() {}
+            let limits = *self.cfg.limits.borrow();
+            match self.next(&limits, &slots, tasks).await {
+                Ok(()) if self.shared.is_closing() => return self.drain().await,
+                Ok(()) => {}
+                Err(End::Left) => return,
+                Err(End::Closing) => return self.drain().await,
+                Err(End::Refused(refusal)) => {
+                    self.shared.begin();
+                    self.shared.close();
+                    self.refuse(refusal, &slots).await;
+                    return self.drain().await;
+                }
+            }
+        }
+    }
+
+    /// Reads and drops what still comes after the last answer.
+    pub async fn linger(&mut self) {
+        // Either way the connection ends now.
+        let _ = timeout(LINGER, self.drain()).await;
+    }
+
+    /// Reads and drops until the caller closes.
+    async fn drain(&mut self) {
+        loop {
+            self.buf.clear();
+            if self.fill().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn next(
+        &mut self,
+        limits: &CallerLimits,
+        slots: &mpsc::Sender<Slot>,
+        tasks: &mut JoinSet<()>,
+    ) -> Result<(), End> {
+        let head = self.head(limits).await?;
+        let arrived = self.cfg.entry.clock.now();
+        let framing =
+            request_framing(&head.headers).map_err(|_| End::Refused(Refusal::BadRequest))?;
+        if matches!(framing, Framing::Length(length) if length > limits.body_bytes) {
+            return Err(End::Refused(Refusal::BodyTooLarge));
+        }
+        if !self.shared.begin() {
+            return Err(End::Closing);
+        }
+        let keep_alive = head.keep_alive;
+        if !keep_alive {
+            self.shared.close();
+        }
+        let (tx, rx) = oneshot::channel();
+        let slot = Slot {
+            answer: rx,
+            keep_alive,
+            takes_chunks: head.takes_chunks,
+            head_only: head.method == http::Method::HEAD,
+        };
+        // Waits while as many requests as allowed have no answer yet.
+        slots.send(slot).await.map_err(|_| End::Left)?;
+        self.body(head, framing, arrived, limits, tx, tasks).await
+    }
+
+    async fn head(&mut self, limits: &CallerLimits) -> Result<RequestHead, End> {
+        let mut began: Option<Instant> = None;
+        loop {
+            match parse_request(&mut self.buf, limits.header_bytes) {
+                Ok(Some(head)) => return Ok(head),
+                Ok(None) => {}
+                Err(H1Error::HeadTooLarge) => return Err(End::Refused(Refusal::HeaderTooLarge)),
+                Err(_) => return Err(End::Refused(Refusal::BadRequest)),
+            }
+            let now = self.cfg.entry.clock.now();
+            if began.is_none() && !self.buf.is_empty() {
+                began = Some(now);
+            }
+            let wait = match began {
+                Some(began) => limits
+                    .header_timeout
+                    .saturating_sub(now.saturating_duration_since(began)),
+                None => limits.idle_timeout,
+            };
+            match timeout(wait, self.fill()).await {
+                Ok(read) => read?,
+                Err(_) if began.is_some() => return Err(End::Refused(Refusal::HeaderTimeout)),
+                // A caller that waits for an answer is not idle.
+                Err(_) if self.shared.pending() > 0 => {}
+                Err(_) => return Err(End::Left),
+            }
+        }
+    }
+
+    /// Reads a body and starts the request: at once where the body is long, and when it is whole where it is short, so
+    /// that it can be sent again.
+    async fn body(
+        &mut self,
+        head: RequestHead,
+        framing: Framing,
+        arrived: Instant,
+        limits: &CallerLimits,
+        tx: oneshot::Sender<CallerAnswer>,
+        tasks: &mut JoinSet<()>,
+    ) -> Result<(), End> {
+        let mut decoder = BodyDecoder::new(framing);
+        let mut held = BytesMut::new();
+        let ended = self.hold(&mut decoder, &mut held, limits).await?;
+        if ended {
+            self.start(head, Body::Whole(held.freeze()), arrived, tx, tasks);
+            return Ok(());
+        }
+        let length = match framing {
+            Framing::Length(length) => Some(length),
+            _ => None,
+        };
+        let (pieces, rx) = mpsc::channel(WAITING_PIECES);
+        let mut total = held.len() as u64;
+        // The channel is empty and holds several pieces.
+        let _ = pieces.send(Ok(held.freeze())).await;
+        self.start(head, Body::Stream { length, rx }, arrived, tx, tasks);
+        let passed = self
+            .pass_on(&mut decoder, &mut total, limits, &pieces)
+            .await;
+        if passed.is_err() {
+            // A request whose body was cut must not look whole to its target.
+            let _ = pieces.send(Err(CutShort)).await;
+        }
+        passed
+    }
+
+    async fn hold(
+        &mut self,
+        decoder: &mut BodyDecoder,
+        held: &mut BytesMut,
+        limits: &CallerLimits,
+    ) -> Result<bool, End> {
+        loop {
+            match decoder.decode(&mut self.buf).map_err(|_| End::Left)? {
+                Decoded::End => return Ok(true),
+                Decoded::Data(data) => {
+                    held.extend_from_slice(&data);
+                    if held.len() as u64 > limits.body_bytes {
+                        return Err(End::Left);
+                    }
+                    if held.len() >= HELD_BODY && !decoder.is_done() {
+                        return Ok(false);
+                    }
+                }
+                Decoded::More => self.fill_in_time(limits).await?,
+            }
+        }
+    }
+
+    async fn pass_on(
+        &mut self,
+        decoder: &mut BodyDecoder,
+        total: &mut u64,
+        limits: &CallerLimits,
+        pieces: &mpsc::Sender<Result<Bytes, CutShort>>,
+    ) -> Result<(), End> {
+        loop {
+            match decoder.decode(&mut self.buf).map_err(|_| End::Left)? {
+                Decoded::End => return Ok(()),
+                Decoded::Data(data) => {
+                    *total += data.len() as u64;
+                    if *total > limits.body_bytes {
+                        return Err(End::Left);
+                    }
+                    // Where nobody reads it any more, the answer was early; the rest is read and dropped, so that the
+                    // connection can go on.
+                    let _ = pieces.send(Ok(data)).await;
+                }
+                Decoded::More => self.fill_in_time(limits).await?,
+            }
+        }
+    }
+
+    fn start(
+        &self,
+        head: RequestHead,
+        body: Body,
+        arrived: Instant,
+        tx: oneshot::Sender<CallerAnswer>,
+        tasks: &mut JoinSet<()>,
+    ) {
+        let entry = self.cfg.entry.clone();
+        let open = OpenRequest::new(&self.cfg.open);
+        tasks.spawn(async move {
+            let answer = entry
+                .serve(CallerRequest {
+                    head,
+                    body,
+                    arrived,
+                })
+                .await;
+            // The writer has gone where the caller has.
+            let _ = tx.send(answer);
+            drop(open);
+        });
+    }
+
+    async fn refuse(&self, refusal: Refusal, slots: &mpsc::Sender<Slot>) {
+        let refused = Refused {
+            refusal,
+            retry_after: None,
+        };
+        let answer = self.cfg.entry.refuse(refused, "", None);
+        let (tx, rx) = oneshot::channel();
+        let _ = tx.send(answer);
+        let slot = Slot {
+            answer: rx,
+            keep_alive: false,
+            takes_chunks: true,
+            head_only: false,
+        };
+        let _ = slots.send(slot).await;
+    }
+
+    async fn fill_in_time(&mut self, limits: &CallerLimits) -> Result<(), End> {
+        match timeout(limits.idle_timeout, self.fill()).await {
+            Ok(read) => read,
+            Err(_) => Err(End::Left),
+        }
+    }
+
+    async fn fill(&mut self) -> Result<(), End> {
+        self.buf.reserve(READ_SIZE);
+        match self.read.read_buf(&mut self.buf).await {
+            Ok(read) if read > 0 => Ok(()),
+            _ => Err(End::Left),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/desk/entering.rs
@@ -0,0 +1,219 @@
+//! Requests that enter the mesh here: admission, choice of an instance, repeats.
+
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootport_core::collections::Map;
+use coltsfootport_core::id::ServiceName;
+use coltsfootport_core::mesh::{InstanceKey, MeshConfig, Refusal, RouteKey, SendOutcome, Split};
+use rand::Rng;
+use smol_str::SmolStr;
+
+use super::route_stats::RouteStats;
+use super::{
+    AdmitAsk, Admitted, AgainAsk, Denied, Desk, EndedSend, OuterRun, SendAsk, SendGuard, SendTo,
+};
+
+/// Shortest time after which a shed caller is asked to come back: levels move within some tenths of a second.
+const BACK_SOONEST: Duration = Duration::from_millis(250);
+
+/// What a wholly shed rank adds to that time: about the time in which a level falls by one.
+const BACK_LATER: Duration = Duration::from_millis(1200);
+
+/// Share of its remaining time after which a caller is still asked to come back; callers honour up to a third.
+const BACK_SHARE: f64 = 0.32;
+
+/// When to come back to a node without configuration or instances.
+const BACK_NOT_READY: Duration = Duration::from_millis(500);
+
+impl Desk {
+    /// Decides whether a request goes on, and at which service.
+    pub(super) fn admit(&mut self, ask: &AdmitAsk) -> Result<Admitted, Denied> {
+        let now = self.clock.now();
+        let Some(config) = self.config.clone() else {
+            return Err(denied(Refusal::NoConfig, Some(BACK_NOT_READY)));
+        };
+        let Some((key, _)) = config.find(&ask.host, &ask.path) else {
+            return Err(self.no_route(now));
+        };
+        let outer = self.runs.outer_of(&ask.id);
+        match &outer {
+            // Work has been done for it above; refused here it would be lost, and more than this request with it.
+            Some(_) => self.metrics.inner.inc(),
+            None => self.shed(&config, key, ask, now)?,
+        }
+        let service = self
+            .next_part(&config, key)
+            .ok_or(denied(Refusal::NoInstance, Some(BACK_NOT_READY)))?;
+        Ok(Admitted {
+            config,
+            route: key,
+            service,
+            outer,
+        })
+    }
+
+    /// A route may be missing since the configuration in hand is old: only a fresh one says that it does not exist.
+    fn no_route(&self, now: Instant) -> Denied {
+        let fresh = self
+            .publisher_answered
+            .is_some_and(|at| now.saturating_duration_since(at) <= self.cfg.publisher_fresh);
+        match fresh && self.publisher_sound {
+            true => denied(Refusal::NoRoute, None),
+            false => denied(Refusal::NoConfig, Some(BACK_NOT_READY)),
+        }
+    }
+
+    fn shed(
+        &mut self,
+        config: &Arc<MeshConfig>,
+        key: RouteKey,
+        ask: &AdmitAsk,
+        now: Instant,
+    ) -> Result<(), Denied> {
+        let route = config.route(key);
+        let order = config.shed_order(route.rank);
+        let share = self.shedder.share(&route.name, order, now);
+        if share <= 0.0 {
+            return Ok(());
+        }
+        let caller = caller_key(ask);
+        if self.welcome.is_back(caller, now) {
+            // It waited as it was told, so it is shed only where its whole rank is, and the next one too.
+            let share = self.shedder.share(&route.name, order + 1, now);
+            if self.rng.random::<f64>() >= share {
+                return Ok(());
+            }
+        } else if self.rng.random::<f64>() >= share {
+            return Ok(());
+        }
+        self.welcome.told(caller, now);
+        self.journal
+            .shed(&ask.id, route, self.shedder.level(&route.name, now), share);
+        let wait =
+            (BACK_SOONEST + BACK_LATER.mul_f64(share)).mul_f64(self.rng.random_range(0.75..1.25));
+        let most = ask.time_left.map(|left| left.mul_f64(BACK_SHARE));
+        let wait = most.map_or(wait, |most| wait.min(most));
+        Err(denied(Refusal::Shed, Some(wait)))
+    }
+
+    fn next_part(&mut self, config: &MeshConfig, key: RouteKey) -> Option<ServiceName> {
+        let route = config.route(key);
+        if let [only] = route.parts.as_slice() {
+            return Some(only.service.clone());
+        }
+        let phase = self.rng.random::<f64>();
+        let split = entry(&mut self.splits, &route.name, || {
+            Split::new(&route.parts, phase)
+        });
+        split.next(&route.parts).cloned()
+    }
+
+    /// Chooses an instance for a request.
+    pub(super) fn send(&mut self, ask: SendAsk) -> Option<SendTo> {
+        let now = self.clock.now();
+        let chosen = self
+            .fleet
+            .choose(&ask.service, &ask.tried, now, &mut self.rng)?;
+        self.fleet.sent(chosen.key, now);
+        if ask.tried.is_empty() {
+            self.budget.earn(&ask.service, now);
+        }
+        let guard = SendGuard {
+            key: chosen.key,
+            service: ask.service,
+            route: ask.route,
+            outer: ask.outer,
+            since: now,
+            clock: Arc::clone(&self.clock),
+            tx: self.tx.clone(),
+            ended: false,
+        };
+        Some(SendTo {
+            own: chosen.address == self.cfg.target,
+            chosen,
+            guard,
+        })
+    }
+
+    /// Learns from a sending that has ended.
+    pub(super) fn send_ended(&mut self, key: InstanceKey, ended: EndedSend) {
+        let now = self.clock.now();
+        let stats = entry(&mut self.stats, &ended.route, RouteStats::new);
+        let outcome = match ended.outcome {
+            SendOutcome::Answered { .. } => SendOutcome::Answered {
+                relative: stats.answered(ended.took),
+            },
+            other => other,
+        };
+        if let Some(report) = &ended.report {
+            if matches!(outcome, SendOutcome::Answered { .. }) {
+                let counts = report.below.iter();
+                stats
+                    .below
+                    .learn(counts.map(|(service, count)| (service, *count)));
+            }
+            self.shedder.report(&ended.route, report.level, now);
+        }
+        let busy = ended.report.as_ref().map(|report| report.busy);
+        self.fleet.ended(key, outcome, busy, now);
+        if let Some(outer) = &ended.outer {
+            self.runs
+                .caused(outer, &ended.service, ended.report.as_ref());
+        }
+    }
+
+    /// Decides whether a failed request may be sent again, and takes what it costs from the budget.
+    pub(super) fn again(&mut self, ask: &AgainAsk) -> bool {
+        let now = self.clock.now();
+        let overloaded = self.shedder.level(&ask.route, now) > self.cfg.no_repeat_level;
+        if overloaded && !ask.inner {
+            self.metrics.repeat("overloaded");
+            return false;
+        }
+        let mut costs = vec![(ask.service.clone(), 1.0)];
+        if let Some(stats) = self.stats.get(&ask.route).filter(|_| ask.may_have_run) {
+            for (service, count) in stats.below.iter() {
+                costs.push((service.clone(), count));
+            }
+        }
+        let affordable = self.budget.spend(&costs, now);
+        self.metrics
+            .repeat(if affordable { "sent" } else { "no-budget" });
+        affordable
+    }
+}
+
+fn denied(refusal: Refusal, retry_after: Option<Duration>) -> Denied {
+    Denied {
+        refusal,
+        retry_after,
+    }
+}
+
+/// Stands for the caller's whole request: its attempts have ids of their own, but ask for the same.
+fn caller_key(ask: &AdmitAsk) -> u64 {
+    let mut hasher = std::hash::DefaultHasher::new();
+    ask.host.hash(&mut hasher);
+    ask.path.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The value of a key, made where it is missing.
+fn entry<'m, T, F>(map: &'m mut Map<SmolStr, T>, key: &SmolStr, make: F) -> &'m mut T
+where
+    F: FnOnce() -> T,
+{
+    if !map.contains_key(key) {
+        map.insert(key.clone(), make());
+    }
+    map.get_mut(key).expect("was inserted above")
+}
+
+impl OuterRun {
+    /// The sooner of its own deadline and that of a request which serves it.
+    pub fn bound(&self, deadline: Instant) -> Instant {
+        self.deadline.min(deadline)
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/desk/event.rs
@@ -0,0 +1,180 @@
+//! Messages to the desk.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootport_core::id::ServiceName;
+use coltsfootport_core::mesh::{
+    Chosen, InstanceKey, MeshConfig, Refusal, RouteKey, SendOutcome, Ticket, UpdateBatch,
+};
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+
+use super::{SendGuard, SlotGuard};
+use crate::mesh::call::Report;
+
+/// Everything that the desk hears.
+#[derive(Debug)]
+pub enum DeskEvent {
+    /// A request has come from a caller.
+    Admit(AdmitAsk, oneshot::Sender<Result<Admitted, Denied>>),
+    /// An admitted request wants an instance.
+    Send(SendAsk, oneshot::Sender<Option<SendTo>>),
+    /// A sending has ended.
+    SendEnded(InstanceKey, EndedSend),
+    /// A request that failed wants to be sent again.
+    Again(AgainAsk, oneshot::Sender<bool>),
+    /// A request from an entry wants a slot at the target.
+    Enter(EnterAsk, oneshot::Sender<Result<Granted, NotGranted>>),
+    /// A request has left its slot; the reply tells what its run has caused.
+    Left(Ticket, Duration, Option<oneshot::Sender<Report>>),
+    /// News of the publisher: one change after the other.
+    News(UpdateBatch),
+    /// Everything published, as listed at one time.
+    Listed(UpdateBatch),
+    /// The publisher has answered, with nothing new.
+    PublisherAnswered,
+    /// The publisher does not answer, or not as it should.
+    PublisherFailed,
+    /// The node is about to stop: its target gets nothing new.
+    Stop,
+    /// The settings tell another service for this machine.
+    OwnService(ServiceName),
+    /// Whether the node has a configuration, for the readiness check.
+    IsReady(oneshot::Sender<bool>),
+    /// Number of requests of others that wait or run here.
+    Hosted(oneshot::Sender<usize>),
+}
+
+/// A request as far as its admission is concerned.
+#[derive(Clone, Debug)]
+pub struct AdmitAsk {
+    /// Its host header.
+    pub host: SmolStr,
+    /// Its path, without the query.
+    pub path: SmolStr,
+    /// Its id.
+    pub id: SmolStr,
+    /// Time that its caller will wait, where it said so.
+    pub time_left: Option<Duration>,
+}
+
+/// The run which a request serves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OuterRun {
+    /// Id of the request that runs at the own target.
+    pub id: SmolStr,
+    /// Urgency of the request from outside that all of it serves.
+    pub rank: u8,
+    /// When the outer run's time is over.
+    pub deadline: Instant,
+}
+
+/// A request that may go on.
+#[derive(Clone, Debug)]
+pub struct Admitted {
+    /// The configuration in force when it came, by which all of it is handled.
+    pub config: Arc<MeshConfig>,
+    /// Its route.
+    pub route: RouteKey,
+    /// The service that runs it.
+    pub service: ServiceName,
+    /// The run that it serves; `None` for a request from outside.
+    pub outer: Option<OuterRun>,
+}
+
+/// A request that is answered at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Denied {
+    /// Why.
+    pub refusal: Refusal,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+/// A request that wants an instance.
+#[derive(Clone, Debug)]
+pub struct SendAsk {
+    /// The service.
+    pub service: ServiceName,
+    /// Name of its route.
+    pub route: SmolStr,
+    /// The run that it serves.
+    pub outer: Option<SmolStr>,
+    /// Instances that have had it.
+    pub tried: Vec<InstanceKey>,
+}
+
+/// Where a request goes.
+#[derive(Debug)]
+pub struct SendTo {
+    /// The instance.
+    pub chosen: Chosen,
+    /// Whether it is the target beside this node.
+    pub own: bool,
+    /// Tells the desk how it ended.
+    pub guard: SendGuard,
+}
+
+/// How a sending ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndedSend {
+    /// What it says about the instance; the relative time is filled in by the desk.
+    pub outcome: SendOutcome,
+    /// Time from sending to the answer.
+    pub took: Duration,
+    /// The service.
+    pub service: ServiceName,
+    /// Name of the route.
+    pub route: SmolStr,
+    /// The run that it serves.
+    pub outer: Option<SmolStr>,
+    /// The host's report, where one came.
+    pub report: Option<Report>,
+}
+
+/// A request that wants to be sent again.
+#[derive(Clone, Debug)]
+pub struct AgainAsk {
+    /// The service.
+    pub service: ServiceName,
+    /// Name of its route.
+    pub route: SmolStr,
+    /// Whether the target may have begun to work on it, so that its calls below may be repeated.
+    pub may_have_run: bool,
+    /// Whether it serves a run.
+    pub inner: bool,
+}
+
+/// A request from an entry that wants a slot.
+#[derive(Clone, Debug)]
+pub struct EnterAsk {
+    /// The only instance that may run it.
+    pub instance: SmolStr,
+    /// Its id.
+    pub id: SmolStr,
+    /// Urgency of the request from outside.
+    pub rank: u8,
+    /// Whether a run waits for it.
+    pub inner: bool,
+    /// When its time is over.
+    pub deadline: Instant,
+}
+
+/// A slot.
+#[derive(Debug)]
+pub struct Granted {
+    /// Gives the slot back.
+    pub guard: SlotGuard,
+}
+
+/// No slot.
+#[derive(Clone, Debug)]
+pub struct NotGranted {
+    /// Why.
+    pub refusal: Refusal,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+    /// What the host tells besides.
+    pub report: Report,
+}
--- /dev/null
+++ b/crates/node/src/mesh/desk/guards.rs
@@ -0,0 +1,102 @@
+//! Guards that give back what the desk gave out, also where the task that holds them is dropped.
+
+use std::time::Instant;
+
+use coltsfootport_core::id::ServiceName;
+use coltsfootport_core::mesh::{InstanceKey, SendOutcome, Ticket};
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, oneshot};
+
+use super::{DeskEvent, EndedSend};
+use crate::clock::SharedClock;
+use crate::mesh::call::Report;
+
+/// A request that is at an instance.
+///
+/// A task that ends since its caller left would otherwise leave its request counted, and an instance that many callers
+/// gave up on would look full for ever.
+pub struct SendGuard {
+    pub(super) key: InstanceKey,
+    pub(super) service: ServiceName,
+    pub(super) route: SmolStr,
+    pub(super) outer: Option<SmolStr>,
+    pub(super) since: Instant,
+    pub(super) clock: SharedClock,
+    pub(super) tx: mpsc::UnboundedSender<DeskEvent>,
+    pub(super) ended: bool,
+}
+
+impl SendGuard {
+    /// The sending has ended.
+    pub fn end(mut self, outcome: SendOutcome, report: Option<Report>) {
+        self.tell(outcome, report);
+    }
+
+    fn tell(&mut self, outcome: SendOutcome, report: Option<Report>) {
+        self.ended = true;
+        let ended = EndedSend {
+            outcome,
+            took: self.clock.now().saturating_duration_since(self.since),
+            service: self.service.clone(),
+            route: self.route.clone(),
+            outer: self.outer.clone(),
+            report,
+        };
+        // The desk lives as long as the process; after it nobody counts.
+        let _ = self.tx.send(DeskEvent::SendEnded(self.key, ended));
+    }
+}
+
+impl Drop for SendGuard {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.tell(SendOutcome::Abandoned, None);
+        }
+    }
+}
+
+impl std::fmt::Debug for SendGuard {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("SendGuard").field("key", &self.key).finish()
+    }
+}
+
+/// A slot of the target.
+pub struct SlotGuard {
+    pub(super) ticket: Ticket,
+    pub(super) since: Instant,
+    pub(super) clock: SharedClock,
+    pub(super) tx: mpsc::UnboundedSender<DeskEvent>,
+    pub(super) left: bool,
+}
+
+impl SlotGuard {
+    /// Gives the slot back and learns what the run has caused.
+    pub async fn leave(mut self) -> Report {
+        let (tx, rx) = oneshot::channel();
+        self.tell(Some(tx));
+        rx.await.unwrap_or_default()
+    }
+
+    fn tell(&mut self, reply: Option<oneshot::Sender<Report>>) {
+        self.left = true;
+        let held = self.clock.now().saturating_duration_since(self.since);
+        let _ = self.tx.send(DeskEvent::Left(self.ticket, held, reply));
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        if !self.left {
+            self.tell(None);
+        }
+    }
+}
+
+impl std::fmt::Debug for SlotGuard {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("SlotGuard")
+            .field("ticket", &self.ticket)
+            .finish()
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/desk/handle.rs
@@ -0,0 +1,83 @@
+//! What other tasks use to talk to the desk.
+
+use tokio::sync::{mpsc, oneshot};
+
+use coltsfootport_core::mesh::Refusal;
+
+use super::{
+    AdmitAsk, Admitted, AgainAsk, Denied, DeskEvent, EnterAsk, Granted, NotGranted, SendAsk, SendTo,
+};
+use crate::mesh::call::Report;
+
+/// Sends messages to the desk and waits for replies.
+#[derive(Clone, Debug)]
+pub struct DeskHandle {
+    tx: mpsc::UnboundedSender<DeskEvent>,
+}
+
+impl DeskHandle {
+    /// A handle that sends to this channel.
+    pub fn new(tx: mpsc::UnboundedSender<DeskEvent>) -> Self {
+        Self { tx }
+    }
+
+    /// Tells the desk something that needs no reply.
+    pub fn tell(&self, event: DeskEvent) {
+        // The desk lives as long as the process.
+        let _ = self.tx.send(event);
+    }
+
+    /// Asks whether and how a request may go on.
+    pub async fn admit(&self, ask: AdmitAsk) -> Result<Admitted, Denied> {
+        let denied = Denied {
+            refusal: Refusal::Stopping,
+            retry_after: None,
+        };
+        self.ask(|tx| DeskEvent::Admit(ask, tx))
+            .await
+            .unwrap_or(Err(denied))
+    }
+
+    /// Asks for an instance; `None` where none is left.
+    pub async fn send(&self, ask: SendAsk) -> Option<SendTo> {
+        self.ask(|tx| DeskEvent::Send(ask, tx)).await.flatten()
+    }
+
+    /// Asks whether a failed request may be sent again.
+    pub async fn again(&self, ask: AgainAsk) -> bool {
+        self.ask(|tx| DeskEvent::Again(ask, tx))
+            .await
+            .unwrap_or(false)
+    }
+
+    /// Asks for a slot, and waits until there is one.
+    pub async fn enter(&self, ask: EnterAsk) -> Result<Granted, NotGranted> {
+        let refused = NotGranted {
+            refusal: Refusal::Stopping,
+            retry_after: None,
+            report: Report::default(),
+        };
+        self.ask(|tx| DeskEvent::Enter(ask, tx))
+            .await
+            .unwrap_or(Err(refused))
+    }
+
+    /// Whether the node can serve.
+    pub async fn is_ready(&self) -> bool {
+        self.ask(DeskEvent::IsReady).await.unwrap_or(false)
+    }
+
+    /// Requests of others that wait or run here.
+    pub async fn hosted(&self) -> usize {
+        self.ask(DeskEvent::Hosted).await.unwrap_or(0)
+    }
+
+    async fn ask<T, F>(&self, event: F) -> Option<T>
+    where
+        F: FnOnce(oneshot::Sender<T>) -> DeskEvent,
+    {
+        let (tx, rx) = oneshot::channel();
+        self.tx.send(event(tx)).ok()?;
+        rx.await.ok()
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/desk/hosting.rs
@@ -0,0 +1,175 @@
+//! Requests that run at the target beside this node.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootport_core::mesh::{Entered, Refusal, Standing, Ticket};
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+
+use super::runs::Run;
+use super::state::Waiter;
+use super::{Desk, EnterAsk, Granted, NotGranted, SlotGuard};
+use crate::mesh::call::Report;
+
+/// Ids of ended instances that are remembered, so that a late request for one is refused and not sent to its successor.
+const REMEMBERED_IDS: usize = 64;
+
+impl Desk {
+    /// Gives a request a slot, lets it wait, or refuses it.
+    pub(super) fn enter(
+        &mut self,
+        ask: EnterAsk,
+        reply: oneshot::Sender<Result<Granted, NotGranted>>,
+    ) {
+        let now = self.clock.now();
+        if self.stopping || self.has_left(&ask.instance) {
+            drop(reply.send(Err(self.not_granted(Refusal::Stopping, None))));
+            return;
+        }
+        if ask.deadline <= now {
+            drop(reply.send(Err(self.not_granted(Refusal::ExpiredUnsent, None))));
+            return;
+        }
+        let waiting = coltsfootport_core::mesh::Waiting {
+            rank: ask.rank,
+            inner: ask.inner,
+            deadline: ask.deadline,
+        };
+        match self.gate.enter(waiting, now) {
+            Entered::Run(ticket) => self.grant(ticket, Waiter { ask, reply }, now),
+            Entered::Wait(ticket) => {
+                self.waiting.insert(ticket, Waiter { ask, reply });
+            }
+            Entered::Refused { retry_after } => {
+                let busy = self.not_granted(Refusal::Busy, Some(retry_after));
+                drop(reply.send(Err(busy)));
+            }
+        }
+    }
+
+    /// A request has left its slot.
+    pub(super) fn leave(
+        &mut self,
+        ticket: Ticket,
+        held: Duration,
+        reply: Option<oneshot::Sender<Report>>,
+    ) {
+        let now = self.clock.now();
+        self.gate.leave(held);
+        let run = self.runs.remove(ticket);
+        self.pump(now);
+        let Some(reply) = reply else {
+            return;
+        };
+        let mut report = self.report();
+        if let Some(run) = run {
+            report.level = report.level.max(run.level);
+            report.below = run.below;
+        }
+        drop(reply.send(report));
+    }
+
+    /// Gives free slots to those who wait.
+    pub(super) fn pump(&mut self, now: Instant) {
+        for ticket in self.gate.expire(now) {
+            self.refuse_waiter(ticket, Refusal::ExpiredUnsent);
+        }
+        while let Some(ticket) = self.gate.next(now) {
+            match self.waiting.remove(&ticket) {
+                Some(waiter) if !waiter.reply.is_closed() => self.grant(ticket, waiter, now),
+                _ => self.gate.give_back(),
+            }
+        }
+    }
+
+    /// Takes those out of the queue whose callers have left.
+    pub(super) fn forget_waiters(&mut self) {
+        let gate = &mut self.gate;
+        self.waiting.retain(|ticket, waiter| {
+            let gone = waiter.reply.is_closed();
+            if gone {
+                gate.cancel(*ticket);
+            }
+            !gone
+        });
+    }
+
+    /// Refuses everyone who waits for an instance that takes nothing new; their entries choose another one.
+    pub(super) fn flush_waiters(&mut self) {
+        let tickets: Vec<Ticket> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiter)| self.stopping || self.has_left(&waiter.ask.instance))
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in tickets {
+            self.gate.cancel(ticket);
+            self.refuse_waiter(ticket, Refusal::Stopping);
+        }
+    }
+
+    /// The node is about to stop.
+    pub(super) fn stop(&mut self) {
+        self.stopping = true;
+        self.flush_waiters();
+    }
+
+    /// Takes in that an instance is gone for good.
+    pub(super) fn note_gone(&mut self, id: SmolStr) {
+        if self.left.len() >= REMEMBERED_IDS {
+            self.left.pop_front();
+        }
+        self.left.push_back(id);
+    }
+
+    fn has_left(&self, instance: &str) -> bool {
+        match self.fleet.standing(instance) {
+            Some(standing) => standing == Standing::Leaving,
+            // Not in the list: either gone, or so new that the list has not told yet.
+            None => self.left.iter().any(|id| id == instance),
+        }
+    }
+
+    fn grant(&mut self, ticket: Ticket, waiter: Waiter, now: Instant) {
+        let run = Run {
+            id: waiter.ask.id,
+            rank: waiter.ask.rank,
+            deadline: waiter.ask.deadline,
+            level: 0.0,
+            below: Vec::new(),
+        };
+        self.runs.insert(ticket, run);
+        let guard = SlotGuard {
+            ticket,
+            since: now,
+            clock: Arc::clone(&self.clock),
+            tx: self.tx.clone(),
+            left: false,
+        };
+        drop(waiter.reply.send(Ok(Granted { guard })));
+    }
+
+    fn refuse_waiter(&mut self, ticket: Ticket, refusal: Refusal) {
+        if let Some(waiter) = self.waiting.remove(&ticket) {
+            let refused = self.not_granted(refusal, None);
+            drop(waiter.reply.send(Err(refused)));
+        }
+    }
+
+    fn not_granted(&self, refusal: Refusal, retry_after: Option<Duration>) -> NotGranted {
+        NotGranted {
+            refusal,
+            retry_after,
+            report: self.report(),
+        }
+    }
+
+    fn report(&self) -> Report {
+        Report {
+            busy: self.gate.busy(),
+            level: self.gate.level(),
+            below: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/desk/news.rs
@@ -0,0 +1,175 @@
+//! News of the publisher, and what the node shows of its beliefs.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use coltsfootport_core::collections::Set;
+use coltsfootport_core::mesh::{Instance, MeshConfig, Update, UpdateBatch};
+use slog::{info, warn};
+use smol_str::SmolStr;
+
+use super::Desk;
+
+/// Smallest move of the own level that is logged.
+const LOGGED_LEVEL_STEP: f64 = 0.5;
+
+impl Desk {
+    /// Takes in changes in their order.
+    pub(super) fn news(&mut self, batch: UpdateBatch) {
+        self.publisher_answered();
+        self.log_faults(&batch);
+        for update in batch.updates {
+            self.apply(update);
+        }
+        self.after_news();
+    }
+
+    /// Takes in everything published: instances that it lacks have been removed meanwhile.
+    pub(super) fn listed(&mut self, batch: UpdateBatch) {
+        self.publisher_answered();
+        self.log_faults(&batch);
+        let mut instances = Vec::new();
+        for update in batch.updates {
+            match update {
+                Update::Instance(instance) => instances.push(instance),
+                other => self.apply(other),
+            }
+        }
+        let now = self.clock.now();
+        let before: Vec<SmolStr> = self
+            .fleet
+            .iter()
+            .map(|(known, _)| known.id.clone())
+            .collect();
+        self.fleet.replace_all(instances, now);
+        for id in before {
+            if self.fleet.standing(&id).is_none() {
+                info!(self.journal.log(), "instance gone"; "instance" => id.as_str(), "reason" => "not listed");
+                self.note_gone(id);
+            }
+        }
+        self.after_news();
+    }
+
+    /// The publisher answers.
+    pub(super) fn publisher_answered(&mut self) {
+        let now = self.clock.now();
+        if !self.publisher_sound {
+            info!(self.journal.log(), "publisher answers"; "away_ms" => self.publisher_age_ms(now));
+        }
+        self.publisher_sound = true;
+        self.publisher_answered = Some(now);
+        self.fleet.publisher_back(now);
+    }
+
+    /// The publisher does not answer as it should.
+    pub(super) fn publisher_failed(&mut self) {
+        if self.publisher_sound {
+            warn!(self.journal.log(), "publisher lost"; "age_ms" => self.publisher_age_ms(self.clock.now()));
+        }
+        self.publisher_sound = false;
+        self.fleet.publisher_lost();
+    }
+
+    /// Shows beliefs as metrics, and moves of the own level in the log.
+    pub(super) fn show(&mut self, now: Instant) {
+        let level = self.gate.level();
+        if (level - self.logged_level).abs() >= LOGGED_LEVEL_STEP {
+            info!(self.journal.log(), "level moved"; "level" => level, "was" => self.logged_level,
+                "running" => self.gate.running(), "waiting" => self.gate.waiting());
+            self.logged_level = level;
+        }
+        self.metrics.level.set(level);
+        self.metrics.running.set(i64::from(self.gate.running()));
+        self.metrics.waiting.set(self.gate.waiting() as i64);
+        self.metrics.instances.set(self.fleet.len() as i64);
+        self.metrics
+            .publisher_age_ms
+            .set(self.publisher_age_ms(now) as i64);
+    }
+
+    fn apply(&mut self, update: Update) {
+        match update {
+            Update::Config(config) => self.apply_config(config),
+            Update::Instance(instance) => self.apply_instance(instance),
+            Update::InstanceGone(id) => self.apply_gone(id),
+        }
+    }
+
+    /// Takes a configuration into force unless it is older than the one in force: the publisher's answers can be stale,
+    /// and a request handled by a route that was removed would be seen as a step back.
+    fn apply_config(&mut self, config: Arc<MeshConfig>) {
+        let in_force = self.config.as_ref().map(|config| config.version());
+        if in_force >= Some(config.version()) {
+            return;
+        }
+        info!(self.journal.log(), "config in force"; "version" => config.version().0,
+            "was" => in_force.map(|version| version.0), "routes" => config.routes().len());
+        self.metrics
+            .config_version
+            .set(i64::try_from(config.version().0).unwrap_or(i64::MAX));
+        self.forget_old_routes(&config);
+        self.limits.send_replace(config.limits());
+        self.config = Some(config);
+    }
+
+    /// Shares of a split begin anew where its weights have changed, and nothing is kept of routes that are gone.
+    fn forget_old_routes(&mut self, new: &MeshConfig) {
+        let names: Set<&SmolStr> = new.routes().iter().map(|route| &route.name).collect();
+        let old = self.config.clone();
+        let same_parts = |name: &SmolStr| {
+            let find = |config: &MeshConfig| {
+                let route = config.routes().iter().find(|route| route.name == *name)?;
+                Some(route.parts.clone())
+            };
+            old.as_deref().and_then(find) == find(new)
+        };
+        self.splits.retain(|name, _| same_parts(name));
+        self.stats.retain(|name, _| names.contains(name));
+        self.shedder.retain(|name| names.contains(name));
+    }
+
+    fn apply_instance(&mut self, instance: Instance) {
+        let now = self.clock.now();
+        let id = instance.id.clone();
+        let service = instance.service.clone();
+        let leaving = instance.leaving;
+        if self.fleet.put(instance, now) {
+            info!(self.journal.log(), "instance seen"; "instance" => id.as_str(),
+                "service" => service.as_str(), "leaving" => leaving);
+        }
+    }
+
+    fn apply_gone(&mut self, id: SmolStr) {
+        if self.fleet.gone(&id, self.clock.now()) {
+            info!(self.journal.log(), "instance gone"; "instance" => id.as_str(), "reason" => "removed");
+            self.note_gone(id);
+        } else {
+            info!(self.journal.log(), "instance lapsed"; "instance" => id.as_str());
+        }
+    }
+
+    fn after_news(&mut self) {
+        self.budget.set_nodes(self.fleet.len());
+        if let Some(own) = self.fleet.at_address(self.cfg.target) {
+            self.gate.set_slots(own.slots);
+        }
+        self.flush_waiters();
+        let now = self.clock.now();
+        self.pump(now);
+    }
+
+    fn log_faults(&self, batch: &UpdateBatch) {
+        for fault in &batch.faults {
+            self.metrics.entry_faults.inc();
+            warn!(self.journal.log(), "entry refused, the last good state stays"; "fault" => fault);
+        }
+    }
+
+    fn publisher_age_ms(&self, now: Instant) -> u64 {
+        let age = self
+            .publisher_answered
+            .map(|at| now.saturating_duration_since(at));
+        age.map_or(0, |age| age.as_millis() as u64)
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/desk/runs.rs
@@ -0,0 +1,102 @@
+//! Requests that run at the own target, and what they cause.
+
+use std::time::Instant;
+
+use coltsfootport_core::collections::Map;
+use coltsfootport_core::id::ServiceName;
+use coltsfootport_core::mesh::Ticket;
+use smol_str::SmolStr;
+
+use super::OuterRun;
+use crate::mesh::call::Report;
+
+/// A request at the own target.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Its id.
+    pub id: SmolStr,
+    /// Urgency of the request from outside that it serves.
+    pub rank: u8,
+    /// When its time is over.
+    pub deadline: Instant,
+    /// Highest level of overload that its calls met.
+    pub level: f64,
+    /// Arrivals that it caused, by service.
+    pub below: Vec<(ServiceName, u32)>,
+}
+
+/// All of them, by ticket and by id.
+#[derive(Clone, Debug, Default)]
+pub struct Runs {
+    by_ticket: Map<Ticket, Run>,
+    by_id: Map<SmolStr, Ticket>,
+}
+
+impl Runs {
+    /// A request has entered.
+    pub fn insert(&mut self, ticket: Ticket, run: Run) {
+        if !run.id.is_empty() {
+            self.by_id.insert(run.id.clone(), ticket);
+        }
+        self.by_ticket.insert(ticket, run);
+    }
+
+    /// A request has left.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<Run> {
+        let run = self.by_ticket.remove(&ticket)?;
+        if self.by_id.get(&run.id) == Some(&ticket) {
+            self.by_id.remove(&run.id);
+        }
+        Some(run)
+    }
+
+    /// The run that a request of the own target serves.
+    ///
+    /// A target's own calls have ids that begin with the id of the request which it runs, and a dot. Where they don't,
+    /// the request counts as one from outside: it can be shed although work was done for it, and nothing else changes.
+    pub fn outer_of(&self, id: &str) -> Option<OuterRun> {
+        let mut rest = id;
+        while let Some((outer, _)) = rest.rsplit_once('.') {
+            if let Some(ticket) = self.by_id.get(outer) {
+                let run = self.by_ticket.get(ticket)?;
+                return Some(OuterRun {
+                    id: run.id.clone(),
+                    rank: run.rank,
+                    deadline: run.deadline,
+                });
+            }
+            rest = outer;
+        }
+        None
+    }
+
+    /// A call of a run has ended: it was one arrival at `service`, and caused those of its report.
+    pub fn caused(&mut self, outer: &str, service: &ServiceName, report: Option<&Report>) {
+        let Some(ticket) = self.by_id.get(outer) else {
+            return;
+        };
+        let Some(run) = self.by_ticket.get_mut(ticket) else {
+            return;
+        };
+        add(&mut run.below, service, 1);
+        let Some(report) = report else {
+            return;
+        };
+        run.level = run.level.max(report.level);
+        for (service, count) in &report.below {
+            add(&mut run.below, service, *count);
+        }
+    }
+
+    /// Number of requests.
+    pub fn len(&self) -> usize {
+        self.by_ticket.len()
+    }
+}
+
+fn add(counts: &mut Vec<(ServiceName, u32)>, service: &ServiceName, count: u32) {
+    match counts.iter_mut().find(|(other, _)| other == service) {
+        Some((_, sum)) => *sum = sum.saturating_add(count),
+        None => counts.push((service.clone(), count)),
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/desk/state.rs
@@ -0,0 +1,137 @@
+//! The desk's state.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootport_core::collections::Map;
+use coltsfootport_core::id::ServiceName;
+use coltsfootport_core::mesh::{
+    CallerLimits, Fleet, FleetConfig, GateConfig, MeshConfig, RetryBudget, RetryBudgetConfig,
+    Shedder, ShedderConfig, Split, TargetGate, Ticket,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::route_stats::RouteStats;
+use super::runs::Runs;
+use super::welcome::Welcome;
+use super::{DeskEvent, EnterAsk, Granted, NotGranted};
+use crate::clock::SharedClock;
+use crate::mesh::journal::Journal;
+use crate::mesh::metrics::MeshMetrics;
+
+/// How a desk decides.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DeskConfig {
+    /// The service beside this node.
+    pub service: ServiceName,
+    /// Address of the target beside this node.
+    pub target: SocketAddr,
+    /// Repeats.
+    pub budget: RetryBudgetConfig,
+    /// Choice of instances.
+    pub fleet: FleetConfig,
+    /// Shedding at the entry.
+    pub shedder: ShedderConfig,
+    /// Waiting for the target.
+    pub gate: GateConfig,
+    /// Age of the publisher's last answer up to which an unknown route is said not to exist.
+    pub publisher_fresh: Duration,
+    /// Level from which requests from outside are not sent again after a failure: what it costs is missing to others.
+    pub no_repeat_level: f64,
+}
+
+impl Default for DeskConfig {
+    fn default() -> Self {
+        Self {
+            service: ServiceName::default(),
+            target: SocketAddr::from(([127, 0, 0, 1], 0)),
+            budget: RetryBudgetConfig::default(),
+            fleet: FleetConfig::default(),
+            shedder: ShedderConfig::default(),
+            gate: GateConfig::default(),
+            publisher_fresh: Duration::from_millis(2500),
+            no_repeat_level: 0.5,
+        }
+    }
+}
+
+/// A request that waits for a slot.
+#[derive(Debug)]
+pub(super) struct Waiter {
+    pub ask: EnterAsk,
+    pub reply: oneshot::Sender<Result<Granted, NotGranted>>,
+}
+
+/// Everything that a node decides by.
+pub struct Desk {
+    pub(super) cfg: DeskConfig,
+    pub(super) clock: SharedClock,
+    pub(super) tx: mpsc::UnboundedSender<DeskEvent>,
+    pub(super) limits: watch::Sender<CallerLimits>,
+    pub(super) rng: SmallRng,
+    pub(super) config: Option<Arc<MeshConfig>>,
+    pub(super) splits: Map<SmolStr, Split>,
+    pub(super) stats: Map<SmolStr, RouteStats>,
+    pub(super) fleet: Fleet,
+    pub(super) shedder: Shedder,
+    pub(super) budget: RetryBudget,
+    pub(super) welcome: Welcome,
+    pub(super) gate: TargetGate,
+    pub(super) runs: Runs,
+    pub(super) waiting: Map<Ticket, Waiter>,
+    pub(super) left: VecDeque<SmolStr>,
+    pub(super) publisher_answered: Option<Instant>,
+    pub(super) publisher_sound: bool,
+    pub(super) stopping: bool,
+    pub(super) journal: Journal,
+    pub(super) metrics: MeshMetrics,
+    pub(super) logged_level: f64,
+}
+
+impl Desk {
+    /// A desk that knows neither configuration nor instances.
+    pub fn new(
+        cfg: DeskConfig,
+        clock: SharedClock,
+        tx: mpsc::UnboundedSender<DeskEvent>,
+        limits: watch::Sender<CallerLimits>,
+        journal: Journal,
+        metrics: MeshMetrics,
+    ) -> Self {
+        let now = clock.now();
+        Self {
+            rng: SmallRng::from_os_rng(),
+            config: None,
+            splits: Map::default(),
+            stats: Map::default(),
+            fleet: Fleet::new(cfg.fleet.clone()),
+            shedder: Shedder::new(cfg.shedder),
+            budget: RetryBudget::new(cfg.budget),
+            welcome: Welcome::default(),
+            gate: TargetGate::new(cfg.gate, now),
+            runs: Runs::default(),
+            waiting: Map::default(),
+            left: VecDeque::new(),
+            publisher_answered: None,
+            publisher_sound: false,
+            stopping: false,
+            journal,
+            metrics,
+            logged_level: 0.0,
+            cfg,
+            clock,
+            tx,
+            limits,
+        }
+    }
+
+    /// Whether the node can serve requests.
+    pub(super) fn is_ready(&self) -> bool {
+        self.config.is_some() && !self.stopping
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/entry.rs
@@ -0,0 +1,435 @@
+//! A request from its caller to its answer.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootport_core::id::ServiceName;
+use coltsfootport_core::mesh::{Dialect, InstanceKey, Refusal, Repeat, SendOutcome};
+use http::header::{HOST, HeaderName, HeaderValue, RETRY_AFTER};
+use http::{HeaderMap, StatusCode};
+use smol_str::SmolStr;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::clock::SharedClock;
+use crate::h1::{RequestHead, strip_hop_by_hop};
+use crate::mesh::call::{
+    Body, CallerAnswer, CallerRequest, HostReply, HostedRequest, Refused, Report, TargetAnswer,
+};
+use crate::mesh::desk::{AdmitAsk, Admitted, AgainAsk, DeskHandle, SendAsk, SendGuard, SendTo};
+use crate::mesh::host::Host;
+use crate::mesh::journal::{Ending, Journal};
+use crate::mesh::link::{self, LinkFault, LinkHub};
+
+/// Time before its caller's own limit at which a request is answered, so that the answer still arrives.
+const CALLER_MARGIN: Duration = Duration::from_millis(15);
+
+/// Hosts that a request may be moved to after a host has refused it without asking its target.
+const MOST_MOVES: usize = 2;
+
+/// When to come back where nothing better is known.
+const BACK_DEFAULT: Duration = Duration::from_millis(400);
+
+/// Share of its remaining time after which a caller is asked to come back at most.
+const BACK_SHARE: f64 = 0.32;
+
+/// What is needed to serve callers; cheap to clone.
+#[derive(Clone)]
+pub struct Entry {
+    /// Decides.
+    pub desk: DeskHandle,
+    /// Links to other nodes.
+    pub links: LinkHub,
+    /// The own target.
+    pub host: Host,
+    /// Header names.
+    pub dialect: Arc<Dialect>,
+    /// Time.
+    pub clock: SharedClock,
+    /// Lines about requests.
+    pub journal: Journal,
+    /// The service beside this node, as the settings tell it.
+    pub service: watch::Receiver<ServiceName>,
+    /// Port at which nodes take requests of others.
+    pub peers_port: u16,
+}
+
+impl Entry {
+    /// Serves a request.
+    pub async fn serve(&self, req: CallerRequest) -> CallerAnswer {
+        let id = text_header(&req.head.headers, self.dialect.request_id);
+        let told = number_header(&req.head.headers, self.dialect.time_left_ms);
+        let ask = AdmitAsk {
+            host: text_header(&req.head.headers, HOST.as_str()),
+            path: SmolStr::new(req.head.path()),
+            id: id.clone(),
+            time_left: told.map(Duration::from_millis),
+        };
+        let time_left = ask.time_left;
+        let arrived = req.arrived;
+        let admitted = match self.desk.admit(ask).await {
+            Ok(admitted) => admitted,
+            Err(denied) => {
+                let refused = Refused {
+                    refusal: denied.refusal,
+                    retry_after: denied.retry_after,
+                };
+                self.log_denied(&id, denied.refusal, arrived);
+                return self.refuse(refused, &id, time_left);
+            }
+        };
+        let mut course = Course::new(self, req, id, admitted, time_left);
+        let limit = course.deadline.saturating_duration_since(self.clock.now());
+        let result = match timeout(limit, course.run()).await {
+            Ok(result) => result,
+            Err(_) => Err(course.expired()),
+        };
+        course.log(&result);
+        match result {
+            Ok(answer) => CallerAnswer {
+                status: answer.status,
+                headers: answer.headers,
+                body: answer.body,
+                close: false,
+            },
+            Err(refused) => self.refuse(refused, &course.id, course.time_left()),
+        }
+    }
+
+    /// The node's own answer.
+    pub fn refuse(&self, refused: Refused, id: &str, time_left: Option<Duration>) -> CallerAnswer {
+        let rule = refused.refusal.rule();
+        let mut headers = HeaderMap::new();
+        if let Ok(id) = HeaderValue::from_str(id) {
+            headers.insert(HeaderName::from_static(self.dialect.request_id), id);
+        }
+        if rule.retry_after {
+            let wait = refused.retry_after.unwrap_or(BACK_DEFAULT);
+            let most = time_left.map(|left| left.mul_f64(BACK_SHARE));
+            let wait = most.map_or(wait, |most| wait.min(most)).as_secs_f64();
+            if let Ok(value) = HeaderValue::from_str(&format!("{wait:.3}")) {
+                headers.insert(RETRY_AFTER, value);
+            }
+        }
+        CallerAnswer {
+            status: StatusCode::from_u16(rule.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE),
+            headers,
+            body: Body::empty(),
+            close: false,
+        }
+    }
+
+    fn log_denied(&self, id: &str, refusal: Refusal, arrived: Instant) {
+        self.journal.ended(Ending {
+            id,
+            route: "",
+            service: "",
+            instance: "",
+            status: refusal.rule().status,
+            refusal: refusal.as_str(),
+            attempts: 0,
+            took: self.clock.now().saturating_duration_since(arrived),
+            limit: Duration::ZERO,
+            config: 0,
+            inner: false,
+        });
+    }
+}
+
+/// One request on its way through hosts.
+struct Course<'e> {
+    entry: &'e Entry,
+    admitted: Admitted,
+    head: RequestHead,
+    body: Option<Body>,
+    id: SmolStr,
+    arrived: Instant,
+    deadline: Instant,
+    caller_deadline: Option<Instant>,
+    tried: Vec<InstanceKey>,
+    at_targets: u32,
+    moves: usize,
+    last_instance: SmolStr,
+    /// Whether it may be at a target now.
+    out: bool,
+}
+
+/// What to do after an attempt.
+enum Next {
+    Done(Result<TargetAnswer, Refused>),
+    /// Try elsewhere; if there is nowhere else, this is the result.
+    Again(Result<TargetAnswer, Refused>),
+}
+
+impl<'e> Course<'e> {
+    fn new(
+        entry: &'e Entry,
+        req: CallerRequest,
+        id: SmolStr,
+        admitted: Admitted,
+        time_left: Option<Duration>,
+    ) -> Self {
+        let route = admitted.config.route(admitted.route);
+        let caller_deadline = time_left.map(|left| req.arrived + left);
+        let mut deadline = req.arrived + route.timeout;
+        if let Some(caller) = caller_deadline {
+            deadline = deadline.min(caller.checked_sub(CALLER_MARGIN).unwrap_or(caller));
+        }
+        if let Some(outer) = &admitted.outer {
+            deadline = outer.bound(deadline);
+        }
+        let mut head = req.head;
+        strip_hop_by_hop(&mut head.headers);
+        if !id.is_empty()
+            && let Ok(value) = HeaderValue::from_str(&id)
+        {
+            // A caller that names it as a header of the connection would otherwise have it removed.
+            let name = HeaderName::from_static(entry.dialect.request_id);
+            head.headers.insert(name, value);
+        }
+        Self {
+            entry,
+            admitted,
+            head,
+            body: Some(req.body),
+            id,
+            arrived: req.arrived,
+            deadline,
+            caller_deadline,
+            tried: Vec::new(),
+            at_targets: 0,
+            moves: 0,
+            last_instance: SmolStr::default(),
+            out: false,
+        }
+    }
+
+    async fn run(&mut self) -> Result<TargetAnswer, Refused> {
+        let mut result = Err(refused(Refusal::NoInstance));
+        loop {
+            let Some(to) = self.next_instance().await else {
+                return result;
+            };
+            let Some(body) = self.take_body() else {
+                return result;
+            };
+            let instance = to.chosen.id.clone();
+            self.tried.push(to.chosen.key);
+            self.last_instance = instance.clone();
+            self.out = true;
+            let next = self.attempt(to, body).await;
+            self.out = false;
+            match next {
+                Next::Done(done) => return done,
+                Next::Again(so_far) => {
+                    let reason = reason(&so_far);
+                    self.entry
+                        .journal
+                        .attempt_failed(&self.id, &instance, &reason, true);
+                    result = so_far;
+                }
+            }
+        }
+    }
+
+    async fn next_instance(&self) -> Option<SendTo> {
+        let ask = SendAsk {
+            service: self.admitted.service.clone(),
+            route: self.route_name(),
+            outer: self.admitted.outer.as_ref().map(|outer| outer.id.clone()),
+            tried: self.tried.clone(),
+        };
+        self.entry.desk.send(ask).await
+    }
+
+    /// The body, and a copy kept for another attempt where it is held.
+    fn take_body(&mut self) -> Option<Body> {
+        let body = self.body.take()?;
+        self.body = body.again();
+        Some(body)
+    }
+
+    async fn attempt(&mut self, to: SendTo, body: Body) -> Next {
+        let req = self.hosted(&to, body);
+        let reply = match to.own {
+            true => Ok(self.entry.host.run(req).await),
+            false => self.over_link(to.chosen.address.ip(), req).await,
+        };
+        match reply {
+            Ok(reply) => self.replied(reply, to.guard).await,
+            Err(LinkFault::NotSent) => {
+                to.guard.end(SendOutcome::NotReached, None);
+                self.moved(Refusal::NoInstance)
+            }
+            Err(LinkFault::Lost(_)) => {
+                to.guard.end(SendOutcome::NotReached, None);
+                self.at_targets += 1;
+                self.failed(Err(refused(Refusal::Lost)), true).await
+            }
+        }
+    }
+
+    async fn over_link(&self, ip: IpAddr, req: HostedRequest) -> Result<HostReply, LinkFault> {
+        let peer = SocketAddr::new(ip, self.entry.peers_port);
+        let link = self.entry.links.get(peer).await.ok_or(LinkFault::NotSent)?;
+        link::send(&link, req, &self.entry.clock).await
+    }
+
+    async fn replied(&mut self, reply: HostReply, guard: SendGuard) -> Next {
+        let HostReply { result, report } = reply;
+        match result {
+            Ok(answer) if answer.status.is_server_error() => {
+                self.at_targets += 1;
+                guard.end(SendOutcome::Failed, Some(report));
+                self.failed(Ok(answer), true).await
+            }
+            Ok(answer) => {
+                let outcome = SendOutcome::Answered { relative: 1.0 };
+                guard.end(outcome, Some(report));
+                Next::Done(Ok(answer))
+            }
+            Err(refused) => self.refused(refused, report, guard).await,
+        }
+    }
+
+    async fn refused(&mut self, refused: Refused, report: Report, guard: SendGuard) -> Next {
+        let outcome = match refused.refusal {
+            Refusal::Busy | Refusal::Stopping | Refusal::ExpiredUnsent | Refusal::CallerGone => {
+                SendOutcome::HostRefused
+            }
+            Refusal::Expired => SendOutcome::Abandoned,
+            _ => SendOutcome::Failed,
+        };
+        guard.end(outcome, Some(report));
+        match refused.refusal {
+            // The target was not asked: moving costs nothing but time.
+            Refusal::Busy | Refusal::Stopping | Refusal::NoInstance => {
+                let mut next = self.moved(refused.refusal);
+                if let Next::Again(Err(last)) | Next::Done(Err(last)) = &mut next {
+                    last.retry_after = refused.retry_after;
+                }
+                next
+            }
+            Refusal::TargetRefused | Refusal::WrongInstance => {
+                self.at_targets += 1;
+                self.failed(Err(refused), false).await
+            }
+            Refusal::Lost | Refusal::BrokenAnswer => {
+                self.at_targets += 1;
+                self.failed(Err(refused), true).await
+            }
+            _ => Next::Done(Err(refused)),
+        }
+    }
+
+    /// After a host has refused without asking its target.
+    fn moved(&mut self, refusal: Refusal) -> Next {
+        self.moves += 1;
+        match self.moves <= MOST_MOVES {
+            true => Next::Again(Err(refused(refusal))),
+            false => Next::Done(Err(refused(refusal))),
+        }
+    }
+
+    /// After a target has failed: sent again where that is harmless, allowed and affordable.
+    async fn failed(&self, result: Result<TargetAnswer, Refused>, may_have_run: bool) -> Next {
+        let route = self.admitted.config.route(self.admitted.route);
+        let harmless = !may_have_run || route.repeat == Repeat::Idempotent;
+        if !harmless || self.at_targets >= route.max_attempts || self.body.is_none() {
+            return Next::Done(result);
+        }
+        let ask = AgainAsk {
+            service: self.admitted.service.clone(),
+            route: self.route_name(),
+            may_have_run,
+            inner: self.admitted.outer.is_some(),
+        };
+        match self.entry.desk.again(ask).await {
+            true => Next::Again(result),
+            false => Next::Done(result),
+        }
+    }
+
+    fn hosted(&self, to: &SendTo, body: Body) -> HostedRequest {
+        let route = self.admitted.config.route(self.admitted.route);
+        HostedRequest {
+            head: self.head.clone(),
+            body,
+            id: self.id.clone(),
+            instance: to.chosen.id.clone(),
+            route: route.name.clone(),
+            rank: self
+                .admitted
+                .outer
+                .as_ref()
+                .map_or(route.rank, |outer| outer.rank),
+            inner: self.admitted.outer.is_some(),
+            repeat: route.repeat,
+            deadline: self.deadline,
+            origin: self.entry.service.borrow().clone(),
+        }
+    }
+
+    fn expired(&self) -> Refused {
+        match self.out || self.at_targets > 0 {
+            true => refused(Refusal::Expired),
+            false => refused(Refusal::ExpiredUnsent),
+        }
+    }
+
+    fn time_left(&self) -> Option<Duration> {
+        let now = self.entry.clock.now();
+        self.caller_deadline
+            .map(|deadline| deadline.saturating_duration_since(now))
+    }
+
+    fn route_name(&self) -> SmolStr {
+        let route = self.admitted.config.route(self.admitted.route);
+        route.name.clone()
+    }
+
+    fn log(&self, result: &Result<TargetAnswer, Refused>) {
+        let (status, refusal) = match result {
+            Ok(answer) => (answer.status.as_u16(), ""),
+            Err(refused) => (refused.refusal.rule().status, refused.refusal.as_str()),
+        };
+        let now = self.entry.clock.now();
+        self.entry.journal.ended(Ending {
+            id: &self.id,
+            route: &self.route_name(),
+            service: self.admitted.service.as_str(),
+            instance: &self.last_instance,
+            status,
+            refusal,
+            attempts: self.tried.len(),
+            took: now.saturating_duration_since(self.arrived),
+            limit: self.deadline.saturating_duration_since(self.arrived),
+            config: self.admitted.config.version().0,
+            inner: self.admitted.outer.is_some(),
+        });
+    }
+}
+
+fn refused(refusal: Refusal) -> Refused {
+    Refused {
+        refusal,
+        retry_after: None,
+    }
+}
+
+fn reason(result: &Result<TargetAnswer, Refused>) -> SmolStr {
+    match result {
+        Ok(answer) => SmolStr::new(answer.status.as_str()),
+        Err(refused) => SmolStr::new_static(refused.refusal.as_str()),
+    }
+}
+
+fn text_header(headers: &HeaderMap, name: &str) -> SmolStr {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    SmolStr::new(value.unwrap_or_default())
+}
+
+fn number_header(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/node/src/mesh/feed.rs
@@ -0,0 +1,219 @@
+//! Reads the publisher: a list at the start, then one watch after the other.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfootport_core::mesh::{Publisher, PublisherError, UpdateBatch};
+use http::header::HOST;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use slog::{Logger, debug, info};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::mesh::desk::{DeskEvent, DeskHandle};
+use crate::mesh::metrics::MeshMetrics;
+use crate::mesh::settings::FeedSettings;
+
+/// Largest answer read, in bytes.
+const MAX_ANSWER: usize = 64 * 1024 * 1024;
+
+/// Pages of one list at most; guards against a publisher whose pages never end.
+const MOST_PAGES: usize = 4096;
+
+/// First pause after a failure, doubled up to eight times this. Short, since a configuration must be in force within
+/// seconds of the publisher's return; every read is paid for, so it grows.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Why a read failed.
+#[derive(Debug, thiserror::Error)]
+enum FeedError {
+    #[error("the publisher can't be reached: {0}")]
+    Connect(String),
+    #[error("the publisher did not answer in time")]
+    Slow,
+    #[error("the publisher's connection broke: {0}")]
+    Broken(String),
+    #[error("the publisher answered {0}")]
+    Status(StatusCode),
+    #[error(transparent)]
+    Malformed(#[from] PublisherError),
+}
+
+impl FeedError {
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Connect(_) => "unreachable",
+            Self::Slow => "slow",
+            Self::Broken(_) => "broken",
+            Self::Status(_) => "status",
+            Self::Malformed(_) => "malformed",
+        }
+    }
+
+    /// The history after our revision is not available any more; everything must be listed again.
+    fn is_history_gone(&self) -> bool {
+        matches!(self, Self::Status(StatusCode::GONE))
+    }
+}
+
+/// Reads the publisher and tells the desk what it says.
+pub struct Feed {
+    /// Where and how long.
+    pub cfg: FeedSettings,
+    /// What to ask, and how to read the answers.
+    pub publisher: Arc<dyn Publisher>,
+    /// Who is told.
+    pub desk: DeskHandle,
+    /// Counts reads.
+    pub metrics: MeshMetrics,
+    /// Log.
+    pub log: Logger,
+}
+
+type Sender = SendRequest<Empty<Bytes>>;
+
+impl Feed {
+    /// Reads for as long as the process lives.
+    pub async fn run(self) {
+        let mut revision = None;
+        let mut failures = 0;
+        loop {
+            match self.read(&mut revision, &mut failures).await {
+                Ok(never) => match never {},
+                Err(e) if e.is_history_gone() => {
+                    info!(self.log, "publisher's history is gone"; "revision" => revision);
+                    self.metrics.read("gone");
+                    revision = None;
+                }
+                Err(e) => {
+                    // The first failure may be that of one connection only; the publisher is in trouble where the next
+                    // attempt fails too, or where it says so itself.
+                    failures += 1;
+                    debug!(self.log, "read failed"; "reason" => e.to_string());
+                    self.metrics.read(e.label());
+                    if failures > 1 || !matches!(e, FeedError::Broken(_)) {
+                        self.desk.tell(DeskEvent::PublisherFailed);
+                    }
+                    sleep(pause(failures)).await;
+                }
+            }
+        }
+    }
+
+    /// Reads on one connection until something fails.
+    async fn read(
+        &self,
+        revision: &mut Option<u64>,
+        failures: &mut u32,
+    ) -> Result<std::convert::Infallible, FeedError> {
+        let mut tx = self.connect().await?;
+        loop {
+            let Some(after) = *revision else {
+                *revision = Some(self.list(&mut tx).await?);
+                *failures = 0;
+                continue;
+            };
+            let path = self.publisher.watch_path(after, self.cfg.watch);
+            let body = self.fetch(&mut tx, path, self.cfg.watch).await?;
+            let batch = self.publisher.read_watch(&body)?;
+            *revision = Some(batch.revision.max(after));
+            *failures = 0;
+            match batch.updates.is_empty() && batch.faults.is_empty() {
+                true => self.desk.tell(DeskEvent::PublisherAnswered),
+                false => self.desk.tell(DeskEvent::News(batch)),
+            }
+        }
+    }
+
+    /// Lists everything. Pages are read one after the other and may miss what changes meanwhile, so the watch begins at
+    /// the revision of the first page.
+    async fn list(&self, tx: &mut Sender) -> Result<u64, FeedError> {
+        let mut all: Option<UpdateBatch> = None;
+        let mut after: Option<String> = None;
+        for _ in 0..MOST_PAGES {
+            let path = self.publisher.list_path(after.as_deref());
+            let body = self.fetch(tx, path, Duration::ZERO).await?;
+            let mut page = self.publisher.read_list(&body)?;
+            after = page.next_page.take();
+            match &mut all {
+                Some(all) => {
+                    all.updates.append(&mut page.updates);
+                    all.faults.append(&mut page.faults);
+                }
+                None => all = Some(page),
+            }
+            if after.is_none() {
+                break;
+            }
+        }
+        let all = all.unwrap_or_default();
+        let revision = all.revision;
+        info!(self.log, "publisher listed"; "revision" => revision, "entries" => all.updates.len());
+        self.desk.tell(DeskEvent::Listed(all));
+        Ok(revision)
+    }
+
+    async fn connect(&self) -> Result<Sender, FeedError> {
+        let address = self.cfg.address;
+        let connecting = timeout(self.cfg.timeout, TcpStream::connect(address));
+        let stream = connecting.await.map_err(|_| FeedError::Slow)?;
+        let stream = stream.map_err(|e| FeedError::Connect(e.to_string()))?;
+        guard_silence(&stream, self.cfg.timeout).map_err(|e| FeedError::Connect(e.to_string()))?;
+        let made = handshake(TokioIo::new(stream)).await;
+        let (tx, connection) = made.map_err(|e| FeedError::Broken(e.to_string()))?;
+        // Ends by itself when the sending half is dropped; its error reaches the sending half too.
+        tokio::spawn(async move { drop(connection.await) });
+        Ok(tx)
+    }
+
+    async fn fetch(
+        &self,
+        tx: &mut Sender,
+        path: String,
+        wait: Duration,
+    ) -> Result<Bytes, FeedError> {
+        let limit = self.cfg.timeout + wait;
+        let body = timeout(limit, exchange(tx, self.cfg.address, path))
+            .await
+            .map_err(|_| FeedError::Slow)??;
+        self.metrics.read("answered");
+        Ok(body)
+    }
+}
+
+async fn exchange(tx: &mut Sender, address: SocketAddr, path: String) -> Result<Bytes, FeedError> {
+    let broken = |e: &dyn std::fmt::Display| FeedError::Broken(e.to_string());
+    let req = Request::get(path)
+        .header(HOST, address.to_string())
+        .body(Empty::new())
+        .map_err(|e| broken(&e))?;
+    let res = tx.send_request(req).await.map_err(|e| broken(&e))?;
+    let status = res.status();
+    let body = Limited::new(res.into_body(), MAX_ANSWER).collect().await;
+    let body = body.map_err(|e| broken(&e))?.to_bytes();
+    match status {
+        StatusCode::OK => Ok(body),
+        status => Err(FeedError::Status(status)),
+    }
+}
+
+/// A connection can go silent without a reset: probes show it.
+fn guard_silence(stream: &TcpStream, limit: Duration) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(Duration::from_secs(1))
+        .with_interval(Duration::from_secs(1));
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(limit))
+}
+
+fn pause(failures: u32) -> Duration {
+    FIRST_PAUSE * (1 << failures.saturating_sub(1).min(3))
+}
--- /dev/null
+++ b/crates/node/src/mesh/host.rs
@@ -0,0 +1,165 @@
+//! Runs requests at the target beside the node.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootport_core::mesh::{Dialect, Refusal, Repeat};
+use http::StatusCode;
+use tokio::time::timeout;
+
+use crate::clock::SharedClock;
+use crate::mesh::call::{Body, HostReply, HostedRequest, Refused, Report, TargetAnswer};
+use crate::mesh::desk::{DeskHandle, EnterAsk, NotGranted, SlotGuard};
+use crate::mesh::journal::Journal;
+use crate::mesh::target::{ExchangeFault, Exchanged, TargetPool, WireRequest, exchange};
+
+/// Time beyond its deadline for which a request that may run once only keeps its slot. Its target stops by itself at the
+/// deadline; this is for its answer, and for a target that forgets to stop.
+const ONCE_GRACE: Duration = Duration::from_millis(500);
+
+/// What is needed to run requests; cheap to clone.
+#[derive(Clone)]
+pub struct Host {
+    /// Gives slots.
+    pub desk: DeskHandle,
+    /// Connections to the target.
+    pub pool: TargetPool,
+    /// Header names.
+    pub dialect: Arc<Dialect>,
+    /// Time.
+    pub clock: SharedClock,
+    /// Lines about failures.
+    pub journal: Journal,
+}
+
+impl Host {
+    /// Runs a request, or tells why it did not run.
+    ///
+    /// Dropped before the end, an idempotent request is broken off at the target, so that it does not work for nobody.
+    /// One that may run once only goes on: broken off it may or may not have had its effect.
+    pub async fn run(&self, req: HostedRequest) -> HostReply {
+        let ask = EnterAsk {
+            instance: req.instance.clone(),
+            id: req.id.clone(),
+            rank: req.rank,
+            inner: req.inner,
+            deadline: req.deadline,
+        };
+        let slot = match self.desk.enter(ask).await {
+            Ok(granted) => granted.guard,
+            Err(refused) => return not_granted(refused),
+        };
+        match req.repeat {
+            Repeat::Idempotent => self.run_in_slot(req, slot, Duration::ZERO).await,
+            Repeat::AtMostOnce => {
+                let host = self.clone();
+                let running =
+                    tokio::spawn(async move { host.run_in_slot(req, slot, ONCE_GRACE).await });
+                running.await.unwrap_or_else(|_| lost())
+            }
+        }
+    }
+
+    async fn run_in_slot(&self, req: HostedRequest, slot: SlotGuard, grace: Duration) -> HostReply {
+        let result = self.at_target(req, grace).await;
+        let report = slot.leave().await;
+        HostReply { result, report }
+    }
+
+    async fn at_target(
+        &self,
+        mut req: HostedRequest,
+        grace: Duration,
+    ) -> Result<TargetAnswer, Refused> {
+        let careful = req.repeat == Repeat::AtMostOnce;
+        let kept = self.pool.take(careful);
+        let conn = match kept {
+            Some(conn) => conn,
+            None => self
+                .pool
+                .connect()
+                .await
+                .map_err(|e| self.failed(&req, Refusal::NoInstance, &e.to_string()))?,
+        };
+        // The clock counts suspensions, the runtime's timers don't: the last look before the request leaves the node.
+        let left = req.deadline.saturating_duration_since(self.clock.now());
+        if left.is_zero() {
+            return Err(refused(Refusal::ExpiredUnsent));
+        }
+        let body = std::mem::replace(&mut req.body, Body::empty());
+        let wire = WireRequest::new(&req, left, &self.dialect);
+        let exchanged = exchange(conn, &self.pool, wire, body, &self.dialect);
+        match timeout(left + grace, exchanged).await {
+            Ok(Ok(exchanged)) => self.judge(&req, exchanged),
+            Ok(Err(ExchangeFault::CallerCut)) => Err(refused(Refusal::CallerGone)),
+            Ok(Err(fault @ ExchangeFault::Closed(_))) => {
+                Err(self.failed(&req, Refusal::Lost, &fault.to_string()))
+            }
+            Ok(Err(fault @ ExchangeFault::Broken(_))) => {
+                Err(self.failed(&req, Refusal::BrokenAnswer, &fault.to_string()))
+            }
+            Err(_) => Err(refused(Refusal::Expired)),
+        }
+    }
+
+    /// Decides whether an answer may be passed on.
+    fn judge(&self, req: &HostedRequest, exchanged: Exchanged) -> Result<TargetAnswer, Refused> {
+        let status = exchanged.answer.status;
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return Err(self.failed(req, Refusal::WrongInstance, "another instance answers"));
+        }
+        if exchanged.not_run && status != StatusCode::BAD_REQUEST {
+            return Err(self.failed(req, Refusal::TargetRefused, status.as_str()));
+        }
+        // A success that the target did not sign is not its own; a caller would take foreign bytes for its answer.
+        if status.is_success() && !exchanged.signed {
+            return Err(self.failed(req, Refusal::BrokenAnswer, "an unsigned success"));
+        }
+        // These statuses promise that nothing ran, and without its mark the target has not said so.
+        if promises_not_run(status) {
+            return Err(self.failed(req, Refusal::BrokenAnswer, status.as_str()));
+        }
+        Ok(exchanged.answer)
+    }
+
+    fn failed(&self, req: &HostedRequest, refusal: Refusal, detail: &str) -> Refused {
+        self.journal
+            .target_failed(&req.id, &req.instance, refusal.as_str(), detail);
+        refused(refusal)
+    }
+}
+
+/// Statuses by which callers know that a request has not run and never will.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+fn refused(refusal: Refusal) -> Refused {
+    Refused {
+        refusal,
+        retry_after: None,
+    }
+}
+
+fn not_granted(not: NotGranted) -> HostReply {
+    HostReply {
+        result: Err(Refused {
+            refusal: not.refusal,
+            retry_after: not.retry_after,
+        }),
+        report: not.report,
+    }
+}
+
+/// The task that ran the request has ended without a reply, which only a defect causes: nothing is known.
+fn lost() -> HostReply {
+    HostReply {
+        result: Err(refused(Refusal::Lost)),
+        report: Report::default(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/life.rs
@@ -0,0 +1,96 @@
+//! A node's end: asked to stop, it finishes what it has.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use slog::{Logger, info};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::clock::SharedClock;
+use crate::mesh::desk::{DeskEvent, DeskHandle};
+
+/// Time for which a stopping node goes on taking requests. Its callers are told by the readiness check, asked each second
+/// and believed after two misses, and some still send until then.
+const CALLERS_LEAVE: Duration = Duration::from_millis(3200);
+
+/// How long nothing must have been open before the node ends: a caller may send again on a connection just used.
+const QUIET: Duration = Duration::from_millis(250);
+
+/// Time between looks.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Time before the forced end at which the node ends with what is still open.
+const MARGIN: Duration = Duration::from_millis(250);
+
+/// Signals and what they lead to.
+pub struct Life {
+    /// Refuses new requests for the own target.
+    pub desk: DeskHandle,
+    /// Told when the node is about to stop.
+    pub stopping: watch::Sender<bool>,
+    /// Told of each request to read the settings again.
+    pub hup: watch::Sender<u64>,
+    /// Requests of callers without an answer.
+    pub open: Arc<AtomicUsize>,
+    /// Time from the request to stop to the forced end.
+    pub grace: Duration,
+    /// Time.
+    pub clock: SharedClock,
+    /// Log.
+    pub log: Logger,
+}
+
+impl Life {
+    /// Returns when the process may end.
+    ///
+    /// # Errors
+    ///
+    /// Signals can't be received.
+    pub async fn run(self) -> std::io::Result<()> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut hangup = signal(SignalKind::hangup())?;
+        loop {
+            tokio::select! {
+                _ = received(&mut terminate) => break,
+                _ = received(&mut interrupt) => break,
+                _ = received(&mut hangup) => self.hup.send_modify(|count| *count += 1),
+            }
+        }
+        self.stop().await;
+        Ok(())
+    }
+
+    async fn stop(&self) {
+        let began = self.clock.now();
+        info!(self.log, "stopping"; "open" => self.open.load(Ordering::SeqCst));
+        self.stopping.send_replace(true);
+        self.desk.tell(DeskEvent::Stop);
+        let latest = self.grace.saturating_sub(MARGIN);
+        let mut quiet_since = None;
+        loop {
+            sleep(LOOK).await;
+            let now = self.clock.now();
+            let passed = now.saturating_duration_since(began);
+            let open = self.open.load(Ordering::SeqCst) + self.desk.hosted().await;
+            let since = *quiet_since.get_or_insert(now);
+            if open > 0 {
+                quiet_since = None;
+            }
+            let quiet = open == 0 && now.saturating_duration_since(since) >= QUIET;
+            if passed >= latest || (quiet && passed >= CALLERS_LEAVE) {
+                info!(self.log, "stopped"; "open" => open, "after_ms" => passed.as_millis() as u64);
+                return;
+            }
+        }
+    }
+}
+
+async fn received(signal: &mut Signal) {
+    if signal.recv().await.is_none() {
+        std::future::pending::<()>().await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/link.rs
@@ -0,0 +1,14 @@
+//! QUIC between nodes: one stream a request, in plain frames.
+
+mod client;
+mod endpoint;
+mod frames;
+mod hub;
+mod reset_guard;
+mod server;
+mod tls;
+
+pub use client::{LinkFault, send};
+pub use endpoint::{LinkError, bind};
+pub use hub::{LinkHub, run_hub};
+pub use server::serve;
--- /dev/null
+++ b/crates/node/src/mesh/link/frames.rs
@@ -0,0 +1,190 @@
+//! Requests and replies as they travel between nodes.
+
+use std::time::{Duration, Instant};
+
+use coltsfootport_core::id::ServiceName;
+use coltsfootport_core::mesh::{Refusal, Repeat};
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::h1::RequestHead;
+use crate::mesh::call::{Body, HostReply, HostedRequest, Refused, Report, TargetAnswer};
+use crate::wire::{FrameError, HeaderFrame};
+
+/// Largest head of a request or reply between nodes, in bytes.
+pub const MAX_HEAD: usize = 128 * 1024;
+
+/// Head of a request; its body follows on the stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestFrame {
+    instance: SmolStr,
+    id: SmolStr,
+    route: SmolStr,
+    rank: u8,
+    inner: bool,
+    at_most_once: bool,
+    /// Time left when it was sent; hosts have clocks of their own.
+    left_ms: u32,
+    origin: ServiceName,
+    method: SmolStr,
+    target: SmolStr,
+    headers: Vec<HeaderFrame>,
+    /// Length of the body, where it is known beforehand.
+    pub length: Option<u64>,
+}
+
+/// Head of a reply.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReplyFrame {
+    busy: u32,
+    /// Thousandths of a level.
+    level: u16,
+    below: Vec<(ServiceName, u32)>,
+    result: ResultFrame,
+}
+
+/// What a host has.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum ResultFrame {
+    /// An answer; its body follows.
+    Answer {
+        status: u16,
+        headers: Vec<HeaderFrame>,
+        length: Option<u64>,
+    },
+    /// No answer.
+    Refused {
+        refusal: Refusal,
+        retry_after_ms: Option<u32>,
+    },
+}
+
+const LEVEL_UNITS: f64 = 1000.0;
+
+impl RequestFrame {
+    /// The frame of a request that leaves now.
+    pub fn new(req: &HostedRequest, now: Instant) -> Self {
+        Self {
+            instance: req.instance.clone(),
+            id: req.id.clone(),
+            route: req.route.clone(),
+            rank: req.rank,
+            inner: req.inner,
+            at_most_once: req.repeat == Repeat::AtMostOnce,
+            left_ms: millis(req.deadline.saturating_duration_since(now)),
+            origin: req.origin.clone(),
+            method: SmolStr::new(req.head.method.as_str()),
+            target: req.head.target.clone(),
+            headers: HeaderFrame::from_map(&req.head.headers),
+            length: length(&req.body),
+        }
+    }
+
+    /// The request, as it has arrived now.
+    ///
+    /// # Errors
+    ///
+    /// A method or header can't stand in HTTP.
+    pub fn into_request(self, body: Body, now: Instant) -> Result<HostedRequest, FrameError> {
+        let method =
+            Method::from_bytes(self.method.as_bytes()).map_err(|_| FrameError::Malformed)?;
+        Ok(HostedRequest {
+            head: RequestHead {
+                method,
+                target: self.target,
+                headers: HeaderFrame::into_map(self.headers)?,
+                keep_alive: true,
+                takes_chunks: true,
+            },
+            body,
+            id: self.id,
+            instance: self.instance,
+            route: self.route,
+            rank: self.rank,
+            inner: self.inner,
+            repeat: match self.at_most_once {
+                true => Repeat::AtMostOnce,
+                false => Repeat::Idempotent,
+            },
+            deadline: now + Duration::from_millis(u64::from(self.left_ms)),
+            origin: self.origin,
+        })
+    }
+}
+
+impl From<&HostReply> for ReplyFrame {
+    fn from(reply: &HostReply) -> Self {
+        let result = match &reply.result {
+            Ok(answer) => ResultFrame::Answer {
+                status: answer.status.as_u16(),
+                headers: HeaderFrame::from_map(&answer.headers),
+                length: length(&answer.body),
+            },
+            Err(refused) => ResultFrame::Refused {
+                refusal: refused.refusal,
+                retry_after_ms: refused.retry_after.map(millis),
+            },
+        };
+        let level = (reply.report.level * LEVEL_UNITS).clamp(0.0, f64::from(u16::MAX));
+        Self {
+            busy: reply.report.busy,
+            level: level as u16,
+            below: reply.report.below.clone(),
+            result,
+        }
+    }
+}
+
+impl ReplyFrame {
+    /// Length of the answer's body, where it is known; `None` as well where there is no answer.
+    pub fn length(&self) -> Option<u64> {
+        match &self.result {
+            ResultFrame::Answer { length, .. } => *length,
+            ResultFrame::Refused { .. } => Some(0),
+        }
+    }
+
+    /// The reply with the body that followed.
+    ///
+    /// # Errors
+    ///
+    /// A status or header can't stand in HTTP.
+    pub fn into_reply(self, body: Body) -> Result<HostReply, FrameError> {
+        let result = match self.result {
+            ResultFrame::Answer {
+                status, headers, ..
+            } => Ok(TargetAnswer {
+                status: StatusCode::from_u16(status).map_err(|_| FrameError::Malformed)?,
+                headers: HeaderFrame::into_map(headers)?,
+                body,
+            }),
+            ResultFrame::Refused {
+                refusal,
+                retry_after_ms,
+            } => Err(Refused {
+                refusal,
+                retry_after: retry_after_ms.map(|ms| Duration::from_millis(u64::from(ms))),
+            }),
+        };
+        Ok(HostReply {
+            result,
+            report: Report {
+                busy: self.busy,
+                level: f64::from(self.level) / LEVEL_UNITS,
+                below: self.below,
+            },
+        })
+    }
+}
+
+fn length(body: &Body) -> Option<u64> {
+    match body {
+        Body::Whole(bytes) => Some(bytes.len() as u64),
+        Body::Stream { length, .. } => *length,
+    }
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/node/src/mesh/link/hub.rs
@@ -0,0 +1,101 @@
+//! Links to other nodes: one connection each, made when first needed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootport_core::collections::Map;
+use quinn::{Connection, Endpoint};
+use slog::{Logger, info};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+use super::tls::SERVER_NAME;
+
+/// Longest time for a handshake: two lost packets in a row fit in, a node that is gone does not hold a request up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Asks the hub for links.
+#[derive(Clone, Debug)]
+pub struct LinkHub {
+    tx: mpsc::UnboundedSender<HubEvent>,
+}
+
+/// Everything that the hub hears.
+#[derive(Debug)]
+pub enum HubEvent {
+    /// A request needs the link to a node.
+    Get(SocketAddr, oneshot::Sender<Option<Connection>>),
+    /// An attempt to connect has ended.
+    Connected(SocketAddr, Option<Connection>),
+}
+
+enum Link {
+    Up(Connection),
+    Connecting(Vec<oneshot::Sender<Option<Connection>>>),
+}
+
+impl LinkHub {
+    /// A hub's handle and the channel for [`run_hub`].
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<HubEvent>) {
+        let (tx, rx) = mpsc::unbounded_channel();
+        (Self { tx }, rx)
+    }
+
+    /// The link to a node; `None` where it can't be reached.
+    pub async fn get(&self, peer: SocketAddr) -> Option<Connection> {
+        let (tx, rx) = oneshot::channel();
+        self.tx.send(HubEvent::Get(peer, tx)).ok()?;
+        rx.await.ok().flatten()
+    }
+}
+
+/// Owns all links until every handle is gone.
+pub async fn run_hub(
+    endpoint: Endpoint,
+    hub: LinkHub,
+    mut rx: mpsc::UnboundedReceiver<HubEvent>,
+    log: Logger,
+) {
+    let mut links: Map<SocketAddr, Link> = Map::default();
+    while let Some(event) = rx.recv().await {
+        match event {
+            HubEvent::Get(peer, reply) => match links.get_mut(&peer) {
+                Some(Link::Up(link)) if link.close_reason().is_none() => {
+                    drop(reply.send(Some(link.clone())));
+                }
+                Some(Link::Connecting(waiting)) => waiting.push(reply),
+                _ => {
+                    if let Some(Link::Up(link)) = links.get(&peer) {
+                        let reason = link.close_reason().map(|reason| reason.to_string());
+                        info!(log, "peer lost"; "peer" => peer, "reason" => reason);
+                    }
+                    links.insert(peer, Link::Connecting(vec![reply]));
+                    tokio::spawn(connect(endpoint.clone(), peer, hub.tx.clone()));
+                }
+            },
+            HubEvent::Connected(peer, link) => {
+                info!(log, "peer connected"; "peer" => peer, "reached" => link.is_some());
+                let before = match &link {
+                    Some(link) => links.insert(peer, Link::Up(link.clone())),
+                    None => links.remove(&peer),
+                };
+                let Some(Link::Connecting(waiting)) = before else {
+                    continue;
+                };
+                for reply in waiting {
+                    drop(reply.send(link.clone()));
+                }
+            }
+        }
+    }
+}
+
+async fn connect(endpoint: Endpoint, peer: SocketAddr, tx: mpsc::UnboundedSender<HubEvent>) {
+    let link = match endpoint.connect(peer, SERVER_NAME) {
+        Ok(connecting) => timeout(CONNECT_TIMEOUT, connecting).await,
+        Err(_) => return drop(tx.send(HubEvent::Connected(peer, None))),
+    };
+    let link = link.ok().and_then(Result::ok);
+    // The hub lives as long as the process.
+    drop(tx.send(HubEvent::Connected(peer, link)));
+}
--- /dev/null
+++ b/crates/node/src/mesh/run.rs
@@ -0,0 +1,208 @@
+//! Starts a mesh node and runs it until it is stopped.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::time::Duration;
+
+use coltsfootport_core::mesh::{
+    CallerLimits, Dialect, FleetConfig, GateConfig, LevelConfig, Publisher, RetryBudgetConfig,
+};
+use slog::{Logger, info};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+
+use super::boot_clock::BootClock;
+use super::callers::{self, CallersConfig};
+use super::desk::{Desk, DeskConfig, DeskEvent, DeskHandle, run_desk};
+use super::entry::Entry;
+use super::feed::Feed;
+use super::host::Host;
+use super::journal::Journal;
+use super::life::Life;
+use super::link::{self, LinkError, LinkHub, run_hub};
+use super::metrics::MeshMetrics;
+use super::ready::{self, Ready};
+use super::settings::{MeshSettings, PublisherKind};
+use super::settings_file::SettingsFile;
+use super::target::TargetPool;
+use crate::clock::SharedClock;
+
+/// Why a mesh node can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum MeshError {
+    /// A listener's address can't be bound, or signals can't be received.
+    #[error("the node can't start: {0}")]
+    Io(#[from] std::io::Error),
+    /// The peers' endpoint can't be made.
+    #[error(transparent)]
+    Link(#[from] LinkError),
+    /// Metrics can't be registered.
+    #[error("metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// Time between looks at connections to the target that have waited too long.
+const PRUNE: Duration = Duration::from_millis(500);
+
+/// Runs a node until it is asked to stop. `path` and `text` are those of the settings, which are read again later.
+///
+/// # Errors
+///
+/// It can't start.
+pub async fn run(
+    settings: MeshSettings,
+    path: PathBuf,
+    text: String,
+    log: Logger,
+) -> Result<(), MeshError> {
+    let clock: SharedClock = Arc::new(BootClock::start());
+    let metrics = MeshMetrics::new()?;
+    let journal = Journal::new(log.clone(), Arc::clone(&clock), metrics.clone());
+    let (dialect, publisher) = spoken(settings.publisher.kind);
+    let (tx, rx) = mpsc::unbounded_channel();
+    let desk = DeskHandle::new(tx.clone());
+    let (limits_tx, limits) = watch::channel(CallerLimits::default());
+    let state = Desk::new(
+        desk_config(&settings),
+        Arc::clone(&clock),
+        tx,
+        limits_tx,
+        journal.clone(),
+        metrics.clone(),
+    );
+    let callers_socket = TcpListener::bind(settings.node.callers).await?;
+    let ready_socket = TcpListener::bind(settings.node.ready).await?;
+    let endpoint = link::bind(settings.node.peers)?;
+    let host = Host {
+        desk: desk.clone(),
+        pool: TargetPool::new(settings.node.target, Arc::clone(&clock)),
+        dialect: Arc::clone(&dialect),
+        clock: Arc::clone(&clock),
+        journal: journal.clone(),
+    };
+    let (service_tx, service) = watch::channel(settings.node.service.clone());
+    let (links, links_rx) = LinkHub::new();
+    let entry = Entry {
+        desk: desk.clone(),
+        links: links.clone(),
+        host: host.clone(),
+        dialect: Arc::clone(&dialect),
+        clock: Arc::clone(&clock),
+        journal: journal.clone(),
+        service,
+        peers_port: settings.node.peers.port(),
+    };
+    let (stopping_tx, stopping) = watch::channel(false);
+    let open = Arc::new(AtomicUsize::new(0));
+    let callers_cfg = CallersConfig {
+        entry,
+        limits,
+        pipelined: settings.load.pipelined as usize,
+        stopping: stopping.clone(),
+        open: Arc::clone(&open),
+    };
+    let ready = Ready {
+        desk: desk.clone(),
+        dialect,
+        metrics: metrics.clone(),
+        stopping,
+    };
+    let feed = Feed {
+        cfg: settings.publisher,
+        publisher,
+        desk: desk.clone(),
+        metrics,
+        log: log.clone(),
+    };
+    info!(log, "started"; "callers" => settings.node.callers, "target" => settings.node.target,
+        "domain" => settings.node.domain.as_str(), "version" => env!("CARGO_PKG_VERSION"));
+    tokio::spawn(run_desk(state, rx));
+    tokio::spawn(run_hub(endpoint.clone(), links, links_rx, log.clone()));
+    tokio::spawn(link::serve(endpoint, host.clone(), log.clone()));
+    tokio::spawn(feed.run());
+    tokio::spawn(ready::serve(ready_socket, ready.clone()));
+    if let Some(address) = settings.node.metrics {
+        tokio::spawn(ready::serve(TcpListener::bind(address).await?, ready));
+    }
+    tokio::spawn(callers::listen(callers_socket, callers_cfg));
+    tokio::spawn(prune(host.pool.clone()));
+    let (hup_tx, hup) = watch::channel(0);
+    let grace = settings.grace;
+    let (settings_tx, settings_rx) = watch::channel(settings);
+    let file = SettingsFile {
+        path,
+        text,
+        tx: settings_tx,
+        log: log.clone(),
+    };
+    tokio::spawn(file.run(hup));
+    tokio::spawn(apply_settings(settings_rx, service_tx, desk.clone()));
+    let life = Life {
+        desk,
+        stopping: stopping_tx,
+        hup: hup_tx,
+        open,
+        grace,
+        clock,
+        log,
+    };
+    life.run().await?;
+    Ok(())
+}
+
+/// Passes on what can change while a node runs; addresses hold until its next start.
+async fn apply_settings(
+    mut settings: watch::Receiver<MeshSettings>,
+    service: watch::Sender<coltsfootport_core::id::ServiceName>,
+    desk: DeskHandle,
+) {
+    while settings.changed().await.is_ok() {
+        let own = settings.borrow_and_update().node.service.clone();
+        service.send_replace(own.clone());
+        desk.tell(DeskEvent::OwnService(own));
+    }
+}
+
+async fn prune(pool: TargetPool) {
+    loop {
+        tokio::time::sleep(PRUNE).await;
+        pool.prune();
+    }
+}
+
+/// What callers, targets and the publisher speak.
+fn spoken(kind: PublisherKind) -> (Arc<Dialect>, Arc<dyn Publisher>) {
+    match kind {
+        PublisherKind::Platform => (
+            Arc::new(coltsfootport_platform::DIALECT),
+            Arc::new(coltsfootport_platform::Store),
+        ),
+    }
+}
+
+fn desk_config(settings: &MeshSettings) -> DeskConfig {
+    DeskConfig {
+        service: settings.node.service.clone(),
+        target: settings.node.target,
+        budget: RetryBudgetConfig {
+            ratio: settings.retries.ratio,
+            slack: settings.retries.slack,
+            window: settings.retries.window,
+            ..Default::default()
+        },
+        fleet: FleetConfig {
+            domain: settings.node.domain.clone(),
+            ..Default::default()
+        },
+        gate: GateConfig {
+            slots: settings.load.slots,
+            level: LevelConfig {
+                target_wait: settings.load.target_wait,
+                ..Default::default()
+            },
+            ..Default::default()
+        },
+        ..Default::default()
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/target/wire_request.rs
@@ -0,0 +1,42 @@
+//! A request as it goes to the target.
+
+use std::time::Duration;
+
+use coltsfootport_core::mesh::Dialect;
+use http::{HeaderName, HeaderValue};
+
+use crate::h1::RequestHead;
+use crate::mesh::call::HostedRequest;
+
+/// The head for the target and what its answer is checked against.
+#[derive(Debug)]
+pub struct WireRequest {
+    /// Head with the headers that the node sets.
+    pub head: RequestHead,
+    /// Id that the answer must bear; empty where the caller gave none.
+    pub id: smol_str::SmolStr,
+}
+
+impl WireRequest {
+    /// Sets what the node sets: the only instance, the origin and the time that is left.
+    pub fn new(req: &HostedRequest, left: Duration, dialect: &Dialect) -> Self {
+        let mut head = req.head.clone();
+        let left = left.as_millis().max(1).to_string();
+        let values = [
+            (dialect.only_instance, req.instance.as_str()),
+            (dialect.origin_service, req.origin.as_str()),
+            (dialect.time_left_ms, left.as_str()),
+        ];
+        for (name, value) in values {
+            // Names are constants, and values come from checked settings or from entries that are plain text; one that
+            // can't stand in a header is left out, and the target then refuses or ignores it.
+            if let Ok(value) = HeaderValue::from_str(value) {
+                head.headers.insert(HeaderName::from_static(name), value);
+            }
+        }
+        Self {
+            head,
+            id: req.id.clone(),
+        }
+    }
+}
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -14,5 +14,6 @@
 };
 pub use frame::{
     FrameError, Head, PeerReply, PeerRequest, checksum, read_body, read_head, write_frame,
+    write_head,
 };
 pub use header_frame::HeaderFrame;
--- a/crates/node/src/wire/frame.rs
+++ b/crates/node/src/wire/frame.rs
@@ -86,6 +86,19 @@
 
 /// Writes a head and its body and ends the stream; returns the bytes written.
 pub async fn write_frame<T>(tx: &mut SendStream, head: &T, body: Bytes) -> Result<usize, FrameError>
+where
+    T: Serialize,
+{
+    let written = write_head(tx, head).await? + body.len();
+    if !body.is_empty() {
+        tx.write_chunk(body).await?;
+    }
+    let _ = tx.finish();
+    Ok(written)
+}
+
+/// Writes a head; a body may follow. Returns the bytes written.
+pub async fn write_head<T>(tx: &mut SendStream, head: &T) -> Result<usize, FrameError>
 where
     T: Serialize,
 {
@@ -93,12 +106,8 @@
     buf = postcard::to_extend(head, buf).map_err(|_| FrameError::Malformed)?;
     let length = (buf.len() - LENGTH_BYTES) as u32;
     buf[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
-    let written = buf.len() + body.len();
+    let written = buf.len();
     tx.write_chunk(Bytes::from(buf)).await?;
-    if !body.is_empty() {
-        tx.write_chunk(body).await?;
-    }
-    let _ = tx.finish();
     Ok(written)
 }
 
