--- a/crates/core/src/mesh/balance.rs
+++ b/crates/core/src/mesh/balance.rs
@@ -49,6 +49,12 @@
 /// First time for which a host that can't be reached is avoided; doubled each time up to eight times this.
 const AVOID_UNREACHABLE: Duration = Duration::from_millis(250);
 
+/// How long a target that is gone is avoided: about the time until the published list tells.
+const AVOID_GONE: Duration = Duration::from_millis(1500);
+
+/// How long a host that is about to stop is avoided: about what is left of its life.
+const AVOID_STOPPING: Duration = Duration::from_millis(3000);
+
 /// How far one answer may move the slowness, so that a single slow request says little.
 const SLOWNESS_RANGE: (f64, f64) = (0.2, 5.0);
 
@@ -83,7 +89,7 @@
     pub fn failed(&mut self, now: Instant) {
         self.failures += NEWEST * (1.0 - self.failures);
         if self.failures > FAILURES_TO_AVOID {
-            self.avoided_until = Some(now + AVOID_FAILING);
+            self.avoid(now + AVOID_FAILING);
             // One failure after the pause must be enough to avoid it again, and some successes to trust it.
             self.failures = FAILURES_TO_AVOID;
         }
@@ -92,10 +98,21 @@
     /// The host could not be reached.
     pub fn not_reached(&mut self, now: Instant) {
         let doublings = self.unreachable.min(3);
-        self.avoided_until = Some(now + AVOID_UNREACHABLE * (1 << doublings));
+        self.avoid(now + AVOID_UNREACHABLE * (1 << doublings));
         self.unreachable += 1;
     }
 
+    /// The target does not listen or is another instance. Requests come back from it at once, so it looks idle and would
+    /// draw more of them than all others until the published list tells that it is gone.
+    pub fn target_gone(&mut self, now: Instant) {
+        self.avoid(now + AVOID_GONE);
+    }
+
+    /// The host is about to stop; see [`Observed::target_gone`] for why it must be avoided.
+    pub fn host_stopping(&mut self, now: Instant) {
+        self.avoid(now + AVOID_STOPPING);
+    }
+
     /// Whether it is avoided now.
     pub fn is_avoided(&self, now: Instant) -> bool {
         self.avoided_until.is_some_and(|until| now < until)
@@ -111,6 +128,10 @@
         self.slowness * failing * (1.0 + LOAD_WEIGHT * used + queueing)
     }
 
+    fn avoid(&mut self, until: Instant) {
+        self.avoided_until = self.avoided_until.max(Some(until));
+    }
+
     fn busy_now(&self, now: Instant) -> f64 {
         let Some(at) = self.busy_at else {
             return 0.0;
--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -64,8 +64,12 @@
     },
     /// The target failed, refused it or broke off.
     Failed,
-    /// The host was busy or stopping; the target was not asked.
-    HostRefused,
+    /// The target does not listen, or is not that instance any more.
+    TargetGone,
+    /// The host's queue was too long; the target was not asked.
+    HostBusy,
+    /// The host is about to stop; the target was not asked.
+    HostStopping,
     /// The host could not be reached.
     NotReached,
     /// Nobody waits for it any more; says nothing about the instance.
@@ -271,6 +275,13 @@
         }
     }
 
+    /// A host has said that it is about to stop, whatever became of the request.
+    pub fn host_stopping(&mut self, key: InstanceKey, now: Instant) {
+        if let Some(member) = self.members.get_mut(key) {
+            member.seen.host_stopping(now);
+        }
+    }
+
     /// A request has ended at an instance; `busy` is its host's word about its load, where it gave one.
     pub fn ended(
         &mut self,
@@ -291,7 +302,9 @@
             SendOutcome::Answered { relative } => member.seen.answered(relative),
             SendOutcome::Failed => member.seen.failed(now),
             SendOutcome::NotReached => member.seen.not_reached(now),
-            SendOutcome::HostRefused | SendOutcome::Abandoned => {}
+            SendOutcome::TargetGone => member.seen.target_gone(now),
+            SendOutcome::HostStopping => member.seen.host_stopping(now),
+            SendOutcome::HostBusy | SendOutcome::Abandoned => {}
         }
     }
 
--- a/crates/core/src/mesh/refusal.rs
+++ b/crates/core/src/mesh/refusal.rs
@@ -87,8 +87,8 @@
             Self::NoRoute => row(404, NotRun, false),
             Self::NoConfig | Self::NoInstance | Self::Shed | Self::Busy => row(503, NotRun, true),
             Self::Stopping | Self::TargetRefused | Self::WrongInstance => row(503, NotRun, true),
-            // 504 and not 503: the caller's time is over, so that coming back would not help it.
-            Self::ExpiredUnsent => row(504, NotRun, false),
+            // The route's time is over, but not always that of the caller, which may send it again.
+            Self::ExpiredUnsent => row(503, NotRun, true),
             Self::Expired => row(504, Unknown, false),
             Self::Lost | Self::BrokenAnswer => row(502, Unknown, false),
             Self::CallerGone => row(400, NotRun, false),
--- a/crates/core/src/mesh/retry_budget.rs
+++ b/crates/core/src/mesh/retry_budget.rs
@@ -1,5 +1,6 @@
 //! A node's part of the budget for repeats that all nodes share.
 
+use std::collections::hash_map::Entry;
 use std::time::{Duration, Instant};
 
 use crate::collections::Map;
@@ -41,7 +42,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Account {
     tokens: f64,
-    earned_at: Instant,
+    /// What first requests have earned of late: halves within half a window.
+    recent: f64,
+    at: Instant,
 }
 
 impl RetryBudget {
@@ -59,12 +62,13 @@
         self.nodes = u32::try_from(nodes).unwrap_or(u32::MAX).max(1);
     }
 
-    /// Counts the first sending of a request to a service.
-    pub fn earn(&mut self, service: &ServiceName, now: Instant) {
-        let earned = self.cfg.ratio * self.cfg.used_share;
-        let cap = self.cap();
+    /// Counts first requests to a service; `requests` may be a fraction where only a part of them is this node's to use.
+    pub fn earn(&mut self, service: &ServiceName, requests: f64, now: Instant) {
+        let earned = self.cfg.ratio * self.cfg.used_share * requests;
+        let slack = self.slack_part();
         let account = self.account(service, now);
-        account.tokens = (account.tokens + earned).min(cap);
+        account.recent += earned;
+        account.tokens = (account.tokens + earned).min(account.cap(slack));
     }
 
     /// Takes the cost of one repeat from every service that it reaches, or nothing where one of them has too little.
@@ -86,28 +90,42 @@
         self.account(service, now).tokens
     }
 
-    /// Tokens that this node may have at most: what is saved up can be spent at once, within one window.
-    fn cap(&self) -> f64 {
-        (self.slack_part() * 0.5).max(SMALLEST_CAP)
-    }
-
+    /// This node's part of what is allowed in a window whatever the requests.
     fn slack_part(&self) -> f64 {
         self.cfg.slack * self.cfg.used_share / f64::from(self.nodes)
     }
 
+    /// The account with all that time has brought.
     fn account(&mut self, service: &ServiceName, now: Instant) -> &mut Account {
-        let per_second = self.slack_part() * 0.5 / self.cfg.window.as_secs_f64();
-        let cap = self.cap();
-        let account = self.accounts.entry(service.clone()).or_insert(Account {
-            tokens: cap,
-            earned_at: now,
-        });
-        let passed = now.saturating_duration_since(account.earned_at);
-        account.tokens = (account.tokens + per_second * passed.as_secs_f64()).min(cap);
-        account.earned_at = now;
+        let window = self.cfg.window.as_secs_f64();
+        let slack = self.slack_part();
+        let account = match self.accounts.entry(service.clone()) {
+            Entry::Occupied(account) => account.into_mut(),
+            Entry::Vacant(place) => place.insert(Account {
+                tokens: (slack * SAVED_SHARE).max(SMALLEST_CAP),
+                recent: 0.0,
+                at: now,
+            }),
+        };
+        let passed = now.saturating_duration_since(account.at).as_secs_f64();
+        account.at = now;
+        account.recent *= 0.5_f64.powf(2.0 * passed / window);
+        let refilled = account.tokens + slack * SAVED_SHARE * passed / window;
+        account.tokens = refilled.min(account.cap(slack));
         account
     }
 }
 
+impl Account {
+    /// Tokens that may be saved up. All of them can be spent at once, on top of what a window earns, so they are a part of
+    /// what a window is allowed.
+    fn cap(&self, slack: f64) -> f64 {
+        (slack * SAVED_SHARE + self.recent * SAVED_SHARE).max(SMALLEST_CAP)
+    }
+}
+
+/// Share of a window's allowance that can be saved up for the next one.
+const SAVED_SHARE: f64 = 0.5;
+
 /// A node of a large fleet must be able to save up for one repeat, or it could never send one.
 const SMALLEST_CAP: f64 = 1.0;
--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -11,8 +11,6 @@
     pub slots: u32,
     /// Requests that wait at most; bounds memory.
     pub queue: usize,
-    /// Share of its remaining time that a request from outside may be expected to wait.
-    pub patience: f64,
     /// The level that follows from waiting.
     pub level: LevelConfig,
 }
@@ -22,7 +20,6 @@
         Self {
             slots: 16,
             queue: 2000,
-            patience: 0.5,
             level: LevelConfig::default(),
         }
     }
@@ -42,6 +39,8 @@
     pub inner: bool,
     /// When its time is over.
     pub deadline: Instant,
+    /// Longest wait to be expected at which it still enters.
+    pub patience: Duration,
 }
 
 /// What became of a request that wants to run.
@@ -119,11 +118,7 @@
         }
         let wait = self.expected_wait(&request);
         let left = request.deadline.saturating_duration_since(now);
-        let patience = match request.inner {
-            true => left,
-            false => left.mul_f64(self.cfg.patience),
-        };
-        if wait >= patience || self.queue.len() >= self.cfg.queue {
+        if wait >= request.patience.min(left) || self.queue.len() >= self.cfg.queue {
             return Entered::Refused { retry_after: wait };
         }
         let queued = Queued {
--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -83,6 +83,8 @@
     pub repeat: Repeat,
     /// When nobody waits for it any more.
     pub deadline: Instant,
+    /// Longest wait for its target that it should take; expected to wait longer, it is refused at once.
+    pub patience: Duration,
     /// Service of the machine where it began.
     pub origin: ServiceName,
 }
@@ -114,6 +116,8 @@
     pub busy: u32,
     /// Highest level of overload met by this request, from 0.
     pub level: f64,
+    /// Whether the host is about to stop.
+    pub stopping: bool,
     /// Arrivals that this run caused, by service.
     pub below: Vec<(ServiceName, u32)>,
 }
--- a/crates/node/src/mesh/desk/entering.rs
+++ b/crates/node/src/mesh/desk/entering.rs
@@ -27,17 +27,27 @@
 /// When to come back to a node without configuration or instances.
 const BACK_NOT_READY: Duration = Duration::from_millis(500);
 
+/// How long a stopping node takes requests of its callers: they are told by the readiness check, asked each second and
+/// believed after two misses.
+const STOPPING_SERVES: Duration = Duration::from_millis(3000);
+
+/// Share of the budget for calls below that the nodes which send them use themselves.
+const INNER_SHARE: f64 = 0.35;
+
 impl Desk {
     /// Decides whether a request goes on, and at which service.
     pub(super) fn admit(&mut self, ask: &AdmitAsk) -> Result<Admitted, Denied> {
         let now = self.clock.now();
+        let outer = self.runs.outer_of(&ask.id);
+        if outer.is_none() && self.refuses_callers(now) {
+            return Err(denied(Refusal::Stopping, Some(BACK_NOT_READY)));
+        }
         let Some(config) = self.config.clone() else {
             return Err(denied(Refusal::NoConfig, Some(BACK_NOT_READY)));
         };
         let Some((key, _)) = config.find(&ask.host, &ask.path) else {
             return Err(self.no_route(now));
         };
-        let outer = self.runs.outer_of(&ask.id);
         match &outer {
             // Work has been done for it above; refused here it would be lost, and more than this request with it.
             Some(_) => self.metrics.inner.inc(),
@@ -54,6 +64,13 @@
         })
     }
 
+    /// Callers leave a stopping node within seconds, unless too few others are left. What comes later could not end before
+    /// the node does, and its caller would get a closed connection; refused, it comes back to the next start of the node.
+    fn refuses_callers(&self, now: Instant) -> bool {
+        self.stopping_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= STOPPING_SERVES)
+    }
+
     /// A route may be missing since the configuration in hand is old: only a fresh one says that it does not exist.
     fn no_route(&self, now: Instant) -> Denied {
         let fresh = self
@@ -118,7 +135,7 @@
             .choose(&ask.service, &ask.tried, now, &mut self.rng)?;
         self.fleet.sent(chosen.key, now);
         if ask.tried.is_empty() {
-            self.budget.earn(&ask.service, now);
+            self.earn(&ask, now);
         }
         let guard = SendGuard {
             key: chosen.key,
@@ -137,6 +154,22 @@
         })
     }
 
+    /// Counts a first request towards the budgets of all services that it reaches.
+    ///
+    /// A repeat of a request from outside costs at every service below, so its entry needs budget there, although the
+    /// calls to them leave from other nodes. Those nodes use the rest for repeats of single calls.
+    fn earn(&mut self, ask: &SendAsk, now: Instant) {
+        if ask.outer.is_some() {
+            return self.budget.earn(&ask.service, INNER_SHARE, now);
+        }
+        self.budget.earn(&ask.service, 1.0, now);
+        if let Some(stats) = self.stats.get(&ask.route) {
+            for (service, count) in stats.below.iter() {
+                self.budget.earn(service, count * (1.0 - INNER_SHARE), now);
+            }
+        }
+    }
+
     /// Learns from a sending that has ended.
     pub(super) fn send_ended(&mut self, key: InstanceKey, ended: EndedSend) {
         let now = self.clock.now();
@@ -155,6 +188,9 @@
                     .learn(counts.map(|(service, count)| (service, *count)));
             }
             self.shedder.report(&ended.route, report.level, now);
+            if report.stopping {
+                self.fleet.host_stopping(key, now);
+            }
         }
         let busy = ended.report.as_ref().map(|report| report.busy);
         self.fleet.ended(key, outcome, busy, now);
--- a/crates/node/src/mesh/desk/event.rs
+++ b/crates/node/src/mesh/desk/event.rs
@@ -159,6 +159,8 @@
     pub inner: bool,
     /// When its time is over.
     pub deadline: Instant,
+    /// Longest wait to be expected at which it still enters.
+    pub patience: Duration,
 }
 
 /// A slot.
--- a/crates/node/src/mesh/desk/hosting.rs
+++ b/crates/node/src/mesh/desk/hosting.rs
@@ -15,6 +15,9 @@
 /// Ids of ended instances that are remembered, so that a late request for one is refused and not sent to its successor.
 const REMEMBERED_IDS: usize = 64;
 
+/// How long a stopping host takes requests of others. What it takes must end before the node does.
+const STOPPING_TAKES: Duration = Duration::from_millis(1500);
+
 impl Desk {
     /// Gives a request a slot, lets it wait, or refuses it.
     pub(super) fn enter(
@@ -23,7 +26,7 @@
         reply: oneshot::Sender<Result<Granted, NotGranted>>,
     ) {
         let now = self.clock.now();
-        if self.stopping || self.has_left(&ask.instance) {
+        if self.refuses_others(now) || self.has_left(&ask.instance) {
             drop(reply.send(Err(self.not_granted(Refusal::Stopping, None))));
             return;
         }
@@ -35,6 +38,7 @@
             rank: ask.rank,
             inner: ask.inner,
             deadline: ask.deadline,
+            patience: ask.patience,
         };
         match self.gate.enter(waiting, now) {
             Entered::Run(ticket) => self.grant(ticket, Waiter { ask, reply }, now),
@@ -100,7 +104,7 @@
         let tickets: Vec<Ticket> = self
             .waiting
             .iter()
-            .filter(|(_, waiter)| self.stopping || self.has_left(&waiter.ask.instance))
+            .filter(|(_, waiter)| self.has_left(&waiter.ask.instance))
             .map(|(ticket, _)| *ticket)
             .collect();
         for ticket in tickets {
@@ -111,8 +115,14 @@
 
     /// The node is about to stop.
     pub(super) fn stop(&mut self) {
-        self.stopping = true;
-        self.flush_waiters();
+        self.stopping_since = Some(self.clock.now());
+    }
+
+    /// A stopping host still takes requests for a moment: its replies tell entries to choose others, and where several
+    /// nodes of a service stop at a time there may be no other.
+    fn refuses_others(&self, now: Instant) -> bool {
+        self.stopping_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= STOPPING_TAKES)
     }
 
     /// Takes in that an instance is gone for good.
@@ -169,6 +179,7 @@
         Report {
             busy: self.gate.busy(),
             level: self.gate.level(),
+            stopping: self.stopping_since.is_some(),
             below: Vec::new(),
         }
     }
--- a/crates/node/src/mesh/desk/state.rs
+++ b/crates/node/src/mesh/desk/state.rs
@@ -87,7 +87,7 @@
     pub(super) left: VecDeque<SmolStr>,
     pub(super) publisher_answered: Option<Instant>,
     pub(super) publisher_sound: bool,
-    pub(super) stopping: bool,
+    pub(super) stopping_since: Option<Instant>,
     pub(super) journal: Journal,
     pub(super) metrics: MeshMetrics,
     pub(super) logged_level: f64,
@@ -119,7 +119,7 @@
             left: VecDeque::new(),
             publisher_answered: None,
             publisher_sound: false,
-            stopping: false,
+            stopping_since: None,
             journal,
             metrics,
             logged_level: 0.0,
@@ -132,6 +132,6 @@
 
     /// Whether the node can serve requests.
     pub(super) fn is_ready(&self) -> bool {
-        self.config.is_some() && !self.stopping
+        self.config.is_some() && self.stopping_since.is_none()
     }
 }
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -28,6 +28,12 @@
 /// Hosts that a request may be moved to after a host has refused it without asking its target.
 const MOST_MOVES: usize = 2;
 
+/// Share of its latency target that a request may wait for its target: the rest is for its run.
+const WORTHWHILE_SHARE: f64 = 0.6;
+
+/// Share of its remaining time that it may wait even where its latency target is missed.
+const LEAST_PATIENCE: f64 = 0.2;
+
 /// When to come back where nothing better is known.
 const BACK_DEFAULT: Duration = Duration::from_millis(400);
 
@@ -295,10 +301,12 @@
 
     async fn refused(&mut self, refused: Refused, report: Report, guard: SendGuard) -> Next {
         let outcome = match refused.refusal {
-            Refusal::Busy | Refusal::Stopping | Refusal::ExpiredUnsent | Refusal::CallerGone => {
-                SendOutcome::HostRefused
+            Refusal::Busy => SendOutcome::HostBusy,
+            Refusal::Stopping => SendOutcome::HostStopping,
+            Refusal::NoInstance | Refusal::WrongInstance => SendOutcome::TargetGone,
+            Refusal::ExpiredUnsent | Refusal::CallerGone | Refusal::Expired => {
+                SendOutcome::Abandoned
             }
-            Refusal::Expired => SendOutcome::Abandoned,
             _ => SendOutcome::Failed,
         };
         guard.end(outcome, Some(report));
@@ -367,10 +375,27 @@
             inner: self.admitted.outer.is_some(),
             repeat: route.repeat,
             deadline: self.deadline,
+            patience: self.patience(),
             origin: self.entry.service.borrow().clone(),
         }
     }
 
+    /// How long the request may be expected to wait for a target.
+    ///
+    /// A run that waits for it has used slots above already, so it waits as long as it can. One from outside is refused
+    /// while its caller can still come back in time.
+    fn patience(&self) -> Duration {
+        let route = self.admitted.config.route(self.admitted.route);
+        let now = self.entry.clock.now();
+        let left = self.deadline.saturating_duration_since(now);
+        if self.admitted.outer.is_some() {
+            return left;
+        }
+        let worthwhile = self.arrived + route.latency_target.mul_f64(WORTHWHILE_SHARE);
+        let worthwhile = worthwhile.saturating_duration_since(now);
+        worthwhile.max(left.mul_f64(LEAST_PATIENCE))
+    }
+
     fn expired(&self) -> Refused {
         match self.out || self.at_targets > 0 {
             true => refused(Refusal::Expired),
--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -17,6 +17,10 @@
 /// deadline; this is for its answer, and for a target that forgets to stop.
 const ONCE_GRACE: Duration = Duration::from_millis(500);
 
+/// Time before its deadline at which a request that still waits is refused. Its entry so learns that it has not run before
+/// it must answer; a moment later it could only say that nothing is known.
+const QUEUE_MARGIN: Duration = Duration::from_millis(75);
+
 /// What is needed to run requests; cheap to clone.
 #[derive(Clone)]
 pub struct Host {
@@ -43,7 +47,11 @@
             id: req.id.clone(),
             rank: req.rank,
             inner: req.inner,
-            deadline: req.deadline,
+            deadline: req
+                .deadline
+                .checked_sub(QUEUE_MARGIN)
+                .unwrap_or(req.deadline),
+            patience: req.patience,
         };
         let slot = match self.desk.enter(ask).await {
             Ok(granted) => granted.guard,
--- a/crates/node/src/mesh/life.rs
+++ b/crates/node/src/mesh/life.rs
@@ -23,7 +23,7 @@
 const LOOK: Duration = Duration::from_millis(50);
 
 /// Time before the forced end at which the node ends with what is still open.
-const MARGIN: Duration = Duration::from_millis(250);
+const MARGIN: Duration = Duration::from_millis(500);
 
 /// Signals and what they lead to.
 pub struct Life {
--- a/crates/node/src/mesh/link/frames.rs
+++ b/crates/node/src/mesh/link/frames.rs
@@ -26,6 +26,7 @@
     at_most_once: bool,
     /// Time left when it was sent; hosts have clocks of their own.
     left_ms: u32,
+    patience_ms: u32,
     origin: ServiceName,
     method: SmolStr,
     target: SmolStr,
@@ -40,6 +41,7 @@
     busy: u32,
     /// Thousandths of a level.
     level: u16,
+    stopping: bool,
     below: Vec<(ServiceName, u32)>,
     result: ResultFrame,
 }
@@ -73,6 +75,7 @@
             inner: req.inner,
             at_most_once: req.repeat == Repeat::AtMostOnce,
             left_ms: millis(req.deadline.saturating_duration_since(now)),
+            patience_ms: millis(req.patience),
             origin: req.origin.clone(),
             method: SmolStr::new(req.head.method.as_str()),
             target: req.head.target.clone(),
@@ -108,6 +111,7 @@
                 false => Repeat::Idempotent,
             },
             deadline: now + Duration::from_millis(u64::from(self.left_ms)),
+            patience: Duration::from_millis(u64::from(self.patience_ms)),
             origin: self.origin,
         })
     }
@@ -130,6 +134,7 @@
         Self {
             busy: reply.report.busy,
             level: level as u16,
+            stopping: reply.report.stopping,
             below: reply.report.below.clone(),
             result,
         }
@@ -172,6 +177,7 @@
             report: Report {
                 busy: self.busy,
                 level: f64::from(self.level) / LEVEL_UNITS,
+                stopping: self.stopping,
                 below: self.below,
             },
         })
--- a/crates/node/src/mesh/target/exchange.rs
+++ b/crates/node/src/mesh/target/exchange.rs
@@ -69,7 +69,6 @@
         buf: &mut conn.buf,
         dialect,
         id: &req.id,
-        method: &method,
         clean: true,
     };
     let mut sender = RequestSender { write, done: false };
@@ -87,7 +86,7 @@
                 Ok(()) => reading.await?,
                 Err(SendFault::CallerCut) => return Err(ExchangeFault::CallerCut),
                 // The target may have answered before it closed.
-                Err(SendFault::Write(_)) => reading.await?,
+                Err(SendFault::Write) => reading.await?,
             },
         }
     };
@@ -136,12 +135,12 @@
 
 enum SendFault {
     CallerCut,
-    Write(io::Error),
+    Write,
 }
 
 impl From<io::Error> for SendFault {
-    fn from(e: io::Error) -> Self {
-        Self::Write(e)
+    fn from(_: io::Error) -> Self {
+        Self::Write
     }
 }
 
@@ -181,7 +180,6 @@
     buf: &'c mut BytesMut,
     dialect: &'r Dialect,
     id: &'r str,
-    method: &'r Method,
     clean: bool,
 }
 
