The level of overload follows load, not an integral of the wait

Cause: the level integrated the queue's wait without knowing that what was shed takes about a second to be missed below. Ruled out: a lower gain of the same integral (the fall would be slower still).

--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -111,6 +111,7 @@
     pub fn enter(&mut self, request: Waiting, now: Instant) -> Entered {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
+        self.level.arrived();
         if self.running < self.slots && self.queue.is_empty() {
             self.running += 1;
             self.level.waited(Duration::ZERO);
@@ -176,7 +177,8 @@
     pub fn update_level(&mut self, now: Instant) {
         let oldest = self.queue.iter().map(|queued| queued.since).min();
         let oldest = oldest.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
-        self.level.update(oldest, now);
+        let rate = f64::from(self.slots) / self.service_time.max(f64::MIN_POSITIVE);
+        self.level.update(oldest, rate, now);
     }
 
     /// The level, from 0 for no overload.
@@ -184,6 +186,11 @@
         self.level.level()
     }
 
+    /// Work that arrives over work that the slots can do.
+    pub fn load(&self) -> f64 {
+        self.level.load()
+    }
+
     /// Requests running and waiting.
     pub fn busy(&self) -> u32 {
         self.running + u32::try_from(self.queue.len()).unwrap_or(u32::MAX)
--- a/crates/node/src/mesh/desk/entering.rs
+++ b/crates/node/src/mesh/desk/entering.rs
@@ -18,8 +18,8 @@
 /// Shortest time after which a shed caller is asked to come back: levels move within some tenths of a second.
 const BACK_SOONEST: Duration = Duration::from_millis(250);
 
-/// What a wholly shed rank adds to that time: about the time in which a level falls by one.
-const BACK_LATER: Duration = Duration::from_millis(1200);
+/// What a wholly shed rank adds to that time.
+const BACK_LATER: Duration = Duration::from_millis(250);
 
 /// Share of its remaining time after which a caller is still asked to come back; callers honour up to a third.
 const BACK_SHARE: f64 = 0.32;
@@ -96,13 +96,12 @@
             return Ok(());
         }
         let caller = caller_key(ask);
-        if self.welcome.is_back(caller, now) {
-            // It waited as it was told, so it is shed only where its whole rank is, and the next one too.
-            let share = self.shedder.share(&route.name, order + 1, now);
-            if self.rng.random::<f64>() >= share {
-                return Ok(());
-            }
-        } else if self.rng.random::<f64>() >= share {
+        // It waited as it was told, so it is shed with a smaller chance, unless its whole rank is.
+        let chance = match self.welcome.is_back(caller, now) {
+            true => (2.0 * share - 1.0).max(0.0),
+            false => share,
+        };
+        if self.rng.random::<f64>() >= chance {
             return Ok(());
         }
         self.welcome.told(caller, now);
--- a/crates/node/src/mesh/desk/news.rs
+++ b/crates/node/src/mesh/desk/news.rs
@@ -75,7 +75,7 @@
     pub(super) fn show(&mut self, now: Instant) {
         let level = self.gate.level();
         if (level - self.logged_level).abs() >= LOGGED_LEVEL_STEP {
-            info!(self.journal.log(), "level moved"; "level" => level, "was" => self.logged_level,
+            info!(self.journal.log(), "level moved"; "level" => level, "was" => self.logged_level, "load" => self.gate.load(),
                 "running" => self.gate.running(), "waiting" => self.gate.waiting());
             self.logged_level = level;
         }
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -198,7 +198,7 @@
         gate: GateConfig {
             slots: settings.load.slots,
             level: LevelConfig {
-                target_wait: settings.load.target_wait,
+                free_wait: settings.load.free_wait,
                 ..Default::default()
             },
             ..Default::default()
--- a/crates/node/src/mesh/settings.rs
+++ b/crates/node/src/mesh/settings.rs
@@ -85,8 +85,8 @@
     pub slots: u32,
     /// Requests of one connection that are worked on at a time.
     pub pipelined: u32,
-    /// Wait for the target at which the level of overload stays as it is.
-    pub target_wait: Duration,
+    /// Wait for the target that does not count as overload.
+    pub free_wait: Duration,
 }
 
 impl Default for MeshSettings {
@@ -144,7 +144,7 @@
         Self {
             slots: 16,
             pipelined: 64,
-            target_wait: Duration::from_millis(25),
+            free_wait: Duration::from_millis(25),
         }
     }
 }
@@ -245,7 +245,7 @@
         let settings = Self {
             slots: section.integer("slots", 1..=65_535, default.slots),
             pipelined: section.integer("pipelined", 1..=1024, default.pipelined),
-            target_wait: section.millis("target_wait_ms", 1..=60_000, default.target_wait),
+            free_wait: section.millis("free_wait_ms", 1..=60_000, default.free_wait),
         };
         section.finish();
         settings
