--- a/crates/core/src/mesh/config.rs
+++ b/crates/core/src/mesh/config.rs
@@ -98,6 +98,11 @@
         self.ranks.iter().take_while(|other| **other > rank).count()
     }
 
+    /// The highest order that [`MeshConfig::shed_order`] gives.
+    pub fn last_shed_order(&self) -> usize {
+        self.ranks.len().saturating_sub(1)
+    }
+
     /// Bounds for callers.
     pub fn limits(&self) -> CallerLimits {
         self.limits
--- a/crates/core/src/mesh/retry_budget.rs
+++ b/crates/core/src/mesh/retry_budget.rs
@@ -72,10 +72,15 @@
     }
 
     /// Takes the cost of one repeat from every service that it reaches, or nothing where one of them has too little.
-    pub fn spend(&mut self, costs: &[(ServiceName, f64)], now: Instant) -> bool {
-        let affordable = costs
-            .iter()
-            .all(|(service, cost)| self.account(service, now).tokens >= *cost);
+    ///
+    /// `reserve` is the share of what can be saved up, 0 to 1, that must be left for more urgent requests. Where everything
+    /// fails, repeats of the many less urgent ones would otherwise leave nothing for the few urgent ones.
+    pub fn spend(&mut self, costs: &[(ServiceName, f64)], reserve: f64, now: Instant) -> bool {
+        let slack = self.slack_part();
+        let affordable = costs.iter().all(|(service, cost)| {
+            let account = self.account(service, now);
+            account.tokens - cost >= reserve * (account.cap(slack) - SMALLEST_CAP).max(0.0)
+        });
         if !affordable {
             return false;
         }
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -15,7 +15,7 @@
 pub use event_kind::{EventKind, ParseEventKindError};
 pub use filter::Filter;
 pub use hlc::{Hlc, Observed};
-pub use merge::merge;
+pub use merge::{merge, merge_by};
 pub use record::Record;
 pub use render::render;
 pub use ring::Ring;
--- a/crates/core/src/timeline/merge.rs
+++ b/crates/core/src/timeline/merge.rs
@@ -6,7 +6,16 @@
 ///
 /// Records of one node with equal stamps keep their order.
 pub fn merge(lines: Vec<Vec<Record>>) -> Vec<Record> {
-    let mut records: Vec<_> = lines.into_iter().flatten().collect();
-    records.sort_by(|a, b| a.at.cmp(&b.at).then_with(|| a.node.cmp(&b.node)));
-    records
+    merge_by(lines, |record| (record.at, record.node.clone()))
+}
+
+/// Entries of many nodes in the order of their keys, usually a time and a name. Entries with equal keys keep their order.
+pub fn merge_by<T, K, F>(lines: Vec<Vec<T>>, key: F) -> Vec<T>
+where
+    K: Ord,
+    F: FnMut(&T) -> K,
+{
+    let mut entries: Vec<T> = lines.into_iter().flatten().collect();
+    entries.sort_by_cached_key(key);
+    entries
 }
--- a/crates/core/tests/mesh_budget.rs
+++ b/crates/core/tests/mesh_budget.rs
@@ -29,7 +29,7 @@
                 budget.earn(&service, 1.0, now);
             }
             for _ in 0..*wishes {
-                sent += f64::from(u8::from(budget.spend(&[(service.clone(), 1.0)], now)));
+                sent += f64::from(u8::from(budget.spend(&[(service.clone(), 1.0)], 0.0, now)));
             }
         }
         firsts.push(f64::from(*requests) * nodes as f64);
@@ -87,12 +87,12 @@
     }
     let before = budget.left(&top, now);
     let costs = [(top.clone(), 1.0), (bottom.clone(), 8.0)];
-    assert!(!budget.spend(&costs, now), "nothing was earned below");
+    assert!(!budget.spend(&costs, 0.0, now), "nothing was earned below");
     assert_eq!(budget.left(&top, now), before, "nothing is taken by halves");
     for _ in 0..200 {
         budget.earn(&bottom, 1.0, now);
     }
-    assert!(budget.spend(&costs, now));
+    assert!(budget.spend(&costs, 0.0, now));
 }
 
 #[test]
@@ -105,3 +105,20 @@
     let learnt: Vec<f64> = below.iter().map(|(_, mean)| mean).collect();
     assert!((7.5..=8.0).contains(&learnt[0]), "{learnt:?}");
 }
+
+/// Symptom: while all targets of a deep service turn requests away, bids fail although they are few.
+/// Sequence: repeats for the many reads use the budget as fast as it is earned; a repeat for a bid finds nothing.
+/// Cause: the budget knew no urgency.
+#[test]
+fn urgent_repeats_find_something_left() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(RetryBudgetConfig::default());
+    budget.set_nodes(13);
+    let service = ServiceName::from("svc");
+    for _ in 0..200 {
+        budget.earn(&service, 1.0, now);
+    }
+    let costs = [(service, 1.0)];
+    while budget.spend(&costs, 0.6, now) {}
+    assert!(budget.spend(&costs, 0.0, now), "less urgent ones took all");
+}
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -6,8 +6,8 @@
 use bpaf::{Args, OptionParser, ParseFailure, Parser};
 
 pub use options::{
-    CallOptions, CheckOptions, CheckSubject, Command, KeysOptions, MeshOptions, NodeKeyOptions,
-    NodeOptions, StatusOptions, TimelineOptions, TokenChoice,
+    CallOptions, CheckOptions, CheckSubject, Command, ExplainOptions, KeysOptions, MeshOptions,
+    NodeKeyOptions, NodeOptions, StatusOptions, TimelineOptions, TokenChoice,
 };
 
 use crate::exit::Exit;
--- a/crates/node/src/cli/options.rs
+++ b/crates/node/src/cli/options.rs
@@ -27,6 +27,9 @@
     /// Show the events of nodes as one time line
     #[bpaf(command)]
     Timeline(#[bpaf(external(timeline_options))] TimelineOptions),
+    /// Show the course of one request from the logs of mesh nodes
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain_options))] ExplainOptions),
     /// Make keys and certificates, printed as fragments of settings
     #[bpaf(command)]
     Keys(#[bpaf(external(keys_options))] KeysOptions),
@@ -111,6 +114,18 @@
     pub json: bool,
 }
 
+/// Options of `explain`.
+#[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub struct ExplainOptions {
+    /// Id of the request; the calls that its run made are shown too
+    #[bpaf(argument("ID"))]
+    pub request: String,
+    /// Logs of any number of nodes; standard input where none is given or for `-`
+    #[bpaf(positional("FILE"))]
+    pub files: Vec<PathBuf>,
+}
+
 /// Options of `keys`.
 #[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
 #[bpaf(ignore_rustdoc)]
--- a/crates/node/src/commands.rs
+++ b/crates/node/src/commands.rs
@@ -2,6 +2,7 @@
 
 pub mod call;
 pub mod check;
+pub mod explain;
 mod fleet;
 mod input;
 pub mod keys;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -21,6 +21,7 @@
         Command::Check(options) => commands::check::run(&options),
         Command::Status(options) => commands::status::run(&options),
         Command::Timeline(options) => commands::timeline::run(&options),
+        Command::Explain(options) => commands::explain::run(&options),
         Command::Keys(options) => commands::keys::run(&options),
         Command::Call(options) => commands::call::run(&options),
     }
--- a/crates/node/src/mesh/desk/entering.rs
+++ b/crates/node/src/mesh/desk/entering.rs
@@ -31,6 +31,9 @@
 /// believed after two misses.
 const STOPPING_SERVES: Duration = Duration::from_millis(3000);
 
+/// Share of the saved budget that the least urgent rank leaves to the others.
+const MOST_RESERVE: f64 = 0.6;
+
 /// Share of the budget for calls below that the nodes which send them use themselves.
 const INNER_SHARE: f64 = 0.35;
 
@@ -199,6 +202,16 @@
         }
     }
 
+    /// Share of the saved budget that a repeat of this rank leaves to more urgent ones.
+    fn reserve(&self, rank: u8) -> f64 {
+        let Some(config) = &self.config else {
+            return 0.0;
+        };
+        let last = config.last_shed_order();
+        let urgent = last.saturating_sub(config.shed_order(rank).min(last));
+        MOST_RESERVE * urgent as f64 / last.max(1) as f64
+    }
+
     /// Decides whether a failed request may be sent again, and takes what it costs from the budget.
     pub(super) fn again(&mut self, ask: &AgainAsk) -> bool {
         let now = self.clock.now();
@@ -213,7 +226,8 @@
                 costs.push((service.clone(), count));
             }
         }
-        let affordable = self.budget.spend(&costs, now);
+        let reserve = self.reserve(ask.rank);
+        let affordable = self.budget.spend(&costs, reserve, now);
         self.metrics
             .repeat(if affordable { "sent" } else { "no-budget" });
         affordable
--- a/crates/node/src/mesh/desk/event.rs
+++ b/crates/node/src/mesh/desk/event.rs
@@ -144,6 +144,8 @@
     pub may_have_run: bool,
     /// Whether it serves a run.
     pub inner: bool,
+    /// Urgency of the request from outside that it serves.
+    pub rank: u8,
 }
 
 /// A request from an entry that wants a slot.
--- a/crates/node/src/mesh/desk/state.rs
+++ b/crates/node/src/mesh/desk/state.rs
@@ -54,7 +54,7 @@
             fleet: FleetConfig::default(),
             shedder: ShedderConfig::default(),
             gate: GateConfig::default(),
-            publisher_fresh: Duration::from_millis(2500),
+            publisher_fresh: Duration::from_millis(2600),
             no_repeat_level: 0.5,
         }
     }
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -352,6 +352,7 @@
             route: self.route_name(),
             may_have_run,
             inner: self.admitted.outer.is_some(),
+            rank: self.rank(),
         };
         match self.entry.desk.again(ask).await {
             true => Next::Again(result),
@@ -367,11 +368,7 @@
             id: self.id.clone(),
             instance: to.chosen.id.clone(),
             route: route.name.clone(),
-            rank: self
-                .admitted
-                .outer
-                .as_ref()
-                .map_or(route.rank, |outer| outer.rank),
+            rank: self.rank(),
             inner: self.admitted.outer.is_some(),
             repeat: route.repeat,
             deadline: self.deadline,
@@ -409,6 +406,13 @@
             .map(|deadline| deadline.saturating_duration_since(now))
     }
 
+    /// Urgency of the request from outside that all of this serves.
+    fn rank(&self) -> u8 {
+        let route = self.admitted.config.route(self.admitted.route);
+        let outer = self.admitted.outer.as_ref();
+        outer.map_or(route.rank, |outer| outer.rank)
+    }
+
     fn route_name(&self) -> SmolStr {
         let route = self.admitted.config.route(self.admitted.route);
         route.name.clone()
--- a/crates/node/src/mesh/settings.rs
+++ b/crates/node/src/mesh/settings.rs
@@ -123,8 +123,8 @@
         Self {
             kind: PublisherKind::Platform,
             address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0),
-            watch: Duration::from_millis(1000),
-            timeout: Duration::from_millis(700),
+            watch: Duration::from_millis(1800),
+            timeout: Duration::from_millis(600),
         }
     }
 }
