--- a/crates/node/src/cli/options.rs
+++ b/crates/node/src/cli/options.rs
@@ -63,14 +63,17 @@
     Document,
     /// The settings of a node.
     Settings,
+    /// The settings of a mesh node.
+    Mesh,
 }
 
 /// Options of `check`.
 #[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
 #[bpaf(ignore_rustdoc)]
 pub struct CheckOptions {
-    /// What the file holds: `document` for that of a service, `settings` for those of a node
-    #[bpaf(positional("document|settings"))]
+    /// What the file holds: `document` for that of a service, `settings` for those of a node, `mesh` for those of a
+    /// mesh node
+    #[bpaf(positional("document|settings|mesh"))]
     pub subject: CheckSubject,
     /// The file; `-` reads standard input
     #[bpaf(positional("FILE"))]
@@ -217,7 +220,8 @@
         match text {
             "document" => Ok(Self::Document),
             "settings" => Ok(Self::Settings),
-            _ => Err("expected `document` or `settings`"),
+            "mesh" => Ok(Self::Mesh),
+            _ => Err("expected `document`, `settings` or `mesh`"),
         }
     }
 }
--- a/crates/node/src/commands/check.rs
+++ b/crates/node/src/commands/check.rs
@@ -10,6 +10,7 @@
 use crate::cli::{CheckOptions, CheckSubject};
 use crate::config::Settings;
 use crate::exit::Exit;
+use crate::mesh::MeshSettings;
 
 /// What a text is checked as.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +19,8 @@
     Document,
     /// The settings of a node.
     Settings,
+    /// The settings of a mesh node.
+    Mesh,
 }
 
 /// Checks the file that the options name.
@@ -52,6 +55,9 @@
             Ok(loaded) => loaded.warnings,
             Err(faults) => faults,
         },
+        CheckKind::Mesh => match MeshSettings::parse(text) {
+            Ok((_, faults)) | Err(faults) => faults,
+        },
     }
 }
 
@@ -71,6 +77,7 @@
         match subject {
             CheckSubject::Document => Self::Document,
             CheckSubject::Settings => Self::Settings,
+            CheckSubject::Mesh => Self::Mesh,
         }
     }
 }
--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -17,6 +17,7 @@
 mod settings_file;
 mod target;
 
+pub use metrics::MeshMetrics;
 pub use run::{MeshError, run};
 pub use settings::{
     FeedSettings, LoadSettings, MeshNodeSettings, MeshSettings, PublisherKind, RepeatSettings,
--- a/crates/node/src/mesh/desk/news.rs
+++ b/crates/node/src/mesh/desk/news.rs
@@ -136,7 +136,7 @@
         let leaving = instance.leaving;
         if self.fleet.put(instance, now) {
             info!(self.journal.log(), "instance seen"; "instance" => id.as_str(),
-                "service" => service.as_str(), "leaving" => leaving);
+                "of_service" => service.as_str(), "leaving" => leaving);
         }
     }
 
--- /dev/null
+++ b/crates/node/src/mesh/entry/course.rs
@@ -0,0 +1,344 @@
+//! One request on its way through hosts.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use coltsfootport_core::mesh::{InstanceKey, Refusal, Repeat, SendOutcome};
+use http::header::{HeaderName, HeaderValue};
+use smol_str::SmolStr;
+
+use super::Entry;
+use crate::h1::{RequestHead, strip_hop_by_hop};
+use crate::mesh::call::{
+    Body, CallerRequest, HostReply, HostedRequest, Refused, Report, TargetAnswer,
+};
+use crate::mesh::desk::{Admitted, AgainAsk, SendAsk, SendGuard, SendTo};
+use crate::mesh::journal::Ending;
+use crate::mesh::link::{self, LinkFault};
+
+/// Time before its caller's own limit at which a request is answered, so that the answer still arrives.
+const CALLER_MARGIN: Duration = Duration::from_millis(15);
+
+/// Hosts that a request may be moved to after a host has refused it without asking its target.
+const MOST_MOVES: usize = 2;
+
+/// Share of its latency target that a request may wait for its target: the rest is for its run.
+const WORTHWHILE_SHARE: f64 = 0.6;
+
+/// Share of its remaining time that it may wait even where its latency target is missed.
+const LEAST_PATIENCE: f64 = 0.2;
+
+/// One request on its way through hosts.
+pub(super) struct Course<'e> {
+    entry: &'e Entry,
+    admitted: Admitted,
+    head: RequestHead,
+    body: Option<Body>,
+    pub(super) id: SmolStr,
+    arrived: Instant,
+    pub(super) deadline: Instant,
+    caller_deadline: Option<Instant>,
+    tried: Vec<InstanceKey>,
+    at_targets: u32,
+    moves: usize,
+    last_instance: SmolStr,
+    /// Whether it may be at a target now.
+    out: bool,
+}
+
+/// What to do after an attempt.
+enum Next {
+    Done(Result<TargetAnswer, Refused>),
+    /// Try elsewhere; if there is nowhere else, this is the result.
+    Again(Result<TargetAnswer, Refused>),
+}
+
+impl<'e> Course<'e> {
+    pub(super) fn new(
+        entry: &'e Entry,
+        req: CallerRequest,
+        id: SmolStr,
+        admitted: Admitted,
+        time_left: Option<Duration>,
+    ) -> Self {
+        let route = admitted.config.route(admitted.route);
+        let caller_deadline = time_left.map(|left| req.arrived + left);
+        let mut deadline = req.arrived + route.timeout;
+        if let Some(caller) = caller_deadline {
+            deadline = deadline.min(caller.checked_sub(CALLER_MARGIN).unwrap_or(caller));
+        }
+        if let Some(outer) = &admitted.outer {
+            deadline = outer.bound(deadline);
+        }
+        let mut head = req.head;
+        strip_hop_by_hop(&mut head.headers);
+        if !id.is_empty()
+            && let Ok(value) = HeaderValue::from_str(&id)
+        {
+            // A caller that names it as a header of the connection would otherwise have it removed.
+            let name = HeaderName::from_static(entry.dialect.request_id);
+            head.headers.insert(name, value);
+        }
+        Self {
+            entry,
+            admitted,
+            head,
+            body: Some(req.body),
+            id,
+            arrived: req.arrived,
+            deadline,
+            caller_deadline,
+            tried: Vec::new(),
+            at_targets: 0,
+            moves: 0,
+            last_instance: SmolStr::default(),
+            out: false,
+        }
+    }
+
+    /// Sends the request to instances until one answers or nothing is left to try.
+    pub(super) async fn run(&mut self) -> Result<TargetAnswer, Refused> {
+        let mut result = Err(refused(Refusal::NoInstance));
+        loop {
+            let Some(to) = self.next_instance().await else {
+                return result;
+            };
+            let Some(body) = self.take_body() else {
+                return result;
+            };
+            let instance = to.chosen.id.clone();
+            self.tried.push(to.chosen.key);
+            self.last_instance = instance.clone();
+            self.out = true;
+            let next = self.attempt(to, body).await;
+            self.out = false;
+            match next {
+                Next::Done(done) => return done,
+                Next::Again(so_far) => {
+                    let reason = reason(&so_far);
+                    self.entry
+                        .journal
+                        .attempt_failed(&self.id, &instance, &reason, true);
+                    result = so_far;
+                }
+            }
+        }
+    }
+
+    async fn next_instance(&self) -> Option<SendTo> {
+        let ask = SendAsk {
+            service: self.admitted.service.clone(),
+            route: self.route_name(),
+            outer: self.admitted.outer.as_ref().map(|outer| outer.id.clone()),
+            tried: self.tried.clone(),
+        };
+        self.entry.desk.send(ask).await
+    }
+
+    /// The body, and a copy kept for another attempt where it is held.
+    fn take_body(&mut self) -> Option<Body> {
+        let body = self.body.take()?;
+        self.body = body.again();
+        Some(body)
+    }
+
+    async fn attempt(&mut self, to: SendTo, body: Body) -> Next {
+        let req = self.hosted(&to, body);
+        let reply = match to.own {
+            true => Ok(self.entry.host.run(req).await),
+            false => self.over_link(to.chosen.address.ip(), req).await,
+        };
+        match reply {
+            Ok(reply) => self.replied(reply, to.guard).await,
+            Err(LinkFault::NotSent) => {
+                to.guard.end(SendOutcome::NotReached, None);
+                self.moved(Refusal::NoInstance)
+            }
+            Err(LinkFault::Lost(_) | LinkFault::Silent) => {
+                to.guard.end(SendOutcome::NotReached, None);
+                self.at_targets += 1;
+                self.failed(Err(refused(Refusal::Lost)), true).await
+            }
+        }
+    }
+
+    async fn over_link(&self, ip: IpAddr, req: HostedRequest) -> Result<HostReply, LinkFault> {
+        let peer = SocketAddr::new(ip, self.entry.peers_port);
+        let link = self.entry.links.get(peer).await.ok_or(LinkFault::NotSent)?;
+        link::send(link, req, &self.entry.clock).await
+    }
+
+    async fn replied(&mut self, reply: HostReply, guard: SendGuard) -> Next {
+        let HostReply { result, report } = reply;
+        match result {
+            Ok(answer) if answer.status.is_server_error() => {
+                self.at_targets += 1;
+                guard.end(SendOutcome::Failed, Some(report));
+                self.failed(Ok(answer), true).await
+            }
+            Ok(answer) => {
+                let outcome = SendOutcome::Answered { relative: 1.0 };
+                guard.end(outcome, Some(report));
+                Next::Done(Ok(answer))
+            }
+            Err(refused) => self.refused(refused, report, guard).await,
+        }
+    }
+
+    async fn refused(&mut self, refused: Refused, report: Report, guard: SendGuard) -> Next {
+        let outcome = match refused.refusal {
+            Refusal::Busy => SendOutcome::HostBusy,
+            Refusal::Stopping => SendOutcome::HostStopping,
+            Refusal::NoInstance | Refusal::WrongInstance => SendOutcome::TargetGone,
+            Refusal::ExpiredUnsent | Refusal::CallerGone | Refusal::Expired => {
+                SendOutcome::Abandoned
+            }
+            _ => SendOutcome::Failed,
+        };
+        guard.end(outcome, Some(report));
+        match refused.refusal {
+            // The target was not asked: moving costs nothing but time.
+            Refusal::Busy | Refusal::Stopping | Refusal::NoInstance => {
+                let mut next = self.moved(refused.refusal);
+                if let Next::Again(Err(last)) | Next::Done(Err(last)) = &mut next {
+                    last.retry_after = refused.retry_after;
+                }
+                next
+            }
+            Refusal::TargetRefused | Refusal::WrongInstance => {
+                self.at_targets += 1;
+                self.failed(Err(refused), false).await
+            }
+            Refusal::Lost | Refusal::BrokenAnswer => {
+                self.at_targets += 1;
+                self.failed(Err(refused), true).await
+            }
+            _ => Next::Done(Err(refused)),
+        }
+    }
+
+    /// After a host has refused without asking its target.
+    fn moved(&mut self, refusal: Refusal) -> Next {
+        self.moves += 1;
+        match self.moves <= MOST_MOVES {
+            true => Next::Again(Err(refused(refusal))),
+            false => Next::Done(Err(refused(refusal))),
+        }
+    }
+
+    /// After a target has failed: sent again where that is harmless, allowed and affordable.
+    async fn failed(&self, result: Result<TargetAnswer, Refused>, may_have_run: bool) -> Next {
+        let route = self.admitted.config.route(self.admitted.route);
+        let harmless = !may_have_run || route.repeat == Repeat::Idempotent;
+        if !harmless || self.at_targets >= route.max_attempts || self.body.is_none() {
+            return Next::Done(result);
+        }
+        let ask = AgainAsk {
+            service: self.admitted.service.clone(),
+            route: self.route_name(),
+            may_have_run,
+            inner: self.admitted.outer.is_some(),
+            rank: self.rank(),
+        };
+        match self.entry.desk.again(ask).await {
+            true => Next::Again(result),
+            false => Next::Done(result),
+        }
+    }
+
+    fn hosted(&self, to: &SendTo, body: Body) -> HostedRequest {
+        let route = self.admitted.config.route(self.admitted.route);
+        HostedRequest {
+            head: self.head.clone(),
+            body,
+            id: self.id.clone(),
+            instance: to.chosen.id.clone(),
+            route: route.name.clone(),
+            rank: self.rank(),
+            inner: self.admitted.outer.is_some(),
+            repeat: route.repeat,
+            deadline: self.deadline,
+            patience: self.patience(),
+            origin: self.entry.service.borrow().clone(),
+        }
+    }
+
+    /// How long the request may be expected to wait for a target.
+    ///
+    /// A run that waits for it has used slots above already, so it waits as long as it can. One from outside is refused
+    /// while its caller can still come back in time.
+    fn patience(&self) -> Duration {
+        let route = self.admitted.config.route(self.admitted.route);
+        let now = self.entry.clock.now();
+        let left = self.deadline.saturating_duration_since(now);
+        if self.admitted.outer.is_some() {
+            return left;
+        }
+        let worthwhile = self.arrived + route.latency_target.mul_f64(WORTHWHILE_SHARE);
+        let worthwhile = worthwhile.saturating_duration_since(now);
+        worthwhile.max(left.mul_f64(LEAST_PATIENCE))
+    }
+
+    /// What its caller is told when its time is over.
+    pub(super) fn expired(&self) -> Refused {
+        match self.out || self.at_targets > 0 {
+            true => refused(Refusal::Expired),
+            false => refused(Refusal::ExpiredUnsent),
+        }
+    }
+
+    /// Time that its caller will still wait, where it said so.
+    pub(super) fn time_left(&self) -> Option<Duration> {
+        let now = self.entry.clock.now();
+        self.caller_deadline
+            .map(|deadline| deadline.saturating_duration_since(now))
+    }
+
+    /// Urgency of the request from outside that all of this serves.
+    fn rank(&self) -> u8 {
+        let route = self.admitted.config.route(self.admitted.route);
+        let outer = self.admitted.outer.as_ref();
+        outer.map_or(route.rank, |outer| outer.rank)
+    }
+
+    fn route_name(&self) -> SmolStr {
+        let route = self.admitted.config.route(self.admitted.route);
+        route.name.clone()
+    }
+
+    /// Tells the journal what its caller gets.
+    pub(super) fn log(&self, result: &Result<TargetAnswer, Refused>) {
+        let (status, refusal) = match result {
+            Ok(answer) => (answer.status.as_u16(), ""),
+            Err(refused) => (refused.refusal.rule().status, refused.refusal.as_str()),
+        };
+        let now = self.entry.clock.now();
+        self.entry.journal.ended(Ending {
+            id: &self.id,
+            route: &self.route_name(),
+            service: self.admitted.service.as_str(),
+            instance: &self.last_instance,
+            status,
+            refusal,
+            attempts: self.tried.len(),
+            took: now.saturating_duration_since(self.arrived),
+            limit: self.deadline.saturating_duration_since(self.arrived),
+            config: self.admitted.config.version().0,
+            inner: self.admitted.outer.is_some(),
+        });
+    }
+}
+
+fn refused(refusal: Refusal) -> Refused {
+    Refused {
+        refusal,
+        retry_after: None,
+    }
+}
+
+fn reason(result: &Result<TargetAnswer, Refused>) -> SmolStr {
+    match result {
+        Ok(answer) => SmolStr::new(answer.status.as_str()),
+        Err(refused) => SmolStr::new_static(refused.refusal.as_str()),
+    }
+}
--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -129,7 +129,7 @@
             return;
         };
         info!(self.log, "answered"; "request" => ending.id, "route" => ending.route,
-            "service" => ending.service, "instance" => ending.instance, "status" => ending.status,
+            "to_service" => ending.service, "instance" => ending.instance, "status" => ending.status,
             "refusal" => ending.refusal, "attempts" => ending.attempts,
             "took_ms" => ending.took.as_millis() as u64, "limit_ms" => ending.limit.as_millis() as u64,
             "config" => ending.config, "inner" => ending.inner, "dropped" => dropped);
--- a/crates/node/tests/cli.rs
+++ b/crates/node/tests/cli.rs
@@ -35,6 +35,18 @@
             "check settings -",
             r#"Check(CheckOptions { subject: Settings, file: "-" })"#,
         ),
+        (
+            "check mesh a.jsonc",
+            r#"Check(CheckOptions { subject: Mesh, file: "a.jsonc" })"#,
+        ),
+        (
+            "mesh --settings a.jsonc",
+            r#"Mesh(MeshOptions { settings: "a.jsonc" })"#,
+        ),
+        (
+            "explain --request 9c41.2 a.log b.log",
+            r#"Explain(ExplainOptions { request: "9c41.2", files: ["a.log", "b.log"] })"#,
+        ),
         (
             "status --operators 127.0.0.1:1 --operators=127.0.0.1:2 --all --json",
             "Status(StatusOptions { operators: [127.0.0.1:1, 127.0.0.1:2], all: true, json: true })",
--- /dev/null
+++ b/crates/node/tests/explain.rs
@@ -0,0 +1,45 @@
+//! `explain` on stored logs of several nodes.
+
+use std::process::{Command, Output, Stdio};
+
+fn explain(request: &str, files: &[&str]) -> Output {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/explain/");
+    Command::new(env!("CARGO_BIN_EXE_coltsfootport"))
+        .args(["explain", "--request", request])
+        .args(files.iter().map(|file| format!("{folder}{file}")))
+        .stdin(Stdio::null())
+        .output()
+        .expect("run")
+}
+
+#[test]
+fn the_course_of_a_request_is_put_in_order_over_all_logs() {
+    let output = explain("9c41", &["entry.log", "host.log"]);
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).expect("text");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(
+        lines,
+        [
+            r#"2026-01-01T10:00:02.500000Z n-2 9c41.0 answered refusal="expired" service="b" status=504"#,
+            r#"2026-01-01T10:00:03.000700Z n-2 9c41 target failed detail="reset" instance="i-2" reason="lost" service="b""#,
+            r#"2026-01-01T10:00:03.001200Z n-1 9c41 attempt failed goes_on=true instance="i-2" reason="lost" service="a""#,
+            r#"2026-01-01T10:00:03.009000Z n-1 9c41 answered attempts=2 instance="i-3" refusal="lost" service="a" status=502 to_service="b""#,
+            r#"sealed by: 2026-01-01T10:00:03.009000Z n-1 9c41 answered attempts=2 instance="i-3" refusal="lost" service="a" status=502 to_service="b""#,
+        ]
+    );
+}
+
+#[test]
+fn a_request_without_lines_is_told_as_such() {
+    let output = explain("ffff", &["entry.log"]);
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).expect("text");
+    assert!(text.starts_with("no line names this request"), "{text}");
+}
+
+#[test]
+fn a_missing_file_is_a_failure() {
+    let output = explain("ffff", &["missing.log"]);
+    assert!(!output.status.success());
+}
--- a/crates/node/tests/operations_page.rs
+++ b/crates/node/tests/operations_page.rs
@@ -1,6 +1,7 @@
 //! The operators' page lists everything that operators can see.
 
 use coltsfootport::exit::Exit;
+use coltsfootport::mesh::MeshMetrics;
 use coltsfootport::metrics::{Listener, Metrics};
 use coltsfootport_core::class::Class;
 use coltsfootport_core::error_kind::ErrorKind;
@@ -57,3 +58,20 @@
     });
     assert_eq!(rows.count(), names.len());
 }
+
+#[test]
+fn every_metric_of_a_mesh_node_is_on_the_page() {
+    let metrics = MeshMetrics::new().unwrap();
+    metrics.ended(503, "shed", std::time::Duration::ZERO);
+    metrics.repeat("sent");
+    metrics.read("answered");
+    let text = String::from_utf8(metrics.text()).unwrap();
+    let helps = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# HELP coltsfootport_"));
+    let names: Vec<_> = helps.filter_map(|line| line.split(' ').next()).collect();
+    assert!(names.len() >= 12, "{names:?}");
+    for name in names {
+        assert!(has_row(name), "{name}");
+    }
+}
