A long answer that is cut is cut for callers without chunks too

Cause: for a caller of HTTP/1.0 the end of its connection is the end of the answer; a body without length that broke off at the worker ended the caller's connection in order, so that the part looked whole. Found by reading. Ruled out: callers of HTTP/1.1 (their last chunk is missing). Conclusion: the connection is reset.

--- a/crates/node/src/mesh/callers/writer.rs
+++ b/crates/node/src/mesh/callers/writer.rs
@@ -2,9 +2,11 @@
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::{mpsc, watch};
@@ -73,6 +75,7 @@
             let last = last || framing == Framing::UntilClose;
             match self.answer(answer, framing, last, head_only).await {
                 Ok(()) => self.shared.written(),
+                Err(Fault::CutShort) if framing == Framing::UntilClose => return self.reset(),
                 Err(Fault::Io | Fault::CutShort) => return,
             }
             if last {
@@ -85,6 +88,16 @@
         let _ = self.write.shutdown().await;
     }
 
+    /// Ends the connection by a reset. For a caller that knows no chunks the end of the connection is the end of the answer,
+    /// so that a part would look whole.
+    fn reset(self) {
+        let socket = SockRef::from(self.write.as_ref());
+        // Where it can't be set the connection is broken already.
+        let _ = socket.set_linger(Some(Duration::ZERO));
+        // Dropped, this half would end the connection in order; the other half closes it with the reset.
+        self.write.forget();
+    }
+
     /// A node that is about to stop ends each connection with an answer behind which nothing has been read.
     fn ends_here(&self) -> bool {
         *self.stopping.borrow() && self.shared.close_after_next()
