Calls at a host go by the age of the request that they serve

Cause: reads of the least urgent rank make several calls in a row to the service that is overloaded. The age of the request from outside now travels with each call (in place of the route's name, which no host read), and the oldest goes first within its rank.

Test first: calls_of_the_oldest_request_go_first (does not compile without the field; with the old order the newer call leads).

--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -37,6 +37,8 @@
     /// Whether another run waits for it. Work has been done above it already, so it goes before others of its rank and is
     /// refused only where it can't be in time.
     pub inner: bool,
+    /// When the request from outside that it serves entered the mesh.
+    pub began: Instant,
     /// When its time is over.
     pub deadline: Instant,
     /// Longest wait to be expected at which it still enters.
@@ -77,8 +79,13 @@
 }
 
 impl Queued {
-    fn order(&self) -> (u8, bool, Ticket) {
-        (self.request.rank, !self.request.inner, self.ticket)
+    /// Rank first, then runs in progress, then the oldest request from outside.
+    ///
+    /// A request that makes many calls in a row waits here for each of them. By the arrival of each call, all requests in
+    /// progress would take turns and all be late at the end; by age, those that have got furthest are finished first.
+    fn order(&self) -> (u8, bool, Instant, Ticket) {
+        let req = &self.request;
+        (req.rank, !req.inner, req.began, self.ticket)
     }
 }
 
@@ -208,7 +215,12 @@
 
     /// Time until a request entering now gets its slot, by what goes before it.
     fn expected_wait(&self, request: &Waiting) -> Duration {
-        let order = (request.rank, !request.inner, Ticket(u64::MAX));
+        let order = (
+            request.rank,
+            !request.inner,
+            request.began,
+            Ticket(u64::MAX),
+        );
         let ahead = self.queue.partition_point(|other| other.order() < order);
         let turns = (ahead + 1) as f64 / f64::from(self.slots);
         Duration::from_secs_f64(turns * self.service_time)
--- a/crates/core/tests/mesh_gate.rs
+++ b/crates/core/tests/mesh_gate.rs
@@ -15,6 +15,7 @@
     Waiting {
         rank,
         inner,
+        began: now,
         deadline: now + ms(10_000),
         patience: ms(10_000),
     }
@@ -55,6 +56,32 @@
     assert_eq!(order, [high, inner_low, outer_low]);
 }
 
+/// Symptom: under lasting overload nearly all requests of the least urgent rank are answered late, although as many as
+/// could be answered in time are admitted.
+/// Sequence: each of them makes several calls in a row to the overloaded target; each call queues behind the calls of
+/// requests that came later.
+/// Cause: calls were ordered by their own arrival, so that all requests in progress took turns.
+#[test]
+fn calls_of_the_oldest_request_go_first() {
+    let now = Instant::now();
+    let mut gate = gate(1, now);
+    let _ = ticket(gate.enter(waiting(2, true, now), now));
+    let of_newer = ticket(gate.enter(waiting(2, true, now), now));
+    let older = Waiting {
+        began: now
+            .checked_sub(ms(700))
+            .expect("the clock has run for long"),
+        ..waiting(2, true, now)
+    };
+    let of_older = ticket(gate.enter(older, now));
+    let mut order = Vec::new();
+    for _ in 0..2 {
+        gate.leave(ms(10));
+        order.extend(gate.next(now));
+    }
+    assert_eq!(order, [of_older, of_newer]);
+}
+
 #[test]
 fn who_would_wait_too_long_is_refused_at_once() {
     let now = Instant::now();
--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -73,12 +73,12 @@
     pub id: SmolStr,
     /// The only instance that may run it.
     pub instance: SmolStr,
-    /// Name of its route.
-    pub route: SmolStr,
     /// Urgency of the request from outside that it serves.
     pub rank: u8,
     /// Whether a run waits for it.
     pub inner: bool,
+    /// When the request from outside that it serves entered the mesh.
+    pub began: Instant,
     /// How often it may run.
     pub repeat: Repeat,
     /// When nobody waits for it any more.
--- a/crates/node/src/mesh/desk/event.rs
+++ b/crates/node/src/mesh/desk/event.rs
@@ -66,6 +66,8 @@
     pub id: SmolStr,
     /// Urgency of the request from outside that all of it serves.
     pub rank: u8,
+    /// When that request entered the mesh.
+    pub began: Instant,
     /// When the outer run's time is over.
     pub deadline: Instant,
 }
@@ -159,6 +161,8 @@
     pub rank: u8,
     /// Whether a run waits for it.
     pub inner: bool,
+    /// When the request from outside that it serves entered the mesh.
+    pub began: Instant,
     /// When its time is over.
     pub deadline: Instant,
     /// Longest wait to be expected at which it still enters.
--- a/crates/node/src/mesh/desk/hosting.rs
+++ b/crates/node/src/mesh/desk/hosting.rs
@@ -43,6 +43,7 @@
         let waiting = coltsfootport_core::mesh::Waiting {
             rank: ask.rank,
             inner: ask.inner,
+            began: ask.began,
             deadline: ask.deadline,
             patience: ask.patience,
         };
@@ -159,6 +160,7 @@
         let run = Run {
             id: waiter.ask.id,
             rank: waiter.ask.rank,
+            began: waiter.ask.began,
             deadline: waiter.ask.deadline,
             level: 0.0,
             below: Vec::new(),
--- a/crates/node/src/mesh/desk/runs.rs
+++ b/crates/node/src/mesh/desk/runs.rs
@@ -17,6 +17,8 @@
     pub id: SmolStr,
     /// Urgency of the request from outside that it serves.
     pub rank: u8,
+    /// When that request entered the mesh.
+    pub began: Instant,
     /// When its time is over.
     pub deadline: Instant,
     /// Highest level of overload that its calls met.
@@ -62,6 +64,7 @@
                 return Some(OuterRun {
                     id: run.id.clone(),
                     rank: run.rank,
+                    began: run.began,
                     deadline: run.deadline,
                 });
             }
--- a/crates/node/src/mesh/entry/course.rs
+++ b/crates/node/src/mesh/entry/course.rs
@@ -253,9 +253,9 @@
             body,
             id: self.id.clone(),
             instance: to.chosen.id.clone(),
-            route: route.name.clone(),
             rank: self.rank(),
             inner: self.admitted.outer.is_some(),
+            began: self.began(),
             repeat: route.repeat,
             deadline: self.deadline,
             patience: self.patience(),
@@ -301,6 +301,12 @@
         outer.map_or(route.rank, |outer| outer.rank)
     }
 
+    /// When the request from outside that all of this serves entered the mesh.
+    fn began(&self) -> Instant {
+        let outer = self.admitted.outer.as_ref();
+        outer.map_or(self.arrived, |outer| outer.began)
+    }
+
     fn route_name(&self) -> SmolStr {
         let route = self.admitted.config.route(self.admitted.route);
         route.name.clone()
--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -47,6 +47,7 @@
             id: req.id.clone(),
             rank: req.rank,
             inner: req.inner,
+            began: req.began,
             deadline: req
                 .deadline
                 .checked_sub(QUEUE_MARGIN)
--- a/crates/node/src/mesh/link/frames.rs
+++ b/crates/node/src/mesh/link/frames.rs
@@ -20,11 +20,12 @@
 pub struct RequestFrame {
     instance: SmolStr,
     id: SmolStr,
-    route: SmolStr,
     rank: u8,
     inner: bool,
     at_most_once: bool,
-    /// Time left when it was sent; hosts have clocks of their own.
+    /// Time since the request from outside entered the mesh; hosts have clocks of their own.
+    age_ms: u32,
+    /// Time left when it was sent.
     left_ms: u32,
     patience_ms: u32,
     origin: ServiceName,
@@ -70,10 +71,10 @@
         Self {
             instance: req.instance.clone(),
             id: req.id.clone(),
-            route: req.route.clone(),
             rank: req.rank,
             inner: req.inner,
             at_most_once: req.repeat == Repeat::AtMostOnce,
+            age_ms: millis(now.saturating_duration_since(req.began)),
             left_ms: millis(req.deadline.saturating_duration_since(now)),
             patience_ms: millis(req.patience),
             origin: req.origin.clone(),
@@ -103,9 +104,9 @@
             body,
             id: self.id,
             instance: self.instance,
-            route: self.route,
             rank: self.rank,
             inner: self.inner,
+            began: before(now, self.age_ms),
             repeat: match self.at_most_once {
                 true => Repeat::AtMostOnce,
                 false => Repeat::Idempotent,
@@ -184,6 +185,12 @@
     }
 }
 
+/// The moment so long before `now`; `now` itself where the clock has not run for so long.
+fn before(now: Instant, age_ms: u32) -> Instant {
+    let age = Duration::from_millis(u64::from(age_ms));
+    now.checked_sub(age).unwrap_or(now)
+}
+
 fn length(body: &Body) -> Option<u64> {
     match body {
         Body::Whole(bytes) => Some(bytes.len() as u64),
