A stronger preference for instances of the own failure domain

A far instance cost 0.25 of a usual time, less than half of one more request at a small instance, so noise in the reported loads sent requests abroad.

Ruled out: a wider use of the own domain at the cost of a queue there: an instance with few free slots still costs more.

--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -36,7 +36,7 @@
         Self {
             domain: DomainName::default(),
             lapse_hold: Duration::from_millis(2200),
-            far_penalty: 0.25,
+            far_penalty: 1.0,
             jitter: 0.15,
             cold_factor: 1.6,
         }
