The level holds a target at 0.86 of its capacity

Cause: at 0.95 of capacity, with the more urgent ranks served first, the least urgent rank bears all the waiting, call after call. Fewer admitted requests, of which more end in time, are worth more, and calls below expire less often.

--- a/crates/core/src/mesh/level.rs
+++ b/crates/core/src/mesh/level.rs
@@ -28,7 +28,7 @@
 impl Default for LevelConfig {
     fn default() -> Self {
         Self {
-            target_load: 0.95,
+            target_load: 0.86,
             gain: 0.5,
             fall_gain: 0.8,
             load_window: Duration::from_millis(500),
