Fleet: ends of instances are told once, an index by address, smaller files

Cause: an instance that was superseded at its address left the list silently: no line told its end, its id was not remembered for late requests, and the later removal of its entry was logged as a lapse. The desk compared the fleet before and after a list to find out who had ended; missing ids were searched in quadratic time, addresses over all instances at each entry.

Now put, gone and replace_all tell what they changed; addresses have an index; the rule for entries that vanish in an outage has a file of its own (publisher_health). One list of hop-by-hop headers and one reader of Connection serve both front ends.

Tests first: the_end_of_a_superseded_instance_is_told_once, a_list_tells_whom_it_supersedes. The calls of older tests follow the new return types; what they check is unchanged.

--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -1,48 +1,22 @@
 //! The instances that a node knows, and the choice among them.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
 use smol_str::SmolStr;
 
-use crate::collections::Map;
-use crate::id::{DomainName, ServiceName};
-use crate::mesh::{Instance, Observed, Standing};
+use super::publisher_health::PublisherHealth;
+use crate::collections::{Map, Set};
+use crate::id::ServiceName;
+use crate::mesh::{FleetConfig, GoneEffect, Instance, Observed, PutEffect, SendOutcome, Standing};
 
 new_key_type! {
     /// Key of an instance within a fleet.
     pub struct InstanceKey;
 }
 
-/// How a node chooses among instances.
-#[derive(Clone, Debug, PartialEq)]
-pub struct FleetConfig {
-    /// The failure domain of this node.
-    pub domain: DomainName,
-    /// How long an entry that vanished while the publisher was in trouble is given to come back, from its return on.
-    pub lapse_hold: Duration,
-    /// What another failure domain adds to a score of about 1: its latency, and the price of bytes between domains.
-    pub far_penalty: f64,
-    /// Random part of a score, so that nodes with the same view do not all choose the same instance.
-    pub jitter: f64,
-    /// What a cold instance's score is multiplied by.
-    pub cold_factor: f64,
-}
-
-impl Default for FleetConfig {
-    fn default() -> Self {
-        Self {
-            domain: DomainName::default(),
-            lapse_hold: Duration::from_millis(2200),
-            far_penalty: 1.0,
-            jitter: 0.15,
-            cold_factor: 1.6,
-        }
-    }
-}
-
 /// An instance that was chosen for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Chosen {
@@ -54,28 +28,6 @@
     pub address: SocketAddr,
 }
 
-/// What became of a request at an instance, as far as the choice of instances is concerned.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum SendOutcome {
-    /// A whole answer, after this multiple of the route's usual time.
-    Answered {
-        /// Time over the usual time of the route.
-        relative: f64,
-    },
-    /// The target failed, refused it or broke off.
-    Failed,
-    /// The target does not listen, or is not that instance any more.
-    TargetGone,
-    /// The host's queue was too long; the target was not asked.
-    HostBusy,
-    /// The host is about to stop; the target was not asked.
-    HostStopping,
-    /// The host could not be reached.
-    NotReached,
-    /// Nobody waits for it any more; says nothing about the instance.
-    Abandoned,
-}
-
 #[derive(Clone, Debug)]
 struct Member {
     instance: Instance,
@@ -84,22 +36,15 @@
     seen: Observed,
 }
 
-/// All instances by key, id and service.
+/// All instances by key, id, address and service.
 #[derive(Clone, Debug)]
 pub struct Fleet {
     cfg: FleetConfig,
     members: SlotMap<InstanceKey, Member>,
     by_id: Map<SmolStr, InstanceKey>,
+    by_address: Map<SocketAddr, InstanceKey>,
     by_service: Map<ServiceName, Vec<InstanceKey>>,
-    publisher: Publisher,
-}
-
-/// What is known about the publisher's health.
-#[derive(Clone, Copy, Debug)]
-enum Publisher {
-    Sound,
-    Troubled,
-    BackSince(Instant),
+    publisher: PublisherHealth,
 }
 
 impl Fleet {
@@ -109,89 +54,96 @@
             cfg,
             members: SlotMap::with_key(),
             by_id: Map::default(),
+            by_address: Map::default(),
             by_service: Map::default(),
-            publisher: Publisher::Sound,
+            publisher: PublisherHealth::Sound,
         }
     }
 
-    /// Takes in an entry as it was written; tells whether anything that matters changed.
-    pub fn put(&mut self, instance: Instance, now: Instant) -> bool {
+    /// Takes in an entry as it was written.
+    ///
+    /// An address belongs to one process at a time, so the older of two instances at an address has ended. Its entry stays
+    /// until its lease runs out: after a loss of power of all machines, seconds in which most requests would go to
+    /// instances that are gone, and come back refused by their successors.
+    pub fn put(&mut self, instance: Instance, now: Instant) -> PutEffect {
         let standing = match instance.leaving {
             true => Standing::Leaving,
             false => Standing::Ready,
         };
         let cold_until = now + instance.cold;
         if self.is_superseded(&instance) {
-            return false;
+            return PutEffect::Same;
         }
         let Some(key) = self.by_id.get(&instance.id).copied() else {
-            self.supersede(&instance);
+            let older = self.by_address.get(&instance.address).copied();
+            let ended = older.and_then(|key| self.remove(key));
             self.insert(instance, standing, cold_until);
-            return true;
+            return ended.map_or(PutEffect::Changed, PutEffect::Superseded);
         };
-        if self.members[key].instance.service != instance.service {
+        let known = &self.members[key];
+        if known.instance.service != instance.service || known.instance.address != instance.address
+        {
             self.remove(key);
             self.insert(instance, standing, cold_until);
-            return true;
+            return PutEffect::Changed;
         }
         let member = &mut self.members[key];
-        let changed = member.standing != standing || member.instance.address != instance.address;
+        let changed = member.standing != standing;
         member.instance = instance;
         member.standing = standing;
-        changed
+        match changed {
+            true => PutEffect::Changed,
+            false => PutEffect::Same,
+        }
     }
 
-    /// Takes in that an entry was removed; tells whether the instance is taken as gone at once.
-    pub fn gone(&mut self, id: &str, now: Instant) -> bool {
+    /// Takes in that an entry was removed.
+    pub fn gone(&mut self, id: &str, now: Instant) -> GoneEffect {
         let Some(key) = self.by_id.get(id).copied() else {
-            return false;
-        };
-        let until = match (self.members[key].standing, self.publisher) {
-            (Standing::Leaving, _) | (_, Publisher::Sound) => None,
-            (Standing::Vanished { until }, _) => Some(until),
-            (_, Publisher::Troubled) => Some(now + UNTIL_RETURN),
-            (_, Publisher::BackSince(back)) => Some(back + self.cfg.lapse_hold),
+            return GoneEffect::Unknown;
         };
-        match until {
-            Some(until) if until > now => {
-                self.members[key].standing = Standing::Vanished { until };
-                false
-            }
-            _ => {
-                self.remove(key);
-                true
-            }
+        let member = &mut self.members[key];
+        let counts = self
+            .publisher
+            .absence_counts(member.standing, self.cfg.lapse_hold, now);
+        if let Some(until) = counts {
+            member.standing = Standing::Vanished { until };
+            return GoneEffect::Held;
         }
+        self.remove(key);
+        GoneEffect::Gone
     }
 
-    /// Takes in a whole list; instances that it lacks are treated as removed entries.
-    pub fn replace_all(&mut self, listed: Vec<Instance>, now: Instant) {
-        let ids: Vec<SmolStr> = listed.iter().map(|instance| instance.id.clone()).collect();
+    /// Takes in a whole list; instances that it lacks are treated as removed entries. Returns the ids of those that ended.
+    pub fn replace_all(&mut self, listed: Vec<Instance>, now: Instant) -> Vec<SmolStr> {
+        let ids: Set<SmolStr> = listed.iter().map(|instance| instance.id.clone()).collect();
+        let mut ended = Vec::new();
         for instance in listed {
-            self.put(instance, now);
+            if let PutEffect::Superseded(older) = self.put(instance, now) {
+                ended.push(older);
+            }
         }
-        let missing: Vec<SmolStr> = self
-            .by_id
-            .keys()
-            .filter(|id| !ids.contains(id))
-            .cloned()
-            .collect();
+        let known = self.by_id.keys();
+        let missing: Vec<SmolStr> = known.filter(|id| !ids.contains(*id)).cloned().collect();
         for id in missing {
-            self.gone(&id, now);
+            if self.gone(&id, now) == GoneEffect::Gone {
+                ended.push(id);
+            }
         }
+        ended
     }
 
     /// The publisher does not answer as it should.
     pub fn publisher_lost(&mut self) {
-        self.publisher = Publisher::Troubled;
+        self.publisher = PublisherHealth::Troubled;
     }
 
     /// The publisher answers again.
     pub fn publisher_back(&mut self, now: Instant) {
-        if !matches!(self.publisher, Publisher::Troubled) {
+        if self.publisher != PublisherHealth::Troubled {
             return;
         }
-        self.publisher = Publisher::BackSince(now);
+        self.publisher = PublisherHealth::BackSince(now);
         let until = now + self.cfg.lapse_hold;
         for member in self.members.values_mut() {
             if matches!(member.standing, Standing::Vanished { .. }) {
@@ -202,11 +154,7 @@
 
     /// Lets time pass: removes what had its time to come back, and returns the ids.
     pub fn tick(&mut self, now: Instant) -> Vec<SmolStr> {
-        if let Publisher::BackSince(back) = self.publisher
-            && now >= back + self.cfg.lapse_hold
-        {
-            self.publisher = Publisher::Sound;
-        }
+        self.publisher.settle(self.cfg.lapse_hold, now);
         let over = |member: &Member| match member.standing {
             Standing::Vanished { until } => until <= now,
             _ => false,
@@ -314,10 +262,8 @@
 
     /// The instance with this address.
     pub fn at_address(&self, address: SocketAddr) -> Option<&Instance> {
-        self.members
-            .values()
-            .find(|member| member.instance.address == address)
-            .map(|member| &member.instance)
+        let key = self.by_address.get(&address)?;
+        Some(&self.members[*key].instance)
     }
 
     /// Whether a newer instance has its address.
@@ -326,22 +272,6 @@
             .is_some_and(|other| other.id != instance.id && other.created > instance.created)
     }
 
-    /// Removes an older instance at the address of a new one.
-    ///
-    /// An address belongs to one process at a time, so the older one has ended. Its entry stays until its lease runs out:
-    /// after a loss of power of all machines, seconds in which most requests would go to instances that are gone, and come
-    /// back refused by their successors.
-    fn supersede(&mut self, newer: &Instance) {
-        let older = self
-            .by_id
-            .values()
-            .copied()
-            .find(|key| self.members[*key].instance.address == newer.address);
-        if let Some(key) = older {
-            self.remove(key);
-        }
-    }
-
     /// What is believed about an instance; `None` where it is not known.
     pub fn standing(&self, id: &str) -> Option<Standing> {
         let key = self.by_id.get(id)?;
@@ -368,6 +298,7 @@
     fn insert(&mut self, instance: Instance, standing: Standing, cold_until: Instant) {
         let id = instance.id.clone();
         let service = instance.service.clone();
+        let address = instance.address;
         let key = self.members.insert(Member {
             instance,
             standing,
@@ -375,18 +306,19 @@
             seen: Observed::default(),
         });
         self.by_id.insert(id, key);
+        self.by_address.insert(address, key);
         self.by_service.entry(service).or_default().push(key);
     }
 
     fn remove(&mut self, key: InstanceKey) -> Option<SmolStr> {
         let member = self.members.remove(key)?;
         self.by_id.remove(&member.instance.id);
+        if self.by_address.get(&member.instance.address) == Some(&key) {
+            self.by_address.remove(&member.instance.address);
+        }
         if let Some(keys) = self.by_service.get_mut(&member.instance.service) {
             keys.retain(|other| *other != key);
         }
         Some(member.instance.id)
     }
 }
-
-/// Stands for the unknown end of the publisher's trouble; replaced when it returns.
-const UNTIL_RETURN: Duration = Duration::from_secs(3600);
--- a/crates/core/tests/mesh_fleet.rs
+++ b/crates/core/tests/mesh_fleet.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 
 use coltsfootport_core::mesh::{
-    Chosen, Fleet, FleetConfig, Instance, InstanceKey, SendOutcome, Standing,
+    Chosen, Fleet, FleetConfig, GoneEffect, Instance, InstanceKey, PutEffect, SendOutcome, Standing,
 };
 
 fn ms(n: u64) -> Duration {
@@ -244,9 +244,13 @@
             match event {
                 Lost => bench.fleet.publisher_lost(),
                 Back => bench.fleet.publisher_back(bench.now),
-                Gone => drop(bench.fleet.gone("i-a", bench.now)),
-                Relisted => drop(bench.fleet.put(instance("i-a"), bench.now)),
-                ListedWithout => bench.fleet.replace_all(Vec::new(), bench.now),
+                Gone => {
+                    bench.fleet.gone("i-a", bench.now);
+                }
+                Relisted => {
+                    bench.fleet.put(instance("i-a"), bench.now);
+                }
+                ListedWithout => drop(bench.fleet.replace_all(Vec::new(), bench.now)),
                 Leaving => {
                     let leaving = Instance {
                         leaving: true,
@@ -300,3 +304,39 @@
         assert_eq!(chosen, expected);
     }
 }
+
+/// Symptom: the log calls an instance lapsed that has ended for good, and a late request for it goes to its successor's queue.
+/// Sequence: its address is given to a new instance; its own entry is removed seconds later.
+/// Cause: the fleet dropped the older instance without telling, so its end was never noted.
+#[test]
+fn the_end_of_a_superseded_instance_is_told_once() {
+    let mut bench = Bench::new(&["i-a", "i-b"]);
+    let successor = Instance {
+        id: "i-z".into(),
+        created: 5,
+        ..instance("i-a")
+    };
+    let effect = bench.fleet.put(successor.clone(), bench.now);
+    assert_eq!(effect, PutEffect::Superseded("i-a".into()));
+    assert_eq!(
+        bench.fleet.put(successor.clone(), bench.now),
+        PutEffect::Same
+    );
+    assert_eq!(bench.fleet.gone("i-a", bench.now), GoneEffect::Unknown);
+    let ended = bench.fleet.replace_all(vec![successor], bench.now);
+    assert_eq!(ended, ["i-b"]);
+    assert_eq!(bench.fleet.gone("i-z", bench.now), GoneEffect::Gone);
+    assert!(bench.fleet.at_address(instance("i-a").address).is_none());
+}
+
+#[test]
+fn a_list_tells_whom_it_supersedes() {
+    let mut bench = Bench::new(&["i-a"]);
+    let successor = Instance {
+        id: "i-z".into(),
+        created: 5,
+        ..instance("i-a")
+    };
+    let ended = bench.fleet.replace_all(vec![successor], bench.now);
+    assert_eq!(ended, ["i-a"]);
+}
--- a/crates/node/src/h1.rs
+++ b/crates/node/src/h1.rs
@@ -14,7 +14,7 @@
 pub use encode::{LAST_CHUNK, answer_head, chunk, request_head};
 pub use framing::{Framing, answer_framing, request_framing};
 pub use head::{AnswerHead, RequestHead, parse_answer, parse_request};
-pub use hop::strip_hop_by_hop;
+pub use hop::{is_hop_by_hop, named_by_connection, strip_hop_by_hop};
 
 /// Bytes that are not HTTP/1.1, or not in a form that is safe to pass on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/node/src/http/headers.rs
+++ b/crates/node/src/http/headers.rs
@@ -1,6 +1,8 @@
 //! Names of the project's headers and the rules for passing headers on.
 
-use http::{HeaderMap, HeaderName, header};
+use http::{HeaderMap, header};
+
+use crate::h1::{is_hop_by_hop, named_by_connection};
 
 /// Names of the project's headers.
 pub mod names {
@@ -38,7 +40,8 @@
     let named = named_by_connection(headers);
     for (name, value) in headers {
         if !is_hop_by_hop(name)
-            && !named.iter().any(|other| other == name.as_str())
+            && name != header::HOST
+            && !named.contains(name)
             && !name.as_str().starts_with(INTERNAL_PREFIX)
         {
             kept.append(name.clone(), value.clone());
@@ -47,27 +50,4 @@
     kept
 }
 
-/// Headers that the sender meant for this connection only.
-fn named_by_connection(headers: &HeaderMap) -> Vec<String> {
-    let values = headers.get_all(header::CONNECTION).iter();
-    let texts = values.filter_map(|value| value.to_str().ok());
-    let names = texts.flat_map(|text| text.split(','));
-    names.map(|name| name.trim().to_ascii_lowercase()).collect()
-}
-
 const INTERNAL_PREFIX: &str = "coltsfootport-";
-
-fn is_hop_by_hop(name: &HeaderName) -> bool {
-    *name == header::CONNECTION
-        || *name == header::TE
-        || *name == header::TRAILER
-        || *name == header::TRANSFER_ENCODING
-        || *name == header::UPGRADE
-        || *name == header::CONTENT_LENGTH
-        || *name == header::HOST
-        || *name == header::PROXY_AUTHENTICATE
-        || *name == header::PROXY_AUTHORIZATION
-        || name.as_str() == "keep-alive"
-        || name.as_str() == "proxy-connection"
-        || *name == header::EXPECT
-}
--- a/crates/node/src/mesh/desk/news.rs
+++ b/crates/node/src/mesh/desk/news.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use coltsfootport_core::collections::Set;
-use coltsfootport_core::mesh::{Instance, MeshConfig, Update, UpdateBatch};
+use coltsfootport_core::mesh::{GoneEffect, Instance, MeshConfig, PutEffect, Update, UpdateBatch};
 use slog::{info, warn};
 use smol_str::SmolStr;
 
@@ -36,17 +36,8 @@
             }
         }
         let now = self.clock.now();
-        let before: Vec<SmolStr> = self
-            .fleet
-            .iter()
-            .map(|(known, _)| known.id.clone())
-            .collect();
-        self.fleet.replace_all(instances, now);
-        for id in before {
-            if self.fleet.standing(&id).is_none() {
-                info!(self.journal.log(), "instance gone"; "instance" => id.as_str(), "reason" => "not listed");
-                self.note_gone(id);
-            }
+        for id in self.fleet.replace_all(instances, now) {
+            self.ended(id, "not listed");
         }
         self.after_news();
     }
@@ -134,21 +125,34 @@
         let id = instance.id.clone();
         let service = instance.service.clone();
         let leaving = instance.leaving;
-        if self.fleet.put(instance, now) {
-            info!(self.journal.log(), "instance seen"; "instance" => id.as_str(),
-                "of_service" => service.as_str(), "leaving" => leaving);
+        let effect = self.fleet.put(instance, now);
+        if effect == PutEffect::Same {
+            return;
+        }
+        info!(self.journal.log(), "instance seen"; "instance" => id.as_str(),
+            "of_service" => service.as_str(), "leaving" => leaving);
+        if let PutEffect::Superseded(older) = effect {
+            self.ended(older, "superseded");
         }
     }
 
     fn apply_gone(&mut self, id: SmolStr) {
-        if self.fleet.gone(&id, self.clock.now()) {
-            info!(self.journal.log(), "instance gone"; "instance" => id.as_str(), "reason" => "removed");
-            self.note_gone(id);
-        } else {
-            info!(self.journal.log(), "instance lapsed"; "instance" => id.as_str());
+        match self.fleet.gone(&id, self.clock.now()) {
+            GoneEffect::Gone => self.ended(id, "removed"),
+            GoneEffect::Held => {
+                info!(self.journal.log(), "instance lapsed"; "instance" => id.as_str());
+            }
+            // Its end is known already: its successor has its address.
+            GoneEffect::Unknown => {}
         }
     }
 
+    /// Takes in that an instance has ended, and why it is believed.
+    pub(super) fn ended(&mut self, id: SmolStr, reason: &str) {
+        info!(self.journal.log(), "instance gone"; "instance" => id.as_str(), "reason" => reason);
+        self.note_gone(id);
+    }
+
     fn after_news(&mut self) {
         self.budget.set_nodes(self.fleet.len());
         if let Some(own) = self.fleet.at_address(self.cfg.target) {
--- a/crates/node/src/mesh/desk/task.rs
+++ b/crates/node/src/mesh/desk/task.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use slog::info;
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -52,8 +51,7 @@
     fn tick(&mut self) {
         let now = self.clock.now();
         for id in self.fleet.tick(now) {
-            info!(self.journal.log(), "instance gone"; "instance" => id.as_str(), "reason" => "lapsed");
-            self.note_gone(id);
+            self.ended(id, "lapsed");
         }
         self.forget_waiters();
         self.gate.update_level(now);
