Changed settings hold whole: bounds of repeats, waiting and the end's time at once, the rest named for the next start

Cause: a reload took only the service's name; ratios, slack, slots and the grace time were reported as reloaded and ignored until the next start. The line about the reload now names the keys that wait for it.

--- a/crates/core/src/mesh/level.rs
+++ b/crates/core/src/mesh/level.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Takes in how the level follows load and wait from now on; the level itself stays.
+    pub fn set_config(&mut self, cfg: LevelConfig) {
+        self.cfg = cfg;
+    }
+
     /// Takes in that a request has arrived.
     pub fn arrived(&mut self) {
         self.arrived += 1;
--- a/crates/core/src/mesh/retry_budget.rs
+++ b/crates/core/src/mesh/retry_budget.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Takes in changed bounds. What has been earned stays, up to what may now be saved up.
+    pub fn set_config(&mut self, cfg: RetryBudgetConfig) {
+        self.cfg = cfg;
+    }
+
     /// Takes in how many nodes share the budget.
     pub fn set_nodes(&mut self, nodes: usize) {
         self.nodes = u32::try_from(nodes).unwrap_or(u32::MAX).max(1);
--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -109,6 +109,15 @@
         }
     }
 
+    /// Takes in how requests wait from now on. The published number of slots goes before the configured one.
+    pub fn set_config(&mut self, cfg: GateConfig) {
+        if self.slots == self.cfg.slots {
+            self.slots = cfg.slots;
+        }
+        self.level.set_config(cfg.level);
+        self.cfg = cfg;
+    }
+
     /// Takes in the target's own number of slots.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots.max(1);
--- a/crates/core/tests/mesh_budget.rs
+++ b/crates/core/tests/mesh_budget.rs
@@ -122,3 +122,27 @@
     while budget.spend(&costs, 0.6, now) {}
     assert!(budget.spend(&costs, 0.0, now), "less urgent ones took all");
 }
+
+/// Symptom: a service goes on repeating as much as its old settings allowed until each of its nodes is restarted.
+/// Sequence: an operator lowers the ratio of repeats; the node reads the file again and says that it did.
+/// Cause: the budget kept the bounds of its start.
+#[test]
+fn changed_bounds_hold_at_once() {
+    let (service, now) = (ServiceName::from("svc"), Instant::now());
+    let mut budget = RetryBudget::new(RetryBudgetConfig::default());
+    let none = RetryBudgetConfig {
+        ratio: 0.0,
+        slack: 0.0,
+        ..Default::default()
+    };
+    budget.set_config(none);
+    for _ in 0..1000 {
+        budget.earn(&service, 1.0, now);
+    }
+    let cost = [(service, 1.0)];
+    let sent = (0..100).filter(|_| budget.spend(&cost, 0.0, now)).count();
+    assert!(
+        sent <= 1,
+        "{sent} repeats beyond the one that each node may save up"
+    );
+}
--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -7,7 +7,7 @@
 mod entry;
 mod feed;
 mod host;
-mod journal;
+pub mod journal;
 mod life;
 mod link;
 mod metrics;
--- a/crates/node/src/mesh/desk/event.rs
+++ b/crates/node/src/mesh/desk/event.rs
@@ -10,7 +10,7 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
-use super::{SendGuard, SlotGuard};
+use super::{DeskConfig, SendGuard, SlotGuard};
 use crate::mesh::call::Report;
 
 /// Everything that the desk hears.
@@ -38,8 +38,8 @@
     PublisherFailed,
     /// The node is about to stop: its target gets nothing new.
     Stop,
-    /// The settings tell another service for this machine.
-    OwnService(ServiceName),
+    /// The settings have changed.
+    Configured(Box<DeskConfig>),
     /// Whether the node has a configuration, for the readiness check.
     IsReady(oneshot::Sender<bool>),
     /// Number of requests of others that wait or run here.
--- a/crates/node/src/mesh/desk/state.rs
+++ b/crates/node/src/mesh/desk/state.rs
@@ -130,6 +130,18 @@
         }
     }
 
+    /// Takes in changed settings: bounds of repeats, waiting for the target, the service's name. Where this node and its
+    /// target are is part of what others know of it, and stays until the next start.
+    pub(super) fn configure(&mut self, cfg: DeskConfig) {
+        self.budget.set_config(cfg.budget);
+        self.gate.set_config(cfg.gate);
+        self.cfg = DeskConfig {
+            target: self.cfg.target,
+            fleet: self.cfg.fleet.clone(),
+            ..cfg
+        };
+    }
+
     /// Whether the node can serve requests.
     pub(super) fn is_ready(&self) -> bool {
         self.config.is_some() && self.stopping_since.is_none()
--- a/crates/node/src/mesh/desk/task.rs
+++ b/crates/node/src/mesh/desk/task.rs
@@ -42,7 +42,7 @@
             DeskEvent::PublisherAnswered => self.publisher_answered(),
             DeskEvent::PublisherFailed => self.publisher_failed(),
             DeskEvent::Stop => self.stop(),
-            DeskEvent::OwnService(service) => self.cfg.service = service,
+            DeskEvent::Configured(cfg) => self.configure(*cfg),
             DeskEvent::IsReady(tx) => drop(tx.send(self.is_ready())),
             DeskEvent::Hosted(tx) => drop(tx.send(self.runs.len() + self.waiting.len())),
         }
--- a/crates/node/src/mesh/life.rs
+++ b/crates/node/src/mesh/life.rs
@@ -11,6 +11,7 @@
 
 use crate::clock::SharedClock;
 use crate::mesh::desk::{DeskEvent, DeskHandle};
+use crate::mesh::settings::MeshSettings;
 
 /// Time for which a stopping node goes on taking requests. Its callers are told by the readiness check, asked each second
 /// and believed after two misses, and some still send until then.
@@ -35,8 +36,8 @@
     pub hup: watch::Sender<u64>,
     /// Requests of callers without an answer.
     pub open: Arc<AtomicUsize>,
-    /// Time from the request to stop to the forced end.
-    pub grace: Duration,
+    /// Settings in force; they tell the time from the request to stop to the forced end.
+    pub settings: watch::Receiver<MeshSettings>,
     /// Time.
     pub clock: SharedClock,
     /// Log.
@@ -69,7 +70,7 @@
         info!(self.log, "stopping"; "open" => self.open.load(Ordering::SeqCst));
         self.stopping.send_replace(true);
         self.desk.tell(DeskEvent::Stop);
-        let latest = self.grace.saturating_sub(MARGIN);
+        let latest = self.settings.borrow().grace.saturating_sub(MARGIN);
         let mut quiet_since = None;
         loop {
             sleep(LOOK).await;
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -134,7 +134,6 @@
     tokio::spawn(callers::listen(callers_socket, callers_cfg));
     tokio::spawn(prune(host.pool.clone()));
     let (hup_tx, hup) = watch::channel(0);
-    let grace = settings.grace;
     let (settings_tx, settings_rx) = watch::channel(settings);
     let file = SettingsFile {
         path,
@@ -143,13 +142,17 @@
         log: log.clone(),
     };
     tokio::spawn(file.run(hup));
-    tokio::spawn(apply_settings(settings_rx, service_tx, desk.clone()));
+    tokio::spawn(apply_settings(
+        settings_rx.clone(),
+        service_tx,
+        desk.clone(),
+    ));
     let life = Life {
         desk,
         stopping: stopping_tx,
         hup: hup_tx,
         open,
-        grace,
+        settings: settings_rx,
         clock,
         log,
     };
@@ -157,16 +160,16 @@
     Ok(())
 }
 
-/// Passes on what can change while a node runs; addresses hold until its next start.
+/// Passes on what can change while a node runs; for the rest see [`MeshSettings::at_next_start`].
 async fn apply_settings(
     mut settings: watch::Receiver<MeshSettings>,
     service: watch::Sender<coltsfootport_core::id::ServiceName>,
     desk: DeskHandle,
 ) {
     while settings.changed().await.is_ok() {
-        let own = settings.borrow_and_update().node.service.clone();
-        service.send_replace(own.clone());
-        desk.tell(DeskEvent::OwnService(own));
+        let cfg = desk_config(&settings.borrow_and_update());
+        service.send_replace(cfg.service.clone());
+        desk.tell(DeskEvent::Configured(Box::new(cfg)));
     }
 }
 
--- a/crates/node/src/mesh/settings.rs
+++ b/crates/node/src/mesh/settings.rs
@@ -163,6 +163,26 @@
         }
     }
 
+    /// Keys in which `new` differs and that hold from the next start on: addresses are bound and told to others already,
+    /// and the log is set up once.
+    pub fn at_next_start(&self, new: &Self) -> Vec<&'static str> {
+        let (node, other) = (&self.node, &new.node);
+        let keys = [
+            ("node.name", node.name != other.name),
+            ("node.domain", node.domain != other.domain),
+            ("node.target", node.target != other.target),
+            ("node.callers", node.callers != other.callers),
+            ("node.ready", node.ready != other.ready),
+            ("node.peers", node.peers != other.peers),
+            ("node.metrics", node.metrics != other.metrics),
+            ("publisher", self.publisher != new.publisher),
+            ("load.pipelined", self.load.pipelined != new.load.pipelined),
+            ("log_level", self.log_level != new.log_level),
+        ];
+        let changed = keys.into_iter().filter(|(_, changed)| *changed);
+        changed.map(|(key, _)| key).collect()
+    }
+
     fn read(mut root: Section<'_, '_>) -> Option<Self> {
         let default = Self::default();
         let node = root.required("node").and_then(Item::section);
--- a/crates/node/src/mesh/settings_file.rs
+++ b/crates/node/src/mesh/settings_file.rs
@@ -60,7 +60,8 @@
                 for fault in warnings {
                     warn!(self.log, "setting replaced by its default"; "fault" => fault.to_string());
                 }
-                info!(self.log, "settings reloaded"; "changed" => true);
+                let later = self.tx.borrow().at_next_start(&settings).join(" ");
+                info!(self.log, "settings reloaded"; "changed" => true, "at_next_start" => later);
                 self.tx.send_replace(settings);
             }
             Err(faults) => {
--- a/crates/node/tests/mesh_settings.rs
+++ b/crates/node/tests/mesh_settings.rs
@@ -81,3 +81,44 @@
         assert!(told, "{}: {faults:?}", case.key);
     }
 }
+
+/// Symptom: an operator changes an address, is told that the settings were reloaded, and the node stays where it was.
+/// Sequence: the file changes while the node runs; what is bound once can't follow.
+/// Cause: the line about the reload did not tell which keys wait for the next start.
+#[test]
+fn keys_that_wait_for_the_next_start_are_named() {
+    struct Case {
+        from: &'static str,
+        to: &'static str,
+        keys: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            from: "10.0.0.1:4",
+            to: "10.0.0.1:9",
+            keys: &["node.peers"],
+        },
+        Case {
+            from: "10.0.0.9:5",
+            to: "10.0.0.8:5",
+            keys: &["publisher"],
+        },
+        Case {
+            from: "\"service\": \"s\"",
+            to: "\"service\": \"t\"",
+            keys: &[],
+        },
+        Case {
+            from: "\"publisher\"",
+            to: "\"log_level\": \"error\", \"retries\": { \"ratio\": 0.1 }, \"publisher\"",
+            keys: &["log_level"],
+        },
+    ];
+    let (old, _) = MeshSettings::parse(MINIMAL).expect("settings");
+    for case in cases {
+        let text = MINIMAL.replace(case.from, case.to);
+        let (new, _) = MeshSettings::parse(&text).expect("settings");
+        assert_ne!(old, new, "{}", case.to);
+        assert_eq!(old.at_next_start(&new), case.keys, "{}", case.to);
+    }
+}
