In a large fleet a few nodes of each failure domain read the store and pass its news on

Above 32 instances the two oldest instances of each failure domain read; the others follow two of them over their links, and read for themselves while fewer than two of these hear the store. Changes travel as the store's answers came; revisions tell what is known already and what would leave a gap.

--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -1,6 +1,7 @@
 //! The instances that a node knows, and the choice among them.
 
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Instant;
 
 use rand::Rng;
@@ -9,8 +10,10 @@
 
 use super::publisher_health::PublisherHealth;
 use crate::collections::{Map, Set};
-use crate::id::ServiceName;
-use crate::mesh::{FleetConfig, GoneEffect, Instance, Observed, PutEffect, SendOutcome, Standing};
+use crate::id::{DomainName, ServiceName};
+use crate::mesh::{
+    FleetConfig, GoneEffect, Instance, Observed, PutEffect, ReadersView, SendOutcome, Standing,
+};
 
 new_key_type! {
     /// Key of an instance within a fleet.
@@ -278,6 +281,41 @@
         Some(self.members[*key].standing)
     }
 
+    /// The fleet as the node at `own` sees it when it decides who reads the publisher.
+    ///
+    /// In each failure domain the `appointed` oldest instances that are not leaving are those that read. All nodes have
+    /// nearly the same list, so they agree without a word; where they don't, one more node reads for a moment.
+    pub fn readers_view(&self, own: IpAddr, appointed: usize) -> ReadersView {
+        let mut by_domain: BTreeMap<&DomainName, Vec<(u64, &str, IpAddr)>> = BTreeMap::new();
+        for member in self.members.values().filter(|m| m.standing.takes_work()) {
+            let Instance {
+                created,
+                id,
+                address,
+                domain,
+                ..
+            } = &member.instance;
+            let of_domain = by_domain.entry(domain).or_default();
+            of_domain.push((*created, id, address.ip()));
+        }
+        let mut view = ReadersView {
+            instances: self.members.len(),
+            ..Default::default()
+        };
+        let own_first = by_domain.remove_entry(&self.cfg.domain);
+        for (_, mut of_domain) in own_first.into_iter().chain(by_domain) {
+            of_domain.sort_unstable();
+            let oldest = of_domain.iter().take(appointed).map(|(_, _, ip)| *ip);
+            for ip in oldest {
+                match ip == own {
+                    true => view.appointed = true,
+                    false => view.candidates.push(ip),
+                }
+            }
+        }
+        view
+    }
+
     /// Every instance and what is believed about it.
     pub fn iter(&self) -> impl Iterator<Item = (&Instance, Standing)> {
         self.members
--- /dev/null
+++ b/crates/core/src/mesh/readers.rs
@@ -0,0 +1,139 @@
+//! Which nodes read the publisher, and from whom the others hear its news.
+
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+use crate::collections::Map;
+
+/// How the reading of the publisher is shared out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadersConfig {
+    /// Instances up to which every node reads for itself: the publisher bears that, and nothing stands between it and a node.
+    pub direct: usize,
+    /// Nodes of each failure domain that read in a larger fleet.
+    pub appointed: usize,
+    /// Nodes that one which does not read hears the news from at the same time. With two, the news still come in time when
+    /// one of them is lost or cut off from the publisher, before anybody has noticed.
+    pub sources: usize,
+    /// How long all sources must have been sound before a node stops reading for itself.
+    pub settle: Duration,
+    /// How long a source that was lost is left alone.
+    pub avoid: Duration,
+}
+
+impl Default for ReadersConfig {
+    fn default() -> Self {
+        Self {
+            direct: 32,
+            appointed: 2,
+            sources: 2,
+            settle: Duration::from_millis(1000),
+            avoid: Duration::from_millis(3000),
+        }
+    }
+}
+
+/// The fleet, as far as the reading of the publisher is concerned.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReadersView {
+    /// Instances known.
+    pub instances: usize,
+    /// Whether this node is one of those that read.
+    pub appointed: bool,
+    /// Nodes that may be followed, best first.
+    pub candidates: Vec<IpAddr>,
+}
+
+/// What a node should do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReadingPlan {
+    /// Whether it reads the publisher itself.
+    pub read: bool,
+    /// The nodes that it hears the news from.
+    pub follow: Vec<IpAddr>,
+}
+
+/// Decides who reads. One change wakes every waiting read, so with each node reading the number of reads grows with the
+/// square of the fleet: in a fleet of 85 nodes reads were the largest of all costs.
+#[derive(Clone, Debug)]
+pub struct Readers {
+    cfg: ReadersConfig,
+    /// The nodes that are followed, and whether they hear the publisher themselves.
+    sources: Map<IpAddr, bool>,
+    avoided: Map<IpAddr, Instant>,
+    covered_since: Option<Instant>,
+}
+
+impl Readers {
+    /// Follows nobody yet.
+    pub fn new(cfg: ReadersConfig) -> Self {
+        Self {
+            cfg,
+            sources: Map::default(),
+            avoided: Map::default(),
+            covered_since: None,
+        }
+    }
+
+    /// A source has told whether it hears the publisher.
+    pub fn heard(&mut self, from: IpAddr, sound: bool) {
+        if let Some(known) = self.sources.get_mut(&from) {
+            *known = sound;
+        }
+    }
+
+    /// A source does not answer.
+    pub fn lost(&mut self, from: IpAddr, now: Instant) {
+        self.sources.remove(&from);
+        self.avoided.insert(from, now + self.cfg.avoid);
+    }
+
+    /// Whether any source hears the publisher.
+    pub fn any_sound(&self) -> bool {
+        self.sources.values().any(|sound| *sound)
+    }
+
+    /// What to do now; `followers` are the nodes that hear the news from this one.
+    pub fn plan(&mut self, view: &ReadersView, followers: usize, now: Instant) -> ReadingPlan {
+        if view.appointed || view.instances <= self.cfg.direct {
+            self.sources.clear();
+            self.covered_since = None;
+            return ReadingPlan {
+                read: true,
+                follow: Vec::new(),
+            };
+        }
+        self.choose_sources(&view.candidates, now);
+        let sound = self.sources.values().filter(|sound| **sound).count();
+        match sound >= self.cfg.sources {
+            true => drop(self.covered_since.get_or_insert(now)),
+            false => self.covered_since = None,
+        }
+        let settled = self
+            .covered_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= self.cfg.settle);
+        ReadingPlan {
+            // Whoever follows this node counts on it, whether it was appointed or not.
+            read: followers > 0 || !settled,
+            follow: self.sources.keys().copied().collect(),
+        }
+    }
+
+    /// Keeps the sources that hear the publisher or are still candidates, and adds the best others that are not avoided.
+    ///
+    /// A sound source is kept when others are appointed in its place: it goes on reading for as long as it is followed.
+    /// Left at once, every node of a domain would read for itself whenever its oldest instance changes.
+    fn choose_sources(&mut self, candidates: &[IpAddr], now: Instant) {
+        self.avoided.retain(|_, until| *until > now);
+        self.sources
+            .retain(|source, sound| *sound || candidates.contains(source));
+        for candidate in candidates {
+            if self.sources.len() >= self.cfg.sources {
+                return;
+            }
+            if !self.avoided.contains_key(candidate) {
+                self.sources.entry(*candidate).or_insert(false);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/mesh_readers.rs
@@ -0,0 +1,215 @@
+//! Tests of who reads the publisher and who hears its news from others.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use coltsfootport_core::mesh::{
+    Fleet, FleetConfig, Instance, Readers, ReadersConfig, ReadersView, ReadingPlan,
+};
+
+fn ip(n: u8) -> IpAddr {
+    IpAddr::from([10, 0, 0, n])
+}
+
+fn view(candidates: &[u8]) -> ReadersView {
+    ReadersView {
+        instances: 100,
+        appointed: false,
+        candidates: candidates.iter().map(|n| ip(*n)).collect(),
+    }
+}
+
+fn sorted(mut plan: ReadingPlan) -> ReadingPlan {
+    plan.follow.sort();
+    plan
+}
+
+struct Bench {
+    readers: Readers,
+    now: Instant,
+}
+
+impl Bench {
+    fn new() -> Self {
+        Self {
+            readers: Readers::new(ReadersConfig::default()),
+            now: Instant::now(),
+        }
+    }
+
+    fn plan(&mut self, view: &ReadersView, followers: usize) -> ReadingPlan {
+        sorted(self.readers.plan(view, followers, self.now))
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+    }
+
+    /// Both sources of a view are sound for long enough.
+    fn settle(&mut self, view: &ReadersView) {
+        let plan = self.plan(view, 0);
+        for source in plan.follow {
+            self.readers.heard(source, true);
+        }
+        self.plan(view, 0);
+        self.pass(1500);
+    }
+}
+
+#[test]
+fn who_reads() {
+    struct Case {
+        name: &'static str,
+        view: ReadersView,
+        followers: usize,
+        read: bool,
+        follow: usize,
+    }
+    let cases = [
+        Case {
+            name: "a small fleet",
+            view: ReadersView {
+                instances: 14,
+                ..view(&[1, 2])
+            },
+            followers: 0,
+            read: true,
+            follow: 0,
+        },
+        Case {
+            name: "appointed in a large fleet",
+            view: ReadersView {
+                appointed: true,
+                ..view(&[1, 2])
+            },
+            followers: 0,
+            read: true,
+            follow: 0,
+        },
+        Case {
+            name: "covered by two sources",
+            view: view(&[1, 2, 3]),
+            followers: 0,
+            read: false,
+            follow: 2,
+        },
+        Case {
+            name: "covered, but followed by others",
+            view: view(&[1, 2, 3]),
+            followers: 1,
+            read: true,
+            follow: 2,
+        },
+        Case {
+            name: "only one candidate",
+            view: view(&[1]),
+            followers: 0,
+            read: true,
+            follow: 1,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::new();
+        bench.settle(&case.view);
+        let plan = bench.plan(&case.view, case.followers);
+        assert_eq!(plan.read, case.read, "{}", case.name);
+        assert_eq!(plan.follow.len(), case.follow, "{}", case.name);
+    }
+}
+
+/// Symptom: a node handles requests by an old configuration for seconds while its store is in good health.
+/// Sequence: the node that it hears the news from is cut off from the store, or is killed, just before a change.
+/// Cause: one source alone says nothing when it hears nothing. With two, and reading for itself while one of them is
+/// missing, a node has the news.
+#[test]
+fn a_node_reads_for_itself_while_a_source_is_missing() {
+    let all = view(&[1, 2, 3]);
+    let mut bench = Bench::new();
+    assert!(bench.plan(&all, 0).read, "nothing was heard yet");
+    bench.settle(&all);
+    assert!(!bench.plan(&all, 0).read);
+    bench.readers.lost(ip(1), bench.now);
+    let plan = bench.plan(&all, 0);
+    assert!(plan.read, "one source is left");
+    assert_eq!(plan.follow, [ip(2), ip(3)], "the next one takes its place");
+    bench.readers.heard(ip(3), true);
+    bench.plan(&all, 0);
+    bench.pass(1500);
+    assert!(!bench.plan(&all, 0).read);
+    bench.readers.heard(ip(2), false);
+    assert!(bench.plan(&all, 0).read, "a source does not hear the store");
+    assert!(bench.readers.any_sound());
+}
+
+#[test]
+fn a_lost_source_is_tried_again_later() {
+    let all = view(&[1, 2]);
+    let mut bench = Bench::new();
+    bench.settle(&all);
+    bench.readers.lost(ip(1), bench.now);
+    assert_eq!(bench.plan(&all, 0).follow, [ip(2)]);
+    bench.pass(3500);
+    assert_eq!(bench.plan(&all, 0).follow, [ip(1), ip(2)]);
+}
+
+/// Symptom: at each change of a domain's oldest instance all its nodes read the store for a second.
+/// Sequence: that instance leaves, another one is appointed, and everyone who followed the first changes over.
+/// Cause: a source was left although it still told the news.
+#[test]
+fn a_sound_source_is_kept_when_others_are_appointed() {
+    let mut bench = Bench::new();
+    bench.settle(&view(&[1, 2]));
+    let later = view(&[2, 3]);
+    let plan = bench.plan(&later, 0);
+    assert_eq!(plan.follow, [ip(1), ip(2)]);
+    assert!(!plan.read);
+    bench.readers.lost(ip(1), bench.now);
+    assert_eq!(bench.plan(&later, 0).follow, [ip(2), ip(3)]);
+}
+
+fn instance(n: u8, domain: &str, created: u64) -> Instance {
+    Instance {
+        id: format!("i-{n}").into(),
+        service: "svc".into(),
+        address: SocketAddr::from(([10, 0, 0, n], 8000)),
+        domain: domain.into(),
+        slots: 10,
+        leaving: false,
+        created,
+        cold: Duration::ZERO,
+    }
+}
+
+#[test]
+fn the_oldest_instances_of_each_domain_are_appointed() {
+    let now = Instant::now();
+    let cfg = FleetConfig {
+        domain: "a".into(),
+        ..Default::default()
+    };
+    let mut fleet = Fleet::new(cfg);
+    for (n, domain, created) in [
+        (1, "a", 9),
+        (2, "a", 4),
+        (3, "a", 5),
+        (4, "b", 1),
+        (5, "b", 2),
+        (6, "b", 3),
+    ] {
+        fleet.put(instance(n, domain, created), now);
+    }
+    let of_other = fleet.readers_view(ip(1), 2);
+    assert!(!of_other.appointed);
+    assert_eq!(of_other.instances, 6);
+    let expected = [ip(2), ip(3), ip(4), ip(5)];
+    assert_eq!(of_other.candidates, expected, "the own domain first");
+    let of_appointed = fleet.readers_view(ip(3), 2);
+    assert!(of_appointed.appointed);
+    assert!(!of_appointed.candidates.contains(&ip(3)), "not itself");
+    let leaving = Instance {
+        leaving: true,
+        ..instance(2, "a", 4)
+    };
+    fleet.put(leaving, now);
+    assert!(fleet.readers_view(ip(1), 2).appointed, "next in age");
+}
--- a/crates/node/src/mesh/desk/event.rs
+++ b/crates/node/src/mesh/desk/event.rs
@@ -5,7 +5,8 @@
 
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{
-    Chosen, InstanceKey, MeshConfig, Refusal, RouteKey, SendOutcome, Ticket, UpdateBatch,
+    Chosen, InstanceKey, MeshConfig, ReadersView, Refusal, RouteKey, SendOutcome, Ticket,
+    UpdateBatch,
 };
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
@@ -42,6 +43,8 @@
     Configured(Box<DeskConfig>),
     /// Whether the node has a configuration, for the readiness check.
     IsReady(oneshot::Sender<bool>),
+    /// Who reads the publisher, for the news.
+    ReadersView(oneshot::Sender<ReadersView>),
     /// Number of requests of others that wait or run here.
     Hosted(oneshot::Sender<usize>),
 }
--- a/crates/node/src/mesh/desk/handle.rs
+++ b/crates/node/src/mesh/desk/handle.rs
@@ -2,7 +2,7 @@
 
 use tokio::sync::{mpsc, oneshot};
 
-use coltsfootport_core::mesh::Refusal;
+use coltsfootport_core::mesh::{ReadersView, Refusal};
 
 use super::{
     AdmitAsk, Admitted, AgainAsk, Denied, DeskEvent, EnterAsk, Granted, NotGranted, SendAsk, SendTo,
@@ -27,6 +27,11 @@
         let _ = self.tx.send(event);
     }
 
+    /// Who reads the publisher.
+    pub async fn readers_view(&self) -> Option<ReadersView> {
+        self.ask(DeskEvent::ReadersView).await
+    }
+
     /// Asks whether and how a request may go on.
     pub async fn admit(&self, ask: AdmitAsk) -> Result<Admitted, Denied> {
         let denied = Denied {
--- a/crates/node/src/mesh/desk/news.rs
+++ b/crates/node/src/mesh/desk/news.rs
@@ -4,7 +4,9 @@
 use std::time::Instant;
 
 use coltsfootport_core::collections::Set;
-use coltsfootport_core::mesh::{GoneEffect, Instance, MeshConfig, PutEffect, Update, UpdateBatch};
+use coltsfootport_core::mesh::{
+    GoneEffect, Instance, MeshConfig, PutEffect, ReadersView, Update, UpdateBatch,
+};
 use slog::{info, warn};
 use smol_str::SmolStr;
 
@@ -62,6 +64,12 @@
         self.fleet.publisher_lost();
     }
 
+    /// The fleet as far as the reading of the publisher is concerned.
+    pub(super) fn readers_view(&self) -> ReadersView {
+        let own = self.cfg.target.ip();
+        self.fleet.readers_view(own, self.cfg.appointed_readers)
+    }
+
     /// Shows beliefs as metrics, and moves of the own level in the log.
     pub(super) fn show(&mut self, now: Instant) {
         let level = self.gate.level();
--- a/crates/node/src/mesh/link.rs
+++ b/crates/node/src/mesh/link.rs
@@ -11,5 +11,7 @@
 
 pub use client::{LinkFault, send};
 pub use endpoint::{LinkError, bind};
+pub use frames::StreamHead;
 pub use hub::{Link, LinkHub, run_hub};
-pub use server::serve;
+pub use reset_guard::ResetGuard;
+pub use server::{Serving, serve};
--- a/crates/node/src/mesh/link/client.rs
+++ b/crates/node/src/mesh/link/client.rs
@@ -6,7 +6,7 @@
 use tokio::sync::mpsc;
 
 use super::Link;
-use super::frames::{MAX_HEAD, ReplyFrame, RequestFrame};
+use super::frames::{MAX_HEAD, ReplyFrame, RequestFrame, StreamHead};
 use super::reset_guard::ResetGuard;
 use crate::clock::SharedClock;
 use crate::mesh::call::{Body, CutShort, HELD_BODY, HostReply, HostedRequest, WAITING_PIECES};
@@ -56,8 +56,8 @@
 ) -> Result<HostReply, LinkFault> {
     let (tx, mut rx) = link.open_bi().await.map_err(|_| LinkFault::NotSent)?;
     let mut tx = ResetGuard::new(tx);
-    let frame = RequestFrame::new(&req, clock.now());
-    write_head(tx.stream(), &frame).await?;
+    let frame = Box::new(RequestFrame::new(&req, clock.now()));
+    write_head(tx.stream(), &StreamHead::Request(frame)).await?;
     match req.body {
         Body::Whole(bytes) => {
             write_all(&mut tx, bytes).await?;
--- a/crates/node/src/mesh/link/frames.rs
+++ b/crates/node/src/mesh/link/frames.rs
@@ -10,11 +10,21 @@
 
 use crate::h1::RequestHead;
 use crate::mesh::call::{Body, HostReply, HostedRequest, Refused, Report, TargetAnswer};
+use crate::mesh::news::FollowFrame;
 use crate::wire::{FrameError, HeaderFrame};
 
 /// Largest head of a request or reply between nodes, in bytes.
 pub const MAX_HEAD: usize = 128 * 1024;
 
+/// First head on a stream: what it is for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StreamHead {
+    /// A request for the target beside the node.
+    Request(Box<RequestFrame>),
+    /// Another node wants to hear the publisher's news.
+    Follow(FollowFrame),
+}
+
 /// Head of a request; its body follows on the stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestFrame {
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -6,58 +6,87 @@
 use tokio::sync::mpsc;
 
 use super::client::{receive_body, send_pieces, write_all};
-use super::frames::{MAX_HEAD, ReplyFrame, RequestFrame};
+use super::frames::{MAX_HEAD, ReplyFrame, RequestFrame, StreamHead};
 use super::reset_guard::ResetGuard;
 use crate::mesh::call::{Body, CutShort};
 use crate::mesh::host::Host;
+use crate::mesh::news::{Sharing, share};
 use crate::wire::{FrameError, read_head, write_head};
 
+/// What a node does for others; cheap to clone.
+#[derive(Clone)]
+pub struct Serving {
+    /// Runs their requests.
+    pub host: Host,
+    /// Passes the publisher's news on.
+    pub sharing: Sharing,
+    /// Log.
+    pub log: Logger,
+}
+
 /// Accepts links until the endpoint is closed.
-pub async fn serve(endpoint: Endpoint, host: Host, log: Logger) {
+pub async fn serve(endpoint: Endpoint, serving: Serving) {
     while let Some(incoming) = endpoint.accept().await {
-        tokio::spawn(serve_link(incoming, host.clone(), log.clone()));
+        tokio::spawn(serve_link(incoming, serving.clone()));
     }
 }
 
-async fn serve_link(incoming: Incoming, host: Host, log: Logger) {
+async fn serve_link(incoming: Incoming, serving: Serving) {
     let peer = incoming.remote_address();
     let link = match incoming.await {
         Ok(link) => link,
-        Err(e) => return debug!(log, "handshake failed"; "peer" => peer, "reason" => e.to_string()),
+        Err(e) => {
+            return debug!(serving.log, "handshake failed"; "peer" => peer, "reason" => e.to_string());
+        }
     };
     let reason = loop {
         match link.accept_bi().await {
             Ok((tx, rx)) => {
-                tokio::spawn(serve_stream(tx, rx, host.clone(), log.clone()));
+                tokio::spawn(serve_stream(tx, rx, serving.clone()));
             }
             Err(e) => break e,
         }
     };
-    info!(log, "peer left"; "peer" => peer, "reason" => reason.to_string());
+    info!(serving.log, "peer left"; "peer" => peer, "reason" => reason.to_string());
 }
 
-async fn serve_stream(tx: SendStream, rx: RecvStream, host: Host, log: Logger) {
+async fn serve_stream(tx: SendStream, rx: RecvStream, serving: Serving) {
     let mut tx = ResetGuard::new(tx);
     let stopped = tx.stopped();
     let served = tokio::select! {
-        served = answer(&mut tx, rx, &host) => served,
-        // The entry does not wait any more, or is gone; what can be broken off is.
+        served = answer(&mut tx, rx, &serving) => served,
+        // The other node does not wait any more, or is gone; what can be broken off is.
         _ = stopped => return,
     };
     match served {
         Ok(Some(pieces)) => send_pieces(tx, pieces).await,
         Ok(None) => tx.finish(),
-        Err(e) => debug!(log, "request of a peer failed"; "reason" => e.to_string()),
+        Err(e) => debug!(serving.log, "stream of a peer failed"; "reason" => e.to_string()),
     }
 }
 
-/// Runs a request and writes the reply up to the pieces of a long body, which it returns.
+/// Does what a stream is for, up to the pieces of a long answer, which it returns.
 async fn answer(
     tx: &mut ResetGuard,
     mut rx: RecvStream,
+    serving: &Serving,
+) -> Result<Option<Pieces>, FrameError> {
+    match read_head::<StreamHead>(&mut rx, MAX_HEAD).await?.value {
+        StreamHead::Request(head) => run(tx, rx, *head, &serving.host).await,
+        StreamHead::Follow(asked) => {
+            share(serving.sharing.clone(), tx, asked).await?;
+            Ok(None)
+        }
+    }
+}
+
+/// Runs a request and writes the reply up to the pieces of a long body, which it returns.
+async fn run(
+    tx: &mut ResetGuard,
+    rx: RecvStream,
+    head: RequestFrame,
     host: &Host,
 ) -> Result<Option<Pieces>, FrameError> {
-    let head = read_head::<RequestFrame>(&mut rx, MAX_HEAD).await?.value;
     let body = receive_body(rx, head.length).await?;
     let req = head.into_request(body, host.clock.now())?;
     let reply = host.run(req).await;
--- a/crates/node/src/mesh/feed.rs
+++ b/crates/node/src/mesh/news/store_reader.rs
@@ -14,9 +14,10 @@
 use slog::{Logger, debug, info};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-use crate::mesh::desk::{DeskEvent, DeskHandle};
+use super::source::{Changes, Heard, Source, What};
 use crate::mesh::metrics::MeshMetrics;
 use crate::mesh::settings::FeedSettings;
 
@@ -62,26 +63,25 @@
     }
 }
 
-/// Reads the publisher and tells the desk what it says.
-pub struct Feed {
+/// Reads the publisher and passes on what it says.
+pub struct StoreReader {
     /// Where and how long.
     pub cfg: FeedSettings,
     /// What to ask, and how to read the answers.
     pub publisher: Arc<dyn Publisher>,
-    /// Who is told.
-    pub desk: DeskHandle,
     /// Counts reads.
     pub metrics: MeshMetrics,
     /// Log.
     pub log: Logger,
+    /// Who hears it.
+    pub tx: mpsc::UnboundedSender<Heard>,
 }
 
 type Sender = SendRequest<Empty<Bytes>>;
 
-impl Feed {
-    /// Reads for as long as the process lives.
-    pub async fn run(self) {
-        let mut revision = None;
+impl StoreReader {
+    /// Reads until it is aborted: a list where no revision is known, then what changes.
+    pub async fn run(self, mut revision: Option<u64>) {
         let mut failures = 0;
         loop {
             match self.read(&mut revision, &mut failures).await {
@@ -98,7 +98,7 @@
                     debug!(self.log, "read failed"; "reason" => e.to_string());
                     self.metrics.read(e.label());
                     if failures > 1 || !matches!(e, FeedError::Broken(_)) {
-                        self.desk.tell(DeskEvent::PublisherFailed);
+                        self.tell(What::Failed);
                     }
                     sleep(pause(failures)).await;
                 }
@@ -122,12 +122,15 @@
             let path = self.publisher.watch_path(after, self.cfg.watch);
             let body = self.fetch(&mut tx, path, self.cfg.watch).await?;
             let batch = self.publisher.read_watch(&body)?;
-            *revision = Some(batch.revision.max(after));
+            let until = batch.revision.max(after);
+            *revision = Some(until);
             *failures = 0;
-            match batch.updates.is_empty() && batch.faults.is_empty() {
-                true => self.desk.tell(DeskEvent::PublisherAnswered),
-                false => self.desk.tell(DeskEvent::News(batch)),
-            }
+            let changes = Changes {
+                after,
+                revision: until,
+                body,
+            };
+            self.tell(What::Changes(changes, batch));
         }
     }
 
@@ -155,10 +158,16 @@
         let all = all.unwrap_or_default();
         let revision = all.revision;
         info!(self.log, "publisher listed"; "revision" => revision, "entries" => all.updates.len());
-        self.desk.tell(DeskEvent::Listed(all));
+        self.tell(What::Listed(all));
         Ok(revision)
     }
 
+    fn tell(&self, what: What) {
+        let from = Source::Publisher;
+        // The one who hears it lives as long as the process.
+        let _ = self.tx.send(Heard { from, what });
+    }
+
     async fn connect(&self) -> Result<Sender, FeedError> {
         let address = self.cfg.address;
         let connecting = timeout(self.cfg.timeout, TcpStream::connect(address));
--- /dev/null
+++ b/crates/node/src/mesh/news/task.rs
@@ -0,0 +1,227 @@
+//! Keeps a node's beliefs up with the publisher, whoever tells the news.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use coltsfootport_core::collections::Map;
+use coltsfootport_core::mesh::{Publisher, Readers, ReadingPlan, UpdateBatch};
+use slog::{Logger, info};
+use tokio::sync::{mpsc, watch};
+use tokio::time::interval;
+
+use super::Board;
+use super::follow::Follow;
+use super::source::{Changes, Heard, Listening, Source, What};
+use super::store_reader::StoreReader;
+use crate::clock::SharedClock;
+use crate::mesh::desk::{DeskEvent, DeskHandle};
+use crate::mesh::link::LinkHub;
+use crate::mesh::metrics::MeshMetrics;
+use crate::mesh::settings::FeedSettings;
+
+/// Time between looks at who should read.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// What is needed to keep up with the publisher.
+pub struct News {
+    /// Where it is, and who reads it.
+    pub cfg: FeedSettings,
+    /// What to ask, and how to read the answers.
+    pub publisher: Arc<dyn Publisher>,
+    /// Who is told.
+    pub desk: DeskHandle,
+    /// Links to nodes that may be followed.
+    pub links: LinkHub,
+    /// Port of every node for others.
+    pub peers_port: u16,
+    /// The newest changes, for others.
+    pub board: watch::Sender<Board>,
+    /// Nodes that hear the news from this one.
+    pub followers: Arc<AtomicUsize>,
+    /// Counts reads.
+    pub metrics: MeshMetrics,
+    /// Time.
+    pub clock: SharedClock,
+    /// Log.
+    pub log: Logger,
+}
+
+struct Running {
+    news: News,
+    readers: Readers,
+    /// The revision up to which everything is known.
+    revision: Option<u64>,
+    reader: Option<Listening>,
+    /// Whether the publisher answers this node.
+    sound: bool,
+    following: Map<IpAddr, Listening>,
+    tx: mpsc::UnboundedSender<Heard>,
+}
+
+impl News {
+    /// Keeps up for as long as the process lives.
+    pub async fn run(self) {
+        let (tx, mut rx) = mpsc::unbounded_channel();
+        let mut running = Running {
+            readers: Readers::new(self.cfg.readers),
+            news: self,
+            revision: None,
+            reader: None,
+            sound: false,
+            following: Map::default(),
+            tx,
+        };
+        let mut looks = interval(LOOK);
+        loop {
+            tokio::select! {
+                Some(heard) = rx.recv() => {
+                    if running.hear(heard) {
+                        running.review().await;
+                    }
+                }
+                _ = looks.tick() => running.review().await,
+            }
+        }
+    }
+}
+
+impl Running {
+    /// Takes in what a source tells; `true` where it may change who should read.
+    fn hear(&mut self, heard: Heard) -> bool {
+        match (heard.from, heard.what) {
+            (_, What::Listed(batch)) => self.listed(batch),
+            (from, What::Changes(changes, batch)) => return self.changes(from, changes, batch),
+            (Source::Node(node), What::State { sound, answered }) => {
+                self.readers.heard(node, sound);
+                match sound {
+                    true if answered => self.news.desk.tell(DeskEvent::PublisherAnswered),
+                    true => {}
+                    false => self.tell_if_lost(),
+                }
+                return !sound;
+            }
+            (Source::Node(node), What::Lost(reason)) => {
+                self.lose(node, &reason);
+                return true;
+            }
+            (_, What::Failed | What::Lost(_)) => {
+                self.set_sound(false);
+                self.tell_if_lost();
+            }
+            // The publisher tells answers, not states.
+            (Source::Publisher, What::State { .. }) => {}
+        }
+        false
+    }
+
+    fn listed(&mut self, batch: UpdateBatch) {
+        self.revision = Some(batch.revision);
+        let revision = batch.revision;
+        self.news.board.send_modify(|board| board.listed(revision));
+        self.set_sound(true);
+        self.news.desk.tell(DeskEvent::Listed(batch));
+    }
+
+    /// Several sources tell the same changes, each in answers of its own: what ends with a known revision is known, and
+    /// what begins after it would leave a gap.
+    fn changes(&mut self, from: Source, changes: Changes, batch: UpdateBatch) -> bool {
+        if from == Source::Publisher {
+            self.set_sound(true);
+        }
+        let Some(known) = self.revision else {
+            return false;
+        };
+        if changes.after > known {
+            if let Source::Node(node) = from {
+                self.lose(node, "it has passed over changes");
+            }
+            return true;
+        }
+        if changes.revision <= known {
+            if from == Source::Publisher {
+                self.news.desk.tell(DeskEvent::PublisherAnswered);
+            }
+            return false;
+        }
+        self.revision = Some(changes.revision);
+        self.news.board.send_modify(|board| board.push(changes));
+        self.news.desk.tell(DeskEvent::News(batch));
+        false
+    }
+
+    fn set_sound(&mut self, sound: bool) {
+        self.sound = sound;
+        self.news.board.send_modify(|board| {
+            board.sound = sound;
+            board.answers += u64::from(sound);
+        });
+    }
+
+    fn tell_if_lost(&self) {
+        if !self.sound && !self.readers.any_sound() {
+            self.news.desk.tell(DeskEvent::PublisherFailed);
+        }
+    }
+
+    fn lose(&mut self, node: IpAddr, reason: &str) {
+        info!(self.news.log, "news source lost"; "peer" => node.to_string(), "reason" => reason);
+        self.following.remove(&node);
+        self.readers.lost(node, self.news.clock.now());
+    }
+
+    /// Looks at who should read, and begins or ends to do so.
+    async fn review(&mut self) {
+        let view = self.news.desk.readers_view().await.unwrap_or_default();
+        let followers = self.news.followers.load(Ordering::SeqCst);
+        let now = self.news.clock.now();
+        let plan = self.readers.plan(&view, followers, now);
+        self.read(plan.read);
+        self.follow(&plan);
+    }
+
+    fn read(&mut self, wanted: bool) {
+        match (wanted, &self.reader) {
+            (true, None) => {
+                info!(self.news.log, "reads the publisher"; "revision" => self.revision);
+                let reader = StoreReader {
+                    cfg: self.news.cfg,
+                    publisher: Arc::clone(&self.news.publisher),
+                    metrics: self.news.metrics.clone(),
+                    log: self.news.log.clone(),
+                    tx: self.tx.clone(),
+                };
+                let task = tokio::spawn(reader.run(self.revision));
+                self.reader = Some(Listening(task.abort_handle()));
+            }
+            (false, Some(_)) => {
+                info!(self.news.log, "hears the publisher's news from others"; "sources" => self.following.len());
+                self.reader = None;
+                self.set_sound(false);
+            }
+            (true, Some(_)) | (false, None) => {}
+        }
+    }
+
+    fn follow(&mut self, plan: &ReadingPlan) {
+        self.following.retain(|node, _| plan.follow.contains(node));
+        let Some(revision) = self.revision else {
+            return;
+        };
+        for node in &plan.follow {
+            if self.following.contains_key(node) {
+                continue;
+            }
+            let follow = Follow {
+                peer: SocketAddr::new(*node, self.news.peers_port),
+                revision,
+                links: self.news.links.clone(),
+                publisher: Arc::clone(&self.news.publisher),
+                tx: self.tx.clone(),
+            };
+            let task = tokio::spawn(follow.run());
+            self.following.insert(*node, Listening(task.abort_handle()));
+        }
+    }
+}
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -16,12 +16,12 @@
 use super::callers::{self, CallersConfig};
 use super::desk::{Desk, DeskConfig, DeskEvent, DeskHandle, run_desk};
 use super::entry::Entry;
-use super::feed::Feed;
 use super::host::Host;
 use super::journal::Journal;
 use super::life::Life;
-use super::link::{self, LinkError, LinkHub, run_hub};
+use super::link::{self, LinkError, LinkHub, Serving, run_hub};
 use super::metrics::MeshMetrics;
+use super::news::{Board, News, Sharing};
 use super::ready::{self, Ready};
 use super::settings::{MeshSettings, PublisherKind};
 use super::settings_file::SettingsFile;
@@ -108,11 +108,26 @@
         metrics: metrics.clone(),
         stopping,
     };
-    let feed = Feed {
+    let (board_tx, board) = watch::channel(Board::default());
+    let sharing = Sharing {
+        board,
+        followers: Arc::default(),
+    };
+    let news = News {
         cfg: settings.publisher,
         publisher,
         desk: desk.clone(),
+        links: links.clone(),
+        peers_port: settings.node.peers.port(),
+        board: board_tx,
+        followers: Arc::clone(&sharing.followers),
         metrics,
+        clock: Arc::clone(&clock),
+        log: log.clone(),
+    };
+    let serving = Serving {
+        host: host.clone(),
+        sharing,
         log: log.clone(),
     };
     info!(log, "started"; "callers" => settings.node.callers, "target" => settings.node.target,
@@ -125,8 +140,8 @@
         links_rx,
         log.clone(),
     ));
-    tokio::spawn(link::serve(endpoint, host.clone(), log.clone()));
-    tokio::spawn(feed.run());
+    tokio::spawn(link::serve(endpoint, serving));
+    tokio::spawn(news.run());
     tokio::spawn(ready::serve(ready_socket, ready.clone()));
     if let Some(address) = settings.node.metrics {
         tokio::spawn(ready::serve(TcpListener::bind(address).await?, ready));
@@ -212,6 +227,7 @@
             },
             ..Default::default()
         },
+        appointed_readers: settings.publisher.readers.appointed,
         ..Default::default()
     }
 }
--- a/crates/node/src/mesh/settings.rs
+++ b/crates/node/src/mesh/settings.rs
@@ -5,6 +5,7 @@
 
 use coltsfootport_core::id::{DomainName, NodeName, ServiceName};
 use coltsfootport_core::jsonc::{self, Fault, Item, Section};
+use coltsfootport_core::mesh::ReadersConfig;
 
 use crate::log::LogLevel;
 
@@ -65,6 +66,8 @@
     pub watch: Duration,
     /// Longest time for an answer, beyond the wait of a watch.
     pub timeout: Duration,
+    /// Who reads in a large fleet.
+    pub readers: ReadersConfig,
 }
 
 /// Bounds of repeats over the whole fleet.
@@ -125,6 +128,7 @@
             address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0),
             watch: Duration::from_millis(1800),
             timeout: Duration::from_millis(600),
+            readers: ReadersConfig::default(),
         }
     }
 }
@@ -236,12 +240,18 @@
         let address = section.required("address").and_then(Item::peer_address);
         let watch = section.millis("watch_ms", 50..=30_000, default.watch);
         let timeout = section.millis("timeout_ms", 50..=60_000, default.timeout);
+        let readers = ReadersConfig {
+            direct: section.integer("direct", 0..=100_000, default.readers.direct),
+            appointed: section.integer("appointed", 2..=64, default.readers.appointed),
+            ..default.readers
+        };
         section.finish();
         Some(Self {
             kind,
             address: address?,
             watch,
             timeout,
+            readers,
         })
     }
 }
