--- a/crates/node/src/mesh/link/endpoint.rs
+++ b/crates/node/src/mesh/link/endpoint.rs
@@ -52,11 +52,13 @@
 ///
 /// The address is taken, or no certificate can be made.
 pub fn bind(address: SocketAddr) -> Result<Endpoint, LinkError> {
-    let transport = Arc::new(transport());
     let mut server = ServerConfig::with_crypto(Arc::new(tls::server()?));
-    server.transport_config(Arc::clone(&transport));
+    server.transport_config(Arc::new(transport()));
     let mut client = ClientConfig::new(Arc::new(tls::client()?));
-    client.transport_config(transport);
+    // One end's signs of life are acknowledged by the other, which shows both that the link is up.
+    let mut asking = transport();
+    asking.keep_alive_interval(Some(KEEP_ALIVE));
+    client.transport_config(Arc::new(asking));
     let mut endpoint = Endpoint::server(server, address)?;
     endpoint.set_default_client_config(client);
     Ok(endpoint)
@@ -72,7 +74,6 @@
         .send_window(u64::from(CONNECTION_WINDOW))
         .datagram_receive_buffer_size(None)
         .initial_rtt(INITIAL_RTT)
-        .keep_alive_interval(Some(KEEP_ALIVE))
         .max_idle_timeout(IdleTimeout::try_from(IDLE).ok());
     transport
 }
--- a/crates/node/src/mesh/link/hub.rs
+++ b/crates/node/src/mesh/link/hub.rs
@@ -1,12 +1,13 @@
 //! Links to other nodes: one connection each, made when first needed.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use coltsfootport_core::collections::Map;
 use quinn::{Connection, Endpoint};
 use slog::{Logger, info};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::timeout;
 
 use super::health::watch_link;
@@ -23,6 +24,8 @@
     pub connection: Connection,
     /// Whether it carries packets out and brings none back.
     pub silent: watch::Receiver<bool>,
+    /// Told of each use, so that the link is looked at while it is used.
+    pub used: Arc<Notify>,
 }
 
 /// Asks the hub for links.
@@ -123,8 +126,18 @@
     let connection = connection.ok().and_then(Result::ok);
     let link = connection.map(|connection| {
         let (silent_tx, silent) = watch::channel(false);
-        tokio::spawn(watch_link(connection.clone(), clock, silent_tx));
-        Link { connection, silent }
+        let used = Arc::new(Notify::new());
+        tokio::spawn(watch_link(
+            connection.clone(),
+            clock,
+            silent_tx,
+            Arc::clone(&used),
+        ));
+        Link {
+            connection,
+            silent,
+            used,
+        }
     });
     // The hub lives as long as the process.
     drop(tx.send(HubEvent::Connected(peer, link)));
