A flood of changes is read in few answers

After changes that follow others within a second a reader rests, 50 ms doubled up to 500 ms; a single change is read at once.

Ruled out: a rest after each change (a single one must be in force at once), sharing from the start (nobody is known yet).

--- a/crates/node/src/mesh/news/store_reader.rs
+++ b/crates/node/src/mesh/news/store_reader.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use coltsfootport_core::mesh::{Publisher, PublisherError, UpdateBatch};
@@ -31,6 +31,18 @@
 /// seconds of the publisher's return; every read is paid for, so it grows.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
+/// Pause after an answer with changes that came soon after another one, doubled for each further one.
+///
+/// A fleet that starts writes one entry after the other, and each of them would cost every reader a call: 7,000 calls in the
+/// first three seconds of a fleet of 85.
+const FIRST_REST: Duration = Duration::from_millis(50);
+
+/// Longest such pause: a quarter of the time in which a change must be in force.
+const LONGEST_REST: Duration = Duration::from_millis(500);
+
+/// Time between two changes from which the second one is not a part of the same flood.
+const FLOOD_OVER: Duration = Duration::from_millis(1000);
+
 /// Why a read failed.
 #[derive(Debug, thiserror::Error)]
 enum FeedError {
@@ -113,6 +125,7 @@
         failures: &mut u32,
     ) -> Result<std::convert::Infallible, FeedError> {
         let mut tx = self.connect().await?;
+        let mut flood = Flood::default();
         loop {
             let Some(after) = *revision else {
                 *revision = Some(self.list(&mut tx).await?);
@@ -125,12 +138,17 @@
             let until = batch.revision.max(after);
             *revision = Some(until);
             *failures = 0;
+            let rest = match batch.updates.is_empty() {
+                true => Duration::ZERO,
+                false => flood.rest(Instant::now()),
+            };
             let changes = Changes {
                 after,
                 revision: until,
                 body,
             };
             self.tell(What::Changes(changes, batch));
+            sleep(rest).await;
         }
     }
 
@@ -196,6 +214,29 @@
     }
 }
 
+/// Changes that come one right after the other.
+#[derive(Clone, Copy, Debug, Default)]
+struct Flood {
+    last: Option<Instant>,
+    in_a_row: u32,
+}
+
+impl Flood {
+    /// Pause after changes that have come now; what comes meanwhile is read at once.
+    fn rest(&mut self, now: Instant) -> Duration {
+        let follows = |last| now.saturating_duration_since(last) < FLOOD_OVER;
+        self.in_a_row = match self.last.is_some_and(follows) {
+            true => self.in_a_row + 1,
+            false => 0,
+        };
+        self.last = Some(now);
+        match self.in_a_row {
+            0 => Duration::ZERO,
+            n => (FIRST_REST * (1 << (n - 1).min(8))).min(LONGEST_REST),
+        }
+    }
+}
+
 async fn exchange(tx: &mut Sender, address: SocketAddr, path: String) -> Result<Bytes, FeedError> {
     let broken = |e: &dyn std::fmt::Display| FeedError::Broken(e.to_string());
     let req = Request::get(path)
