--- a/crates/node/src/mesh/link/client.rs
+++ b/crates/node/src/mesh/link/client.rs
@@ -39,7 +39,6 @@
     if *link.silent.borrow() {
         return Err(LinkFault::NotSent);
     }
-    link.used.notify_one();
     // A request that may run once only can't be sent elsewhere, so it waits for what the link still brings.
     if req.repeat == Repeat::AtMostOnce {
         return exchange(&link.connection, req, clock).await;
--- a/crates/node/src/mesh/link/health.rs
+++ b/crates/node/src/mesh/link/health.rs
@@ -1,25 +1,20 @@
-//! Whether a link that carries requests has gone silent, and whether it is needed at all.
+//! Whether links that carry requests have gone silent, and whether they are needed at all.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use quinn::{Connection, VarInt};
-use tokio::sync::{Notify, watch};
-use tokio::time::{sleep, timeout};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{MissedTickBehavior, interval};
 
 use crate::clock::SharedClock;
 
-/// Time between looks at a link.
+/// Time between looks at the links.
 const LOOK: Duration = Duration::from_millis(100);
 
 /// Time after data was sent without any packet back, from which a link counts as silent. Every packet with data is
 /// acknowledged within tens of milliseconds, and lost ones are repeated several times within this.
 const SILENT: Duration = Duration::from_millis(350);
 
-/// Looks without a stream's frame either way after which nobody looks until the link is used again. With 84 links a node
-/// spent more on looking at idle links than on anything else.
-const IDLE_LOOKS: u32 = 10;
-
 /// Time without a stream's frame after which a link is closed. Its signs of life cost both ends packets for as long as it
 /// is open; most nodes of a large fleet have nothing to say to each other for long.
 const UNUSED: Duration = Duration::from_secs(15);
@@ -39,48 +34,81 @@
     streams: u64,
 }
 
-/// Watches a link for as long as it lives, and tells whether it is silent.
+/// A link that is looked at.
+#[derive(Debug)]
+pub struct Watched {
+    link: Connection,
+    /// Told when the link goes silent, and when it speaks again.
+    silent: watch::Sender<bool>,
+    before: Seen,
+    unanswered: Option<Instant>,
+    used: Instant,
+}
+
+/// Looks at all links of a node until nobody makes any more.
 ///
 /// A machine that loses power sends nothing. The library gives a connection up after its idle time, which must be long
 /// enough for a node that pauses; until then every request sent there would be lost, and those below would hold the slots
 /// of all services above. In a day with one such machine 535 requests ran out of time within four seconds.
-pub async fn watch_link(
-    link: Connection,
-    clock: SharedClock,
-    silent: watch::Sender<bool>,
-    used: Arc<Notify>,
-) {
-    let mut before = Seen::of(&link);
-    let mut unanswered: Option<Instant> = None;
-    let mut idle_looks = 0;
-    while link.close_reason().is_none() {
-        if idle_looks >= IDLE_LOOKS {
-            idle_looks = 0;
-            if timeout(UNUSED, used.notified()).await.is_err() && !before.is_used_since(&link) {
-                link.close(CLOSED_UNUSED, b"unused");
+///
+/// One task looks at all of them at once: with a task and a timer for each of 84 links a node woke 840 times a second.
+pub async fn watch_links(mut rx: mpsc::UnboundedReceiver<Watched>, clock: SharedClock) {
+    let mut links: Vec<Watched> = Vec::new();
+    let mut looks = interval(LOOK);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            new = rx.recv() => match new {
+                Some(link) => links.push(link),
+                None => return,
+            },
+            _ = looks.tick(), if !links.is_empty() => {
+                let now = clock.now();
+                links.retain_mut(|link| link.look(now));
             }
-            // What came meanwhile says nothing about what is asked from here on.
-            before = Seen::of(&link);
-            unanswered = None;
         }
-        sleep(LOOK).await;
-        let now = clock.now();
-        let seen = Seen::of(&link);
-        idle_looks = match seen.streams == before.streams && unanswered.is_none() {
-            true => idle_looks + 1,
-            false => 0,
+    }
+}
+
+impl Watched {
+    /// A link that was made now, and what tells whether it is silent.
+    pub fn new(link: Connection, now: Instant) -> (Self, watch::Receiver<bool>) {
+        let (silent, told) = watch::channel(false);
+        let watched = Self {
+            before: Seen::of(&link),
+            link,
+            silent,
+            unanswered: None,
+            used: now,
         };
-        if seen.received != before.received {
-            unanswered = None;
-        } else if seen.asking != before.asking {
-            unanswered.get_or_insert(now);
+        (watched, told)
+    }
+
+    /// Compares what the link has carried with the last look; `false` where the link is closed.
+    fn look(&mut self, now: Instant) -> bool {
+        if self.link.close_reason().is_some() {
+            self.silent.send_replace(true);
+            return false;
+        }
+        let seen = Seen::of(&self.link);
+        if seen.received != self.before.received {
+            self.unanswered = None;
+        } else if seen.asking != self.before.asking {
+            self.unanswered.get_or_insert(now);
         }
-        before = seen;
-        let is_silent =
-            unanswered.is_some_and(|since| now.saturating_duration_since(since) >= SILENT);
-        silent.send_if_modified(|was| std::mem::replace(was, is_silent) != is_silent);
+        if seen.streams != self.before.streams {
+            self.used = now;
+        }
+        self.before = seen;
+        let since = |at: Instant| now.saturating_duration_since(at);
+        let is_silent = self.unanswered.is_some_and(|at| since(at) >= SILENT);
+        self.silent
+            .send_if_modified(|was| std::mem::replace(was, is_silent) != is_silent);
+        if since(self.used) >= UNUSED {
+            self.link.close(CLOSED_UNUSED, b"unused");
+        }
+        true
     }
-    silent.send_replace(true);
 }
 
 impl Seen {
@@ -92,9 +120,4 @@
             streams: stats.frame_tx.stream + stats.frame_rx.stream,
         }
     }
-
-    /// Whether any stream has carried something since.
-    fn is_used_since(&self, link: &Connection) -> bool {
-        Self::of(link).streams != self.streams
-    }
 }
--- a/crates/node/src/mesh/link/hub.rs
+++ b/crates/node/src/mesh/link/hub.rs
@@ -1,16 +1,15 @@
 //! Links to other nodes: one connection each, made when first needed.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use coltsfootport_core::collections::Map;
 use quinn::{Connection, Endpoint};
 use slog::{Logger, info};
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
-use super::health::watch_link;
+use super::health::{Watched, watch_links};
 use super::tls::SERVER_NAME;
 use crate::clock::SharedClock;
 
@@ -24,8 +23,6 @@
     pub connection: Connection,
     /// Whether it carries packets out and brings none back.
     pub silent: watch::Receiver<bool>,
-    /// Told of each use, so that the link is looked at while it is used.
-    pub used: Arc<Notify>,
 }
 
 /// Asks the hub for links.
@@ -72,6 +69,8 @@
     log: Logger,
 ) {
     let mut links: Map<SocketAddr, State> = Map::default();
+    let (watch_tx, watch_rx) = mpsc::unbounded_channel();
+    tokio::spawn(watch_links(watch_rx, clock.clone()));
     while let Some(event) = rx.recv().await {
         match event {
             HubEvent::Get(peer, reply) => match links.get_mut(&peer) {
@@ -92,6 +91,7 @@
                         endpoint.clone(),
                         peer,
                         hub.tx.clone(),
+                        watch_tx.clone(),
                         clock.clone(),
                     ));
                 }
@@ -117,6 +117,7 @@
     endpoint: Endpoint,
     peer: SocketAddr,
     tx: mpsc::UnboundedSender<HubEvent>,
+    watch_tx: mpsc::UnboundedSender<Watched>,
     clock: SharedClock,
 ) {
     let connection = match endpoint.connect(peer, SERVER_NAME) {
@@ -125,19 +126,10 @@
     };
     let connection = connection.ok().and_then(Result::ok);
     let link = connection.map(|connection| {
-        let (silent_tx, silent) = watch::channel(false);
-        let used = Arc::new(Notify::new());
-        tokio::spawn(watch_link(
-            connection.clone(),
-            clock,
-            silent_tx,
-            Arc::clone(&used),
-        ));
-        Link {
-            connection,
-            silent,
-            used,
-        }
+        let (watched, silent) = Watched::new(connection.clone(), clock.now());
+        // The one who looks lives as long as the hub.
+        drop(watch_tx.send(watched));
+        Link { connection, silent }
     });
     // The hub lives as long as the process.
     drop(tx.send(HubEvent::Connected(peer, link)));
