A fault soak of mesh nodes; signals are taken over first

What callers and targets saw is checked: once at most, 'not run' true, whole answers to their callers, attempts, a final answer in time, nothing cut by a planned stop, versions never back, nothing new to leaving targets; at the end every machine serves again.

They are taken over first now; the soak waits a second, as nothing can be said of a process whose runtime has not begun.

--- a/crates/node/src/mesh/life.rs
+++ b/crates/node/src/mesh/life.rs
@@ -26,8 +26,32 @@
 /// Time before the forced end at which the node ends with what is still open.
 const MARGIN: Duration = Duration::from_millis(500);
 
+/// The signals that a node takes. Until they are taken over each of them ends the process, so this is done first.
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Takes the signals over.
+    ///
+    /// # Errors
+    ///
+    /// They can't be received.
+    pub fn take() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Signals and what they lead to.
 pub struct Life {
+    /// The signals.
+    pub signals: Signals,
     /// Refuses new requests for the own target.
     pub desk: DeskHandle,
     /// Told when the node is about to stop.
@@ -46,23 +70,15 @@
 
 impl Life {
     /// Returns when the process may end.
-    ///
-    /// # Errors
-    ///
-    /// Signals can't be received.
-    pub async fn run(self) -> std::io::Result<()> {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        let mut hangup = signal(SignalKind::hangup())?;
+    pub async fn run(mut self) {
         loop {
             tokio::select! {
-                _ = received(&mut terminate) => break,
-                _ = received(&mut interrupt) => break,
-                _ = received(&mut hangup) => self.hup.send_modify(|count| *count += 1),
+                _ = received(&mut self.signals.terminate) => break,
+                _ = received(&mut self.signals.interrupt) => break,
+                _ = received(&mut self.signals.hangup) => self.hup.send_modify(|count| *count += 1),
             }
         }
         self.stop().await;
-        Ok(())
     }
 
     async fn stop(&self) {
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -18,7 +18,7 @@
 use super::entry::Entry;
 use super::host::Host;
 use super::journal::Journal;
-use super::life::Life;
+use super::life::{Life, Signals};
 use super::link::{self, LinkError, LinkHub, Serving, run_hub};
 use super::metrics::MeshMetrics;
 use super::news::{Board, News, Sharing};
@@ -56,6 +56,7 @@
     text: String,
     log: Logger,
 ) -> Result<(), MeshError> {
+    let signals = Signals::take()?;
     let clock: SharedClock = Arc::new(BootClock::start());
     let metrics = MeshMetrics::new()?;
     let journal = Journal::new(log.clone(), Arc::clone(&clock), metrics.clone());
@@ -163,6 +164,7 @@
         desk.clone(),
     ));
     let life = Life {
+        signals,
         desk,
         stopping: stopping_tx,
         hup: hup_tx,
@@ -171,7 +173,7 @@
         clock,
         log,
     };
-    life.run().await?;
+    life.run().await;
     Ok(())
 }
 
--- a/crates/rig/src/cli.rs
+++ b/crates/rig/src/cli.rs
@@ -7,6 +7,7 @@
 mod load;
 mod platform;
 mod proxy;
+mod soak;
 mod target;
 
 use bpaf::Bpaf;
@@ -20,6 +21,7 @@
 use crate::cli::load::{LoadOptions, load_options};
 use crate::cli::platform::{PlatformOptions, platform_options};
 use crate::cli::proxy::{ProxyOptions, proxy_options};
+use crate::cli::soak::{SoakOptions, soak_options};
 use crate::cli::target::{TargetOptions, target_options};
 use crate::demo;
 use crate::error::RigError;
@@ -43,6 +45,9 @@
     /// Random faults from a seed under load on real processes; checks every promise after each round
     #[bpaf(command)]
     Chaos(#[bpaf(external(chaos_options))] ChaosOptions),
+    /// Random faults from a seed on real mesh nodes; callers' and targets' own view is checked against every promise
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak_options))] SoakOptions),
     /// A surge with faults on a small fleet of real processes; ends with 0 only if every promise held
     #[bpaf(command)]
     Demo,
@@ -66,9 +71,11 @@
 pub fn run(command: Command) -> Result<(), RigError> {
     // The commands that run a whole fleet carry proxy and load in this one process; the others are one small process each.
     let mut builder = match command {
-        Command::Demo | Command::Experiment(_) | Command::Latency(_) | Command::Cost(_) => {
-            runtime::Builder::new_multi_thread()
-        }
+        Command::Soak(_)
+        | Command::Demo
+        | Command::Experiment(_)
+        | Command::Latency(_)
+        | Command::Cost(_) => runtime::Builder::new_multi_thread(),
         _ => runtime::Builder::new_current_thread(),
     };
     let runtime = builder.enable_all().build()?;
@@ -79,6 +86,7 @@
             Command::Proxy(options) => proxy::run(options).await,
             Command::Load(options) => load::run(options).await,
             Command::Chaos(options) => chaos::run(options).await,
+            Command::Soak(options) => until_stopped(soak::run(options)).await,
             Command::Demo => until_stopped(demo::run()).await,
             Command::Experiment(args) => until_stopped(experiment::run(args)).await,
             Command::Latency(args) => until_stopped(latency::run(args)).await,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod plot;
 pub mod process;
 pub mod proxy;
+pub mod soak;
 pub mod target;
 pub mod timer;
--- /dev/null
+++ b/crates/rig/src/soak.rs
@@ -0,0 +1,12 @@
+//! Random faults from outside on real mesh nodes, checked by what callers and targets see.
+
+mod callers;
+mod evidence;
+mod machine;
+mod plan;
+mod run;
+
+pub use self::evidence::{Evidence, Kind, Record, Span, breaches_of};
+pub use self::machine::{NodeSettings, settings_text};
+pub use self::plan::{SoakPlan, Strike, Timed, Wire};
+pub use self::run::{SoakReport, run};
--- /dev/null
+++ b/crates/rig/src/soak/callers.rs
@@ -0,0 +1,101 @@
+//! The load of a soak: callers that keep their connections for as long as they are open.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use coltsfootport_stand_ins::{Asked, Caller, HOST, get, post};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::sleep;
+
+use crate::soak::{Kind, Record};
+
+/// Time limit of every route.
+pub const ROUTE_LIMIT: Duration = Duration::from_secs(3);
+
+/// Time beyond it in which the final answer must come; machines of tests are busy.
+pub const LATE: Duration = Duration::from_millis(1500);
+
+/// What all callers share.
+#[derive(Debug, Default)]
+pub struct Shared {
+    /// Newest version of the configuration.
+    pub version: AtomicU32,
+    /// Whether they end.
+    pub over: AtomicBool,
+    /// What they have seen.
+    pub records: Mutex<Vec<Record>>,
+}
+
+/// One caller of a machine.
+pub struct SoakCaller {
+    /// The machine.
+    pub machine: usize,
+    /// Where its node listens.
+    pub address: SocketAddr,
+    /// Begins every id, so that ids are unique.
+    pub name: String,
+    /// Seed of its choices.
+    pub seed: u64,
+    /// What all callers share.
+    pub shared: Arc<Shared>,
+}
+
+impl SoakCaller {
+    /// Sends requests until the load is over.
+    pub async fn run(self) {
+        let mut rng = SmallRng::seed_from_u64(self.seed);
+        let mut open = None;
+        let mut count = 0;
+        while !self.shared.over.load(Ordering::SeqCst) {
+            sleep(Duration::from_millis(rng.random_range(5..60))).await;
+            let Some(mut caller) = take(&mut open, self.address).await else {
+                continue;
+            };
+            count += 1;
+            let id = format!("{}x{count}", self.name);
+            let version = self.shared.version.load(Ordering::SeqCst);
+            let kind = match rng.random_range(0..10) {
+                0..5 => Kind::Read,
+                5..9 => Kind::Bid,
+                _ => Kind::Version(rng.random_range(0..=version)),
+            };
+            let sent = Instant::now();
+            let asked = caller.ask(&request(kind, &id), ROUTE_LIMIT + LATE).await;
+            if matches!(&asked, Asked::Answered(answer) if answer.whole && !closes(&answer.head)) {
+                open = Some(caller);
+            }
+            let record = Record {
+                id,
+                kind,
+                machine: self.machine,
+                sent,
+                ended: Instant::now(),
+                asked,
+            };
+            let records = self.shared.records.lock();
+            records.unwrap_or_else(PoisonError::into_inner).push(record);
+        }
+    }
+}
+
+async fn take(open: &mut Option<Caller>, address: SocketAddr) -> Option<Caller> {
+    match open.take() {
+        Some(caller) => Some(caller),
+        None => Caller::open(address, Duration::from_secs(1)).await,
+    }
+}
+
+fn request(kind: Kind, id: &str) -> String {
+    match kind {
+        Kind::Read => get(HOST, "/read/x", id, ""),
+        Kind::Bid => post(HOST, "/bid/x", id, "a bid"),
+        Kind::Version(version) => get(HOST, &format!("/v{version}/x"), id, ""),
+    }
+}
+
+fn closes(head: &str) -> bool {
+    head.to_ascii_lowercase().contains("connection: close")
+}
--- /dev/null
+++ b/crates/rig/src/soak/evidence.rs
@@ -0,0 +1,206 @@
+//! What callers and targets saw, and which promises it breaks.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use coltsfootport_stand_ins::{Arrival, Asked};
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// May be repeated.
+    Read,
+    /// May run once only.
+    Bid,
+    /// A route that came with this version of the configuration and stays.
+    Version(u32),
+}
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// Its id.
+    pub id: String,
+    /// What it asked for.
+    pub kind: Kind,
+    /// The machine where it entered.
+    pub machine: usize,
+    /// When it was sent.
+    pub sent: Instant,
+    /// When its outcome was known.
+    pub ended: Instant,
+    /// What became of it.
+    pub asked: Asked,
+}
+
+/// A time in which something held.
+#[derive(Clone, Copy, Debug)]
+pub struct Span {
+    /// The machine; all where missing.
+    pub machine: Option<usize>,
+    /// Its beginning.
+    pub from: Instant,
+    /// Its end.
+    pub to: Instant,
+}
+
+/// Everything that was seen in a run.
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    /// The requests of all callers.
+    pub records: Vec<Record>,
+    /// Arrivals at each machine's target.
+    pub arrivals: Vec<Vec<Arrival>>,
+    /// Times in which a node stood still or was down.
+    pub away: Vec<Span>,
+    /// Times in which a node was being stopped in order.
+    pub stops: Vec<Span>,
+    /// Times from a target's word that it leaves, or its return, on.
+    pub leaves: Vec<Span>,
+    /// Times in which some node could not hear the store, or not be heard, or a target failed on its own.
+    pub troubled: Vec<Span>,
+}
+
+/// Attempts that every route allows.
+const MOST_ATTEMPTS: usize = 2;
+
+/// Time after which nothing new may reach a target that leaves, with half a second for a busy machine.
+const DRAINED: Duration = Duration::from_millis(2500);
+
+/// Time after an outage in which entries and configuration are caught up with.
+const SETTLED: Duration = Duration::from_millis(3000);
+
+/// The promises that are broken, as lines for people.
+pub fn breaches_of(evidence: &Evidence) -> Vec<String> {
+    let mut runs: HashMap<&str, usize> = HashMap::new();
+    for arrival in evidence.arrivals.iter().flatten() {
+        if let Some(id) = arrival.header("attempt-id") {
+            *runs.entry(id).or_default() += 1;
+        }
+    }
+    let mut breaches = Vec::new();
+    for record in &evidence.records {
+        let run = runs.get(record.id.as_str()).copied().unwrap_or(0);
+        let found = breach_of(evidence, record, run);
+        breaches.extend(
+            found.map(|what| format!("{} at machine {}: {what}", record.id, record.machine)),
+        );
+    }
+    breaches.extend(steps_back(evidence));
+    breaches.extend(late_arrivals(evidence));
+    breaches
+}
+
+fn breach_of(evidence: &Evidence, record: &Record, run: usize) -> Option<String> {
+    let once = record.kind == Kind::Bid;
+    if once && run > 1 {
+        return Some(format!("ran {run} times"));
+    }
+    if run > MOST_ATTEMPTS {
+        return Some(format!("went to {run} targets"));
+    }
+    match &record.asked {
+        Asked::Answered(answer) => {
+            let promised = matches!(answer.status, 408 | 421 | 429 | 503);
+            if once && promised && run > 0 {
+                return Some(format!("ran, and was answered {}", answer.status));
+            }
+            let own = format!("answer to {}", record.id);
+            let mixed = answer.status == 200 && answer.whole && answer.body != own;
+            mixed.then(|| format!("got another answer: {}", answer.body))
+        }
+        Asked::Nothing => {
+            let excused = overlaps(&evidence.away, record.machine, record.sent, record.ended);
+            (!excused).then(|| String::from("had no final answer in time"))
+        }
+        Asked::Closed => {
+            let stopped = overlaps(&evidence.stops, record.machine, record.sent, record.ended);
+            let excused = overlaps(&evidence.away, record.machine, record.sent, record.ended)
+                || any_overlaps(&evidence.troubled, record.sent, record.ended);
+            let cut = stopped && !excused && run > 0;
+            cut.then(|| String::from("was cut off by a planned stop"))
+        }
+    }
+}
+
+/// A node that has handled a request by a version must not handle a later one by an older version, in one boot.
+fn steps_back(evidence: &Evidence) -> Vec<String> {
+    let mut breaches = Vec::new();
+    let mut newest: HashMap<usize, (u32, Instant)> = HashMap::new();
+    let mut records: Vec<&Record> = evidence.records.iter().collect();
+    records.sort_by_key(|record| record.ended);
+    for record in records {
+        let (Kind::Version(version), Asked::Answered(answer)) = (record.kind, &record.asked) else {
+            continue;
+        };
+        match answer.status {
+            200 => {
+                let (best, seen) = newest
+                    .entry(record.machine)
+                    .or_insert((version, record.ended));
+                if version >= *best {
+                    (*best, *seen) = (version, record.ended);
+                }
+            }
+            404 => {
+                let Some((best, seen)) = newest.get(&record.machine) else {
+                    continue;
+                };
+                let since_boot = !overlaps(&evidence.away, record.machine, *seen, record.ended)
+                    && !overlaps(&evidence.stops, record.machine, *seen, record.ended);
+                if since_boot && version <= *best && record.sent > *seen {
+                    breaches.push(format!(
+                        "machine {} went back behind version {best}: 404 for {version}",
+                        record.machine
+                    ));
+                }
+            }
+            _ => {}
+        }
+    }
+    breaches
+}
+
+/// Requests that reach a leaving target although every node could know.
+fn late_arrivals(evidence: &Evidence) -> Vec<String> {
+    let mut breaches = Vec::new();
+    for leave in &evidence.leaves {
+        let Some(machine) = leave.machine else {
+            continue;
+        };
+        let from = leave.from + DRAINED;
+        let unsettled = |spans: &[Span]| {
+            any_overlaps(
+                spans,
+                leave.from.checked_sub(SETTLED).unwrap_or(leave.from),
+                leave.to,
+            )
+        };
+        if unsettled(&evidence.troubled) || unsettled(&evidence.away) || unsettled(&evidence.stops)
+        {
+            continue;
+        }
+        let late = evidence.arrivals[machine]
+            .iter()
+            .filter(|arrival| arrival.at > from && arrival.at < leave.to)
+            .count();
+        if late > 0 {
+            breaches.push(format!(
+                "{late} requests reached the leaving target {machine}"
+            ));
+        }
+    }
+    breaches
+}
+
+fn overlaps(spans: &[Span], machine: usize, from: Instant, to: Instant) -> bool {
+    let of_machine = |span: &&Span| span.machine.is_none_or(|other| other == machine);
+    spans
+        .iter()
+        .filter(of_machine)
+        .any(|span| span.from <= to && span.to >= from)
+}
+
+fn any_overlaps(spans: &[Span], from: Instant, to: Instant) -> bool {
+    spans.iter().any(|span| span.from <= to && span.to >= from)
+}
