--- a/crates/node/src/mesh/desk/entering.rs
+++ b/crates/node/src/mesh/desk/entering.rs
@@ -40,6 +40,13 @@
 impl Desk {
     /// Decides whether a request goes on, and at which service.
     pub(super) fn admit(&mut self, ask: &AdmitAsk) -> Result<Admitted, Denied> {
+        let in_force = self.config.as_ref();
+        let config = in_force.map_or(0, |config| config.version().0);
+        self.judge(ask)
+            .map_err(|denied| Denied { config, ..denied })
+    }
+
+    fn judge(&mut self, ask: &AdmitAsk) -> Result<Admitted, Denied> {
         let now = self.clock.now();
         let outer = self.runs.outer_of(&ask.id);
         if outer.is_none() && self.refuses_callers(now) {
@@ -238,6 +245,7 @@
     Denied {
         refusal,
         retry_after,
+        config: 0,
     }
 }
 
--- a/crates/node/src/mesh/desk/event.rs
+++ b/crates/node/src/mesh/desk/event.rs
@@ -95,6 +95,8 @@
     pub refusal: Refusal,
     /// When to come back.
     pub retry_after: Option<Duration>,
+    /// Version of the configuration by which it was judged; 0 where there is none.
+    pub config: u64,
 }
 
 /// A request that wants an instance.
--- a/crates/node/src/mesh/desk/handle.rs
+++ b/crates/node/src/mesh/desk/handle.rs
@@ -37,6 +37,7 @@
         let denied = Denied {
             refusal: Refusal::Stopping,
             retry_after: None,
+            config: 0,
         };
         self.ask(|tx| DeskEvent::Admit(ask, tx))
             .await
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootport_core::id::ServiceName;
-use coltsfootport_core::mesh::{Dialect, Refusal};
+use coltsfootport_core::mesh::Dialect;
 use http::header::{HOST, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
@@ -16,7 +16,7 @@
 use self::course::Course;
 use crate::clock::SharedClock;
 use crate::mesh::call::{Body, CallerAnswer, CallerRequest, Refused};
-use crate::mesh::desk::{AdmitAsk, DeskHandle};
+use crate::mesh::desk::{AdmitAsk, Denied, DeskHandle};
 use crate::mesh::host::Host;
 use crate::mesh::journal::{Ending, Journal};
 use crate::mesh::link::LinkHub;
@@ -68,7 +68,7 @@
                     refusal: denied.refusal,
                     retry_after: denied.retry_after,
                 };
-                self.log_denied(&id, denied.refusal, arrived);
+                self.log_denied(&id, denied, arrived, time_left);
                 return self.refuse(refused, &id, time_left);
             }
         };
@@ -113,18 +113,18 @@
         }
     }
 
-    fn log_denied(&self, id: &str, refusal: Refusal, arrived: Instant) {
+    fn log_denied(&self, id: &str, denied: Denied, arrived: Instant, time_left: Option<Duration>) {
         self.journal.ended(Ending {
             id,
             route: "",
             service: "",
             instance: "",
-            status: refusal.rule().status,
-            refusal: refusal.as_str(),
+            status: denied.refusal.rule().status,
+            refusal: denied.refusal.as_str(),
             attempts: 0,
             took: self.clock.now().saturating_duration_since(arrived),
-            limit: Duration::ZERO,
-            config: 0,
+            limit: time_left.unwrap_or_default(),
+            config: denied.config,
             inner: false,
         });
     }
--- a/crates/rig/src/soak/evidence.rs
+++ b/crates/rig/src/soak/evidence.rs
@@ -72,16 +72,18 @@
 
 /// The promises that are broken, as lines for people.
 pub fn breaches_of(evidence: &Evidence) -> Vec<String> {
-    let mut runs: HashMap<&str, usize> = HashMap::new();
+    let mut at_targets: HashMap<&str, AtTargets> = HashMap::new();
     for arrival in evidence.arrivals.iter().flatten() {
         if let Some(id) = arrival.header("attempt-id") {
-            *runs.entry(id).or_default() += 1;
+            let seen = at_targets.entry(id).or_default();
+            seen.arrivals += 1;
+            seen.runs += usize::from(arrival.ran);
         }
     }
     let mut breaches = Vec::new();
     for record in &evidence.records {
-        let run = runs.get(record.id.as_str()).copied().unwrap_or(0);
-        let found = breach_of(evidence, record, run);
+        let seen = at_targets.get(record.id.as_str());
+        let found = breach_of(evidence, record, seen.copied().unwrap_or_default());
         breaches.extend(
             found.map(|what| format!("{} at machine {}: {what}", record.id, record.machine)),
         );
@@ -91,18 +93,27 @@
     breaches
 }
 
-fn breach_of(evidence: &Evidence, record: &Record, run: usize) -> Option<String> {
+/// What targets saw of one request.
+#[derive(Clone, Copy, Debug, Default)]
+struct AtTargets {
+    arrivals: usize,
+    /// Arrivals that the target worked on.
+    runs: usize,
+}
+
+fn breach_of(evidence: &Evidence, record: &Record, seen: AtTargets) -> Option<String> {
     let once = record.kind == Kind::Bid;
-    if once && run > 1 {
-        return Some(format!("ran {run} times"));
+    let AtTargets { arrivals, runs } = seen;
+    if once && runs > 1 {
+        return Some(format!("ran {runs} times"));
     }
-    if run > MOST_ATTEMPTS {
-        return Some(format!("went to {run} targets"));
+    if arrivals > MOST_ATTEMPTS {
+        return Some(format!("went to {arrivals} targets"));
     }
     match &record.asked {
         Asked::Answered(answer) => {
             let promised = matches!(answer.status, 408 | 421 | 429 | 503);
-            if once && promised && run > 0 {
+            if once && promised && runs > 0 {
                 return Some(format!("ran, and was answered {}", answer.status));
             }
             let own = format!("answer to {}", record.id);
@@ -117,7 +128,7 @@
             let stopped = overlaps(&evidence.stops, record.machine, record.sent, record.ended);
             let excused = overlaps(&evidence.away, record.machine, record.sent, record.ended)
                 || any_overlaps(&evidence.troubled, record.sent, record.ended);
-            let cut = stopped && !excused && run > 0;
+            let cut = stopped && !excused && arrivals > 0;
             cut.then(|| String::from("was cut off by a planned stop"))
         }
     }
--- a/crates/rig/tests/soak.rs
+++ b/crates/rig/tests/soak.rs
@@ -72,10 +72,20 @@
     }
 
     /// It arrives at the target of a machine.
-    fn arrived(mut self, machine: usize, ms: u64) -> Self {
+    fn arrived(self, machine: usize, ms: u64) -> Self {
+        self.at_target(machine, ms, true)
+    }
+
+    /// It arrives, and the target says that it does not run it.
+    fn turned_away(self, machine: usize, ms: u64) -> Self {
+        self.at_target(machine, ms, false)
+    }
+
+    fn at_target(mut self, machine: usize, ms: u64, ran: bool) -> Self {
         let arrival = Arrival {
             head: String::from("GET / HTTP/1.1\r\nAttempt-Id: r\r\n"),
             body: String::new(),
+            ran,
             broken_off: false,
             connection: 1,
             at: self.at(ms),
@@ -127,6 +137,14 @@
             },
             breaches: 1,
         },
+        Case {
+            name: "turned away by one target and run by the next",
+            seen: || {
+                let seen = Seen::new().asked(Kind::Bid, answer(200, "answer to r"));
+                seen.turned_away(0, 1020).arrived(1, 1050)
+            },
+            breaches: 0,
+        },
         Case {
             name: "repeated where it may be",
             seen: || {
