--- a/crates/node/tests/mesh_settings.rs
+++ b/crates/node/tests/mesh_settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a mesh node.
 
 use coltsfootport::mesh::MeshSettings;
+use proptest::prelude::*;
 
 const MINIMAL: &str = r#"{
   "node": { "name": "n", "service": "s", "domain": "d", "target": "10.0.0.1:1", "callers": "10.0.0.1:2",
@@ -122,3 +123,27 @@
         assert_eq!(old.at_next_start(&new), case.keys, "{}", case.to);
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, rng_seed: proptest::test_runner::RngSeed::Fixed(3), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Settings with bytes that are wrong, missing or there twice are read or refused with at least one fault that tells why.
+    #[test]
+    fn damaged_settings_are_read_or_refused_with_a_reason(
+        damages in prop::collection::vec((0..400_usize, 0..20_usize, prop::collection::vec(any::<char>(), 0..4)), 1..4),
+    ) {
+        let mut text: Vec<char> = MINIMAL.chars().collect();
+        for (at, length, with) in damages {
+            let from = at % text.len();
+            let to = (from + length).min(text.len());
+            text.splice(from..to, with);
+            if text.is_empty() {
+                return Ok(());
+            }
+        }
+        let text: String = text.into_iter().collect();
+        if let Err(faults) = MeshSettings::parse(&text) {
+            prop_assert!(!faults.is_empty(), "refused without a reason: {text}");
+        }
+    }
+}
