--- a/crates/rig/src/soak/evidence.rs
+++ b/crates/rig/src/soak/evidence.rs
@@ -74,7 +74,7 @@
 pub fn breaches_of(evidence: &Evidence) -> Vec<String> {
     let mut at_targets: HashMap<&str, AtTargets> = HashMap::new();
     for arrival in evidence.arrivals.iter().flatten() {
-        if let Some(id) = arrival.header("attempt-id") {
+        if let Some(id) = arrival.id() {
             let seen = at_targets.entry(id).or_default();
             seen.arrivals += 1;
             seen.runs += usize::from(arrival.ran);
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -310,14 +310,13 @@
             .map(|n| route(&format!("v{n}"), &format!("/v{n}/"), "idempotent", 1))
             .collect();
         let more = format!(",{}", more.join(","));
-        self.store.put("op/config", &config(version + 1, &more));
+        self.store.put_config(&config(version + 1, &more));
     }
 
     fn list(&self, at: usize, state: &str) {
         let machine = &self.machines[at];
-        let key = format!("servers/{}", machine.worker.id);
-        self.store
-            .put(&key, &entry(machine.target, &machine.domain, state));
+        let text = entry(machine.target, &machine.domain, state);
+        self.store.put_entry(&machine.worker.id, &text);
     }
 
     /// After the last strike every machine must serve again.
--- a/crates/rig/tests/soak.rs
+++ b/crates/rig/tests/soak.rs
@@ -82,14 +82,7 @@
     }
 
     fn at_target(mut self, machine: usize, ms: u64, ran: bool) -> Self {
-        let arrival = Arrival {
-            head: String::from("GET / HTTP/1.1\r\nAttempt-Id: r\r\n"),
-            body: String::new(),
-            ran,
-            broken_off: false,
-            connection: 1,
-            at: self.at(ms),
-        };
+        let arrival = Arrival::of("r", self.at(ms), ran);
         self.evidence.arrivals[machine].push(arrival);
         self
     }
