Read once more: one piece where two stood, and state that nothing read is gone

Cause: a second reading of the change found twins and leftovers. - 'Refused without a time to come back' stood in host.rs, course.rs and reader.rs: From<Refusal> for Refused. - The cap on the time to come back was taken at the desk and again, by the same share, in Entry::refuse, which sees every refusal: the desk's copy and the field that fed it are gone. - The settings of who reads had a copy in the desk, which a reload changed although the line about the reload says that 'publisher' waits for the next start. The news task owns them and sends them along; that one value now holds as told, the only behaviour that differs. A fleet within 'direct' is no longer sorted four times a second for a view that nobody reads. - StoreReader took its own clock; it is passed in. Assertions are as they were.

Ruled out: merging the two watchers' loops of health.rs and desk/task.rs (same shape, nothing in common).

--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -12,7 +12,8 @@
 use crate::collections::{Map, Set};
 use crate::id::{DomainName, ServiceName};
 use crate::mesh::{
-    FleetConfig, GoneEffect, Instance, Observed, PutEffect, ReadersView, SendOutcome, Standing,
+    FleetConfig, GoneEffect, Instance, Observed, PutEffect, ReadersConfig, ReadersView,
+    SendOutcome, Standing,
 };
 
 new_key_type! {
@@ -283,9 +284,17 @@
 
     /// The fleet as the node at `own` sees it when it decides who reads the publisher.
     ///
-    /// In each failure domain the `appointed` oldest instances that are not leaving are those that read. All nodes have
-    /// nearly the same list, so they agree without a word; where they don't, one more node reads for a moment.
-    pub fn readers_view(&self, own: IpAddr, appointed: usize) -> ReadersView {
+    /// In each failure domain the oldest instances that are not leaving are those that read. All nodes have nearly the same
+    /// list, so they agree without a word; where they don't, one more node reads for a moment. In a small fleet everyone
+    /// reads, and nobody is sought out.
+    pub fn readers_view(&self, own: IpAddr, cfg: &ReadersConfig) -> ReadersView {
+        let mut view = ReadersView {
+            instances: self.members.len(),
+            ..Default::default()
+        };
+        if view.instances <= cfg.direct {
+            return view;
+        }
         let mut by_domain: BTreeMap<&DomainName, Vec<(u64, &str, IpAddr)>> = BTreeMap::new();
         for member in self.members.values().filter(|m| m.standing.takes_work()) {
             let Instance {
@@ -298,14 +307,10 @@
             let of_domain = by_domain.entry(domain).or_default();
             of_domain.push((*created, id, address.ip()));
         }
-        let mut view = ReadersView {
-            instances: self.members.len(),
-            ..Default::default()
-        };
         let own_first = by_domain.remove_entry(&self.cfg.domain);
         for (_, mut of_domain) in own_first.into_iter().chain(by_domain) {
             of_domain.sort_unstable();
-            let oldest = of_domain.iter().take(appointed).map(|(_, _, ip)| *ip);
+            let oldest = of_domain.iter().take(cfg.appointed).map(|(_, _, ip)| *ip);
             for ip in oldest {
                 match ip == own {
                     true => view.appointed = true,
--- a/crates/core/tests/mesh_readers.rs
+++ b/crates/core/tests/mesh_readers.rs
@@ -198,12 +198,16 @@
     ] {
         fleet.put(instance(n, domain, created), now);
     }
-    let of_other = fleet.readers_view(ip(1), 2);
+    let large = ReadersConfig {
+        direct: 0,
+        ..Default::default()
+    };
+    let of_other = fleet.readers_view(ip(1), &large);
     assert!(!of_other.appointed);
     assert_eq!(of_other.instances, 6);
     let expected = [ip(2), ip(3), ip(4), ip(5)];
     assert_eq!(of_other.candidates, expected, "the own domain first");
-    let of_appointed = fleet.readers_view(ip(3), 2);
+    let of_appointed = fleet.readers_view(ip(3), &large);
     assert!(of_appointed.appointed);
     assert!(!of_appointed.candidates.contains(&ip(3)), "not itself");
     let leaving = Instance {
@@ -211,5 +215,5 @@
         ..instance(2, "a", 4)
     };
     fleet.put(leaving, now);
-    assert!(fleet.readers_view(ip(1), 2).appointed, "next in age");
+    assert!(fleet.readers_view(ip(1), &large).appointed, "next in age");
 }
--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -109,6 +109,16 @@
     pub retry_after: Option<Duration>,
 }
 
+impl From<Refusal> for Refused {
+    /// Refused without a time to come back.
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            retry_after: None,
+        }
+    }
+}
+
 /// What a host tells with each reply.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -16,9 +16,7 @@
 use crate::h1::{
     BodyDecoder, Decoded, Framing, H1Error, RequestHead, parse_request, request_framing,
 };
-use crate::mesh::call::{
-    Body, CallerAnswer, CallerRequest, CutShort, HELD_BODY, Refused, WAITING_PIECES,
-};
+use crate::mesh::call::{Body, CallerAnswer, CallerRequest, CutShort, HELD_BODY, WAITING_PIECES};
 
 /// Bytes read at a time.
 const READ_SIZE: usize = 8 * 1024;
@@ -264,11 +262,7 @@
     }
 
     async fn refuse(&self, refusal: Refusal, slots: &mpsc::Sender<Slot>) {
-        let refused = Refused {
-            refusal,
-            retry_after: None,
-        };
-        let answer = self.cfg.entry.refuse(refused, "", None);
+        let answer = self.cfg.entry.refuse(refusal.into(), "", None);
         let (tx, rx) = oneshot::channel();
         let _ = tx.send(answer);
         let slot = Slot {
--- a/crates/node/src/mesh/desk/entering.rs
+++ b/crates/node/src/mesh/desk/entering.rs
@@ -21,9 +21,6 @@
 /// What a wholly shed rank adds to that time.
 const BACK_LATER: Duration = Duration::from_millis(250);
 
-/// Share of its remaining time after which a caller is still asked to come back; callers honour up to a third.
-const BACK_SHARE: f64 = 0.32;
-
 /// When to come back to a node without configuration or instances.
 const BACK_NOT_READY: Duration = Duration::from_millis(500);
 
@@ -119,8 +116,6 @@
             .shed(&ask.id, route, self.shedder.level(&route.name, now), share);
         let wait =
             (BACK_SOONEST + BACK_LATER.mul_f64(share)).mul_f64(self.rng.random_range(0.75..1.25));
-        let most = ask.time_left.map(|left| left.mul_f64(BACK_SHARE));
-        let wait = most.map_or(wait, |most| wait.min(most));
         Err(denied(Refusal::Shed, Some(wait)))
     }
 
--- a/crates/node/src/mesh/desk/event.rs
+++ b/crates/node/src/mesh/desk/event.rs
@@ -5,8 +5,8 @@
 
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{
-    Chosen, InstanceKey, MeshConfig, ReadersView, Refusal, RouteKey, SendOutcome, Ticket,
-    UpdateBatch,
+    Chosen, InstanceKey, MeshConfig, ReadersConfig, ReadersView, Refusal, RouteKey, SendOutcome,
+    Ticket, UpdateBatch,
 };
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
@@ -44,7 +44,7 @@
     /// Whether the node has a configuration, for the readiness check.
     IsReady(oneshot::Sender<bool>),
     /// Who reads the publisher, for the news.
-    ReadersView(oneshot::Sender<ReadersView>),
+    ReadersView(ReadersConfig, oneshot::Sender<ReadersView>),
     /// Number of requests of others that wait or run here.
     Hosted(oneshot::Sender<usize>),
 }
@@ -58,8 +58,6 @@
     pub path: SmolStr,
     /// Its id.
     pub id: SmolStr,
-    /// Time that its caller will wait, where it said so.
-    pub time_left: Option<Duration>,
 }
 
 /// The run which a request serves.
--- a/crates/node/src/mesh/desk/handle.rs
+++ b/crates/node/src/mesh/desk/handle.rs
@@ -2,7 +2,7 @@
 
 use tokio::sync::{mpsc, oneshot};
 
-use coltsfootport_core::mesh::{ReadersView, Refusal};
+use coltsfootport_core::mesh::{ReadersConfig, ReadersView, Refusal};
 
 use super::{
     AdmitAsk, Admitted, AgainAsk, Denied, DeskEvent, EnterAsk, Granted, NotGranted, SendAsk, SendTo,
@@ -28,8 +28,8 @@
     }
 
     /// Who reads the publisher.
-    pub async fn readers_view(&self) -> Option<ReadersView> {
-        self.ask(DeskEvent::ReadersView).await
+    pub async fn readers_view(&self, cfg: ReadersConfig) -> Option<ReadersView> {
+        self.ask(|tx| DeskEvent::ReadersView(cfg, tx)).await
     }
 
     /// Asks whether and how a request may go on.
--- a/crates/node/src/mesh/desk/news.rs
+++ b/crates/node/src/mesh/desk/news.rs
@@ -5,7 +5,7 @@
 
 use coltsfootport_core::collections::Set;
 use coltsfootport_core::mesh::{
-    GoneEffect, Instance, MeshConfig, PutEffect, ReadersView, Update, UpdateBatch,
+    GoneEffect, Instance, MeshConfig, PutEffect, ReadersConfig, ReadersView, Update, UpdateBatch,
 };
 use slog::{info, warn};
 use smol_str::SmolStr;
@@ -65,9 +65,8 @@
     }
 
     /// The fleet as far as the reading of the publisher is concerned.
-    pub(super) fn readers_view(&self) -> ReadersView {
-        let own = self.cfg.target.ip();
-        self.fleet.readers_view(own, self.cfg.appointed_readers)
+    pub(super) fn readers_view(&self, cfg: &ReadersConfig) -> ReadersView {
+        self.fleet.readers_view(self.cfg.target.ip(), cfg)
     }
 
     /// Shows beliefs as metrics, and moves of the own level in the log.
--- a/crates/node/src/mesh/desk/state.rs
+++ b/crates/node/src/mesh/desk/state.rs
@@ -8,8 +8,8 @@
 use coltsfootport_core::collections::Map;
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{
-    CallerLimits, Fleet, FleetConfig, GateConfig, MeshConfig, ReadersConfig, RetryBudget,
-    RetryBudgetConfig, Shedder, ShedderConfig, Split, TargetGate, Ticket,
+    CallerLimits, Fleet, FleetConfig, GateConfig, MeshConfig, RetryBudget, RetryBudgetConfig,
+    Shedder, ShedderConfig, Split, TargetGate, Ticket,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -39,8 +39,6 @@
     pub shedder: ShedderConfig,
     /// Waiting for the target.
     pub gate: GateConfig,
-    /// Nodes of each failure domain that read the publisher in a large fleet.
-    pub appointed_readers: usize,
     /// Age of the publisher's last answer up to which an unknown route is said not to exist.
     pub publisher_fresh: Duration,
     /// Level from which requests from outside are not sent again after a failure: what it costs is missing to others.
@@ -56,7 +54,6 @@
             fleet: FleetConfig::default(),
             shedder: ShedderConfig::default(),
             gate: GateConfig::default(),
-            appointed_readers: ReadersConfig::default().appointed,
             publisher_fresh: Duration::from_millis(2600),
             no_repeat_level: 0.5,
         }
--- a/crates/node/src/mesh/desk/task.rs
+++ b/crates/node/src/mesh/desk/task.rs
@@ -44,7 +44,7 @@
             DeskEvent::Stop => self.stop(),
             DeskEvent::Configured(cfg) => self.configure(*cfg),
             DeskEvent::IsReady(tx) => drop(tx.send(self.is_ready())),
-            DeskEvent::ReadersView(tx) => drop(tx.send(self.readers_view())),
+            DeskEvent::ReadersView(cfg, tx) => drop(tx.send(self.readers_view(&cfg))),
             DeskEvent::Hosted(tx) => drop(tx.send(self.runs.len() + self.waiting.len())),
         }
     }
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -57,9 +57,8 @@
             host: text_header(&req.head.headers, HOST.as_str()),
             path: SmolStr::new(req.head.path()),
             id: id.clone(),
-            time_left: told.map(Duration::from_millis),
         };
-        let time_left = ask.time_left;
+        let time_left = told.map(Duration::from_millis);
         let arrived = req.arrived;
         let admitted = match self.desk.admit(ask).await {
             Ok(admitted) => admitted,
--- a/crates/node/src/mesh/entry/course.rs
+++ b/crates/node/src/mesh/entry/course.rs
@@ -98,7 +98,7 @@
 
     /// Sends the request to instances until one answers or nothing is left to try.
     pub(super) async fn run(&mut self) -> Result<TargetAnswer, Refused> {
-        let mut result = Err(refused(Refusal::NoInstance));
+        let mut result = Err(Refused::from(Refusal::NoInstance));
         loop {
             let Some(to) = self.next_instance().await else {
                 return result;
@@ -157,7 +157,7 @@
             Err(LinkFault::Lost(_) | LinkFault::Silent) => {
                 to.guard.end(SendOutcome::NotReached, None);
                 self.at_targets += 1;
-                self.failed(Err(refused(Refusal::Lost)), true).await
+                self.failed(Err(Refused::from(Refusal::Lost)), true).await
             }
         }
     }
@@ -221,8 +221,8 @@
     fn moved(&mut self, refusal: Refusal) -> Next {
         self.moves += 1;
         match self.moves <= MOST_MOVES {
-            true => Next::Again(Err(refused(refusal))),
-            false => Next::Done(Err(refused(refusal))),
+            true => Next::Again(Err(Refused::from(refusal))),
+            false => Next::Done(Err(Refused::from(refusal))),
         }
     }
 
@@ -282,8 +282,8 @@
     /// What its caller is told when its time is over.
     pub(super) fn expired(&self) -> Refused {
         match self.out || self.at_targets > 0 {
-            true => refused(Refusal::Expired),
-            false => refused(Refusal::ExpiredUnsent),
+            true => Refused::from(Refusal::Expired),
+            false => Refused::from(Refusal::ExpiredUnsent),
         }
     }
 
@@ -335,13 +335,6 @@
     }
 }
 
-fn refused(refusal: Refusal) -> Refused {
-    Refused {
-        refusal,
-        retry_after: None,
-    }
-}
-
 fn reason(result: &Result<TargetAnswer, Refused>) -> SmolStr {
     match result {
         Ok(answer) => SmolStr::new(answer.status.as_str()),
--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -93,21 +93,21 @@
         // The clock counts suspensions, the runtime's timers don't: the last look before the request leaves the node.
         let left = req.deadline.saturating_duration_since(self.clock.now());
         if left.is_zero() {
-            return Err(refused(Refusal::ExpiredUnsent));
+            return Err(Refused::from(Refusal::ExpiredUnsent));
         }
         let body = std::mem::replace(&mut req.body, Body::empty());
         let wire = WireRequest::new(&req, left, &self.dialect);
         let exchanged = exchange(conn, &self.pool, wire, body, &self.dialect);
         match timeout(left + grace, exchanged).await {
             Ok(Ok(exchanged)) => self.judge(&req, exchanged),
-            Ok(Err(ExchangeFault::CallerCut)) => Err(refused(Refusal::CallerGone)),
+            Ok(Err(ExchangeFault::CallerCut)) => Err(Refused::from(Refusal::CallerGone)),
             Ok(Err(fault @ ExchangeFault::Closed(_))) => {
                 Err(self.failed(&req, Refusal::Lost, &fault.to_string()))
             }
             Ok(Err(fault @ ExchangeFault::Broken(_))) => {
                 Err(self.failed(&req, Refusal::BrokenAnswer, &fault.to_string()))
             }
-            Err(_) => Err(refused(Refusal::Expired)),
+            Err(_) => Err(Refused::from(Refusal::Expired)),
         }
     }
 
@@ -134,7 +134,7 @@
     fn failed(&self, req: &HostedRequest, refusal: Refusal, detail: &str) -> Refused {
         self.journal
             .target_failed(&req.id, &req.instance, refusal.as_str(), detail);
-        refused(refusal)
+        Refused::from(refusal)
     }
 }
 
@@ -148,13 +148,6 @@
     )
 }
 
-fn refused(refusal: Refusal) -> Refused {
-    Refused {
-        refusal,
-        retry_after: None,
-    }
-}
-
 fn not_granted(not: NotGranted) -> HostReply {
     HostReply {
         result: Err(Refused {
@@ -168,7 +161,7 @@
 /// The task that ran the request has ended without a reply, which only a defect causes: nothing is known.
 fn lost() -> HostReply {
     HostReply {
-        result: Err(refused(Refusal::Lost)),
+        result: Err(Refused::from(Refusal::Lost)),
         report: Report::default(),
     }
 }
--- a/crates/node/src/mesh/news/board.rs
+++ b/crates/node/src/mesh/news/board.rs
@@ -15,7 +15,6 @@
 pub struct Board {
     /// The revision before the oldest change that is kept.
     floor: u64,
-    revision: u64,
     changes: VecDeque<Changes>,
     bytes: usize,
     /// Whether this node reads the publisher, and it answers.
@@ -28,14 +27,12 @@
     /// Begins anew after everything was listed at a revision.
     pub fn listed(&mut self, revision: u64) {
         self.floor = revision;
-        self.revision = revision;
         self.changes.clear();
         self.bytes = 0;
     }
 
     /// Takes in changes that follow on what is kept.
     pub fn push(&mut self, changes: Changes) {
-        self.revision = changes.revision;
         self.bytes += changes.body.len();
         self.changes.push_back(changes);
         while self.changes.len() > MOST_CHANGES || self.bytes > MOST_BYTES {
--- a/crates/node/src/mesh/news/store_reader.rs
+++ b/crates/node/src/mesh/news/store_reader.rs
@@ -18,6 +18,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::source::{Changes, Heard, Source, What};
+use crate::clock::SharedClock;
 use crate::mesh::metrics::MeshMetrics;
 use crate::mesh::settings::FeedSettings;
 
@@ -83,6 +84,8 @@
     pub publisher: Arc<dyn Publisher>,
     /// Counts reads.
     pub metrics: MeshMetrics,
+    /// Time.
+    pub clock: SharedClock,
     /// Log.
     pub log: Logger,
     /// Who hears it.
@@ -140,7 +143,7 @@
             *failures = 0;
             let rest = match batch.updates.is_empty() {
                 true => Duration::ZERO,
-                false => flood.rest(Instant::now()),
+                false => flood.rest(self.clock.now()),
             };
             let changes = Changes {
                 after,
--- a/crates/node/src/mesh/news/task.rs
+++ b/crates/node/src/mesh/news/task.rs
@@ -173,7 +173,12 @@
 
     /// Looks at who should read, and begins or ends to do so.
     async fn review(&mut self) {
-        let view = self.news.desk.readers_view().await.unwrap_or_default();
+        let view = self
+            .news
+            .desk
+            .readers_view(self.news.cfg.readers)
+            .await
+            .unwrap_or_default();
         let followers = self.news.followers.load(Ordering::SeqCst);
         let now = self.news.clock.now();
         let plan = self.readers.plan(&view, followers, now);
@@ -189,6 +194,7 @@
                     cfg: self.news.cfg,
                     publisher: Arc::clone(&self.news.publisher),
                     metrics: self.news.metrics.clone(),
+                    clock: Arc::clone(&self.news.clock),
                     log: self.news.log.clone(),
                     tx: self.tx.clone(),
                 };
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -229,7 +229,6 @@
             },
             ..Default::default()
         },
-        appointed_readers: settings.publisher.readers.appointed,
         ..Default::default()
     }
 }
--- a/crates/node/tests/log.rs
+++ b/crates/node/tests/log.rs
@@ -1,43 +1,24 @@
 //! The form of log lines.
 
-use std::io::{self, Write};
-use std::sync::mpsc::{Sender, channel};
+mod support;
 
 use coltsfootport::log::{LogFormat, LogLevel, of_request, start_json};
 use coltsfootport_core::id::RequestId;
 use serde_json::Value;
 use slog::{debug, error, info, warn};
 
-/// Sends what is written to the test.
-struct Out(Sender<Vec<u8>>);
-
-impl Write for Out {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.send(bytes.to_vec()).map_err(io::Error::other)?;
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
+use support::{lines_of, sink};
 
 fn lines(level: LogLevel) -> Vec<Value> {
-    let (tx, rx) = channel();
-    let (log, guard) = start_json(Out(tx), level, &"bidding-1".into(), &"bidding".into());
+    let (out, rx) = sink();
+    let (log, guard) = start_json(out, level, &"bidding-1".into(), &"bidding".into());
     error!(log, "one"; "invariant" => "dispatched-twice");
     warn!(log, "two");
     info!(of_request(&log, RequestId(255)), "three\n");
     debug!(log, "four");
     drop(log);
     drop(guard);
-    let text = rx.into_iter().flatten().collect::<Vec<_>>();
-    let lines = text
-        .split(|byte| *byte == b'\n')
-        .filter(|line| !line.is_empty());
-    lines
-        .map(|line| serde_json::from_slice(line).unwrap())
-        .collect()
+    lines_of(rx)
 }
 
 #[test]
--- a/crates/node/tests/mesh_journal.rs
+++ b/crates/node/tests/mesh_journal.rs
@@ -1,7 +1,8 @@
 //! The volume of a mesh node's lines about requests, and what a log that nobody reads does to the node.
 
+mod support;
+
 use std::io::{self, Write};
-use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -11,6 +12,8 @@
 use coltsfootport::mesh::journal::{Ending, Journal};
 use serde_json::Value;
 
+use support::{lines_of, sink};
+
 /// A clock that stands still until it is moved.
 struct HandClock(Mutex<Instant>);
 
@@ -30,19 +33,6 @@
     }
 }
 
-struct Out(Sender<Vec<u8>>);
-
-impl Write for Out {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.send(bytes.to_vec()).map_err(io::Error::other)?;
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 /// A reader that takes nothing until it is let go.
 #[derive(Clone, Default)]
 struct Stalled(Arc<(Mutex<bool>, Condvar)>);
@@ -104,8 +94,8 @@
 /// Cause: nothing bounded the lines. What is left out must be told, or a reader counts wrongly.
 #[test]
 fn lines_above_the_rate_are_counted_and_told() {
-    let (tx, rx) = channel();
-    let (journal, clock, metrics, guard) = journal(Out(tx));
+    let (out, rx) = sink();
+    let (journal, clock, metrics, guard) = journal(out);
     for _ in 0..1000 {
         journal.ended(ending(503, "shed"));
     }
@@ -117,12 +107,7 @@
     clock.advance(Duration::from_secs(1));
     journal.ended(ending(504, "expired"));
     drop((journal, guard));
-    let text: Vec<u8> = rx.into_iter().flatten().collect();
-    let lines: Vec<Value> = text
-        .split(|byte| *byte == b'\n')
-        .filter(|line| !line.is_empty())
-        .map(|line| serde_json::from_slice(line).expect("a line of JSON"))
-        .collect();
+    let lines = lines_of(rx);
     assert_eq!(lines.len() as u64, 1000 - left_out + 2);
     let last = lines.last().expect("a line");
     assert_eq!(last["dropped"], left_out);
--- a/crates/rig/src/soak/evidence.rs
+++ b/crates/rig/src/soak/evidence.rs
@@ -180,14 +180,11 @@
             continue;
         };
         let from = leave.from + DRAINED;
-        let unsettled = |spans: &[Span]| {
-            any_overlaps(
-                spans,
-                leave.from.checked_sub(SETTLED).unwrap_or(leave.from),
-                leave.to,
-            )
-        };
-        if unsettled(&evidence.troubled) || unsettled(&evidence.away) || unsettled(&evidence.stops)
+        let before = leave.from.checked_sub(SETTLED).unwrap_or(leave.from);
+        let unsettled = [&evidence.troubled, &evidence.away, &evidence.stops];
+        if unsettled
+            .iter()
+            .any(|spans| any_overlaps(spans, before, leave.to))
         {
             continue;
         }
@@ -204,14 +201,23 @@
     breaches
 }
 
+impl Span {
+    /// Whether it has a moment in common with the time between two others.
+    fn meets(&self, from: Instant, to: Instant) -> bool {
+        self.from <= to && self.to >= from
+    }
+
+    /// Whether it is about a machine.
+    fn is_of(&self, machine: usize) -> bool {
+        self.machine.is_none_or(|other| other == machine)
+    }
+}
+
 fn overlaps(spans: &[Span], machine: usize, from: Instant, to: Instant) -> bool {
-    let of_machine = |span: &&Span| span.machine.is_none_or(|other| other == machine);
-    spans
-        .iter()
-        .filter(of_machine)
-        .any(|span| span.from <= to && span.to >= from)
+    let mut of_machine = spans.iter().filter(|span| span.is_of(machine));
+    of_machine.any(|span| span.meets(from, to))
 }
 
 fn any_overlaps(spans: &[Span], from: Instant, to: Instant) -> bool {
-    spans.iter().any(|span| span.from <= to && span.to >= from)
+    spans.iter().any(|span| span.meets(from, to))
 }
--- a/crates/rig/src/soak/machine.rs
+++ b/crates/rig/src/soak/machine.rs
@@ -3,9 +3,9 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use coltsfootport_stand_ins::{Act, Store, Worker};
-use std::time::Duration;
 
 use crate::error::RigError;
 use crate::fleet::Programs;
