After a failure the publisher is asked without a wait; the load up to which work is admitted is 1.05

Cause by reading: a watch asked a moment before the return is given up after its wait, the longest time for an answer and a pause: 1.8 + 0.6 + 0.8 s. Now the first look after a failure waits for nothing and the pause is 0.4 s at most: 1 s. A level that knows the offered load needs no reserve below one; queues count against it when they stand.

--- a/crates/core/src/mesh/level.rs
+++ b/crates/core/src/mesh/level.rs
@@ -5,8 +5,9 @@
 /// How a level follows the load.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LevelConfig {
-    /// Load up to which work is admitted: work that arrives over work that the slots can do. The rest is for fluctuations:
-    /// above it queues form before slots that each request passes several times.
+    /// Load up to which work is admitted: work that arrives over work that the slots can do. A little above one keeps all
+    /// slots busy; the queue that it makes counts against it as soon as it stands. 0.9 served three in a hundred requests
+    /// less in surges; between 1.0 and 1.1 there was no difference.
     pub target_load: f64,
     /// Time over which arrivals are counted.
     pub load_window: Duration,
@@ -17,7 +18,7 @@
 impl Default for LevelConfig {
     fn default() -> Self {
         Self {
-            target_load: 0.95,
+            target_load: 1.05,
             load_window: Duration::from_millis(400),
             max: 2.5,
         }
--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -65,7 +65,7 @@
 pub enum Entered {
     /// It has a slot.
     Run(Ticket),
-    /// It waits; [`TargetGate::next`] will name it.
+    /// It waits; [`TargetGate::next_start`] will name it.
     Wait(Ticket),
     /// It would wait too long.
     Refused {
@@ -209,7 +209,7 @@
     }
 
     /// The next request that gets a slot; to be asked until there is none.
-    pub fn next(&mut self) -> Option<Ticket> {
+    pub fn next_start(&mut self) -> Option<Ticket> {
         if self.running() >= self.usable || self.queue.is_empty() {
             return None;
         }
--- a/crates/node/src/mesh/desk/hosting.rs
+++ b/crates/node/src/mesh/desk/hosting.rs
@@ -95,7 +95,7 @@
         for ticket in self.gate.expire(now) {
             self.refuse_waiter(ticket, Refusal::ExpiredUnsent);
         }
-        while let Some(ticket) = self.gate.next() {
+        while let Some(ticket) = self.gate.next_start() {
             match self.waiting.remove(&ticket) {
                 Some(waiter) if !waiter.reply.is_closed() => self.grant(ticket, waiter, now),
                 _ => self.gate.give_back(ticket),
--- a/crates/node/src/mesh/news/store_reader.rs
+++ b/crates/node/src/mesh/news/store_reader.rs
@@ -28,10 +28,17 @@
 /// Pages of one list at most; guards against a publisher whose pages never end.
 const MOST_PAGES: usize = 4096;
 
-/// First pause after a failure, doubled up to eight times this. Short, since a configuration must be in force within
+/// First pause after a failure, doubled up to four times this. Short, since a configuration must be in force within
 /// seconds of the publisher's return; every read is paid for, so it grows.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
+/// Wait of the first watch after a failure: none.
+///
+/// A publisher that is silent answers nothing that was asked before its return, so a whole watch that is asked a moment
+/// before it hides the return for its wait, the longest time for an answer and a pause: 3.2 s with the defaults, in which
+/// requests are handled by a version that was replaced. With a first look that waits for nothing it is 1 s.
+const FIRST_LOOK: Duration = Duration::ZERO;
+
 /// Pause after an answer with changes that came soon after another one, doubled for each further one.
 ///
 /// A fleet that starts writes one entry after the other, and each of them would cost every reader a call: 7,000 calls in the
@@ -135,8 +142,12 @@
                 *failures = 0;
                 continue;
             };
-            let path = self.publisher.watch_path(after, self.cfg.watch);
-            let body = self.fetch(&mut tx, path, self.cfg.watch).await?;
+            let wait = match *failures {
+                0 => self.cfg.watch,
+                _ => FIRST_LOOK,
+            };
+            let path = self.publisher.watch_path(after, wait);
+            let body = self.fetch(&mut tx, path, wait).await?;
             let batch = self.publisher.read_watch(&body)?;
             let until = batch.revision.max(after);
             *revision = Some(until);
@@ -268,5 +279,5 @@
 }
 
 fn pause(failures: u32) -> Duration {
-    FIRST_PAUSE * (1 << failures.saturating_sub(1).min(3))
+    FIRST_PAUSE * (1 << failures.saturating_sub(1).min(2))
 }
