--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -18,8 +18,11 @@
 };
 use crate::mesh::call::{Body, CallerAnswer, CallerRequest, CutShort, HELD_BODY, WAITING_PIECES};
 
-/// Bytes read at a time.
-const READ_SIZE: usize = 8 * 1024;
+/// Bytes read at a time while a long body comes in.
+const LONG_READ: usize = 16 * 1024;
+
+/// Bytes read at a time else: usual heads fit in. Each connection holds so much while it waits, hundreds of them in a surge.
+const SHORT_READ: usize = 1024;
 
 /// How long and how much is read after the last answer. Closing with unread bytes resets the connection, and the caller
 /// may lose the answer that it has not read yet.
@@ -29,6 +32,8 @@
 pub struct Reader {
     read: OwnedReadHalf,
     buf: BytesMut,
+    /// Bytes to be read at the next time.
+    next_read: usize,
     shared: Arc<Shared>,
     cfg: CallersConfig,
 }
@@ -49,6 +54,7 @@
         Self {
             read,
             buf: BytesMut::new(),
+            next_read: SHORT_READ,
             shared,
             cfg,
         }
@@ -282,10 +288,15 @@
     }
 
     async fn fill(&mut self) -> Result<(), End> {
-        self.buf.reserve(READ_SIZE);
-        match self.read.read_buf(&mut self.buf).await {
-            Ok(read) if read > 0 => Ok(()),
-            _ => Err(End::Left),
-        }
+        self.buf.reserve(self.next_read);
+        let read = match self.read.read_buf(&mut self.buf).await {
+            Ok(read) if read > 0 => read,
+            _ => return Err(End::Left),
+        };
+        self.next_read = match read >= self.next_read {
+            true => LONG_READ,
+            false => SHORT_READ,
+        };
+        Ok(())
     }
 }
--- a/crates/node/src/mesh/entry/course.rs
+++ b/crates/node/src/mesh/entry/course.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use coltsfootport_core::mesh::{Impatient, InstanceKey, Refusal, Repeat, SendOutcome};
-use http::header::{HeaderName, HeaderValue};
 use smol_str::SmolStr;
 
 use super::Entry;
@@ -66,12 +65,10 @@
         }
         let mut head = req.head;
         strip_hop_by_hop(&mut head.headers);
-        if !id.is_empty()
-            && let Ok(value) = HeaderValue::from_str(&id)
-        {
-            // A caller that names it as a header of the connection would otherwise have it removed.
-            let name = HeaderName::from_static(entry.dialect.request_id);
-            head.headers.insert(name, value);
+        // The host sets them anew; between nodes they would be a quarter of the head of a call.
+        head.headers.remove(entry.dialect.time_left_ms);
+        if !id.is_empty() {
+            head.headers.remove(entry.dialect.request_id);
         }
         Self {
             entry,
--- a/crates/node/src/mesh/link/endpoint.rs
+++ b/crates/node/src/mesh/link/endpoint.rs
@@ -28,7 +28,7 @@
 
 /// Streams that one peer may have open: requests that it has here at a time. The library keeps state for each of them from
 /// the start, so a large number costs memory on every link: with 8,192 a node of a fleet of 14 held 29 MB, half of it this.
-const STREAMS: u32 = 512;
+const STREAMS: u32 = 256;
 
 /// Bytes of one stream that may be on their way unread. A held body fits in, so it leaves the sender at once.
 const STREAM_WINDOW: u32 = 128 * 1024;
--- a/crates/node/src/mesh/target/pool.rs
+++ b/crates/node/src/mesh/target/pool.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use bytes::BytesMut;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -79,12 +80,14 @@
     }
 
     /// Keeps a connection whose answer was read whole; `keep` is how long the target says it waits.
-    pub fn put(&self, conn: TargetConn, keep: Option<Duration>) {
+    pub fn put(&self, mut conn: TargetConn, keep: Option<Duration>) {
         let keep = keep.map_or(IDLE_DEFAULT, |keep| keep.saturating_sub(IDLE_MARGIN));
         if keep.is_zero() {
             return;
         }
         let since = self.clock.now();
+        // It is empty; its room would be held for as long as the connection waits.
+        conn.buf = BytesMut::new();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.push(Idle { conn, since, keep });
     }
--- a/crates/node/src/mesh/target/wire_request.rs
+++ b/crates/node/src/mesh/target/wire_request.rs
@@ -18,7 +18,7 @@
 }
 
 impl WireRequest {
-    /// Sets what the node sets: the only instance, the origin and the time that is left.
+    /// Sets what the node sets: the id, the only instance, the origin and the time that is left.
     pub fn new(req: &HostedRequest, left: Duration, dialect: &Dialect) -> Self {
         let mut head = req.head.clone();
         let left = left.as_millis().max(1).to_string();
@@ -27,7 +27,9 @@
             (dialect.origin_service, req.origin.as_str()),
             (dialect.time_left_ms, left.as_str()),
         ];
-        for (name, value) in values {
+        let id = (dialect.request_id, req.id.as_str());
+        let id = Some(id).filter(|(_, id)| !id.is_empty());
+        for (name, value) in values.into_iter().chain(id) {
             // Names are constants, and values come from checked settings or from entries that are plain text; one that
             // can't stand in a header is left out, and the target then refuses or ignores it.
             if let Ok(value) = HeaderValue::from_str(value) {
