Read once more: no hash where nothing is shed, one piece for the word of a cut-off host

The shedder hashed host and path of every request, also of those whose route sheds nothing; it returns before that now. Fleet looked an instance up by its key, copied its id and looked it up again; both ways share Member::host_cut_off.

--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -41,6 +41,17 @@
     seen: Observed,
 }
 
+impl Member {
+    /// Its host is cut off from the publisher: where its entry has lapsed, it is held until then at least.
+    fn host_cut_off(&mut self, until: Instant, now: Instant) {
+        self.seen.host_cut_off(now);
+        if let Standing::Vanished { until: earlier } = self.standing {
+            let until = until.max(earlier);
+            self.standing = Standing::Vanished { until };
+        }
+    }
+}
+
 /// All instances by key, id, address and service.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -148,17 +159,12 @@
     ///
     /// Without this, a cut between a third of the machines and the publisher leaves the other nodes with what few instances
     /// are still listed: one of four instances got the load of all, with 230 requests in its queue, while the other three
-    /// idled, and 0.4 of the requests were served (replay of a surge over such a cut). An instance that leaves is not meant:
+    /// idled, and 0.4 of the requests were served (logs and answers of a surge over such a cut). An instance that leaves is not meant:
     /// from a machine that is cut off neither its word nor the removal of its entry reaches the publisher.
     pub fn host_cut_off(&mut self, id: &str, now: Instant) -> bool {
         let until = now + self.cfg.lapse_hold;
         if let Some(key) = self.by_id.get(id) {
-            let member = &mut self.members[*key];
-            member.seen.host_cut_off(now);
-            if let Standing::Vanished { until: earlier } = member.standing {
-                let until = until.max(earlier);
-                member.standing = Standing::Vanished { until };
-            }
+            self.members[*key].host_cut_off(until, now);
             return false;
         }
         let Some(instance) = self.lapsed.take(id, now) else {
@@ -173,11 +179,9 @@
 
     /// The host of an instance has said in a reply that it is cut off from the publisher; see [`Fleet::host_cut_off`].
     pub fn host_of_cut_off(&mut self, key: InstanceKey, now: Instant) {
-        let Some(member) = self.members.get(key) else {
-            return;
-        };
-        let id = member.instance.id.clone();
-        self.host_cut_off(&id, now);
+        if let Some(member) = self.members.get_mut(key) {
+            member.host_cut_off(now + self.cfg.lapse_hold, now);
+        }
     }
 
     /// Takes in a whole list; instances that it lacks are treated as removed entries. Returns the ids of those that ended.
--- a/crates/core/src/mesh/shedder.rs
+++ b/crates/core/src/mesh/shedder.rs
@@ -124,6 +124,9 @@
         now: Instant,
     ) -> Result<f64, Shed> {
         let share = self.share(route, order, now);
+        if share <= 0.0 {
+            return Ok(1.0);
+        }
         let place = self.place(host, path, now);
         if place >= share {
             return Ok(1.0 - share);
