Margins are taken once: the time limit of a request is handed on whole

Cause: a host took the 75 ms that protect those who wait in its queue off the deadline of the request, and kept the rest as the deadline of the run; calls of the run were bounded by it, and each hop took 75 ms more. The entry took 15 ms for the way of the answer off the limits of calls as well, whose caller is a run that ends at the same moment.

Now core's time_limits says what is taken and from whom: 15 ms (at most 0.05 of the limit) from callers outside, once; the wait of requests from outside ends 75 ms (at most 0.15 of what is left) before their deadline; calls of runs give up nothing. Both margins are settings (answer_margin_ms, refusal_margin_ms). docs/design/time-limits.md lists every margin.

Ruled out: a smaller margin at each hop still adds up; none at all leaves those that wait with "unknown".

Test: platform/tests/time_limits.rs, a chain of four real nodes, failed before ("hop 2: 1085 ms left, 25 ms gone" of 1200) and passes; core's mesh_time_limits holds the invariant over chains of up to 13 hops.

--- a/crates/core/src/mesh.rs
+++ b/crates/core/src/mesh.rs
@@ -29,6 +29,7 @@
 mod split;
 mod standing;
 mod target_gate;
+mod time_limits;
 mod update;
 mod work;
 
@@ -55,5 +56,6 @@
 pub use split::Split;
 pub use standing::Standing;
 pub use target_gate::{Entered, GateConfig, TargetGate, Ticket, Waiting};
+pub use time_limits::{Limited, Margin, TimeLimits};
 pub use update::{Update, UpdateBatch};
 pub use work::{RequestKind, Work};
--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -4,7 +4,7 @@
 
 use super::headroom::Headroom;
 use crate::collections::Map;
-use crate::mesh::{Backlog, LevelConfig, LevelControl, RequestKind, Work};
+use crate::mesh::{Backlog, LevelConfig, LevelControl, RequestKind, TimeLimits, Work};
 
 /// How requests wait for a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -18,6 +18,8 @@
     pub start_share: f64,
     /// Whether slots are left free where the target slows down with all of them.
     pub headroom: bool,
+    /// Until when requests may wait.
+    pub limits: TimeLimits,
     /// The level that follows from the load.
     pub level: LevelConfig,
 }
@@ -29,6 +31,7 @@
             queue: 2000,
             start_share: 0.5,
             headroom: true,
+            limits: TimeLimits::default(),
             level: LevelConfig::default(),
         }
     }
@@ -103,6 +106,8 @@
     ticket: Ticket,
     request: Waiting,
     since: Instant,
+    /// When it is refused if it still waits.
+    until: Instant,
     /// Seconds for which it is expected to hold a slot.
     work: f64,
 }
@@ -170,7 +175,11 @@
             return Entered::Run(ticket);
         }
         let wait = self.expected_wait(&request);
-        let left = request.deadline.saturating_duration_since(now);
+        let until = self
+            .cfg
+            .limits
+            .wait_until(request.deadline, request.inner, now);
+        let left = until.saturating_duration_since(now);
         if wait >= request.patience.min(left) || self.queue.len() >= self.cfg.queue {
             return Entered::Refused { retry_after: wait };
         }
@@ -178,6 +187,7 @@
             ticket,
             request,
             since: now,
+            until,
             work,
         };
         let at = self
@@ -223,7 +233,7 @@
         let mut expired = Vec::new();
         let mut queue = std::mem::take(&mut self.queue);
         queue.retain(|queued| {
-            let over = self.latest_start(&queued.request) <= now;
+            let over = self.latest_start(&queued.request).min(queued.until) <= now;
             if over {
                 expired.push(queued.ticket);
             }
--- a/crates/node/src/mesh/desk/entering.rs
+++ b/crates/node/src/mesh/desk/entering.rs
@@ -10,9 +10,7 @@
 use smol_str::SmolStr;
 
 use super::route_stats::RouteStats;
-use super::{
-    AdmitAsk, Admitted, AgainAsk, Denied, Desk, EndedSend, OuterRun, SendAsk, SendGuard, SendTo,
-};
+use super::{AdmitAsk, Admitted, AgainAsk, Denied, Desk, EndedSend, SendAsk, SendGuard, SendTo};
 
 /// When to come back to a node without configuration or instances.
 const BACK_NOT_READY: Duration = Duration::from_millis(500);
@@ -247,10 +245,3 @@
     }
     map.get_mut(key).expect("was inserted above")
 }
-
-impl OuterRun {
-    /// The sooner of its own deadline and that of a request which serves it.
-    pub fn bound(&self, deadline: Instant) -> Instant {
-        self.deadline.min(deadline)
-    }
-}
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootport_core::id::ServiceName;
-use coltsfootport_core::mesh::{Dialect, PatienceConfig};
+use coltsfootport_core::mesh::{Dialect, PatienceConfig, TimeLimits};
 use http::header::{HOST, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
@@ -46,6 +46,8 @@
     pub service: watch::Receiver<ServiceName>,
     /// How long requests wait for a target at most.
     pub patience: PatienceConfig,
+    /// What is taken off the time limits of requests.
+    pub limits: TimeLimits,
     /// Port at which nodes take requests of others.
     pub peers_port: u16,
 }
--- a/crates/node/src/mesh/entry/course.rs
+++ b/crates/node/src/mesh/entry/course.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use coltsfootport_core::mesh::{Impatient, InstanceKey, Refusal, Repeat, SendOutcome};
+use coltsfootport_core::mesh::{Impatient, InstanceKey, Limited, Refusal, Repeat, SendOutcome};
 use smol_str::SmolStr;
 
 use super::Entry;
@@ -15,9 +15,6 @@
 use crate::mesh::journal::Ending;
 use crate::mesh::link::{self, LinkFault};
 
-/// Time before its caller's own limit at which a request is answered, so that the answer still arrives.
-const CALLER_MARGIN: Duration = Duration::from_millis(15);
-
 /// Hosts that a request may be moved to after a host has refused it without asking its target.
 const MOST_MOVES: usize = 2;
 
@@ -56,13 +53,12 @@
     ) -> Self {
         let route = admitted.config.route(admitted.route);
         let caller_deadline = time_left.map(|left| req.arrived + left);
-        let mut deadline = req.arrived + route.timeout;
-        if let Some(caller) = caller_deadline {
-            deadline = deadline.min(caller.checked_sub(CALLER_MARGIN).unwrap_or(caller));
-        }
-        if let Some(outer) = &admitted.outer {
-            deadline = outer.bound(deadline);
-        }
+        let deadline = entry.limits.deadline(&Limited {
+            arrived: req.arrived,
+            route: route.timeout,
+            caller: time_left,
+            outer: admitted.outer.as_ref().map(|outer| outer.deadline),
+        });
         let mut head = req.head;
         strip_hop_by_hop(&mut head.headers);
         // The host sets them anew, so they need not travel between nodes.
--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -17,10 +17,6 @@
 /// deadline; this is for its answer, and for a target that forgets to stop.
 const ONCE_GRACE: Duration = Duration::from_millis(500);
 
-/// Time before its deadline at which a request that still waits is refused. Its entry so learns that it has not run before
-/// it must answer; a moment later it could only say that nothing is known.
-const QUEUE_MARGIN: Duration = Duration::from_millis(75);
-
 /// What is needed to run requests; cheap to clone.
 #[derive(Clone)]
 pub struct Host {
@@ -50,10 +46,7 @@
             kind: req.kind,
             inner: req.inner,
             began: req.began,
-            deadline: req
-                .deadline
-                .checked_sub(QUEUE_MARGIN)
-                .unwrap_or(req.deadline),
+            deadline: req.deadline,
             patience: req.patience,
             cut_off: req.cut_off.clone(),
         };
--- a/crates/node/src/mesh/policy.rs
+++ b/crates/node/src/mesh/policy.rs
@@ -4,7 +4,8 @@
 
 use coltsfootport_core::jsonc::Section;
 use coltsfootport_core::mesh::{
-    FleetConfig, GateConfig, LevelConfig, PatienceConfig, RetryBudgetConfig, ShedderConfig,
+    FleetConfig, GateConfig, LevelConfig, Margin, PatienceConfig, RetryBudgetConfig, ShedderConfig,
+    TimeLimits,
 };
 
 /// How a node decides under load. The defaults are those of the decisions themselves.
@@ -16,6 +17,8 @@
     pub start_share: f64,
     /// Whether slots are left free where the target slows down with all of them.
     pub headroom: bool,
+    /// What is taken off the time limits of requests.
+    pub limits: TimeLimits,
     /// Waits of requests from outside.
     pub patience: PatienceConfig,
     /// What another failure domain adds to the expected time of a request, 0 to choose among all alike.
@@ -41,6 +44,7 @@
             target_load: LevelConfig::default().target_load,
             start_share: GateConfig::default().start_share,
             headroom: GateConfig::default().headroom,
+            limits: TimeLimits::default(),
             patience: PatienceConfig::default(),
             far_penalty: FleetConfig::default().far_penalty,
             shed_epoch: shedder.epoch,
@@ -65,7 +69,18 @@
             ),
             least_share: section.number("least_patience", 0.0..=1.0, default.patience.least_share),
         };
+        let limits = TimeLimits {
+            answer: Margin {
+                most: section.millis("answer_margin_ms", 0..=1000, default.limits.answer.most),
+                ..default.limits.answer
+            },
+            refusal: Margin {
+                most: section.millis("refusal_margin_ms", 0..=1000, default.limits.refusal.most),
+                ..default.limits.refusal
+            },
+        };
         let settings = Self {
+            limits,
             target_load: section.number("target_load", 0.1..=100.0, default.target_load),
             start_share: section.number("start_share", 0.0..=1.0, default.start_share),
             headroom: section.choice("headroom", &SWITCH, default.headroom),
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -94,6 +94,7 @@
         journal: journal.clone(),
         service,
         patience: settings.policy.patience,
+        limits: settings.policy.limits,
         peers_port: settings.node.peers.port(),
     };
     let (stopping_tx, stopping) = watch::channel(false);
@@ -238,6 +239,7 @@
             slots: settings.load.slots,
             start_share: policy.start_share,
             headroom: policy.headroom,
+            limits: policy.limits,
             level: LevelConfig {
                 target_load: policy.target_load,
                 ..Default::default()
