Framed TCP between mesh nodes in place of QUIC

Cause: the profile of a call showed the link with its allocations, timers and system calls as the largest part of its cost; QUIC's acknowledgements, headers and encryption were half of the bytes between failure domains.

Now a request goes over a TCP connection of its own while it is under way, kept for the next one; closing it cancels the request. Nodes that say nothing while they have requests are asked over a new connection, which shows paused processes too.

Ruled out: one connection for all requests to a node (a lost packet holds up all of them); silence by acknowledgements of the system alone (a paused process still acknowledges).

Not measured: the time added to a call by itself.

--- a/crates/node/src/mesh/entry/course.rs
+++ b/crates/node/src/mesh/entry/course.rs
@@ -151,8 +151,7 @@
 
     async fn over_link(&self, ip: IpAddr, req: HostedRequest) -> Result<HostReply, LinkFault> {
         let peer = SocketAddr::new(ip, self.entry.peers_port);
-        let link = self.entry.links.get(peer).await.ok_or(LinkFault::NotSent)?;
-        link::send(link, req, &self.entry.clock).await
+        link::send(&self.entry.links, peer, req).await
     }
 
     async fn replied(&mut self, reply: HostReply, guard: SendGuard) -> Next {
--- a/crates/node/src/mesh/link.rs
+++ b/crates/node/src/mesh/link.rs
@@ -1,17 +1,17 @@
-//! QUIC between nodes: one stream a request, in plain frames.
+//! TCP between nodes: plain frames, one request at a time on a connection.
 
 mod client;
-mod endpoint;
+mod conn;
 mod frames;
 mod health;
 mod hub;
-mod reset_guard;
+mod pieces;
 mod server;
-mod tls;
+mod watch;
 
 pub use client::{LinkFault, send};
-pub use endpoint::{LinkError, bind};
+pub use conn::PeerConn;
 pub use frames::StreamHead;
-pub use hub::{Link, LinkHub, run_hub};
-pub use reset_guard::ResetGuard;
+pub use hub::LinkHub;
 pub use server::{Serving, serve};
+pub use watch::watch_peers;
--- a/crates/node/src/mesh/link/client.rs
+++ b/crates/node/src/mesh/link/client.rs
@@ -1,140 +1,121 @@
 //! Sends a request to another node.
 
-use bytes::Bytes;
+use std::net::SocketAddr;
+
 use coltsfootport_core::mesh::Repeat;
-use quinn::{Connection, RecvStream};
-use tokio::sync::mpsc;
+use tokio::sync::watch;
 
-use super::Link;
+use super::conn::{PeerConn, WriteFault};
 use super::frames::{MAX_HEAD, ReplyFrame, RequestFrame, StreamHead};
-use super::reset_guard::ResetGuard;
-use crate::clock::SharedClock;
-use crate::mesh::call::{Body, CutShort, HELD_BODY, HostReply, HostedRequest, WAITING_PIECES};
-use crate::wire::{FrameError, read_body, read_head, write_head};
+use super::health::Health;
+use super::{LinkHub, pieces};
+use crate::mesh::call::{Body, HELD_BODY, HostReply, HostedRequest};
+use crate::wire::FrameError;
 
 /// Why there is no reply.
 #[derive(Debug, thiserror::Error)]
 pub enum LinkFault {
     /// No byte of the request has left this node.
-    #[error("the link is down")]
+    #[error("the node can't be reached")]
     NotSent,
     /// The request may have reached the host.
     #[error("no whole reply: {0}")]
     Lost(#[from] FrameError),
-    /// The request may have reached the host, from which no packet comes any more.
-    #[error("the link is silent")]
+    /// The request may have reached the host, which says nothing any more.
+    #[error("the node is silent")]
     Silent,
 }
 
-/// Sends a request on a stream of its own and reads the reply. Dropped before the end, the host is told to stop.
+/// Sends a request over a connection of its own and reads the reply. Dropped before the end, the connection is closed,
+/// which tells the host to stop.
 ///
 /// # Errors
 ///
 /// Whether the request may have arrived.
 pub async fn send(
-    mut link: Link,
+    links: &LinkHub,
+    address: SocketAddr,
     req: HostedRequest,
-    clock: &SharedClock,
 ) -> Result<HostReply, LinkFault> {
-    if *link.silent.borrow() {
+    let peer = links.peer(address);
+    let mut health = peer.health();
+    if health.borrow_and_update().silent {
         return Err(LinkFault::NotSent);
     }
-    // A request that may run once only can't be sent elsewhere, so it waits for what the link still brings.
-    if req.repeat == Repeat::AtMostOnce {
-        return exchange(&link.connection, req, clock).await;
-    }
-    tokio::select! {
-        reply = exchange(&link.connection, req, clock) => reply,
-        _ = link.silent.wait_for(|silent| *silent) => Err(LinkFault::Silent),
+    let _counted = peer.count(links.now());
+    let conn = match links.take(address) {
+        Some(conn) => conn,
+        None => tokio::select! {
+            connected = links.connect(address) => connected.map_err(|_| LinkFault::NotSent)?,
+            () = gone_silent(&mut health) => return Err(LinkFault::NotSent),
+        },
+    };
+    let reply = match req.repeat {
+        Repeat::Idempotent => tokio::select! {
+            reply = exchange(links, address, conn, req) => reply,
+            () = gone_silent(&mut health) => Err(LinkFault::Silent),
+        },
+        // It can't be sent elsewhere, so it waits for what the connection still brings.
+        Repeat::AtMostOnce => tokio::select! {
+            reply = exchange(links, address, conn, req) => reply,
+            () = started_anew(&mut health) => Err(LinkFault::Silent),
+        },
+    };
+    if reply.is_ok() {
+        peer.heard(links.now());
     }
+    reply
+}
+
+/// Resolves when the node is taken to be silent.
+async fn gone_silent(health: &mut watch::Receiver<Health>) {
+    // The node is known for as long as it has requests.
+    let _ = health.wait_for(|health| health.silent).await;
+}
+
+/// Resolves when the node is another start than before: what the one before had is gone.
+async fn started_anew(health: &mut watch::Receiver<Health>) {
+    let known = health.borrow_and_update().boot;
+    let is_other = |health: &Health| known.is_some() && health.boot != known;
+    let _ = health.wait_for(is_other).await;
 }
 
 async fn exchange(
-    link: &Connection,
+    links: &LinkHub,
+    address: SocketAddr,
+    mut conn: PeerConn,
     req: HostedRequest,
-    clock: &SharedClock,
 ) -> Result<HostReply, LinkFault> {
-    let (tx, mut rx) = link.open_bi().await.map_err(|_| LinkFault::NotSent)?;
-    let mut tx = ResetGuard::new(tx);
-    let frame = Box::new(RequestFrame::new(&req, clock.now()));
-    write_head(tx.stream(), &StreamHead::Request(frame)).await?;
+    let head = StreamHead::Request(Box::new(RequestFrame::new(&req, links.now())));
+    let mut whole = true;
     match req.body {
-        Body::Whole(bytes) => {
-            write_all(&mut tx, bytes).await?;
-            tx.finish();
-        }
-        Body::Stream { rx: pieces, .. } => {
-            // From a task of its own: the host may answer before it has read the body.
-            tokio::spawn(send_pieces(tx, pieces));
+        Body::Whole(bytes) => conn.write(&head, &bytes).await.map_err(not_written)?,
+        Body::Stream { mut rx, .. } => {
+            conn.write(&head, &[]).await.map_err(not_written)?;
+            // The host may answer before it has read the body; the rest is not sent then.
+            whole = pieces::send_request(&mut conn, &mut rx).await?;
         }
     }
-    let head = read_head::<ReplyFrame>(&mut rx, MAX_HEAD).await?.value;
-    let body = receive_body(rx, head.length()).await?;
-    Ok(head.into_reply(body)?)
-}
-
-/// Sends a body piece by piece; cut short, so is the stream.
-pub async fn send_pieces(mut tx: ResetGuard, mut rx: mpsc::Receiver<Result<Bytes, CutShort>>) {
-    loop {
-        let piece = tokio::select! {
-            piece = rx.recv() => piece,
-            // Nobody reads the body any more; its source must learn that soon.
-            _ = tx.stopped() => return,
-        };
-        match piece {
-            Some(Ok(bytes)) => {
-                if write_all(&mut tx, bytes).await.is_err() {
-                    return;
-                }
+    let head: ReplyFrame = conn.read_head(MAX_HEAD).await?;
+    match head.held() {
+        Some(length) if length > HELD_BODY => Err(FrameError::TooLarge(length).into()),
+        Some(length) => {
+            let body = conn.read_body(length).await?;
+            if whole {
+                links.put(address, conn);
             }
-            Some(Err(CutShort)) => return,
-            None => return tx.finish(),
+            Ok(head.into_reply(Body::Whole(body))?)
+        }
+        None => {
+            let length = head.length();
+            Ok(head.into_reply(pieces::receive(conn, length))?)
         }
     }
 }
 
-/// Writes a whole piece.
-pub async fn write_all(tx: &mut ResetGuard, bytes: Bytes) -> Result<(), FrameError> {
-    match bytes.is_empty() {
-        true => Ok(()),
-        false => Ok(tx.stream().write_chunk(bytes).await?),
-    }
-}
-
-/// The body that follows a head: held where it is short, else piece by piece.
-pub async fn receive_body(mut rx: RecvStream, length: Option<u64>) -> Result<Body, FrameError> {
-    let short = length.and_then(|length| u32::try_from(length).ok());
-    if let Some(length) = short.filter(|length| *length as usize <= HELD_BODY) {
-        return Ok(Body::Whole(read_body(&mut rx, length, HELD_BODY).await?));
-    }
-    let (tx, pieces) = mpsc::channel(WAITING_PIECES);
-    tokio::spawn(receive_pieces(rx, tx, length));
-    Ok(Body::Stream { length, rx: pieces })
-}
-
-/// Largest piece read at a time, in bytes.
-const PIECE: usize = 16 * 1024;
-
-async fn receive_pieces(
-    mut rx: RecvStream,
-    tx: mpsc::Sender<Result<Bytes, CutShort>>,
-    length: Option<u64>,
-) {
-    let mut received = 0;
-    loop {
-        let read = tokio::select! {
-            read = rx.read_chunk(PIECE, true) => read,
-            () = tx.closed() => return,
-        };
-        match read {
-            Ok(Some(chunk)) => {
-                received += chunk.bytes.len() as u64;
-                if tx.send(Ok(chunk.bytes)).await.is_err() {
-                    return;
-                }
-            }
-            Ok(None) if length.is_none_or(|length| length == received) => return,
-            Ok(None) | Err(_) => return drop(tx.send(Err(CutShort)).await),
-        }
+fn not_written(fault: WriteFault) -> LinkFault {
+    match fault {
+        WriteFault::NothingSent => LinkFault::NotSent,
+        fault => LinkFault::Lost(fault.into()),
     }
 }
--- a/crates/node/src/mesh/link/frames.rs
+++ b/crates/node/src/mesh/link/frames.rs
@@ -16,16 +16,25 @@
 /// Largest head of a request or reply between nodes, in bytes.
 pub const MAX_HEAD: usize = 128 * 1024;
 
-/// First head on a stream: what it is for.
+/// Head of what one node asks of another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StreamHead {
     /// A request for the target beside the node.
     Request(Box<RequestFrame>),
     /// Another node wants to hear the publisher's news.
     Follow(FollowFrame),
+    /// Another node has not heard from this one for a while.
+    AreYouThere,
 }
 
-/// Head of a request; its body follows on the stream.
+/// The node is there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AliveFrame {
+    /// Drawn at its start: another value means that what the start before had is gone.
+    pub boot: u64,
+}
+
+/// Head of a request; its body follows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestFrame {
     instance: SmolStr,
@@ -48,6 +57,8 @@
     headers: Vec<HeaderFrame>,
     /// Length of the body, where it is known beforehand.
     pub length: Option<u64>,
+    /// Whether the body follows piece by piece.
+    in_pieces: bool,
 }
 
 /// Head of a reply.
@@ -70,6 +81,8 @@
         status: u16,
         headers: Vec<HeaderFrame>,
         length: Option<u64>,
+        /// Whether the body follows piece by piece.
+        in_pieces: bool,
     },
     /// No answer.
     Refused {
@@ -100,9 +113,15 @@
             target: req.head.target.clone(),
             headers: HeaderFrame::from_map(&req.head.headers),
             length: length(&req.body),
+            in_pieces: matches!(req.body, Body::Stream { .. }),
         }
     }
 
+    /// Length of the body where it follows whole; `None` where it follows in pieces.
+    pub fn held(&self) -> Option<usize> {
+        held(self.in_pieces, self.length)
+    }
+
     /// The request, as it has arrived now.
     ///
     /// # Errors
@@ -146,6 +165,7 @@
                 status: answer.status.as_u16(),
                 headers: HeaderFrame::from_map(&answer.headers),
                 length: length(&answer.body),
+                in_pieces: matches!(answer.body, Body::Stream { .. }),
             },
             Err(refused) => ResultFrame::Refused {
                 refusal: refused.refusal,
@@ -164,7 +184,17 @@
 }
 
 impl ReplyFrame {
-    /// Length of the answer's body, where it is known; `None` as well where there is no answer.
+    /// Length of the body where it follows whole; `None` where it follows in pieces.
+    pub fn held(&self) -> Option<usize> {
+        match &self.result {
+            ResultFrame::Answer {
+                length, in_pieces, ..
+            } => held(*in_pieces, *length),
+            ResultFrame::Refused { .. } => Some(0),
+        }
+    }
+
+    /// Length of the answer's body, where it is known; zero where there is no answer.
     pub fn length(&self) -> Option<u64> {
         match &self.result {
             ResultFrame::Answer { length, .. } => *length,
@@ -220,6 +250,12 @@
     }
 }
 
+/// Length of a body that follows whole.
+fn held(in_pieces: bool, length: Option<u64>) -> Option<usize> {
+    let whole = length.filter(|_| !in_pieces)?;
+    usize::try_from(whole).ok()
+}
+
 fn thousandths(value: f64) -> u16 {
     (value * THOUSANDTHS).clamp(0.0, f64::from(u16::MAX)) as u16
 }
--- a/crates/node/src/mesh/link/hub.rs
+++ b/crates/node/src/mesh/link/hub.rs
@@ -1,136 +1,142 @@
-//! Links to other nodes: one connection each, made when first needed.
+//! Connections to other nodes that wait for their next request.
 
+use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use coltsfootport_core::collections::Map;
-use quinn::{Connection, Endpoint};
-use slog::{Logger, info};
-use tokio::sync::{mpsc, oneshot, watch};
+use socket2::SockRef;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::health::{Watched, watch_links};
-use super::tls::SERVER_NAME;
+use super::conn::PeerConn;
+use super::health::Peer;
 use crate::clock::SharedClock;
 
-/// Longest time for a handshake: two lost packets in a row fit in, a node that is gone does not hold a request up.
+/// Longest time for a new connection: a node that is gone does not hold a request up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// A connection to another node.
-#[derive(Clone, Debug)]
-pub struct Link {
-    /// The connection.
-    pub connection: Connection,
-    /// Whether it carries packets out and brings none back.
-    pub silent: watch::Receiver<bool>,
-}
+/// Time for which sent bytes may stay without acknowledgement by the other machine. Lost packets are repeated several times
+/// within it; what is then still on its way is lost with its connection.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1000);
+
+/// Time for which a connection is kept without a request. The other end keeps it longer, so that it never closes one on
+/// which a request is on its way.
+pub const KEPT: Duration = Duration::from_secs(10);
+
+/// Connections kept for one node at most: more than it has slots are only needed while a queue stands before it.
+const MOST_KEPT: usize = 32;
 
-/// Asks the hub for links.
-#[derive(Clone, Debug)]
+/// Connections to other nodes and what is known of these; cheap to clone.
+#[derive(Clone)]
 pub struct LinkHub {
-    tx: mpsc::UnboundedSender<HubEvent>,
+    clock: SharedClock,
+    state: Arc<Mutex<State>>,
 }
 
-/// Everything that the hub hears.
-#[derive(Debug)]
-pub enum HubEvent {
-    /// A request needs the link to a node.
-    Get(SocketAddr, oneshot::Sender<Option<Link>>),
-    /// An attempt to connect has ended.
-    Connected(SocketAddr, Option<Link>),
+#[derive(Default)]
+struct State {
+    peers: Map<SocketAddr, Arc<Peer>>,
+    idle: Map<SocketAddr, Vec<Idle>>,
 }
 
-enum State {
-    Up(Link),
-    Connecting(Vec<oneshot::Sender<Option<Link>>>),
+struct Idle {
+    conn: PeerConn,
+    since: Instant,
 }
 
 impl LinkHub {
-    /// A hub's handle and the channel for [`run_hub`].
-    pub fn new() -> (Self, mpsc::UnboundedReceiver<HubEvent>) {
-        let (tx, rx) = mpsc::unbounded_channel();
-        (Self { tx }, rx)
+    /// A hub without connections.
+    pub fn new(clock: SharedClock) -> Self {
+        Self {
+            clock,
+            state: Arc::default(),
+        }
     }
 
-    /// The link to a node; `None` where it can't be reached.
-    pub async fn get(&self, peer: SocketAddr) -> Option<Link> {
-        let (tx, rx) = oneshot::channel();
-        self.tx.send(HubEvent::Get(peer, tx)).ok()?;
-        rx.await.ok().flatten()
+    /// The time by which connections are kept.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
     }
-}
 
-/// Owns all links until every handle is gone.
-pub async fn run_hub(
-    endpoint: Endpoint,
-    hub: LinkHub,
-    clock: SharedClock,
-    mut rx: mpsc::UnboundedReceiver<HubEvent>,
-    log: Logger,
-) {
-    let mut links: Map<SocketAddr, State> = Map::default();
-    let (watch_tx, watch_rx) = mpsc::unbounded_channel();
-    tokio::spawn(watch_links(watch_rx, clock.clone()));
-    while let Some(event) = rx.recv().await {
-        match event {
-            HubEvent::Get(peer, reply) => match links.get_mut(&peer) {
-                Some(State::Up(link)) if link.connection.close_reason().is_none() => {
-                    drop(reply.send(Some(link.clone())));
-                }
-                Some(State::Connecting(waiting)) => waiting.push(reply),
-                _ => {
-                    if let Some(State::Up(link)) = links.get(&peer) {
-                        let reason = link
-                            .connection
-                            .close_reason()
-                            .map(|reason| reason.to_string());
-                        info!(log, "peer lost"; "peer" => peer, "reason" => reason);
-                    }
-                    links.insert(peer, State::Connecting(vec![reply]));
-                    tokio::spawn(connect(
-                        endpoint.clone(),
-                        peer,
-                        hub.tx.clone(),
-                        watch_tx.clone(),
-                        clock.clone(),
-                    ));
-                }
-            },
-            HubEvent::Connected(peer, link) => {
-                info!(log, "peer connected"; "peer" => peer, "reached" => link.is_some());
-                let before = match &link {
-                    Some(link) => links.insert(peer, State::Up(link.clone())),
-                    None => links.remove(&peer),
-                };
-                let Some(State::Connecting(waiting)) = before else {
-                    continue;
-                };
-                for reply in waiting {
-                    drop(reply.send(link.clone()));
-                }
+    /// What is known of a node; asked for the first time, it is looked at from now on.
+    pub fn peer(&self, address: SocketAddr) -> Arc<Peer> {
+        let now = self.now();
+        let mut state = self.state();
+        let peer = state.peers.entry(address);
+        Arc::clone(peer.or_insert_with(|| Arc::new(Peer::new(now))))
+    }
+
+    /// All nodes that are looked at.
+    pub fn peers(&self) -> Vec<(SocketAddr, Arc<Peer>)> {
+        let state = self.state();
+        let peers = state.peers.iter();
+        peers
+            .map(|(address, peer)| (*address, Arc::clone(peer)))
+            .collect()
+    }
+
+    /// A kept connection, the one used last.
+    pub fn take(&self, address: SocketAddr) -> Option<PeerConn> {
+        let now = self.now();
+        let mut state = self.state();
+        let idle = state.idle.get_mut(&address)?;
+        while let Some(kept) = idle.pop() {
+            let is_fresh = now.saturating_duration_since(kept.since) < KEPT;
+            // Bytes that nobody asked for, or an end: its node has stopped.
+            if is_fresh && kept.conn.is_quiet() {
+                return Some(kept.conn);
             }
         }
+        None
+    }
+
+    /// A new connection.
+    ///
+    /// # Errors
+    ///
+    /// The node does not accept it; nothing was sent.
+    pub async fn connect(&self, address: SocketAddr) -> io::Result<PeerConn> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+        prepare(&stream)?;
+        Ok(PeerConn::new(stream))
+    }
+
+    /// Keeps a connection whose reply was read whole.
+    pub fn put(&self, address: SocketAddr, mut conn: PeerConn) {
+        conn.rest();
+        let since = self.now();
+        let mut state = self.state();
+        let idle = state.idle.entry(address).or_default();
+        if idle.len() < MOST_KEPT {
+            idle.push(Idle { conn, since });
+        }
+    }
+
+    /// Forgets nodes and closes connections that have not been used for long.
+    pub fn prune(&self) {
+        let now = self.now();
+        let mut state = self.state();
+        state.idle.retain(|_, idle| {
+            idle.retain(|kept| now.saturating_duration_since(kept.since) < KEPT);
+            !idle.is_empty()
+        });
+        let is_used = |peer: &Peer| peer.has_requests() || peer.unused_for(now) < KEPT;
+        state.peers.retain(|_, peer| is_used(peer));
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-async fn connect(
-    endpoint: Endpoint,
-    peer: SocketAddr,
-    tx: mpsc::UnboundedSender<HubEvent>,
-    watch_tx: mpsc::UnboundedSender<Watched>,
-    clock: SharedClock,
-) {
-    let connection = match endpoint.connect(peer, SERVER_NAME) {
-        Ok(connecting) => timeout(CONNECT_TIMEOUT, connecting).await,
-        Err(_) => return drop(tx.send(HubEvent::Connected(peer, None))),
-    };
-    let connection = connection.ok().and_then(Result::ok);
-    let link = connection.map(|connection| {
-        let (watched, silent) = Watched::new(connection.clone(), clock.now());
-        // The one who looks lives as long as the hub.
-        drop(watch_tx.send(watched));
-        Link { connection, silent }
-    });
-    // The hub lives as long as the process.
-    drop(tx.send(HubEvent::Connected(peer, link)));
+/// Sets what both ends of a connection need.
+///
+/// # Errors
+///
+/// The connection is lost already.
+pub fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))
 }
--- /dev/null
+++ b/crates/node/src/mesh/link/pieces.rs
@@ -0,0 +1,126 @@
+//! Bodies that are too long to be held, piece by piece.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::conn::PeerConn;
+use crate::mesh::call::{Body, CutShort, WAITING_PIECES};
+use crate::wire::FrameError;
+
+/// Largest piece, in bytes.
+const MOST: usize = 64 * 1024;
+
+/// Longest time for which the rest of a body is read that nobody wants, so that closing does not reset an answer on its way.
+const LINGER: Duration = Duration::from_secs(2);
+
+/// The pieces of a body.
+pub type Pieces = mpsc::Receiver<Result<Bytes, CutShort>>;
+
+/// Sends a request's body; `false` where the host has answered before the end.
+///
+/// # Errors
+///
+/// The body was cut short, or the connection is lost.
+pub async fn send_request(conn: &mut PeerConn, rx: &mut Pieces) -> Result<bool, FrameError> {
+    loop {
+        let piece = tokio::select! {
+            piece = rx.recv() => piece,
+            () = conn.closed() => return Ok(false),
+        };
+        let piece = piece.transpose().map_err(|CutShort| FrameError::Cut)?;
+        let is_end = piece.is_none();
+        let piece = piece.unwrap_or_default();
+        if !conn.write_piece_unless_answered(&piece).await? {
+            return Ok(false);
+        }
+        if is_end {
+            return Ok(true);
+        }
+    }
+}
+
+/// Sends an answer's body.
+///
+/// # Errors
+///
+/// The body was cut short, or nobody reads it any more.
+pub async fn send_answer(conn: &mut PeerConn, mut rx: Pieces) -> Result<(), FrameError> {
+    loop {
+        let piece = tokio::select! {
+            piece = rx.recv() => piece,
+            () = conn.closed() => return Err(FrameError::Cut),
+        };
+        let piece = piece.transpose().map_err(|CutShort| FrameError::Cut)?;
+        let is_end = piece.is_none();
+        conn.write_piece(&piece.unwrap_or_default()).await?;
+        if is_end {
+            return Ok(());
+        }
+    }
+}
+
+/// Passes on a request's body; returns when the other end has left.
+pub async fn feed(
+    conn: &mut PeerConn,
+    tx: mpsc::Sender<Result<Bytes, CutShort>>,
+    ended: &AtomicBool,
+) {
+    loop {
+        match conn.read_piece(MOST).await {
+            Ok(piece) if piece.is_empty() => break,
+            Ok(piece) => {
+                if tx.send(Ok(piece)).await.is_err() {
+                    // The target has answered without reading the rest; its answer ends this.
+                    return std::future::pending().await;
+                }
+            }
+            Err(_) => return drop(tx.send(Err(CutShort)).await),
+        }
+    }
+    drop(tx);
+    ended.store(true, Ordering::Relaxed);
+    conn.closed().await;
+}
+
+/// Reads what is left of a body until the other end leaves.
+pub async fn drain(conn: &mut PeerConn) {
+    let rest = async { while conn.read_piece(MOST).await.is_ok() {} };
+    // Whoever is that slow has its answer cut.
+    let _ = timeout(LINGER, rest).await;
+}
+
+/// The body of an answer, read as it comes. The connection is closed after it.
+pub fn receive(conn: PeerConn, length: Option<u64>) -> Body {
+    let (tx, rx) = mpsc::channel(WAITING_PIECES);
+    tokio::spawn(receive_all(conn, tx, length));
+    Body::Stream { length, rx }
+}
+
+async fn receive_all(
+    mut conn: PeerConn,
+    tx: mpsc::Sender<Result<Bytes, CutShort>>,
+    length: Option<u64>,
+) {
+    let mut received = 0;
+    loop {
+        let piece = tokio::select! {
+            piece = conn.read_piece(MOST) => piece,
+            () = tx.closed() => return,
+        };
+        match piece {
+            Ok(piece) if !piece.is_empty() => {
+                received += piece.len() as u64;
+                if tx.send(Ok(piece)).await.is_err() {
+                    return;
+                }
+            }
+            Ok(_) if length.is_none_or(|length| length == received) => return,
+            // Nobody who reads it is left where it can't be told.
+            Ok(_) | Err(_) => return drop(tx.send(Err(CutShort)).await),
+        }
+    }
+}
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -1,17 +1,28 @@
 //! Takes requests from other nodes.
 
-use bytes::Bytes;
-use quinn::{Endpoint, Incoming, RecvStream, SendStream};
-use slog::{Logger, debug, info};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use slog::{Logger, debug, warn};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
 
-use super::client::{receive_body, send_pieces, write_all};
-use super::frames::{MAX_HEAD, ReplyFrame, RequestFrame, StreamHead};
-use super::reset_guard::ResetGuard;
-use crate::mesh::call::{Body, CutShort};
+use super::conn::PeerConn;
+use super::frames::{AliveFrame, MAX_HEAD, ReplyFrame, RequestFrame, StreamHead};
+use super::hub::{KEPT, prepare};
+use super::pieces;
+use crate::mesh::call::{Body, HELD_BODY, HostReply, WAITING_PIECES};
 use crate::mesh::host::Host;
 use crate::mesh::news::{Sharing, share};
-use crate::wire::{FrameError, read_head, write_head};
+use crate::wire::FrameError;
+
+/// Time for which a connection is kept without a request. The one who sends gives it up sooner; this is for one that is
+/// gone without a word.
+const IDLE: Duration = Duration::from_secs(3 * KEPT.as_secs());
+
+/// Pause after a failure to accept, such as a lack of descriptors, so that it does not take the whole processor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What a node does for others; cheap to clone.
 #[derive(Clone)]
@@ -20,86 +31,117 @@
     pub host: Host,
     /// Passes the publisher's news on.
     pub sharing: Sharing,
+    /// Drawn at this start of the node.
+    pub boot: u64,
     /// Log.
     pub log: Logger,
 }
 
-/// Accepts links until the endpoint is closed.
-pub async fn serve(endpoint: Endpoint, serving: Serving) {
-    while let Some(incoming) = endpoint.accept().await {
-        tokio::spawn(serve_link(incoming, serving.clone()));
+/// Accepts other nodes for as long as the process lives.
+pub async fn serve(listener: TcpListener, serving: Serving) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_conn(stream, serving.clone()));
+            }
+            Err(e) => {
+                warn!(serving.log, "a node can't be accepted"; "reason" => e.to_string());
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
     }
 }
 
-async fn serve_link(incoming: Incoming, serving: Serving) {
-    let peer = incoming.remote_address();
-    let link = match incoming.await {
-        Ok(link) => link,
-        Err(e) => {
-            return debug!(serving.log, "handshake failed"; "peer" => peer, "reason" => e.to_string());
-        }
-    };
-    let reason = loop {
-        match link.accept_bi().await {
-            Ok((tx, rx)) => {
-                tokio::spawn(serve_stream(tx, rx, serving.clone()));
+async fn serve_conn(stream: TcpStream, serving: Serving) {
+    if let Err(e) = prepare(&stream) {
+        return debug!(serving.log, "a node has left"; "reason" => e.to_string());
+    }
+    let mut conn = PeerConn::new(stream);
+    loop {
+        let Ok(head) = timeout(IDLE, conn.read_head(MAX_HEAD)).await else {
+            return;
+        };
+        let goes_on = match head {
+            Ok(head) => answer(&mut conn, head, &serving).await,
+            // An end between two requests.
+            Err(FrameError::Cut) => return,
+            Err(e) => Err(e),
+        };
+        match goes_on {
+            Ok(true) => conn.rest(),
+            Ok(false) => return,
+            Err(e) => {
+                return debug!(serving.log, "exchange with a node failed"; "reason" => e.to_string());
             }
-            Err(e) => break e,
         }
-    };
-    info!(serving.log, "peer left"; "peer" => peer, "reason" => reason.to_string());
-}
-
-async fn serve_stream(tx: SendStream, rx: RecvStream, serving: Serving) {
-    let mut tx = ResetGuard::new(tx);
-    let stopped = tx.stopped();
-    let served = tokio::select! {
-        served = answer(&mut tx, rx, &serving) => served,
-        // The other node does not wait any more, or is gone; what can be broken off is.
-        _ = stopped => return,
-    };
-    match served {
-        Ok(Some(pieces)) => send_pieces(tx, pieces).await,
-        Ok(None) => tx.finish(),
-        Err(e) => debug!(serving.log, "stream of a peer failed"; "reason" => e.to_string()),
     }
 }
 
-/// Does what a stream is for, up to the pieces of a long answer, which it returns.
+/// Does what a head asks for; `false` where the connection is of no more use.
 async fn answer(
-    tx: &mut ResetGuard,
-    mut rx: RecvStream,
+    conn: &mut PeerConn,
+    head: StreamHead,
     serving: &Serving,
-) -> Result<Option<Pieces>, FrameError> {
-    match read_head::<StreamHead>(&mut rx, MAX_HEAD).await?.value {
-        StreamHead::Request(head) => run(tx, rx, *head, &serving.host).await,
+) -> Result<bool, FrameError> {
+    match head {
+        StreamHead::Request(head) => run(conn, *head, &serving.host).await,
         StreamHead::Follow(asked) => {
-            share(serving.sharing.clone(), tx, asked).await?;
-            Ok(None)
+            share(serving.sharing.clone(), conn, asked).await?;
+            Ok(false)
+        }
+        StreamHead::AreYouThere => {
+            let alive = AliveFrame { boot: serving.boot };
+            conn.write(&alive, &[]).await?;
+            Ok(true)
         }
     }
 }
 
-/// Runs a request and writes the reply up to the pieces of a long body, which it returns.
-async fn run(
-    tx: &mut ResetGuard,
-    rx: RecvStream,
-    head: RequestFrame,
-    host: &Host,
-) -> Result<Option<Pieces>, FrameError> {
-    let body = receive_body(rx, head.length).await?;
-    let req = head.into_request(body, host.clock.now())?;
-    let reply = host.run(req).await;
-    write_head(tx.stream(), &ReplyFrame::from(&reply)).await?;
-    match reply.result.map(|answer| answer.body) {
-        Ok(Body::Whole(bytes)) => {
-            write_all(tx, bytes).await?;
-            Ok(None)
+/// Runs a request. One whose sender leaves meanwhile is broken off where it can be.
+async fn run(conn: &mut PeerConn, head: RequestFrame, host: &Host) -> Result<bool, FrameError> {
+    let ended = AtomicBool::new(true);
+    let ran = match head.held() {
+        Some(length) if length > HELD_BODY => return Err(FrameError::TooLarge(length)),
+        Some(length) => {
+            let body = Body::Whole(conn.read_body(length).await?);
+            let req = head.into_request(body, host.clock.now())?;
+            // A node that stood still finds requests whose senders have left: it must see that before it runs them.
+            tokio::select! {
+                biased;
+                () = conn.closed() => None,
+                reply = host.run(req) => Some(reply),
+            }
+        }
+        None => {
+            ended.store(false, Ordering::Relaxed);
+            let (tx, rx) = mpsc::channel(WAITING_PIECES);
+            let length = head.length;
+            let req = head.into_request(Body::Stream { length, rx }, host.clock.now())?;
+            tokio::select! {
+                reply = host.run(req) => Some(reply),
+                () = pieces::feed(conn, tx, &ended) => None,
+            }
         }
-        Ok(Body::Stream { rx, .. }) => Ok(Some(rx)),
-        Err(_) => Ok(None),
+    };
+    let Some(reply) = ran else {
+        return Ok(false);
+    };
+    write_reply(conn, reply).await?;
+    let whole = ended.load(Ordering::Relaxed);
+    if !whole {
+        pieces::drain(conn).await;
     }
+    Ok(whole)
 }
 
-/// Pieces of a body that is too long to be held.
-type Pieces = mpsc::Receiver<Result<Bytes, CutShort>>;
+async fn write_reply(conn: &mut PeerConn, reply: HostReply) -> Result<(), FrameError> {
+    let head = ReplyFrame::from(&reply);
+    match reply.result.map(|answer| answer.body) {
+        Ok(Body::Whole(bytes)) => Ok(conn.write(&head, &bytes).await?),
+        Ok(Body::Stream { rx, .. }) => {
+            conn.write(&head, &[]).await?;
+            pieces::send_answer(conn, rx).await
+        }
+        Err(_) => Ok(conn.write(&head, &[]).await?),
+    }
+}
--- a/crates/node/src/mesh/news/follow.rs
+++ b/crates/node/src/mesh/news/follow.rs
@@ -5,14 +5,13 @@
 use std::time::Duration;
 
 use coltsfootport_core::mesh::Publisher;
-use quinn::RecvStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use super::frames::{FollowFrame, MAX_BODY, MAX_HEAD, NewsFrame};
 use super::source::{Changes, Heard, Source, What};
-use crate::mesh::link::{LinkHub, StreamHead};
-use crate::wire::{FrameError, read_body, read_head, write_head};
+use crate::mesh::link::{LinkHub, PeerConn, StreamHead};
+use crate::wire::FrameError;
 
 /// Time without a sign of life after which a node is given up. Well within the time in which a configuration must be in
 /// force, and long beside the pauses of a busy node.
@@ -58,24 +57,21 @@
     }
 
     async fn listen(&self) -> Result<std::convert::Infallible, FollowError> {
-        let link = self.links.get(self.peer).await;
-        let link = link.ok_or(FollowError::NoLink)?.connection;
-        let opened = timeout(SILENCE, link.open_bi()).await;
-        let (mut tx, mut rx) = opened
-            .map_err(|_| FollowError::Silent)?
-            .map_err(|_| FollowError::NoLink)?;
+        let connected = self.links.connect(self.peer).await;
+        let mut conn = connected.map_err(|_| FollowError::NoLink)?;
         let asked = FollowFrame {
             revision: self.revision,
         };
-        write_head(&mut tx, &StreamHead::Follow(asked)).await?;
+        let written = conn.write(&StreamHead::Follow(asked), &[]).await;
+        written.map_err(FrameError::from)?;
         loop {
-            let told = timeout(SILENCE, self.next(&mut rx)).await;
+            let told = timeout(SILENCE, self.next(&mut conn)).await;
             self.tell(told.map_err(|_| FollowError::Silent)??);
         }
     }
 
-    async fn next(&self, rx: &mut RecvStream) -> Result<What, FollowError> {
-        match read_head::<NewsFrame>(rx, MAX_HEAD).await?.value {
+    async fn next(&self, conn: &mut PeerConn) -> Result<What, FollowError> {
+        match conn.read_head::<NewsFrame>(MAX_HEAD).await? {
             NewsFrame::State { sound, answered } => Ok(What::State { sound, answered }),
             NewsFrame::HistoryGone => Err(FollowError::HistoryGone),
             NewsFrame::Changes {
@@ -83,7 +79,11 @@
                 revision,
                 length,
             } => {
-                let body = read_body(rx, length, MAX_BODY).await?;
+                let length = length as usize;
+                if length > MAX_BODY {
+                    return Err(FrameError::TooLarge(length).into());
+                }
+                let body = conn.read_body(length).await?;
                 let read = self.publisher.read_watch(&body);
                 let batch = read.map_err(|e| FollowError::Malformed(e.to_string()))?;
                 let changes = Changes {
--- a/crates/node/src/mesh/news/share.rs
+++ b/crates/node/src/mesh/news/share.rs
@@ -10,8 +10,8 @@
 use super::frames::{FollowFrame, NewsFrame};
 use super::source::Changes;
 use super::{Board, follow::SILENCE};
-use crate::mesh::link::ResetGuard;
-use crate::wire::{FrameError, write_head};
+use crate::mesh::link::PeerConn;
+use crate::wire::FrameError;
 
 /// Time between signs of life where nothing is new; two may be late before a follower gives up.
 const BEAT: Duration = Duration::from_millis(SILENCE.as_millis() as u64 / 3);
@@ -29,10 +29,10 @@
 ///
 /// # Errors
 ///
-/// The stream is lost, or what it asks for is not kept any more.
+/// The connection is lost, or what it asks for is not kept any more.
 pub async fn share(
     sharing: Sharing,
-    tx: &mut ResetGuard,
+    conn: &mut PeerConn,
     asked: FollowFrame,
 ) -> Result<(), FrameError> {
     let _counted = Counted::new(sharing.followers);
@@ -50,31 +50,33 @@
             (board.since(told), state)
         };
         let Some(changes) = changes else {
-            write_head(tx.stream(), &NewsFrame::HistoryGone).await?;
+            conn.write(&NewsFrame::HistoryGone, &[]).await?;
             return Ok(());
         };
         for changes in changes {
             told = changes.revision;
-            send(tx, changes).await?;
+            send(conn, changes).await?;
         }
-        write_head(tx.stream(), &state).await?;
-        match timeout(BEAT, board.changed()).await {
-            Ok(Ok(())) | Err(_) => {}
-            // The node is about to end.
-            Ok(Err(_)) => return Ok(()),
+        conn.write(&state, &[]).await?;
+        tokio::select! {
+            waited = timeout(BEAT, board.changed()) => match waited {
+                Ok(Ok(())) | Err(_) => {}
+                // The node is about to end.
+                Ok(Err(_)) => return Ok(()),
+            },
+            // The follower has left.
+            () = conn.closed() => return Ok(()),
         }
     }
 }
 
-async fn send(tx: &mut ResetGuard, changes: Changes) -> Result<(), FrameError> {
+async fn send(conn: &mut PeerConn, changes: Changes) -> Result<(), FrameError> {
     let head = NewsFrame::Changes {
         after: changes.after,
         revision: changes.revision,
         length: u32::try_from(changes.body.len()).map_err(|_| FrameError::Malformed)?,
     };
-    write_head(tx.stream(), &head).await?;
-    tx.stream().write_chunk(changes.body).await?;
-    Ok(())
+    Ok(conn.write(&head, &changes.body).await?)
 }
 
 /// Counts a follower for as long as it is served.
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -20,7 +20,7 @@
 use super::host::Host;
 use super::journal::Journal;
 use super::life::{Life, Signals};
-use super::link::{self, LinkError, LinkHub, Serving, run_hub};
+use super::link::{self, LinkHub, Serving, watch_peers};
 use super::metrics::MeshMetrics;
 use super::news::{Board, News, Sharing};
 use super::ready::{self, Ready};
@@ -35,9 +35,6 @@
     /// A listener's address can't be bound, or signals can't be received.
     #[error("the node can't start: {0}")]
     Io(#[from] std::io::Error),
-    /// The peers' endpoint can't be made.
-    #[error(transparent)]
-    Link(#[from] LinkError),
     /// Metrics can't be registered.
     #[error("metrics: {0}")]
     Metrics(#[from] prometheus::Error),
@@ -75,7 +72,7 @@
     );
     let callers_socket = TcpListener::bind(settings.node.callers).await?;
     let ready_socket = TcpListener::bind(settings.node.ready).await?;
-    let endpoint = link::bind(settings.node.peers)?;
+    let peers_socket = TcpListener::bind(settings.node.peers).await?;
     let host = Host {
         desk: desk.clone(),
         pool: TargetPool::new(settings.node.target, Arc::clone(&clock)),
@@ -84,7 +81,7 @@
         journal: journal.clone(),
     };
     let (service_tx, service) = watch::channel(settings.node.service.clone());
-    let (links, links_rx) = LinkHub::new();
+    let links = LinkHub::new(Arc::clone(&clock));
     let entry = Entry {
         desk: desk.clone(),
         links: links.clone(),
@@ -132,19 +129,14 @@
     let serving = Serving {
         host: host.clone(),
         sharing,
+        boot: rand::random(),
         log: log.clone(),
     };
     info!(log, "started"; "callers" => settings.node.callers, "target" => settings.node.target,
         "domain" => settings.node.domain.as_str(), "version" => env!("CARGO_PKG_VERSION"));
     tokio::spawn(run_desk(state, rx));
-    tokio::spawn(run_hub(
-        endpoint.clone(),
-        links,
-        Arc::clone(&clock),
-        links_rx,
-        log.clone(),
-    ));
-    tokio::spawn(link::serve(endpoint, serving));
+    tokio::spawn(watch_peers(links, log.clone()));
+    tokio::spawn(link::serve(peers_socket, serving));
     tokio::spawn(news.run());
     tokio::spawn(ready::serve(ready_socket, ready.clone()));
     if let Some(address) = settings.node.metrics {
