Nodes that others tell of the store's return ask an absent store less often

A node with a source that tells whether it hears the store is told of its return within half a second, so its own pauses now grow to 1.6 s; the readers, and whoever is told by nobody, keep 0.4 s. Ruled out: no reads at all (a node may be the only one that reaches the store).

--- a/crates/core/src/mesh/readers.rs
+++ b/crates/core/src/mesh/readers.rs
@@ -120,6 +120,12 @@
         self.sound() > 0
     }
 
+    /// Whether any source tells whether it hears the publisher, so that it will tell of the publisher's return.
+    pub fn is_told(&self) -> bool {
+        let mut states = self.sources.values();
+        states.any(|state| *state != SourceState::Asked)
+    }
+
     /// What to do now; `followers` are the nodes that hear the news from this one.
     pub fn plan(&mut self, view: &ReadersView, followers: usize, now: Instant) -> ReadingPlan {
         if view.appointed || view.instances <= view.readers * self.cfg.direct_ratio {
--- a/crates/core/tests/mesh_readers.rs
+++ b/crates/core/tests/mesh_readers.rs
@@ -310,6 +310,7 @@
     bench.plan(&all, 0);
     bench.pass(1500);
     assert!(!bench.plan(&all, 0).read, "covered again");
+    assert!(bench.readers.is_told());
     // With nobody else to try it is kept: it will tell when it hears the store again.
     let few = view(&[2, 3]);
     bench.pass(3500);
--- a/crates/node/src/mesh/news/store_reader.rs
+++ b/crates/node/src/mesh/news/store_reader.rs
@@ -14,7 +14,7 @@
 use slog::{Logger, debug, info};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
 use super::source::{Changes, Heard, Source, What};
@@ -28,10 +28,17 @@
 /// Pages of one list at most; guards against a publisher whose pages never end.
 const MOST_PAGES: usize = 4096;
 
-/// First pause after a failure, doubled up to four times this. Short, since a configuration must be in force within
-/// seconds of the publisher's return; every read is paid for, so it grows.
+/// First pause after a failure, doubled with each further one. Short, since a configuration must be in force within seconds of
+/// the publisher's return; every read is paid for, so it grows.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
+/// Longest such pause of a node that nobody tells of the publisher's return.
+pub const ALONE_PAUSE: Duration = Duration::from_millis(400);
+
+/// Longest such pause of a node that follows others. These tell of the return within half a second; its own reads are for the
+/// case that they alone are cut off. With the shorter pause 85 nodes asked a store that was away 1,700 times in 8 s.
+pub const FOLLOWING_PAUSE: Duration = Duration::from_millis(1600);
+
 /// Wait of the first watch after a failure: none.
 ///
 /// A publisher that is silent answers nothing that was asked before its return, so a whole watch that is asked a moment
@@ -89,6 +96,8 @@
     pub cfg: FeedSettings,
     /// What to ask, and how to read the answers.
     pub publisher: Arc<dyn Publisher>,
+    /// Longest pause after a failure, as it is now.
+    pub longest_pause: watch::Receiver<Duration>,
     /// Counts reads.
     pub metrics: MeshMetrics,
     /// Time.
@@ -122,7 +131,7 @@
                     if failures > 1 || !matches!(e, FeedError::Broken(_)) {
                         self.tell(What::Failed);
                     }
-                    sleep(pause(failures)).await;
+                    sleep(self.pause(failures)).await;
                 }
             }
         }
@@ -194,6 +203,11 @@
         Ok(revision)
     }
 
+    fn pause(&self, failures: u32) -> Duration {
+        let doublings = failures.saturating_sub(1).min(8);
+        (FIRST_PAUSE * (1 << doublings)).min(*self.longest_pause.borrow())
+    }
+
     fn tell(&self, what: What) {
         let from = Source::Publisher;
         // The one who hears it lives as long as the process.
@@ -277,7 +291,3 @@
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(limit))
 }
-
-fn pause(failures: u32) -> Duration {
-    FIRST_PAUSE * (1 << failures.saturating_sub(1).min(2))
-}
--- a/crates/node/src/mesh/news/task.rs
+++ b/crates/node/src/mesh/news/task.rs
@@ -14,7 +14,7 @@
 use super::Board;
 use super::follow::Follow;
 use super::source::{Changes, Heard, Listening, Source, What};
-use super::store_reader::StoreReader;
+use super::store_reader::{ALONE_PAUSE, FOLLOWING_PAUSE, StoreReader};
 use crate::clock::SharedClock;
 use crate::mesh::desk::{DeskEvent, DeskHandle};
 use crate::mesh::link::LinkHub;
@@ -54,6 +54,8 @@
     /// The revision up to which everything is known.
     revision: Option<u64>,
     reader: Option<Listening>,
+    /// Longest pause of the reader after a failure.
+    longest_pause: watch::Sender<Duration>,
     /// Whether the publisher answers this node.
     sound: bool,
     following: Map<IpAddr, Listening>,
@@ -69,6 +71,7 @@
             news: self,
             revision: None,
             reader: None,
+            longest_pause: watch::Sender::new(ALONE_PAUSE),
             sound: false,
             following: Map::default(),
             tx,
@@ -190,10 +193,16 @@
     }
 
     fn read(&mut self, wanted: bool) {
+        self.longest_pause
+            .send_replace(match self.readers.is_told() {
+                true => FOLLOWING_PAUSE,
+                false => ALONE_PAUSE,
+            });
         match (wanted, &self.reader) {
             (true, None) => {
                 info!(self.news.log, "reads the publisher"; "revision" => self.revision);
                 let reader = StoreReader {
+                    longest_pause: self.longest_pause.subscribe(),
                     cfg: self.news.cfg,
                     publisher: Arc::clone(&self.news.publisher),
                     metrics: self.news.metrics.clone(),
