--- a/crates/core/src/mesh/below.rs
+++ b/crates/core/src/mesh/downstream.rs
@@ -7,14 +7,14 @@
 ///
 /// A repeat of a request repeats these too, so a retry costs their sum and not one.
 #[derive(Clone, Debug, Default)]
-pub struct Below {
+pub struct Downstream {
     mean: Map<ServiceName, f64>,
 }
 
 /// Weight of the newest run; the mean settles within some ten runs.
 const NEWEST: f64 = 0.1;
 
-impl Below {
+impl Downstream {
     /// Takes in what one run has caused.
     pub fn learn<'s, I>(&mut self, counts: I)
     where
--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -13,8 +13,8 @@
 use crate::collections::{Map, Set};
 use crate::id::{DomainName, ServiceName};
 use crate::mesh::{
-    FleetConfig, GoneEffect, Instance, Observed, PutEffect, ReadersConfig, ReadersView,
-    SendOutcome, Standing,
+    FleetConfig, GoneEffect, Instance, MemberState, Observed, PutEffect, ReadersConfig,
+    ReadersView, SendOutcome,
 };
 
 new_key_type! {
@@ -36,7 +36,7 @@
 #[derive(Clone, Debug)]
 struct Member {
     instance: Instance,
-    standing: Standing,
+    member_state: MemberState,
     cold_until: Instant,
     seen: Observed,
 }
@@ -45,9 +45,9 @@
     /// Its host is cut off from the publisher: where its entry has lapsed, it is held until then at least.
     fn host_cut_off(&mut self, until: Instant, now: Instant) {
         self.seen.host_cut_off(now);
-        if let Standing::Vanished { until: earlier } = self.standing {
+        if let MemberState::Missing { until: earlier } = self.member_state {
             let until = until.max(earlier);
-            self.standing = Standing::Vanished { until };
+            self.member_state = MemberState::Missing { until };
         }
     }
 }
@@ -84,9 +84,9 @@
     /// until its lease runs out: after a loss of power of all machines, seconds in which most requests would go to
     /// instances that are gone, and come back refused by their successors.
     pub fn put(&mut self, instance: Instance, now: Instant) -> PutEffect {
-        let standing = match instance.leaving {
-            true => Standing::Leaving,
-            false => Standing::Ready,
+        let member_state = match instance.leaving {
+            true => MemberState::Draining,
+            false => MemberState::Ready,
         };
         let cold_until = now + instance.cold;
         if self.is_superseded(&instance) {
@@ -95,7 +95,7 @@
         let Some(key) = self.by_id.get(&instance.id).copied() else {
             let older = self.by_address.get(&instance.address).copied();
             let ended = older.and_then(|key| self.remove(key));
-            self.insert(instance, standing, cold_until);
+            self.insert(instance, member_state, cold_until);
             return ended.map_or(PutEffect::Changed, PutEffect::Superseded);
         };
         let known = &self.members[key].instance;
@@ -105,18 +105,18 @@
         if is_another_start(&instance, known) {
             // What was learnt of the earlier start, its load, failures and coldness, says nothing of this one.
             self.remove(key);
-            self.insert(instance, standing, cold_until);
+            self.insert(instance, member_state, cold_until);
             return PutEffect::Restarted;
         }
         if known.service != instance.service || known.address != instance.address {
             self.remove(key);
-            self.insert(instance, standing, cold_until);
+            self.insert(instance, member_state, cold_until);
             return PutEffect::Changed;
         }
         let member = &mut self.members[key];
-        let changed = member.standing != standing;
+        let changed = member.member_state != member_state;
         member.instance = instance;
-        member.standing = standing;
+        member.member_state = member_state;
         match changed {
             true => PutEffect::Changed,
             false => PutEffect::Same,
@@ -138,12 +138,12 @@
         let member = &mut self.members[key];
         let counts = self
             .publisher
-            .absence_counts(member.standing, self.cfg.lapse_hold, now);
-        let unannounced = member.standing.takes_work();
+            .absence_counts(member.member_state, self.cfg.lapse_hold, now);
+        let unannounced = member.member_state.takes_work();
         let lapsed = unannounced && member.seen.host_is_cut_off(now);
         let counts = counts.or(lapsed.then_some(now + self.cfg.lapse_hold));
         if let Some(until) = counts {
-            member.standing = Standing::Vanished { until };
+            member.member_state = MemberState::Missing { until };
             return GoneEffect::Held;
         }
         let instance = member.instance.clone();
@@ -173,7 +173,7 @@
         if self.by_address.contains_key(&instance.address) {
             return false;
         }
-        self.insert(instance, Standing::Vanished { until }, now);
+        self.insert(instance, MemberState::Missing { until }, now);
         true
     }
 
@@ -216,8 +216,8 @@
         self.publisher = PublisherHealth::BackSince(now);
         let until = now + self.cfg.lapse_hold;
         for member in self.members.values_mut() {
-            if matches!(member.standing, Standing::Vanished { .. }) {
-                member.standing = Standing::Vanished { until };
+            if matches!(member.member_state, MemberState::Missing { .. }) {
+                member.member_state = MemberState::Missing { until };
             }
         }
     }
@@ -225,8 +225,8 @@
     /// Lets time pass: removes what had its time to come back, and returns the ids.
     pub fn tick(&mut self, now: Instant) -> Vec<SmolStr> {
         self.publisher.settle(self.cfg.lapse_hold, now);
-        let over = |member: &Member| match member.standing {
-            Standing::Vanished { until } => until <= now,
+        let over = |member: &Member| match member.member_state {
+            MemberState::Missing { until } => until <= now,
             _ => false,
         };
         let keys: Vec<InstanceKey> = self
@@ -256,7 +256,7 @@
         let mut best: Option<(bool, f64, InstanceKey)> = None;
         for key in self.by_service.get(service)? {
             let member = &self.members[*key];
-            if !member.standing.takes_work() || tried.contains(key) {
+            if !member.member_state.takes_work() || tried.contains(key) {
                 continue;
             }
             let avoided = member.seen.is_avoided(now);
@@ -343,9 +343,9 @@
     }
 
     /// What is believed about an instance; `None` where it is not known.
-    pub fn standing(&self, id: &str) -> Option<Standing> {
+    pub fn member_state(&self, id: &str) -> Option<MemberState> {
         let key = self.by_id.get(id)?;
-        Some(self.members[*key].standing)
+        Some(self.members[*key].member_state)
     }
 
     /// The fleet as the node at `own` sees it when it decides who reads the publisher.
@@ -359,7 +359,11 @@
             ..Default::default()
         };
         let mut by_domain: BTreeMap<&DomainName, Vec<(u64, &str, IpAddr)>> = BTreeMap::new();
-        for member in self.members.values().filter(|m| m.standing.takes_work()) {
+        for member in self
+            .members
+            .values()
+            .filter(|m| m.member_state.takes_work())
+        {
             let Instance {
                 created,
                 id,
@@ -386,10 +390,10 @@
     }
 
     /// Every instance and what is believed about it.
-    pub fn iter(&self) -> impl Iterator<Item = (&Instance, Standing)> {
+    pub fn iter(&self) -> impl Iterator<Item = (&Instance, MemberState)> {
         self.members
             .values()
-            .map(|member| (&member.instance, member.standing))
+            .map(|member| (&member.instance, member.member_state))
     }
 
     /// Number of instances.
@@ -402,13 +406,13 @@
         self.members.is_empty()
     }
 
-    fn insert(&mut self, instance: Instance, standing: Standing, cold_until: Instant) {
+    fn insert(&mut self, instance: Instance, member_state: MemberState, cold_until: Instant) {
         let id = instance.id.clone();
         let service = instance.service.clone();
         let address = instance.address;
         let key = self.members.insert(Member {
             instance,
-            standing,
+            member_state,
             cold_until,
             seen: Observed::default(),
         });
--- a/crates/core/src/mesh/publisher_health.rs
+++ b/crates/core/src/mesh/publisher_health.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::mesh::Standing;
+use crate::mesh::MemberState;
 
 /// Whether the publisher answers as it should.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,13 +25,13 @@
     /// instance left for seconds after each outage.
     pub(super) fn absence_counts(
         self,
-        standing: Standing,
+        member_state: MemberState,
         hold: Duration,
         now: Instant,
     ) -> Option<Instant> {
-        let until = match (standing, self) {
-            (Standing::Leaving, _) | (_, Self::Sound) => return None,
-            (Standing::Vanished { until }, _) => until,
+        let until = match (member_state, self) {
+            (MemberState::Draining, _) | (_, Self::Sound) => return None,
+            (MemberState::Missing { until }, _) => until,
             (_, Self::Troubled) => now + UNTIL_RETURN,
             (_, Self::BackSince(back)) => back + hold,
         };
--- a/crates/core/src/mesh/patience.rs
+++ b/crates/core/src/mesh/queue_timeout.rs
@@ -4,14 +4,14 @@
 
 /// How long requests wait at most.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PatienceConfig {
+pub struct QueueTimeoutConfig {
     /// Share of its latency target that a request from outside may wait for its target: the rest is for its run.
     pub worthwhile_share: f64,
     /// Share of its remaining time that it may wait even where its latency target is missed.
     pub least_share: f64,
 }
 
-impl Default for PatienceConfig {
+impl Default for QueueTimeoutConfig {
     fn default() -> Self {
         Self {
             worthwhile_share: 0.6,
@@ -20,9 +20,9 @@
     }
 }
 
-/// A request as far as its patience is concerned.
+/// What the queue timeout of a request follows from.
 #[derive(Clone, Copy, Debug)]
-pub struct Impatient {
+pub struct QueueTimeoutRequest {
     /// Whether a run waits for it.
     pub inner: bool,
     /// When it came.
@@ -33,12 +33,12 @@
     pub deadline: Instant,
 }
 
-impl PatienceConfig {
+impl QueueTimeoutConfig {
     /// Longest wait to be expected at which a request still enters a queue.
     ///
     /// A run that waits for it has used slots above already, so it waits as long as it can. One from outside is refused
     /// while its caller can still come back in time.
-    pub fn of(&self, req: &Impatient, now: Instant) -> Duration {
+    pub fn of(&self, req: &QueueTimeoutRequest, now: Instant) -> Duration {
         let left = req.deadline.saturating_duration_since(now);
         if req.inner {
             return left;
--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -60,12 +60,12 @@
     /// When its time is over.
     pub deadline: Instant,
     /// Longest wait to be expected at which it still enters.
-    pub patience: Duration,
+    pub queue_timeout: Duration,
 }
 
 /// What became of a request that wants to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Entered {
+pub enum Admission {
     /// It has a slot.
     Run(Ticket),
     /// It waits; [`TargetGate::next_start`] will name it.
@@ -76,7 +76,7 @@
         retry_after: Duration,
     },
     /// The time that it has left does not hold what its kind needs.
-    Hopeless,
+    DeadlineUnreachable,
 }
 
 /// Slots and queue of one target.
@@ -162,17 +162,17 @@
     }
 
     /// A request asks for a slot.
-    pub fn enter(&mut self, request: Waiting, now: Instant) -> Entered {
+    pub fn enter(&mut self, request: Waiting, now: Instant) -> Admission {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
         let work = self.work.expected(request.kind);
         self.level.arrived(request.order, work, request.admitted);
         if self.latest_start(&request) <= now {
-            return Entered::Hopeless;
+            return Admission::DeadlineUnreachable;
         }
         if self.running() < self.usable && self.queue.is_empty() {
             self.start(ticket, request.kind);
-            return Entered::Run(ticket);
+            return Admission::Run(ticket);
         }
         let wait = self.expected_wait(&request);
         let until = self
@@ -180,8 +180,8 @@
             .limits
             .wait_until(request.deadline, request.inner, now);
         let left = until.saturating_duration_since(now);
-        if wait >= request.patience.min(left) || self.queue.len() >= self.cfg.queue {
-            return Entered::Refused { retry_after: wait };
+        if wait >= request.queue_timeout.min(left) || self.queue.len() >= self.cfg.queue {
+            return Admission::Refused { retry_after: wait };
         }
         let queued = Queued {
             ticket,
@@ -194,7 +194,7 @@
             .queue
             .partition_point(|other| other.order() < queued.order());
         self.queue.insert(at, queued);
-        Entered::Wait(ticket)
+        Admission::Wait(ticket)
     }
 
     /// A request that had a slot has ended after `held`.
@@ -303,7 +303,7 @@
         backlog
     }
 
-    /// Time until a request entering now gets its slot, by what goes before it.
+    /// Time until a request that enters now gets its slot, by what goes before it.
     fn expected_wait(&self, request: &Waiting) -> Duration {
         let order = (
             request.rank,
--- a/crates/core/tests/mesh_budget.rs
+++ b/crates/core/tests/mesh_budget.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 
 use coltsfootport_core::id::ServiceName;
-use coltsfootport_core::mesh::{Below, RetryBudget, RetryBudgetConfig};
+use coltsfootport_core::mesh::{Downstream, RetryBudget, RetryBudgetConfig};
 
 const WINDOW: Duration = Duration::from_secs(10);
 
@@ -97,7 +97,7 @@
 
 #[test]
 fn what_a_run_causes_is_learnt() {
-    let mut below = Below::default();
+    let mut below = Downstream::default();
     let service = ServiceName::from("bottom");
     for _ in 0..60 {
         below.learn([(&service, 8)]);
--- a/crates/core/tests/mesh_fleet.rs
+++ b/crates/core/tests/mesh_fleet.rs
@@ -7,7 +7,8 @@
 use rand::rngs::SmallRng;
 
 use coltsfootport_core::mesh::{
-    Chosen, Fleet, FleetConfig, GoneEffect, Instance, InstanceKey, PutEffect, SendOutcome, Standing,
+    Chosen, Fleet, FleetConfig, GoneEffect, Instance, InstanceKey, MemberState, PutEffect,
+    SendOutcome,
 };
 
 fn ms(n: u64) -> Duration {
@@ -266,9 +267,9 @@
             }
         }
         assert_eq!(bench.choose(&[]).is_some(), case.usable, "{}", case.name);
-        let standing = bench.fleet.standing("i-a");
+        let member_state = bench.fleet.member_state("i-a");
         assert_eq!(
-            standing.is_some_and(Standing::takes_work),
+            member_state.is_some_and(MemberState::takes_work),
             case.usable,
             "{}",
             case.name
@@ -296,7 +297,7 @@
         assert_eq!(own.id, "i-z");
         // The old entry may be written or listed once more, after its successor's.
         bench.fleet.put(instance("i-a"), bench.now);
-        assert!(bench.fleet.standing("i-a").is_none());
+        assert!(bench.fleet.member_state("i-a").is_none());
         let listed = vec![successor(service), instance("i-a")];
         bench.fleet.replace_all(listed, bench.now);
         assert_eq!(bench.fleet.len(), 1);
@@ -458,8 +459,8 @@
                 }
             }
         }
-        let standing = bench.fleet.standing("i-a");
-        let usable = standing.is_some_and(Standing::takes_work);
+        let member_state = bench.fleet.member_state("i-a");
+        let usable = member_state.is_some_and(MemberState::takes_work);
         assert_eq!(usable, case.usable, "{}", case.name);
     }
 }
@@ -486,7 +487,7 @@
     };
     bench.fleet.put(leaving, bench.now);
     assert_eq!(bench.fleet.put(born(2000), bench.now), PutEffect::Restarted);
-    assert_eq!(bench.fleet.standing("i-a"), Some(Standing::Ready));
+    assert_eq!(bench.fleet.member_state("i-a"), Some(MemberState::Ready));
     assert_eq!(bench.fleet.put(born(2000), bench.now), PutEffect::Same);
     // A stale read of the earlier start changes nothing.
     let stale = Instance {
@@ -494,7 +495,7 @@
         ..born(1000)
     };
     assert_eq!(bench.fleet.put(stale, bench.now), PutEffect::Same);
-    assert_eq!(bench.fleet.standing("i-a"), Some(Standing::Ready));
+    assert_eq!(bench.fleet.member_state("i-a"), Some(MemberState::Ready));
     let went = bench.share("i-a", |_| WELL);
     assert!(went > 25, "{went} of 100 went to the new start");
     let after = bench.choose(&[]).expect("an instance");
@@ -506,11 +507,11 @@
     let mut bench = Bench::new(&["i-a", "i-b"]);
     assert!(bench.fleet.unnamed("i-a"));
     assert!(!bench.fleet.unnamed("i-a"));
-    assert!(bench.fleet.standing("i-a").is_none());
+    assert!(bench.fleet.member_state("i-a").is_none());
     assert_eq!(
         bench.choose(&[]).map(|chosen| chosen.id),
         Some("i-b".into())
     );
     bench.fleet.put(instance("i-a"), bench.now);
-    assert_eq!(bench.fleet.standing("i-a"), Some(Standing::Ready));
+    assert_eq!(bench.fleet.member_state("i-a"), Some(MemberState::Ready));
 }
--- a/crates/core/tests/mesh_gate.rs
+++ b/crates/core/tests/mesh_gate.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootport_core::mesh::{
-    Backlog, Entered, GateConfig, LevelConfig, LevelControl, RequestKind, Shedder, ShedderConfig,
+    Admission, Backlog, GateConfig, LevelConfig, LevelControl, RequestKind, Shedder, ShedderConfig,
     TargetGate, Ticket, Waiting,
 };
 
@@ -20,7 +20,7 @@
         inner,
         began: now,
         deadline: now + ms(10_000),
-        patience: ms(10_000),
+        queue_timeout: ms(10_000),
     }
 }
 
@@ -32,10 +32,10 @@
     TargetGate::new(cfg, now)
 }
 
-fn ticket(entered: Entered) -> Ticket {
+fn ticket(entered: Admission) -> Ticket {
     match entered {
-        Entered::Run(ticket) | Entered::Wait(ticket) => ticket,
-        Entered::Refused { .. } | Entered::Hopeless => panic!("refused"),
+        Admission::Run(ticket) | Admission::Wait(ticket) => ticket,
+        Admission::Refused { .. } | Admission::DeadlineUnreachable => panic!("refused"),
     }
 }
 
@@ -43,7 +43,7 @@
 fn urgent_ranks_go_first_and_runs_in_progress_before_new_ones() {
     let now = Instant::now();
     let mut gate = gate(1, now);
-    let Entered::Run(mut runs) = gate.enter(waiting(2, false, now), now) else {
+    let Admission::Run(mut runs) = gate.enter(waiting(2, false, now), now) else {
         panic!("the slot is free");
     };
     let outer_low = ticket(gate.enter(waiting(2, false, now), now));
@@ -94,20 +94,20 @@
     for _ in 0..10 {
         let _ = ticket(gate.enter(waiting(1, false, now), now));
     }
-    let impatient = Waiting {
-        patience: ms(200),
+    let short_wait = Waiting {
+        queue_timeout: ms(200),
         ..waiting(1, false, now)
     };
     assert!(matches!(
-        gate.enter(impatient, now),
-        Entered::Refused { .. }
+        gate.enter(short_wait, now),
+        Admission::Refused { .. }
     ));
     let urgent = Waiting {
-        patience: ms(200),
+        queue_timeout: ms(200),
         ..waiting(0, false, now)
     };
     assert!(
-        matches!(gate.enter(urgent, now), Entered::Wait(_)),
+        matches!(gate.enter(urgent, now), Admission::Wait(_)),
         "nobody is ahead of it"
     );
 }
@@ -289,7 +289,7 @@
         deadline: now + ms(150),
         ..waiting(1, false, now)
     };
-    assert_eq!(gate.enter(short, now), Entered::Hopeless);
+    assert_eq!(gate.enter(short, now), Admission::DeadlineUnreachable);
     let _ = ticket(gate.enter(waiting(1, false, now), now));
     let enough = Waiting {
         deadline: now + ms(900),
--- a/crates/core/tests/mesh_time_limits.rs
+++ b/crates/core/tests/mesh_time_limits.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootport_core::mesh::{
-    Entered, GateConfig, Limited, RequestKind, TargetGate, TimeLimits, Waiting,
+    Admission, GateConfig, Limited, RequestKind, TargetGate, TimeLimits, Waiting,
 };
 use proptest::prelude::*;
 
@@ -74,7 +74,7 @@
         inner,
         began: now,
         deadline: now + left,
-        patience: ms(10_000),
+        queue_timeout: ms(10_000),
     }
 }
 
@@ -85,7 +85,7 @@
     };
     let mut gate = TargetGate::new(cfg, now);
     let first = gate.enter(waiting(false, now, ms(10_000)), now);
-    assert!(matches!(first, Entered::Run(_)));
+    assert!(matches!(first, Admission::Run(_)));
     gate
 }
 
@@ -124,7 +124,7 @@
     for case in cases {
         let now = Instant::now();
         let mut gate = busy_gate(now);
-        let Entered::Wait(ticket) = gate.enter(waiting(case.inner, now, case.left), now) else {
+        let Admission::Wait(ticket) = gate.enter(waiting(case.inner, now, case.left), now) else {
             panic!("{}: it can wait", case.name);
         };
         let before = now + case.refused_at - ms(1);
@@ -143,6 +143,6 @@
     let mut gate = TargetGate::new(GateConfig::default(), now);
     for inner in [false, true] {
         let entered = gate.enter(waiting(inner, now, ms(60)), now);
-        assert!(matches!(entered, Entered::Run(_)), "inner: {inner}");
+        assert!(matches!(entered, Admission::Run(_)), "inner: {inner}");
     }
 }
--- a/crates/core/tests/replay/world.rs
+++ b/crates/core/tests/replay/world.rs
@@ -10,8 +10,9 @@
 use smol_str::SmolStr;
 
 use coltsfootport_core::mesh::{
-    Entered, Fleet, FleetConfig, GateConfig, Impatient, Instance, InstanceKey, PatienceConfig,
-    RequestKind, SendOutcome, Shedder, ShedderConfig, TargetGate, Ticket, Waiting,
+    Admission, Fleet, FleetConfig, GateConfig, Instance, InstanceKey, QueueTimeoutConfig,
+    QueueTimeoutRequest, RequestKind, SendOutcome, Shedder, ShedderConfig, TargetGate, Ticket,
+    Waiting,
 };
 
 use super::deployment::{Deployment, Pattern};
@@ -337,7 +338,7 @@
         let root = &self.deployment.kinds[self.requests[request].kind];
         let inner = self.runs[run].parent.is_some();
         let now = self.instant(self.now);
-        let impatient = Impatient {
+        let queue_req = QueueTimeoutRequest {
             inner,
             arrived: self.instant(sent),
             latency_target: Duration::from_millis(spec.aim_ms),
@@ -351,16 +352,16 @@
             inner,
             began: self.instant(self.requests[request].asked),
             deadline: self.instant(deadline),
-            patience: PatienceConfig::default().of(&impatient, now),
+            queue_timeout: QueueTimeoutConfig::default().of(&queue_req, now),
         };
         match self.nodes[host].gate.enter(waiting, now) {
-            Entered::Run(ticket) => self.start(run, ticket),
-            Entered::Wait(ticket) => {
+            Admission::Run(ticket) => self.start(run, ticket),
+            Admission::Wait(ticket) => {
                 self.runs[run].state = State::Waits;
                 self.runs[run].ticket = Some(ticket);
                 self.nodes[host].waiting.insert(ticket, run);
             }
-            Entered::Refused { .. } | Entered::Hopeless => self.end(run, false),
+            Admission::Refused { .. } | Admission::DeadlineUnreachable => self.end(run, false),
         }
     }
 
--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -3,7 +3,7 @@
 pub mod boot_clock;
 mod call;
 mod callers;
-mod desk;
+mod controller;
 mod entry;
 mod host;
 pub mod journal;
--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -89,7 +89,7 @@
     /// When nobody waits for it any more.
     pub deadline: Instant,
     /// Longest wait for its target that it should take; expected to wait longer, it is refused at once.
-    pub patience: Duration,
+    pub queue_timeout: Duration,
     /// Service of the machine where it began.
     pub origin: ServiceName,
     /// The instance beside the sending node, where that node is cut off from the publisher.
@@ -138,13 +138,13 @@
     /// Whether the host is cut off from the publisher.
     pub cut_off: bool,
     /// What this run has caused, by service.
-    pub below: Vec<Caused>,
+    pub downstream: Vec<Caused>,
 }
 
 impl Report {
     /// Highest level of a service on the way of the request.
     pub fn highest(&self) -> f64 {
-        let below = self.below.iter().map(|below| below.level);
+        let below = self.downstream.iter().map(|below| below.level);
         below.fold(self.level, f64::max)
     }
 }
--- a/crates/node/src/mesh/desk/entering.rs
+++ b/crates/node/src/mesh/controller/admission.rs
@@ -10,7 +10,9 @@
 use smol_str::SmolStr;
 
 use super::route_stats::RouteStats;
-use super::{AdmitAsk, Admitted, AgainAsk, Denied, Desk, EndedSend, SendAsk, SendGuard, SendTo};
+use super::{
+    AdmitAsk, Admitted, Controller, Denied, EndedSend, RetryAsk, SendAsk, SendGuard, SendTo,
+};
 
 /// When to come back to a node without configuration or instances.
 const BACK_NOT_READY: Duration = Duration::from_millis(500);
@@ -25,7 +27,7 @@
 /// Share of the budget for calls below that the nodes which send them use themselves.
 const INNER_SHARE: f64 = 0.35;
 
-impl Desk {
+impl Controller {
     /// Decides whether a request goes on, and at which service.
     pub(super) fn admit(&mut self, ask: &AdmitAsk) -> Result<Admitted, Denied> {
         let in_force = self.config.as_ref();
@@ -148,7 +150,7 @@
 
     /// Counts a first request towards the budgets of all services that it reaches.
     ///
-    /// A repeat of a request from outside costs at every service below, so its entry needs budget there, although the
+    /// A repeat of a request from outside costs at every service downstream, so its entry needs budget there, although the
     /// calls to them leave from other nodes. Those nodes use the rest for repeats of single calls.
     fn earn(&mut self, ask: &SendAsk, now: Instant) {
         if ask.outer.is_some() {
@@ -156,7 +158,7 @@
         }
         self.budget.earn(&ask.service, 1.0, now);
         if let Some(stats) = self.stats.get(&ask.route) {
-            for (service, count) in stats.below.iter() {
+            for (service, count) in stats.downstream.iter() {
                 self.budget.earn(service, count * (1.0 - INNER_SHARE), now);
             }
         }
@@ -174,9 +176,9 @@
         };
         if let Some(report) = &ended.report {
             if matches!(outcome, SendOutcome::Answered { .. }) {
-                let below = report.below.iter();
+                let below = report.downstream.iter();
                 stats
-                    .below
+                    .downstream
                     .learn(below.map(|below| (&below.service, below.count)));
             }
             self.shedder.report(&ended.route, report.highest(), now);
@@ -206,7 +208,7 @@
     }
 
     /// Decides whether a failed request may be sent again, and takes what it costs from the budget.
-    pub(super) fn again(&mut self, ask: &AgainAsk) -> bool {
+    pub(super) fn again(&mut self, ask: &RetryAsk) -> bool {
         let now = self.clock.now();
         let overloaded = self.shedder.level(&ask.route, now) > self.cfg.no_repeat_level;
         if overloaded && !ask.inner {
@@ -215,7 +217,7 @@
         }
         let mut costs = vec![(ask.service.clone(), 1.0)];
         if let Some(stats) = self.stats.get(&ask.route).filter(|_| ask.may_have_run) {
-            for (service, count) in stats.below.iter() {
+            for (service, count) in stats.downstream.iter() {
                 costs.push((service.clone(), count));
             }
         }
--- a/crates/node/src/mesh/desk/hosting.rs
+++ b/crates/node/src/mesh/controller/dispatch.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coltsfootport_core::mesh::{Entered, Refusal, Standing, Ticket};
+use coltsfootport_core::mesh::{Admission, MemberState, Refusal, Ticket};
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
 use super::runs::Run;
 use super::state::Waiter;
-use super::{Desk, EnterAsk, Granted, NotGranted, SlotGuard};
+use super::{Controller, EnterAsk, Granted, NotGranted, SlotGuard};
 use crate::mesh::call::Report;
 
 /// Ids of ended instances that are remembered, so that a late request for one is refused and not sent to its successor.
@@ -24,7 +24,7 @@
 /// Time left up to which a request counts as one that ends soon.
 const SHORT_REQUEST: Duration = Duration::from_millis(1000);
 
-impl Desk {
+impl Controller {
     /// Gives a request a slot, lets it wait, or refuses it.
     pub(super) fn enter(
         &mut self,
@@ -51,18 +51,18 @@
             inner: ask.inner,
             began: ask.began,
             deadline: ask.deadline,
-            patience: ask.patience,
+            queue_timeout: ask.queue_timeout,
         };
         match self.gate.enter(waiting, now) {
-            Entered::Run(ticket) => self.grant(ticket, Waiter { ask, reply }, now),
-            Entered::Wait(ticket) => {
+            Admission::Run(ticket) => self.grant(ticket, Waiter { ask, reply }, now),
+            Admission::Wait(ticket) => {
                 self.waiting.insert(ticket, Waiter { ask, reply });
             }
-            Entered::Refused { retry_after } => {
+            Admission::Refused { retry_after } => {
                 let busy = self.not_granted(Refusal::Busy, Some(retry_after));
                 drop(reply.send(Err(busy)));
             }
-            Entered::Hopeless => {
+            Admission::DeadlineUnreachable => {
                 let refused = self.not_granted(Refusal::ExpiredUnsent, None);
                 drop(reply.send(Err(refused)));
             }
@@ -85,7 +85,7 @@
         };
         let mut report = self.report();
         if let Some(run) = run {
-            report.below = run.below;
+            report.downstream = run.downstream;
         }
         drop(reply.send(report));
     }
@@ -158,8 +158,8 @@
     }
 
     fn has_left(&self, instance: &str) -> bool {
-        match self.fleet.standing(instance) {
-            Some(standing) => standing == Standing::Leaving,
+        match self.fleet.member_state(instance) {
+            Some(member_state) => member_state == MemberState::Draining,
             // Not in the list: either gone, or so new that the list has not told yet.
             None => self.left.iter().any(|id| id == instance),
         }
@@ -172,7 +172,7 @@
             admitted: waiter.ask.admitted,
             began: waiter.ask.began,
             deadline: waiter.ask.deadline,
-            below: Vec::new(),
+            downstream: Vec::new(),
         };
         self.runs.insert(ticket, run);
         let guard = SlotGuard {
@@ -212,7 +212,7 @@
             level: self.gate.level(),
             stopping: self.stopping_since.is_some(),
             cut_off: !self.publisher_sound,
-            below: Vec::new(),
+            downstream: Vec::new(),
         }
     }
 }
--- a/crates/node/src/mesh/desk/event.rs
+++ b/crates/node/src/mesh/controller/event.rs
@@ -1,4 +1,4 @@
-//! Messages to the desk.
+//! Messages to the controller.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,12 +11,12 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
-use super::{DeskConfig, SendGuard, SlotGuard};
+use super::{ControllerConfig, SendGuard, SlotGuard};
 use crate::mesh::call::Report;
 
-/// Everything that the desk hears.
+/// Everything that the controller hears.
 #[derive(Debug)]
-pub enum DeskEvent {
+pub enum ControllerEvent {
     /// A request has come from a caller.
     Admit(AdmitAsk, oneshot::Sender<Result<Admitted, Denied>>),
     /// An admitted request wants an instance.
@@ -24,7 +24,7 @@
     /// A sending has ended.
     SendEnded(InstanceKey, EndedSend),
     /// A request that failed wants to be sent again.
-    Again(AgainAsk, oneshot::Sender<bool>),
+    Again(RetryAsk, oneshot::Sender<bool>),
     /// A request from an entry wants a slot at the target.
     Enter(EnterAsk, oneshot::Sender<Result<Granted, NotGranted>>),
     /// A request has left its slot; the reply tells what its run has caused.
@@ -40,7 +40,7 @@
     /// The node is about to stop: its target gets nothing new.
     Stop,
     /// The settings have changed.
-    Configured(Box<DeskConfig>),
+    Configured(Box<ControllerConfig>),
     /// Whether the node has a configuration, for the readiness check.
     IsReady(oneshot::Sender<bool>),
     /// Who reads the publisher, for the news.
@@ -123,14 +123,14 @@
     pub own: bool,
     /// The own instance, where this node is cut off from the publisher.
     pub cut_off: Option<SmolStr>,
-    /// Tells the desk how it ended.
+    /// Tells the controller how it ended.
     pub guard: SendGuard,
 }
 
 /// How a sending ended.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EndedSend {
-    /// What it says about the instance; the relative time is filled in by the desk.
+    /// What it says about the instance; the relative time is filled in by the controller.
     pub outcome: SendOutcome,
     /// Time from sending to the answer.
     pub took: Duration,
@@ -146,7 +146,7 @@
 
 /// A request that wants to be sent again.
 #[derive(Clone, Debug)]
-pub struct AgainAsk {
+pub struct RetryAsk {
     /// The service.
     pub service: ServiceName,
     /// Name of its route.
@@ -179,7 +179,7 @@
     /// When its time is over.
     pub deadline: Instant,
     /// Longest wait to be expected at which it still enters.
-    pub patience: Duration,
+    pub queue_timeout: Duration,
     /// The instance beside the sending node, where that node is cut off from the publisher.
     pub cut_off: Option<SmolStr>,
 }
--- a/crates/node/src/mesh/desk/guards.rs
+++ b/crates/node/src/mesh/controller/guards.rs
@@ -1,4 +1,4 @@
-//! Guards that give back what the desk gave out, also where the task that holds them is dropped.
+//! Guards that give back what the controller gave out, also where the task that holds them is dropped.
 
 use std::time::Instant;
 
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
 
-use super::{DeskEvent, EndedSend};
+use super::{ControllerEvent, EndedSend};
 use crate::clock::SharedClock;
 use crate::mesh::call::Report;
 
@@ -22,7 +22,7 @@
     pub(super) outer: Option<SmolStr>,
     pub(super) since: Instant,
     pub(super) clock: SharedClock,
-    pub(super) tx: mpsc::UnboundedSender<DeskEvent>,
+    pub(super) tx: mpsc::UnboundedSender<ControllerEvent>,
     pub(super) ended: bool,
 }
 
@@ -42,8 +42,8 @@
             outer: self.outer.clone(),
             report,
         };
-        // The desk lives as long as the process; after it nobody counts.
-        let _ = self.tx.send(DeskEvent::SendEnded(self.key, ended));
+        // The controller lives as long as the process; after it nobody counts.
+        let _ = self.tx.send(ControllerEvent::SendEnded(self.key, ended));
     }
 }
 
@@ -66,7 +66,7 @@
     pub(super) ticket: Ticket,
     pub(super) since: Instant,
     pub(super) clock: SharedClock,
-    pub(super) tx: mpsc::UnboundedSender<DeskEvent>,
+    pub(super) tx: mpsc::UnboundedSender<ControllerEvent>,
     pub(super) left: bool,
 }
 
@@ -81,7 +81,9 @@
     fn tell(&mut self, reply: Option<oneshot::Sender<Report>>) {
         self.left = true;
         let held = self.clock.now().saturating_duration_since(self.since);
-        let _ = self.tx.send(DeskEvent::Left(self.ticket, held, reply));
+        let _ = self
+            .tx
+            .send(ControllerEvent::Left(self.ticket, held, reply));
     }
 }
 
--- a/crates/node/src/mesh/desk/handle.rs
+++ b/crates/node/src/mesh/controller/handle.rs
@@ -1,35 +1,36 @@
-//! What other tasks use to talk to the desk.
+//! What other tasks use to talk to the controller.
 
 use tokio::sync::{mpsc, oneshot};
 
 use coltsfootport_core::mesh::{ReadersConfig, ReadersView, Refusal};
 
 use super::{
-    AdmitAsk, Admitted, AgainAsk, Denied, DeskEvent, EnterAsk, Granted, NotGranted, SendAsk, SendTo,
+    AdmitAsk, Admitted, ControllerEvent, Denied, EnterAsk, Granted, NotGranted, RetryAsk, SendAsk,
+    SendTo,
 };
 use crate::mesh::call::Report;
 
-/// Sends messages to the desk and waits for replies.
+/// Sends messages to the controller and waits for replies.
 #[derive(Clone, Debug)]
-pub struct DeskHandle {
-    tx: mpsc::UnboundedSender<DeskEvent>,
+pub struct ControllerHandle {
+    tx: mpsc::UnboundedSender<ControllerEvent>,
 }
 
-impl DeskHandle {
+impl ControllerHandle {
     /// A handle that sends to this channel.
-    pub fn new(tx: mpsc::UnboundedSender<DeskEvent>) -> Self {
+    pub fn new(tx: mpsc::UnboundedSender<ControllerEvent>) -> Self {
         Self { tx }
     }
 
-    /// Tells the desk something that needs no reply.
-    pub fn tell(&self, event: DeskEvent) {
-        // The desk lives as long as the process.
+    /// Tells the controller something that needs no reply.
+    pub fn tell(&self, event: ControllerEvent) {
+        // The controller lives as long as the process.
         let _ = self.tx.send(event);
     }
 
     /// Who reads the publisher.
     pub async fn readers_view(&self, cfg: ReadersConfig) -> Option<ReadersView> {
-        self.ask(|tx| DeskEvent::ReadersView(cfg, tx)).await
+        self.ask(|tx| ControllerEvent::ReadersView(cfg, tx)).await
     }
 
     /// Asks whether and how a request may go on.
@@ -39,19 +40,21 @@
             retry_after: None,
             config: 0,
         };
-        self.ask(|tx| DeskEvent::Admit(ask, tx))
+        self.ask(|tx| ControllerEvent::Admit(ask, tx))
             .await
             .unwrap_or(Err(denied))
     }
 
     /// Asks for an instance; `None` where none is left.
     pub async fn send(&self, ask: SendAsk) -> Option<SendTo> {
-        self.ask(|tx| DeskEvent::Send(ask, tx)).await.flatten()
+        self.ask(|tx| ControllerEvent::Send(ask, tx))
+            .await
+            .flatten()
     }
 
     /// Asks whether a failed request may be sent again.
-    pub async fn again(&self, ask: AgainAsk) -> bool {
-        self.ask(|tx| DeskEvent::Again(ask, tx))
+    pub async fn again(&self, ask: RetryAsk) -> bool {
+        self.ask(|tx| ControllerEvent::Again(ask, tx))
             .await
             .unwrap_or(false)
     }
@@ -63,24 +66,24 @@
             retry_after: None,
             report: Report::default(),
         };
-        self.ask(|tx| DeskEvent::Enter(ask, tx))
+        self.ask(|tx| ControllerEvent::Enter(ask, tx))
             .await
             .unwrap_or(Err(refused))
     }
 
     /// Whether the node can serve.
     pub async fn is_ready(&self) -> bool {
-        self.ask(DeskEvent::IsReady).await.unwrap_or(false)
+        self.ask(ControllerEvent::IsReady).await.unwrap_or(false)
     }
 
     /// Requests of others that wait or run here.
     pub async fn hosted(&self) -> usize {
-        self.ask(DeskEvent::Hosted).await.unwrap_or(0)
+        self.ask(ControllerEvent::Hosted).await.unwrap_or(0)
     }
 
     async fn ask<T, F>(&self, event: F) -> Option<T>
     where
-        F: FnOnce(oneshot::Sender<T>) -> DeskEvent,
+        F: FnOnce(oneshot::Sender<T>) -> ControllerEvent,
     {
         let (tx, rx) = oneshot::channel();
         self.tx.send(event(tx)).ok()?;
--- a/crates/node/src/mesh/desk/news.rs
+++ b/crates/node/src/mesh/controller/news.rs
@@ -11,12 +11,12 @@
 use slog::{info, warn};
 use smol_str::SmolStr;
 
-use super::Desk;
+use super::Controller;
 
 /// Smallest move of the own level that is logged.
 const LOGGED_LEVEL_STEP: f64 = 0.5;
 
-impl Desk {
+impl Controller {
     /// Takes in changes in their order.
     pub(super) fn news(&mut self, batch: UpdateBatch) {
         self.publisher_answered();
--- a/crates/node/src/mesh/desk/route_stats.rs
+++ b/crates/node/src/mesh/controller/route_stats.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use coltsfootport_core::mesh::Below;
+use coltsfootport_core::mesh::Downstream;
 
 /// Running means about one route.
 #[derive(Clone, Debug)]
@@ -10,7 +10,7 @@
     /// Usual time of an answer, in seconds; 0 before the first one.
     usual: f64,
     /// Arrivals below that a run causes.
-    pub below: Below,
+    pub downstream: Downstream,
 }
 
 /// Weight of the newest answer.
@@ -21,7 +21,7 @@
     pub fn new() -> Self {
         Self {
             usual: 0.0,
-            below: Below::default(),
+            downstream: Downstream::default(),
         }
     }
 
--- a/crates/node/src/mesh/desk/runs.rs
+++ b/crates/node/src/mesh/controller/runs.rs
@@ -24,7 +24,7 @@
     /// When its time is over.
     pub deadline: Instant,
     /// What it has caused, by service.
-    pub below: Vec<Caused>,
+    pub downstream: Vec<Caused>,
 }
 
 /// All of them, by ticket and by id.
@@ -83,9 +83,14 @@
             return;
         };
         let level = report.map_or(0.0, |report| report.level);
-        add(&mut run.below, service, 1, level);
-        for below in report.into_iter().flat_map(|report| &report.below) {
-            add(&mut run.below, &below.service, below.count, below.level);
+        add(&mut run.downstream, service, 1, level);
+        for below in report.into_iter().flat_map(|report| &report.downstream) {
+            add(
+                &mut run.downstream,
+                &below.service,
+                below.count,
+                below.level,
+            );
         }
     }
 
--- a/crates/node/src/mesh/desk/state.rs
+++ b/crates/node/src/mesh/controller/state.rs
@@ -1,4 +1,4 @@
-//! The desk's state.
+//! The controller's state.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -19,14 +19,14 @@
 use super::entries::Entries;
 use super::route_stats::RouteStats;
 use super::runs::Runs;
-use super::{DeskEvent, EnterAsk, Granted, NotGranted};
+use super::{ControllerEvent, EnterAsk, Granted, NotGranted};
 use crate::clock::SharedClock;
 use crate::mesh::journal::Journal;
 use crate::mesh::metrics::MeshMetrics;
 
-/// How a desk decides.
+/// How a controller decides.
 #[derive(Clone, Debug, PartialEq)]
-pub struct DeskConfig {
+pub struct ControllerConfig {
     /// The service beside this node.
     pub service: ServiceName,
     /// Address of the target beside this node.
@@ -45,7 +45,7 @@
     pub no_repeat_level: f64,
 }
 
-impl Default for DeskConfig {
+impl Default for ControllerConfig {
     fn default() -> Self {
         Self {
             service: ServiceName::default(),
@@ -68,10 +68,10 @@
 }
 
 /// Everything that a node decides by.
-pub struct Desk {
-    pub(super) cfg: DeskConfig,
+pub struct Controller {
+    pub(super) cfg: ControllerConfig,
     pub(super) clock: SharedClock,
-    pub(super) tx: mpsc::UnboundedSender<DeskEvent>,
+    pub(super) tx: mpsc::UnboundedSender<ControllerEvent>,
     pub(super) limits: watch::Sender<CallerLimits>,
     pub(super) rng: SmallRng,
     pub(super) config: Option<Arc<MeshConfig>>,
@@ -93,12 +93,12 @@
     pub(super) logged_level: f64,
 }
 
-impl Desk {
-    /// A desk that knows neither configuration nor instances.
+impl Controller {
+    /// A controller that knows neither configuration nor instances.
     pub fn new(
-        cfg: DeskConfig,
+        cfg: ControllerConfig,
         clock: SharedClock,
-        tx: mpsc::UnboundedSender<DeskEvent>,
+        tx: mpsc::UnboundedSender<ControllerEvent>,
         limits: watch::Sender<CallerLimits>,
         journal: Journal,
         metrics: MeshMetrics,
@@ -133,10 +133,10 @@
 
     /// Takes in changed settings: bounds of repeats, waiting for the target, the service's name. Where this node and its
     /// target are is part of what others know of it, and stays until the next start.
-    pub(super) fn configure(&mut self, cfg: DeskConfig) {
+    pub(super) fn configure(&mut self, cfg: ControllerConfig) {
         self.budget.set_config(cfg.budget);
         self.gate.set_config(cfg.gate);
-        self.cfg = DeskConfig {
+        self.cfg = ControllerConfig {
             target: self.cfg.target,
             fleet: self.cfg.fleet.clone(),
             ..cfg
--- /dev/null
+++ b/crates/node/src/mesh/controller/task.rs
@@ -0,0 +1,65 @@
+//! The controller's loop: one event after the other.
+
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::{Controller, ControllerEvent};
+
+/// Time between looks at everything that only time changes: levels, expired requests, lapsed entries. Short beside the
+/// times that callers wait, long beside the work of a look.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Runs a controller until every handle to it is gone.
+pub async fn run_controller(
+    mut controller: Controller,
+    mut rx: mpsc::UnboundedReceiver<ControllerEvent>,
+) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            event = rx.recv() => match event {
+                Some(event) => controller.handle(event),
+                None => return,
+            },
+            _ = ticks.tick() => controller.tick(),
+        }
+    }
+}
+
+impl Controller {
+    /// Takes in one event.
+    pub fn handle(&mut self, event: ControllerEvent) {
+        // Where a reply can't be delivered, its task has ended with its request; guards inside give back what they hold.
+        match event {
+            ControllerEvent::Admit(ask, tx) => drop(tx.send(self.admit(&ask))),
+            ControllerEvent::Send(ask, tx) => drop(tx.send(self.send(ask))),
+            ControllerEvent::SendEnded(key, ended) => self.send_ended(key, ended),
+            ControllerEvent::Again(ask, tx) => drop(tx.send(self.again(&ask))),
+            ControllerEvent::Enter(ask, tx) => self.enter(ask, tx),
+            ControllerEvent::Left(ticket, held, tx) => self.leave(ticket, held, tx),
+            ControllerEvent::News(batch) => self.news(batch),
+            ControllerEvent::Listed(batch) => self.listed(batch),
+            ControllerEvent::PublisherAnswered => self.publisher_answered(),
+            ControllerEvent::PublisherFailed => self.publisher_failed(),
+            ControllerEvent::Stop => self.stop(),
+            ControllerEvent::Configured(cfg) => self.configure(*cfg),
+            ControllerEvent::IsReady(tx) => drop(tx.send(self.is_ready())),
+            ControllerEvent::ReadersView(cfg, tx) => drop(tx.send(self.readers_view(&cfg))),
+            ControllerEvent::Hosted(tx) => drop(tx.send(self.runs.len() + self.waiting.len())),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        for id in self.fleet.tick(now) {
+            self.ended(id, "lapsed");
+        }
+        self.forget_waiters();
+        self.gate.update_level(now);
+        self.pump(now);
+        self.show(now);
+    }
+}
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -1,22 +1,22 @@
 //! A request from its caller to its answer.
 
-mod course;
+mod attempts;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use coltsfootport_core::id::ServiceName;
-use coltsfootport_core::mesh::{Dialect, PatienceConfig, TimeLimits};
+use coltsfootport_core::mesh::{Dialect, QueueTimeoutConfig, TimeLimits};
 use http::header::{HOST, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use self::course::Course;
+use self::attempts::Attempts;
 use crate::clock::SharedClock;
 use crate::mesh::call::{Body, CallerAnswer, CallerRequest, Refused};
-use crate::mesh::desk::{AdmitAsk, Denied, DeskHandle};
+use crate::mesh::controller::{AdmitAsk, ControllerHandle, Denied};
 use crate::mesh::host::Host;
 use crate::mesh::journal::{Ending, Journal};
 use crate::mesh::link::LinkHub;
@@ -31,7 +31,7 @@
 #[derive(Clone)]
 pub struct Entry {
     /// Decides.
-    pub desk: DeskHandle,
+    pub controller: ControllerHandle,
     /// Links to other nodes.
     pub links: LinkHub,
     /// The own target.
@@ -45,7 +45,7 @@
     /// The service beside this node, as the settings tell it.
     pub service: watch::Receiver<ServiceName>,
     /// How long requests wait for a target at most.
-    pub patience: PatienceConfig,
+    pub queue_timeout: QueueTimeoutConfig,
     /// What is taken off the time limits of requests.
     pub limits: TimeLimits,
     /// Port at which nodes take requests of others.
@@ -64,7 +64,7 @@
         };
         let time_left = told.map(Duration::from_millis);
         let arrived = req.arrived;
-        let admitted = match self.desk.admit(ask).await {
+        let admitted = match self.controller.admit(ask).await {
             Ok(admitted) => admitted,
             Err(denied) => {
                 let refused = Refused {
@@ -75,13 +75,15 @@
                 return self.refuse(refused, &id, time_left);
             }
         };
-        let mut course = Course::new(self, req, id, admitted, time_left);
-        let limit = course.deadline.saturating_duration_since(self.clock.now());
-        let result = match timeout(limit, course.run()).await {
+        let mut attempts = Attempts::new(self, req, id, admitted, time_left);
+        let limit = attempts
+            .deadline
+            .saturating_duration_since(self.clock.now());
+        let result = match timeout(limit, attempts.run()).await {
             Ok(result) => result,
-            Err(_) => Err(course.expired()),
+            Err(_) => Err(attempts.expired()),
         };
-        course.log(&result);
+        attempts.log(&result);
         match result {
             Ok(answer) => CallerAnswer {
                 status: answer.status,
@@ -89,7 +91,7 @@
                 body: answer.body,
                 close: false,
             },
-            Err(refused) => self.refuse(refused, &course.id, course.time_left()),
+            Err(refused) => self.refuse(refused, &attempts.id, attempts.time_left()),
         }
     }
 
--- a/crates/node/src/mesh/entry/course.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -3,7 +3,9 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use coltsfootport_core::mesh::{Impatient, InstanceKey, Limited, Refusal, Repeat, SendOutcome};
+use coltsfootport_core::mesh::{
+    InstanceKey, Limited, QueueTimeoutRequest, Refusal, Repeat, SendOutcome,
+};
 use smol_str::SmolStr;
 
 use super::Entry;
@@ -11,15 +13,15 @@
 use crate::mesh::call::{
     Body, CallerRequest, HostReply, HostedRequest, Refused, Report, TargetAnswer,
 };
-use crate::mesh::desk::{Admitted, AgainAsk, SendAsk, SendGuard, SendTo};
+use crate::mesh::controller::{Admitted, RetryAsk, SendAsk, SendGuard, SendTo};
 use crate::mesh::journal::Ending;
 use crate::mesh::link::{self, LinkFault};
 
 /// Hosts that a request may be moved to after a host has refused it without asking its target.
-const MOST_MOVES: usize = 2;
+const MAX_REROUTES: usize = 2;
 
 /// One request on its way through hosts.
-pub(super) struct Course<'e> {
+pub(super) struct Attempts<'e> {
     entry: &'e Entry,
     admitted: Admitted,
     head: RequestHead,
@@ -30,7 +32,7 @@
     caller_deadline: Option<Instant>,
     tried: Vec<InstanceKey>,
     at_targets: u32,
-    moves: usize,
+    reroutes: usize,
     last_instance: SmolStr,
     /// Whether it may be at a target now.
     out: bool,
@@ -43,7 +45,7 @@
     Again(Result<TargetAnswer, Refused>),
 }
 
-impl<'e> Course<'e> {
+impl<'e> Attempts<'e> {
     pub(super) fn new(
         entry: &'e Entry,
         req: CallerRequest,
@@ -77,7 +79,7 @@
             caller_deadline,
             tried: Vec::new(),
             at_targets: 0,
-            moves: 0,
+            reroutes: 0,
             last_instance: SmolStr::default(),
             out: false,
         }
@@ -119,7 +121,7 @@
             outer: self.admitted.outer.as_ref().map(|outer| outer.id.clone()),
             tried: self.tried.clone(),
         };
-        self.entry.desk.send(ask).await
+        self.entry.controller.send(ask).await
     }
 
     /// The body, and a copy kept for another attempt where it is held.
@@ -205,8 +207,8 @@
 
     /// After a host has refused without asking its target.
     fn moved(&mut self, refusal: Refusal) -> Next {
-        self.moves += 1;
-        match self.moves <= MOST_MOVES {
+        self.reroutes += 1;
+        match self.reroutes <= MAX_REROUTES {
             true => Next::Again(Err(Refused::from(refusal))),
             false => Next::Done(Err(Refused::from(refusal))),
         }
@@ -219,14 +221,14 @@
         if !harmless || self.at_targets >= route.max_attempts || self.body.is_none() {
             return Next::Done(result);
         }
-        let ask = AgainAsk {
+        let ask = RetryAsk {
             service: self.admitted.service.clone(),
             route: self.route_name(),
             may_have_run,
             inner: self.admitted.outer.is_some(),
             rank: self.rank(),
         };
-        match self.entry.desk.again(ask).await {
+        match self.entry.controller.again(ask).await {
             true => Next::Again(result),
             false => Next::Done(result),
         }
@@ -246,22 +248,22 @@
             kind: route.kind(),
             repeat: route.repeat,
             deadline: self.deadline,
-            patience: self.patience(),
+            queue_timeout: self.queue_timeout(),
             origin: self.entry.service.borrow().clone(),
             cut_off: to.cut_off.clone(),
         }
     }
 
     /// How long the request may be expected to wait for a target.
-    fn patience(&self) -> Duration {
+    fn queue_timeout(&self) -> Duration {
         let route = self.admitted.config.route(self.admitted.route);
-        let req = Impatient {
+        let req = QueueTimeoutRequest {
             inner: self.admitted.outer.is_some(),
             arrived: self.arrived,
             latency_target: route.latency_target,
             deadline: self.deadline,
         };
-        self.entry.patience.of(&req, self.entry.clock.now())
+        self.entry.queue_timeout.of(&req, self.entry.clock.now())
     }
 
     /// What its caller is told when its time is over.
--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::SharedClock;
 use crate::mesh::call::{Body, HostReply, HostedRequest, Refused, Report, TargetAnswer};
-use crate::mesh::desk::{DeskHandle, EnterAsk, NotGranted, SlotGuard};
+use crate::mesh::controller::{ControllerHandle, EnterAsk, NotGranted, SlotGuard};
 use crate::mesh::journal::Journal;
 use crate::mesh::target::{ExchangeFault, Exchanged, TargetPool, WireRequest, exchange};
 
@@ -21,7 +21,7 @@
 #[derive(Clone)]
 pub struct Host {
     /// Gives slots.
-    pub desk: DeskHandle,
+    pub controller: ControllerHandle,
     /// Connections to the target.
     pub pool: TargetPool,
     /// Header names.
@@ -47,10 +47,10 @@
             inner: req.inner,
             began: req.began,
             deadline: req.deadline,
-            patience: req.patience,
+            queue_timeout: req.queue_timeout,
             cut_off: req.cut_off.clone(),
         };
-        let slot = match self.desk.enter(ask).await {
+        let slot = match self.controller.enter(ask).await {
             Ok(granted) => granted.guard,
             Err(refused) => return not_granted(refused),
         };
--- a/crates/node/src/mesh/life.rs
+++ b/crates/node/src/mesh/life.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::clock::SharedClock;
-use crate::mesh::desk::{DeskEvent, DeskHandle};
+use crate::mesh::controller::{ControllerEvent, ControllerHandle};
 use crate::mesh::settings::MeshSettings;
 
 /// Time for which a stopping node goes on taking requests. Its callers are told by the readiness check, asked each second
@@ -53,7 +53,7 @@
     /// The signals.
     pub signals: Signals,
     /// Refuses new requests for the own target.
-    pub desk: DeskHandle,
+    pub controller: ControllerHandle,
     /// Told when the node is about to stop.
     pub stopping: watch::Sender<bool>,
     /// Told of each request to read the settings again.
@@ -85,14 +85,14 @@
         let began = self.clock.now();
         info!(self.log, "stopping"; "open" => self.open.load(Ordering::SeqCst));
         self.stopping.send_replace(true);
-        self.desk.tell(DeskEvent::Stop);
+        self.controller.tell(ControllerEvent::Stop);
         let latest = self.settings.borrow().grace.saturating_sub(MARGIN);
         let mut quiet_since = None;
         loop {
             sleep(LOOK).await;
             let now = self.clock.now();
             let passed = now.saturating_duration_since(began);
-            let open = self.open.load(Ordering::SeqCst) + self.desk.hosted().await;
+            let open = self.open.load(Ordering::SeqCst) + self.controller.hosted().await;
             let since = *quiet_since.get_or_insert(now);
             if open > 0 {
                 quiet_since = None;
--- a/crates/node/src/mesh/link/frames.rs
+++ b/crates/node/src/mesh/link/frames.rs
@@ -49,7 +49,7 @@
     age_ms: u32,
     /// Time left when it was sent.
     left_ms: u32,
-    patience_ms: u32,
+    queue_timeout_ms: u32,
     origin: ServiceName,
     cut_off: Option<SmolStr>,
     method: SmolStr,
@@ -69,7 +69,7 @@
     level: u16,
     stopping: bool,
     cut_off: bool,
-    below: Vec<Caused>,
+    downstream: Vec<Caused>,
     result: ResultFrame,
 }
 
@@ -106,7 +106,7 @@
             admitted: thousandths(req.admitted),
             age_ms: millis(now.saturating_duration_since(req.began)),
             left_ms: millis(req.deadline.saturating_duration_since(now)),
-            patience_ms: millis(req.patience),
+            queue_timeout_ms: millis(req.queue_timeout),
             origin: req.origin.clone(),
             cut_off: req.cut_off.clone(),
             method: SmolStr::new(req.head.method.as_str()),
@@ -151,7 +151,7 @@
                 false => Repeat::Idempotent,
             },
             deadline: now + Duration::from_millis(u64::from(self.left_ms)),
-            patience: Duration::from_millis(u64::from(self.patience_ms)),
+            queue_timeout: Duration::from_millis(u64::from(self.queue_timeout_ms)),
             origin: self.origin,
             cut_off: self.cut_off,
         })
@@ -177,7 +177,7 @@
             level: thousandths(reply.report.level),
             stopping: reply.report.stopping,
             cut_off: reply.report.cut_off,
-            below: reply.report.below.clone(),
+            downstream: reply.report.downstream.clone(),
             result,
         }
     }
@@ -231,7 +231,7 @@
                 level: f64::from(self.level) / THOUSANDTHS,
                 stopping: self.stopping,
                 cut_off: self.cut_off,
-                below: self.below,
+                downstream: self.downstream,
             },
         })
     }
--- a/crates/node/src/mesh/news/task.rs
+++ b/crates/node/src/mesh/news/task.rs
@@ -16,7 +16,7 @@
 use super::source::{Changes, Heard, Listening, Source, What};
 use super::store_reader::{ALONE_PAUSE, FOLLOWING_PAUSE, StoreReader};
 use crate::clock::SharedClock;
-use crate::mesh::desk::{DeskEvent, DeskHandle};
+use crate::mesh::controller::{ControllerEvent, ControllerHandle};
 use crate::mesh::link::LinkHub;
 use crate::mesh::metrics::MeshMetrics;
 use crate::mesh::settings::FeedSettings;
@@ -31,7 +31,7 @@
     /// What to ask, and how to read the answers.
     pub publisher: Arc<dyn Publisher>,
     /// Who is told.
-    pub desk: DeskHandle,
+    pub controller: ControllerHandle,
     /// Links to nodes that may be followed.
     pub links: LinkHub,
     /// Port of every node for others.
@@ -102,7 +102,10 @@
             (Source::Node(node), What::State { sound, answered }) => {
                 self.readers.heard(node, sound);
                 match sound {
-                    true if answered => self.news.desk.tell(DeskEvent::PublisherAnswered),
+                    true if answered => self
+                        .news
+                        .controller
+                        .tell(ControllerEvent::PublisherAnswered),
                     true => {}
                     false => self.tell_if_lost(),
                 }
@@ -127,7 +130,7 @@
         let revision = batch.revision;
         self.news.board.send_modify(|board| board.listed(revision));
         self.set_sound(true);
-        self.news.desk.tell(DeskEvent::Listed(batch));
+        self.news.controller.tell(ControllerEvent::Listed(batch));
     }
 
     /// Several sources tell the same changes, each in answers of its own: what ends with a known revision is known, and
@@ -147,13 +150,15 @@
         }
         if changes.revision <= known {
             if from == Source::Publisher {
-                self.news.desk.tell(DeskEvent::PublisherAnswered);
+                self.news
+                    .controller
+                    .tell(ControllerEvent::PublisherAnswered);
             }
             return false;
         }
         self.revision = Some(changes.revision);
         self.news.board.send_modify(|board| board.push(changes));
-        self.news.desk.tell(DeskEvent::News(batch));
+        self.news.controller.tell(ControllerEvent::News(batch));
         false
     }
 
@@ -167,7 +172,7 @@
 
     fn tell_if_lost(&self) {
         if !self.sound && !self.readers.any_sound() {
-            self.news.desk.tell(DeskEvent::PublisherFailed);
+            self.news.controller.tell(ControllerEvent::PublisherFailed);
         }
     }
 
@@ -181,7 +186,7 @@
     async fn review(&mut self) {
         let view = self
             .news
-            .desk
+            .controller
             .readers_view(self.news.cfg.readers)
             .await
             .unwrap_or_default();
--- a/crates/node/src/mesh/policy.rs
+++ b/crates/node/src/mesh/policy.rs
@@ -4,8 +4,8 @@
 
 use coltsfootport_core::jsonc::Section;
 use coltsfootport_core::mesh::{
-    FleetConfig, GateConfig, LevelConfig, Margin, PatienceConfig, RetryBudgetConfig, ShedderConfig,
-    TimeLimits,
+    FleetConfig, GateConfig, LevelConfig, Margin, QueueTimeoutConfig, RetryBudgetConfig,
+    ShedderConfig, TimeLimits,
 };
 
 /// How a node decides under load. The defaults are those of the decisions themselves.
@@ -20,7 +20,7 @@
     /// What is taken off the time limits of requests.
     pub limits: TimeLimits,
     /// Waits of requests from outside.
-    pub patience: PatienceConfig,
+    pub queue_timeout: QueueTimeoutConfig,
     /// What another failure domain adds to the expected time of a request, 0 to choose among all alike.
     pub far_penalty: f64,
     /// Time for which the same requests are the ones that are shed.
@@ -45,7 +45,7 @@
             start_share: GateConfig::default().start_share,
             headroom: GateConfig::default().headroom,
             limits: TimeLimits::default(),
-            patience: PatienceConfig::default(),
+            queue_timeout: QueueTimeoutConfig::default(),
             far_penalty: FleetConfig::default().far_penalty,
             shed_epoch: shedder.epoch,
             back_soonest: shedder.back_soonest,
@@ -61,13 +61,17 @@
     /// Reads the section of the settings file.
     pub fn read(mut section: Section<'_, '_>) -> Self {
         let default = Self::default();
-        let patience = PatienceConfig {
+        let queue_timeout = QueueTimeoutConfig {
             worthwhile_share: section.number(
                 "patience_share",
                 0.0..=1.0,
-                default.patience.worthwhile_share,
+                default.queue_timeout.worthwhile_share,
+            ),
+            least_share: section.number(
+                "least_patience",
+                0.0..=1.0,
+                default.queue_timeout.least_share,
             ),
-            least_share: section.number("least_patience", 0.0..=1.0, default.patience.least_share),
         };
         let limits = TimeLimits {
             answer: Margin {
@@ -84,7 +88,7 @@
             target_load: section.number("target_load", 0.1..=100.0, default.target_load),
             start_share: section.number("start_share", 0.0..=1.0, default.start_share),
             headroom: section.choice("headroom", &SWITCH, default.headroom),
-            patience,
+            queue_timeout,
             far_penalty: section.number("far_penalty", 0.0..=100.0, default.far_penalty),
             shed_epoch: section.millis("shed_epoch_ms", 1..=600_000, default.shed_epoch),
             back_soonest: section.millis("back_soonest_ms", 0..=60_000, default.back_soonest),
--- a/crates/node/src/mesh/ready.rs
+++ b/crates/node/src/mesh/ready.rs
@@ -14,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::mesh::desk::DeskHandle;
+use crate::mesh::controller::ControllerHandle;
 use crate::mesh::metrics::MeshMetrics;
 
 /// Path of the metrics.
@@ -24,7 +24,7 @@
 #[derive(Clone)]
 pub struct Ready {
     /// Knows whether there is a configuration.
-    pub desk: DeskHandle,
+    pub controller: ControllerHandle,
     /// Where the check stands.
     pub dialect: Arc<Dialect>,
     /// Counters.
@@ -67,7 +67,7 @@
     }
 
     async fn status(&self) -> StatusCode {
-        match !*self.stopping.borrow() && self.desk.is_ready().await {
+        match !*self.stopping.borrow() && self.controller.is_ready().await {
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -15,7 +15,9 @@
 
 use super::boot_clock::BootClock;
 use super::callers::{self, CallersConfig};
-use super::desk::{Desk, DeskConfig, DeskEvent, DeskHandle, run_desk};
+use super::controller::{
+    Controller, ControllerConfig, ControllerEvent, ControllerHandle, run_controller,
+};
 use super::entry::Entry;
 use super::host::Host;
 use super::journal::Journal;
@@ -60,10 +62,10 @@
     let journal = Journal::new(log.clone(), Arc::clone(&clock), metrics.clone());
     let (dialect, publisher) = spoken(settings.publisher.kind);
     let (tx, rx) = mpsc::unbounded_channel();
-    let desk = DeskHandle::new(tx.clone());
+    let controller = ControllerHandle::new(tx.clone());
     let (limits_tx, limits) = watch::channel(CallerLimits::default());
-    let state = Desk::new(
-        desk_config(&settings),
+    let state = Controller::new(
+        controller_config(&settings),
         Arc::clone(&clock),
         tx,
         limits_tx,
@@ -74,7 +76,7 @@
     let ready_socket = TcpListener::bind(settings.node.ready).await?;
     let peers_socket = TcpListener::bind(settings.node.peers).await?;
     let host = Host {
-        desk: desk.clone(),
+        controller: controller.clone(),
         pool: TargetPool::new(settings.node.target, Arc::clone(&clock)),
         dialect: Arc::clone(&dialect),
         clock: Arc::clone(&clock),
@@ -83,14 +85,14 @@
     let (service_tx, service) = watch::channel(settings.node.service.clone());
     let links = LinkHub::new(Arc::clone(&clock));
     let entry = Entry {
-        desk: desk.clone(),
+        controller: controller.clone(),
         links: links.clone(),
         host: host.clone(),
         dialect: Arc::clone(&dialect),
         clock: Arc::clone(&clock),
         journal: journal.clone(),
         service,
-        patience: settings.policy.patience,
+        queue_timeout: settings.policy.queue_timeout,
         limits: settings.policy.limits,
         peers_port: settings.node.peers.port(),
     };
@@ -104,7 +106,7 @@
         open: Arc::clone(&open),
     };
     let ready = Ready {
-        desk: desk.clone(),
+        controller: controller.clone(),
         dialect,
         metrics: metrics.clone(),
         stopping,
@@ -117,7 +119,7 @@
     let news = News {
         cfg: settings.publisher,
         publisher,
-        desk: desk.clone(),
+        controller: controller.clone(),
         links: links.clone(),
         peers_port: settings.node.peers.port(),
         board: board_tx,
@@ -134,7 +136,7 @@
     };
     info!(log, "started"; "callers" => settings.node.callers, "target" => settings.node.target,
         "domain" => settings.node.domain.as_str(), "version" => env!("CARGO_PKG_VERSION"));
-    tokio::spawn(run_desk(state, rx));
+    tokio::spawn(run_controller(state, rx));
     tokio::spawn(watch_peers(links, log.clone()));
     tokio::spawn(link::serve(peers_socket, serving));
     tokio::spawn(news.run());
@@ -156,11 +158,11 @@
     tokio::spawn(apply_settings(
         settings_rx.clone(),
         service_tx,
-        desk.clone(),
+        controller.clone(),
     ));
     let life = Life {
         signals,
-        desk,
+        controller,
         stopping: stopping_tx,
         hup: hup_tx,
         open,
@@ -176,14 +178,14 @@
 async fn apply_settings(
     mut settings: watch::Receiver<MeshSettings>,
     service: watch::Sender<coltsfootport_core::id::ServiceName>,
-    desk: DeskHandle,
+    controller: ControllerHandle,
 ) {
     let policy = settings.borrow().policy;
     while settings.changed().await.is_ok() {
         let new = settings.borrow_and_update().clone();
-        let cfg = desk_config(&MeshSettings { policy, ..new });
+        let cfg = controller_config(&MeshSettings { policy, ..new });
         service.send_replace(cfg.service.clone());
-        desk.tell(DeskEvent::Configured(Box::new(cfg)));
+        controller.tell(ControllerEvent::Configured(Box::new(cfg)));
     }
 }
 
@@ -204,9 +206,9 @@
     }
 }
 
-fn desk_config(settings: &MeshSettings) -> DeskConfig {
+fn controller_config(settings: &MeshSettings) -> ControllerConfig {
     let policy = &settings.policy;
-    DeskConfig {
+    ControllerConfig {
         service: settings.node.service.clone(),
         target: settings.node.target,
         budget: RetryBudgetConfig {
