Comments and names of the decisions as the field says them

Comments of headroom, level, gate, shedder and readers in the terms of the field; the outcome of an attempt is a step, Finish or Retry. No behaviour changed; clippy is clean.

--- a/crates/core/src/mesh/headroom.rs
+++ b/crates/core/src/mesh/headroom.rs
@@ -1,11 +1,11 @@
-//! Whether a target works more slowly with all of its slots in use.
+//! Detects targets whose service time rises near full concurrency.
 
 use std::time::{Duration, Instant};
 
 use crate::collections::Map;
 use crate::mesh::RequestKind;
 
-/// Learns if a target slows down when it is nearly full, and leaves a few slots free then.
+/// Learns whether service times rise near full concurrency, and keeps a few slots free then.
 ///
 /// Some targets take a third longer for every request once nearly all slots are in use. A queue before them keeps them
 /// there, so they do a quarter less than they could with two slots less, for as long as the overload lasts. Others don't
@@ -37,12 +37,12 @@
 const MOST_KINDS: usize = 1024;
 
 impl Headroom {
-    /// Whether so many requests use nearly all slots.
+    /// True if `running` is at or above the near-full threshold.
     pub fn is_nearly_full(running: u32, slots: u32) -> bool {
         f64::from(running) >= NEARLY_FULL * f64::from(slots)
     }
 
-    /// A request has ended that held its slot for `held` seconds; `full` tells whether it began with nearly all in use.
+    /// Takes in the service time of a request, in seconds; `full` if it was dispatched above the near-full threshold.
     pub fn learn(&mut self, kind: RequestKind, held: f64, full: bool, now: Instant) {
         if !full {
             if self.roomy.len() >= MOST_KINDS && !self.roomy.contains_key(&kind) {
@@ -60,7 +60,7 @@
         self.slowdown += NEWEST * (beyond - self.slowdown);
     }
 
-    /// Slots that may be used.
+    /// Slots that may be used at a time.
     pub fn limit(&mut self, slots: u32, now: Instant) -> u32 {
         self.forget(now);
         match self.slowdown >= WORTH_IT {
@@ -69,7 +69,7 @@
         }
     }
 
-    /// Moves the slowdown to what is left of it.
+    /// Decays the slowdown estimate to `now`.
     fn forget(&mut self, now: Instant) {
         let age = self.at.map(|at| now.saturating_duration_since(at));
         let halves = age.unwrap_or_default().as_secs_f64() / HALF_LIFE.as_secs_f64();
--- a/crates/core/src/mesh/level.rs
+++ b/crates/core/src/mesh/level.rs
@@ -1,4 +1,4 @@
-//! How overloaded one target is, as a level that says which ranks its callers should shed.
+//! Overload level of a target: which ranks, and which share of the next one, its callers should shed.
 
 use std::time::{Duration, Instant};
 
@@ -61,7 +61,7 @@
 }
 
 impl LevelControl {
-    /// A level of zero.
+    /// Starts without any load, at level 0.
     pub fn new(cfg: LevelConfig, now: Instant) -> Self {
         Self {
             cfg,
@@ -88,7 +88,7 @@
 
     /// Moves the level by what has come since the last update.
     ///
-    /// `slots` are those of the target, `backlog` the load that the queue adds if it is to drain while it is worth it.
+    /// `backlog` is the extra load, in slots per slot, that is needed to drain the queue within the queue timeout.
     pub fn update(&mut self, slots: f64, backlog: &Backlog, now: Instant) {
         let passed = now.saturating_duration_since(self.updated).as_secs_f64();
         if passed <= 0.0 {
@@ -115,7 +115,8 @@
         self.load
     }
 
-    /// The level at which the room holds what is admitted: the order of the rank that is shed in part, and that part.
+    /// Lowest overload level at which admitted load fits the remaining capacity: the position of the rank that is shed in
+    /// part, plus the share of it that is shed.
     ///
     /// What waits takes room from its own rank and from those that are served after it. Taken from all, the queue of a rank
     /// that may wait for long has urgent requests shed that would have gone before it: 0.79 of them were served instead of
--- a/crates/core/src/mesh/queue_timeout.rs
+++ b/crates/core/src/mesh/queue_timeout.rs
@@ -1,8 +1,8 @@
-//! How long a request may be expected to wait for a target.
+//! Queue timeout: the longest expected wait for a slot at which a request is still queued.
 
 use std::time::{Duration, Instant};
 
-/// How long requests wait at most.
+/// Bounds of the queue timeout.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QueueTimeoutConfig {
     /// Share of its latency target that a request from outside may wait for its target: the rest is for its run.
--- a/crates/core/src/mesh/readers.rs
+++ b/crates/core/src/mesh/readers.rs
@@ -1,4 +1,4 @@
-//! Which nodes read the publisher, and from whom the others hear its news.
+//! Which nodes poll the publisher, and which of them the other nodes subscribe to.
 
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
--- a/crates/core/src/mesh/shedder.rs
+++ b/crates/core/src/mesh/shedder.rs
@@ -23,7 +23,7 @@
     pub epoch: Duration,
     /// Shortest time after which a shed caller is asked to come back: levels move within some tenths of a second.
     pub back_soonest: Duration,
-    /// What a wholly shed rank adds to that time.
+    /// Added to it in proportion to the share that is shed.
     pub back_later: Duration,
 }
 
@@ -71,12 +71,12 @@
     pub level: f64,
     /// Share of the route's requests that are shed.
     pub share: f64,
-    /// When its caller should come back.
+    /// Retry-After for its caller.
     pub retry_after: Duration,
 }
 
 impl Shedder {
-    /// A shedder without reports.
+    /// No overload has been reported for any route yet.
     pub fn new(cfg: ShedderConfig, seed: u64, now: Instant) -> Self {
         Self {
             cfg,
--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -1,4 +1,4 @@
-//! The queue before a target's slots.
+//! Admission to a target's slots, and the queue before them.
 
 use std::time::{Duration, Instant};
 
@@ -63,19 +63,19 @@
     pub queue_timeout: Duration,
 }
 
-/// What became of a request that wants to run.
+/// Result of enqueueing a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
-    /// It has a slot.
+    /// Dispatched at once.
     Run(Ticket),
-    /// It waits; [`TargetGate::next_start`] will name it.
+    /// Queued; [`TargetGate::next_start`] returns its ticket when a slot is free.
     Wait(Ticket),
-    /// It would wait too long.
+    /// Its expected wait is longer than its queue timeout.
     Refused {
         /// Time after which the queue has drained.
         retry_after: Duration,
     },
-    /// The time that it has left does not hold what its kind needs.
+    /// It can't meet its deadline any more, by the usual service time of its kind.
     DeadlineUnreachable,
 }
 
@@ -131,7 +131,7 @@
 const DRAIN_RANGE: (f64, f64) = (0.2, 2.0);
 
 impl TargetGate {
-    /// An empty gate.
+    /// A gate with an empty queue and all slots free.
     pub fn new(cfg: GateConfig, now: Instant) -> Self {
         Self {
             slots: cfg.slots,
--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -1,4 +1,4 @@
-//! One request on its way through hosts.
+//! The attempts of one request: sent to a host, rerouted or retried until one answers.
 
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
@@ -17,10 +17,11 @@
 use crate::mesh::journal::Ending;
 use crate::mesh::link::{self, LinkFault};
 
-/// Hosts that a request may be moved to after a host has refused it without asking its target.
+/// Reroutes of a request at most, after hosts that refused it without asking their targets. Each costs a round trip between
+/// nodes; more of them would only carry the load of a full service around.
 const MAX_REROUTES: usize = 2;
 
-/// One request on its way through hosts.
+/// A request with its attempts so far.
 pub(super) struct Attempts<'e> {
     entry: &'e Entry,
     admitted: Admitted,
@@ -34,15 +35,16 @@
     at_targets: u32,
     reroutes: usize,
     last_instance: SmolStr,
-    /// Whether it may be at a target now.
-    out: bool,
+    /// Whether a host has it now, so that its target may be at work on it.
+    at_target: bool,
 }
 
 /// What to do after an attempt.
-enum Next {
-    Done(Result<TargetAnswer, Refused>),
+enum Step {
+    /// Its caller gets this.
+    Finish(Result<TargetAnswer, Refused>),
     /// Try elsewhere; if there is nowhere else, this is the result.
-    Again(Result<TargetAnswer, Refused>),
+    Retry(Result<TargetAnswer, Refused>),
 }
 
 impl<'e> Attempts<'e> {
@@ -81,7 +83,7 @@
             at_targets: 0,
             reroutes: 0,
             last_instance: SmolStr::default(),
-            out: false,
+            at_target: false,
         }
     }
 
@@ -98,12 +100,12 @@
             let instance = to.chosen.id.clone();
             self.tried.push(to.chosen.key);
             self.last_instance = instance.clone();
-            self.out = true;
+            self.at_target = true;
             let next = self.attempt(to, body).await;
-            self.out = false;
+            self.at_target = false;
             match next {
-                Next::Done(done) => return done,
-                Next::Again(so_far) => {
+                Step::Finish(done) => return done,
+                Step::Retry(so_far) => {
                     let reason = reason(&so_far);
                     self.entry
                         .journal
@@ -131,7 +133,7 @@
         Some(body)
     }
 
-    async fn attempt(&mut self, to: SendTo, body: Body) -> Next {
+    async fn attempt(&mut self, to: SendTo, body: Body) -> Step {
         let req = self.hosted(&to, body);
         let reply = match to.own {
             true => Ok(self.entry.host.run(req).await),
@@ -141,7 +143,7 @@
             Ok(reply) => self.replied(reply, to.guard).await,
             Err(LinkFault::NotSent) => {
                 to.guard.end(SendOutcome::NotReached, None);
-                self.moved(Refusal::NoInstance)
+                self.rerouted(Refusal::NoInstance)
             }
             Err(LinkFault::Lost(_) | LinkFault::Silent) => {
                 to.guard.end(SendOutcome::NotReached, None);
@@ -156,7 +158,7 @@
         link::send(&self.entry.links, peer, req).await
     }
 
-    async fn replied(&mut self, reply: HostReply, guard: SendGuard) -> Next {
+    async fn replied(&mut self, reply: HostReply, guard: SendGuard) -> Step {
         let HostReply { result, report } = reply;
         match result {
             Ok(answer) if answer.status.is_server_error() => {
@@ -167,13 +169,13 @@
             Ok(answer) => {
                 let outcome = SendOutcome::Answered { relative: 1.0 };
                 guard.end(outcome, Some(report));
-                Next::Done(Ok(answer))
+                Step::Finish(Ok(answer))
             }
             Err(refused) => self.refused(refused, report, guard).await,
         }
     }
 
-    async fn refused(&mut self, refused: Refused, report: Report, guard: SendGuard) -> Next {
+    async fn refused(&mut self, refused: Refused, report: Report, guard: SendGuard) -> Step {
         let outcome = match refused.refusal {
             Refusal::Busy => SendOutcome::HostBusy,
             Refusal::Stopping => SendOutcome::HostStopping,
@@ -187,8 +189,8 @@
         match refused.refusal {
             // The target was not asked: moving costs nothing but time.
             Refusal::Busy | Refusal::Stopping | Refusal::NoInstance => {
-                let mut next = self.moved(refused.refusal);
-                if let Next::Again(Err(last)) | Next::Done(Err(last)) = &mut next {
+                let mut next = self.rerouted(refused.refusal);
+                if let Step::Retry(Err(last)) | Step::Finish(Err(last)) = &mut next {
                     last.retry_after = refused.retry_after;
                 }
                 next
@@ -201,25 +203,25 @@
                 self.at_targets += 1;
                 self.failed(Err(refused), true).await
             }
-            _ => Next::Done(Err(refused)),
+            _ => Step::Finish(Err(refused)),
         }
     }
 
     /// After a host has refused without asking its target.
-    fn moved(&mut self, refusal: Refusal) -> Next {
+    fn rerouted(&mut self, refusal: Refusal) -> Step {
         self.reroutes += 1;
         match self.reroutes <= MAX_REROUTES {
-            true => Next::Again(Err(Refused::from(refusal))),
-            false => Next::Done(Err(Refused::from(refusal))),
+            true => Step::Retry(Err(Refused::from(refusal))),
+            false => Step::Finish(Err(Refused::from(refusal))),
         }
     }
 
     /// After a target has failed: sent again where that is harmless, allowed and affordable.
-    async fn failed(&self, result: Result<TargetAnswer, Refused>, may_have_run: bool) -> Next {
+    async fn failed(&self, result: Result<TargetAnswer, Refused>, may_have_run: bool) -> Step {
         let route = self.admitted.config.route(self.admitted.route);
         let harmless = !may_have_run || route.repeat == Repeat::Idempotent;
         if !harmless || self.at_targets >= route.max_attempts || self.body.is_none() {
-            return Next::Done(result);
+            return Step::Finish(result);
         }
         let ask = RetryAsk {
             service: self.admitted.service.clone(),
@@ -229,8 +231,8 @@
             rank: self.rank(),
         };
         match self.entry.controller.again(ask).await {
-            true => Next::Again(result),
-            false => Next::Done(result),
+            true => Step::Retry(result),
+            false => Step::Finish(result),
         }
     }
 
@@ -268,7 +270,7 @@
 
     /// What its caller is told when its time is over.
     pub(super) fn expired(&self) -> Refused {
-        match self.out || self.at_targets > 0 {
+        match self.at_target || self.at_targets > 0 {
             true => Refused::from(Refusal::Expired),
             false => Refused::from(Refusal::ExpiredUnsent),
         }
