--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -12,6 +12,7 @@
 mod metrics;
 mod news;
 mod policy;
+mod quiet;
 mod ready;
 mod run;
 mod settings;
--- a/crates/node/src/mesh/link/conn.rs
+++ b/crates/node/src/mesh/link/conn.rs
@@ -7,6 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::mesh::quiet::is_quiet;
 use crate::wire::FrameError;
 
 /// Bytes of the length before a head or a piece of a body.
@@ -33,9 +34,7 @@
 
     /// Whether nothing has come since the last frame, neither bytes nor the end.
     pub fn is_quiet(&self) -> bool {
-        let mut byte = [0];
-        let read = self.stream.try_read(&mut byte);
-        self.buf.is_empty() && matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        self.buf.is_empty() && is_quiet(&self.stream)
     }
 
     /// Gives back the room of the buffer; an idle connection would hold it for seconds.
--- a/crates/node/src/mesh/target/connection.rs
+++ b/crates/node/src/mesh/target/connection.rs
@@ -1,10 +1,10 @@
 //! One connection to the target.
 
-use std::io;
-
 use bytes::BytesMut;
 use tokio::net::TcpStream;
 
+use crate::mesh::quiet::is_quiet;
+
 /// Bytes read at a time.
 pub const READ_SIZE: usize = 16 * 1024;
 
@@ -28,8 +28,6 @@
 
     /// Whether nothing has come since the last answer, neither bytes nor the end.
     pub fn is_quiet(&self) -> bool {
-        let mut byte = [0];
-        self.buf.is_empty()
-            && matches!(self.stream.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        self.buf.is_empty() && is_quiet(&self.stream)
     }
 }
