A request is lost when the process that has it has ended

Cause: an entry compared the boot that it knew of a node's address when it sent the request with the one that the next question brought. After a restart the former is that of the ended process, so the first question, 200 ms after the request, ended it.

Change: a node says hello with its boot on each connection that it accepts, and the entry keeps it with the connection. A process has ended when another boot was connected to later. The same ends requests, idempotent ones too, whose host lost power and was back before its silence was noticed, and keeps requests away from processes that accept connections and do nothing. Kept connections to a process known to have ended are not used. A reply that is given up is logged with the reason.

Cost: a new connection between nodes takes one more round trip before its first request; kept ones take none. Ruled out: never ending a request because of another boot, which would hold the callers of a host that lost power to their time limit.

--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -146,7 +146,11 @@
                 to.guard.end(SendOutcome::NotReached, None);
                 self.rerouted(Refusal::NoInstance)
             }
-            Err(LinkFault::Lost(_) | LinkFault::Silent) => {
+            Err(fault) => {
+                let reason = fault.to_string();
+                self.entry
+                    .journal
+                    .reply_lost(&self.id, &self.last_instance, &reason);
                 to.guard.end(SendOutcome::NotReached, None);
                 self.at_targets += 1;
                 self.failed(Err(Refused::from(Refusal::Lost)), true).await
--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -122,6 +122,14 @@
         }
     }
 
+    /// Nothing more comes from the host of an instance about a request that may have reached it.
+    pub fn reply_lost(&self, id: &str, instance: &str, reason: &str) {
+        if let Some(dropped) = self.trouble() {
+            info!(self.log, "reply lost"; "request" => id, "instance" => instance,
+                "reason" => reason, "dropped" => dropped);
+        }
+    }
+
     /// The target beside this node gave no usable answer.
     pub fn target_failed(&self, id: &str, instance: &str, reason: &str, detail: &str) {
         if let Some(dropped) = self.trouble() {
--- a/crates/node/src/mesh/link/client.rs
+++ b/crates/node/src/mesh/link/client.rs
@@ -5,10 +5,10 @@
 use coltsfootport_core::mesh::Repeat;
 use tokio::sync::watch;
 
-use super::conn::{PeerConn, WriteFault};
+use super::conn::WriteFault;
 use super::frames::{MAX_HEAD, ReplyFrame, RequestFrame, StreamHead};
-use super::health::Health;
-use super::hub::UNACKNOWLEDGED;
+use super::health::{Health, Incarnation};
+use super::hub::{Link, UNACKNOWLEDGED};
 use super::{LinkHub, pieces};
 use crate::mesh::call::{Body, HELD_BODY, HostReply, HostedRequest};
 use crate::wire::FrameError;
@@ -25,6 +25,9 @@
     /// The request may have reached the host, which says nothing any more.
     #[error("the node is silent")]
     Silent,
+    /// The request may have reached a process that has ended.
+    #[error("the node has started anew")]
+    Replaced,
 }
 
 /// Sends a request over a connection of its own and reads the reply. Dropped before the end, the connection is closed,
@@ -40,27 +43,23 @@
 ) -> Result<HostReply, LinkFault> {
     let peer = links.peer(address);
     let mut health = peer.health();
-    if health.borrow_and_update().silent {
+    if health.borrow().silent {
         return Err(LinkFault::NotSent);
     }
     let _counted = peer.count(links.now());
-    let conn = match links.take(address) {
-        Some(conn) => conn,
+    let link = match links.take(address) {
+        Some(link) => link,
         None => tokio::select! {
             connected = links.connect(address) => connected.map_err(|_| LinkFault::NotSent)?,
-            () = gone_silent(&mut health) => return Err(LinkFault::NotSent),
+            () = silence(&mut health) => return Err(LinkFault::NotSent),
         },
     };
-    let reply = match req.repeat {
-        Repeat::Idempotent => tokio::select! {
-            reply = exchange(links, address, conn, req) => reply,
-            () = gone_silent(&mut health) => Err(LinkFault::Silent),
-        },
-        // It can't be sent elsewhere, so it waits for what the connection still brings.
-        Repeat::AtMostOnce => tokio::select! {
-            reply = exchange(links, address, conn, req) => reply,
-            () = started_anew(&mut health) => Err(LinkFault::Silent),
-        },
+    let host = link.host;
+    let repeat = req.repeat;
+    let reply = tokio::select! {
+        biased;
+        reply = exchange(links, address, link, req) => reply,
+        fault = given_up(&mut health, host, repeat) => Err(fault),
     };
     if reply.is_ok() {
         peer.heard(links.now());
@@ -69,24 +68,36 @@
 }
 
 /// Resolves when the node is taken to be silent.
-async fn gone_silent(health: &mut watch::Receiver<Health>) {
+async fn silence(health: &mut watch::Receiver<Health>) {
     // The node is known for as long as it has requests.
     let _ = health.wait_for(|health| health.silent).await;
 }
 
-/// Resolves when the node is another start than before: what the one before had is gone.
-async fn started_anew(health: &mut watch::Receiver<Health>) {
-    let known = health.borrow_and_update().boot;
-    let is_other = |health: &Health| known.is_some() && health.boot != known;
-    let _ = health.wait_for(is_other).await;
+/// Resolves when a request is not waited for any more: its host has ended or, where it may be sent elsewhere, is silent.
+async fn given_up(
+    health: &mut watch::Receiver<Health>,
+    host: Incarnation,
+    repeat: Repeat,
+) -> LinkFault {
+    let is_replaced = |health: &Health| health.has_replaced(&host);
+    let is_left = |health: &Health| health.silent && repeat == Repeat::Idempotent;
+    // The node is known for as long as it has requests.
+    let known = health
+        .wait_for(|health| is_replaced(health) || is_left(health))
+        .await;
+    match known {
+        Ok(health) if is_replaced(&health) => LinkFault::Replaced,
+        _ => LinkFault::Silent,
+    }
 }
 
 async fn exchange(
     links: &LinkHub,
     address: SocketAddr,
-    mut conn: PeerConn,
+    link: Link,
     req: HostedRequest,
 ) -> Result<HostReply, LinkFault> {
+    let Link { mut conn, host } = link;
     let head = StreamHead::Request(Box::new(RequestFrame::new(&req, links.now())));
     let in_pieces = matches!(req.body, Body::Stream { .. });
     let mut whole = true;
@@ -105,7 +116,7 @@
             let body = conn.read_body(length).await?;
             // Set back only now: what was sent may have waited until here for the target to read it.
             if whole && (!in_pieces || conn.set_patience(UNACKNOWLEDGED).is_ok()) {
-                links.put(address, conn);
+                links.put(address, Link { conn, host });
             }
             Ok(head.into_reply(Body::Whole(body))?)
         }
--- a/crates/node/src/mesh/link/frames.rs
+++ b/crates/node/src/mesh/link/frames.rs
@@ -24,18 +24,16 @@
     Request(Box<RequestFrame>),
     /// Another node wants to hear the publisher's news.
     Follow(FollowFrame),
-    /// Another node has not heard from this one for a while.
-    AreYouThere,
     /// Another node tells what its workspaces have used, and wants the verdicts of this one.
     QuotaClaims(Vec<ClaimFrame>),
     /// Another node, a home of these workspaces, tells its verdicts; nothing is answered but that they came.
     QuotaNotices(Vec<NoticeFrame>),
 }
 
-/// The node is there.
+/// First frame of each connection, from the node that has accepted it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AliveFrame {
-    /// Drawn at its start: another value means that what the start before had is gone.
+pub struct HelloFrame {
+    /// Drawn at the node's start.
     pub boot: u64,
 }
 
--- a/crates/node/src/mesh/link/health.rs
+++ b/crates/node/src/mesh/link/health.rs
@@ -5,13 +5,31 @@
 
 use tokio::sync::watch;
 
+/// One process of a node, as the other end of a connection has seen it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Incarnation {
+    /// Drawn at its start.
+    pub boot: u64,
+    /// When it was connected to, by the clock of this node.
+    pub connected_at: Instant,
+}
+
 /// What is known of a node.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Health {
     /// Whether it has answered nothing for so long that its machine is taken to be cut off, without power or paused.
     pub silent: bool,
-    /// Drawn at its start; `None` until it has told.
-    pub boot: Option<u64>,
+    /// The process that was connected to last; `None` before the first connection.
+    pub incarnation: Option<Incarnation>,
+}
+
+impl Health {
+    /// Whether a process has ended, since another one of the node was connected to after it.
+    pub fn has_replaced(&self, earlier: &Incarnation) -> bool {
+        self.incarnation.is_some_and(|known| {
+            known.boot != earlier.boot && known.connected_at > earlier.connected_at
+        })
+    }
 }
 
 /// A node that has requests of this one.
@@ -49,20 +67,34 @@
             .store(self.since_begin(now), Ordering::Relaxed);
     }
 
-    /// It has answered a question, or has not.
-    pub fn asked(&self, boot: Option<u64>, now: Instant) {
-        if boot.is_some() {
-            self.heard(now);
-        }
+    /// It has said hello on a new connection.
+    pub fn greeted(&self, host: Incarnation, now: Instant) {
+        self.heard(now);
         self.health.send_if_modified(|health| {
-            let new = Health {
-                silent: boot.is_none(),
-                boot: boot.or(health.boot),
+            let is_newest = match health.incarnation {
+                Some(known) => known.connected_at < host.connected_at,
+                None => true,
             };
-            std::mem::replace(health, new) != new
+            let is_other = health.incarnation.map(|known| known.boot) != Some(host.boot);
+            let was_silent = std::mem::replace(&mut health.silent, false);
+            if is_newest {
+                health.incarnation = Some(host);
+            }
+            was_silent || (is_newest && is_other)
         });
     }
 
+    /// It has not answered.
+    pub fn unanswered(&self) {
+        self.health
+            .send_if_modified(|health| !std::mem::replace(&mut health.silent, true));
+    }
+
+    /// Whether a process of it has ended; see [`Health::has_replaced`].
+    pub fn has_replaced(&self, earlier: &Incarnation) -> bool {
+        self.health.borrow().has_replaced(earlier)
+    }
+
     /// Whether it is taken to be silent.
     pub fn is_silent(&self) -> bool {
         self.health.borrow().silent
--- a/crates/node/src/mesh/link/hub.rs
+++ b/crates/node/src/mesh/link/hub.rs
@@ -11,10 +11,11 @@
 use tokio::time::timeout;
 
 use super::conn::PeerConn;
-use super::health::Peer;
+use super::frames::{HelloFrame, MAX_HEAD};
+use super::health::{Incarnation, Peer};
 use crate::clock::SharedClock;
 
-/// Longest time for a new connection: a node that is gone does not hold a request up.
+/// Longest time until a node has accepted a new connection and said hello: one that is gone does not hold a request up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Time for which sent bytes may stay without acknowledgement by the other machine. Lost packets are repeated several times
@@ -42,10 +43,19 @@
 }
 
 struct Idle {
-    conn: PeerConn,
+    link: Link,
     since: Instant,
 }
 
+/// A connection that this node has opened, and the process that has accepted it.
+#[derive(Debug)]
+pub struct Link {
+    /// The connection.
+    pub conn: PeerConn,
+    /// The process at its other end.
+    pub host: Incarnation,
+}
+
 impl LinkHub {
     /// A hub without connections.
     pub fn new(clock: SharedClock) -> Self {
@@ -78,39 +88,56 @@
     }
 
     /// A kept connection, the one used last.
-    pub fn take(&self, address: SocketAddr) -> Option<PeerConn> {
+    pub fn take(&self, address: SocketAddr) -> Option<Link> {
         let now = self.now();
         let mut state = self.state();
-        let idle = state.idle.get_mut(&address)?;
-        while let Some(kept) = idle.pop() {
-            let is_fresh = now.saturating_duration_since(kept.since) < KEPT;
+        let State { peers, idle } = &mut *state;
+        let peer = peers.get(&address);
+        let idle = idle.get_mut(&address)?;
+        while let Some(Idle { link, since }) = idle.pop() {
+            let is_fresh = now.saturating_duration_since(since) < KEPT;
+            // A machine that lost power has closed nothing.
+            let is_replaced = peer.is_some_and(|peer| peer.has_replaced(&link.host));
             // Bytes that nobody asked for, or an end: its node has stopped.
-            if is_fresh && kept.conn.is_quiet() {
-                return Some(kept.conn);
+            if is_fresh && !is_replaced && link.conn.is_quiet() {
+                return Some(link);
             }
         }
         None
     }
 
-    /// A new connection.
+    /// A new connection to a node that has said hello on it.
     ///
     /// # Errors
     ///
-    /// The node does not accept it; nothing was sent.
-    pub async fn connect(&self, address: SocketAddr) -> io::Result<PeerConn> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    /// The node does not accept it, or says nothing; nothing was sent.
+    pub async fn connect(&self, address: SocketAddr) -> io::Result<Link> {
+        let link = timeout(CONNECT_TIMEOUT, self.open(address)).await??;
+        self.peer(address).greeted(link.host, self.now());
+        Ok(link)
+    }
+
+    async fn open(&self, address: SocketAddr) -> io::Result<Link> {
+        let stream = TcpStream::connect(address).await?;
+        let connected_at = self.now();
         prepare(&stream)?;
-        Ok(PeerConn::new(stream))
+        let mut conn = PeerConn::new(stream);
+        let hello: HelloFrame = conn.read_head(MAX_HEAD).await.map_err(io::Error::other)?;
+        let host = Incarnation {
+            boot: hello.boot,
+            connected_at,
+        };
+        Ok(Link { conn, host })
     }
 
     /// Keeps a connection whose reply was read whole.
-    pub fn put(&self, address: SocketAddr, mut conn: PeerConn) {
-        conn.rest();
+    pub fn put(&self, address: SocketAddr, mut link: Link) {
+        link.conn.rest();
         let since = self.now();
         let mut state = self.state();
         let idle = state.idle.entry(address).or_default();
         if idle.len() < MOST_KEPT {
-            idle.push(Idle { conn, since });
+            idle.push(Idle { link, since });
         }
     }
 
--- a/crates/node/src/mesh/link/quotas.rs
+++ b/crates/node/src/mesh/link/quotas.rs
@@ -59,13 +59,13 @@
         return Err(FrameError::Cut);
     }
     let exchange = async {
-        let mut conn = match links.take(node) {
-            Some(conn) => conn,
+        let mut link = match links.take(node) {
+            Some(link) => link,
             None => links.connect(node).await.map_err(|_| FrameError::Cut)?,
         };
-        conn.write(head, &[]).await.map_err(FrameError::from)?;
-        let verdicts = conn.read_head(MAX_HEAD).await?;
-        links.put(node, conn);
+        link.conn.write(head, &[]).await.map_err(FrameError::from)?;
+        let verdicts = link.conn.read_head(MAX_HEAD).await?;
+        links.put(node, link);
         Ok(verdicts)
     };
     timeout(ANSWER, exchange)
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::conn::PeerConn;
-use super::frames::{AliveFrame, MAX_HEAD, ReplyFrame, RequestFrame, StreamHead};
+use super::frames::{HelloFrame, MAX_HEAD, ReplyFrame, RequestFrame, StreamHead};
 use super::hub::{KEPT, prepare};
 use super::pieces;
 use super::quota_frames::{VerdictFrame, VerdictsFrame};
@@ -60,6 +60,10 @@
         return debug!(serving.log, "a node has left"; "reason" => e.to_string());
     }
     let mut conn = PeerConn::new(stream);
+    let hello = HelloFrame { boot: serving.boot };
+    if let Err(e) = conn.write(&hello, &[]).await {
+        return debug!(serving.log, "a node has left"; "reason" => e.to_string());
+    }
     loop {
         let Ok(head) = timeout(IDLE, conn.read_head(MAX_HEAD)).await else {
             return;
@@ -92,11 +96,6 @@
             share(serving.sharing.clone(), conn, asked).await?;
             Ok(false)
         }
-        StreamHead::AreYouThere => {
-            let alive = AliveFrame { boot: serving.boot };
-            conn.write(&alive, &[]).await?;
-            Ok(true)
-        }
         StreamHead::QuotaClaims(claims) => {
             let claims = claims.into_iter().map(QuotaClaim::from).collect();
             let verdicts = serving.host.controller.claim_quotas(claims).await;
--- a/crates/node/src/mesh/link/watch.rs
+++ b/crates/node/src/mesh/link/watch.rs
@@ -9,10 +9,7 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::LinkHub;
-use super::conn::PeerConn;
-use super::frames::{AliveFrame, MAX_HEAD, StreamHead};
 use super::health::Peer;
-use crate::wire::FrameError;
 
 /// Time between looks at the nodes.
 const LOOK: Duration = Duration::from_millis(100);
@@ -74,15 +71,15 @@
 
 async fn ask(links: &LinkHub, address: SocketAddr, peer: &Arc<Peer>, log: &Logger) {
     let was_silent = peer.is_silent();
-    let alive = timeout(ANSWER, exchange(links, address)).await;
+    // A new connection: kept ones may have gone silent alone, and the node is to be asked, not one of them.
+    let connected = timeout(ANSWER, links.connect(address)).await;
     let now = links.now();
-    match alive {
-        Ok(Ok((conn, alive))) => {
-            links.put(address, conn);
-            peer.asked(Some(alive.boot), now);
+    match connected {
+        Ok(Ok(link)) => {
             if was_silent {
-                info!(log, "peer answers"; "peer" => address, "boot" => alive.boot);
+                info!(log, "peer answers"; "peer" => address, "boot" => link.host.boot);
             }
+            links.put(address, link);
         }
         // Something else may have come from it meanwhile, over another connection.
         Ok(Err(_)) | Err(_) if peer.quiet_for(now) < ANSWER => {}
@@ -91,19 +88,7 @@
                 let quiet_ms = peer.quiet_for(now).as_millis() as u64;
                 warn!(log, "peer silent"; "peer" => address, "quiet_ms" => quiet_ms);
             }
-            peer.asked(None, now);
+            peer.unanswered();
         }
     }
 }
-
-async fn exchange(
-    links: &LinkHub,
-    address: SocketAddr,
-) -> Result<(PeerConn, AliveFrame), FrameError> {
-    // A new connection: kept ones may have gone silent alone, and the node is to be asked, not one of them.
-    let connected = links.connect(address).await;
-    let mut conn = connected.map_err(|_| FrameError::Cut)?;
-    conn.write(&StreamHead::AreYouThere, &[]).await?;
-    let alive = conn.read_head::<AliveFrame>(MAX_HEAD).await?;
-    Ok((conn, alive))
-}
--- a/crates/node/src/mesh/news/follow.rs
+++ b/crates/node/src/mesh/news/follow.rs
@@ -58,7 +58,7 @@
 
     async fn listen(&self) -> Result<std::convert::Infallible, FollowError> {
         let connected = self.links.connect(self.peer).await;
-        let mut conn = connected.map_err(|_| FollowError::NoLink)?;
+        let mut conn = connected.map_err(|_| FollowError::NoLink)?.conn;
         let asked = FollowFrame {
             revision: self.revision,
         };
