A refused repeat does not undo a run: "not run" is true again

What callers saw: 503 with a time to come back for an idempotent request that a target had run and failed.

Cause: of several attempts the result of the last one was passed on. After a run that failed, a repeat that its host refused replaced it, and the quota of the workspace was given back.

Evidence: ids of 'attempt failed' with reason 500 or 504 that are 'answered' with 503 later.

Change: a result that may have run is replaced only by another such. At the end of its time a request that all targets have turned away is told 503 instead of 504.

--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -37,14 +37,19 @@
     last_instance: SmolStr,
     /// Whether a host has it now, so that its target may be at work on it.
     at_target: bool,
+    /// What its caller is told if nothing more comes of it.
+    so_far: AttemptResult,
 }
 
+/// A target's answer, or why there is none.
+type AttemptResult = Result<TargetAnswer, Refused>;
+
 /// What to do after an attempt.
 enum Step {
     /// Its caller gets this.
-    Finish(Result<TargetAnswer, Refused>),
+    Finish(AttemptResult),
     /// Try elsewhere; if there is nowhere else, this is the result.
-    Retry(Result<TargetAnswer, Refused>),
+    Retry(AttemptResult),
 }
 
 impl<'e> Attempts<'e> {
@@ -84,18 +89,18 @@
             reroutes: 0,
             last_instance: SmolStr::default(),
             at_target: false,
+            so_far: Err(Refused::from(Refusal::NoInstance)),
         }
     }
 
     /// Sends the request to instances until one answers or nothing is left to try.
-    pub(super) async fn run(&mut self) -> Result<TargetAnswer, Refused> {
-        let mut result = Err(Refused::from(Refusal::NoInstance));
+    pub(super) async fn run(&mut self) -> AttemptResult {
         loop {
             let Some(to) = self.next_instance().await else {
-                return result;
+                return self.take_result();
             };
             let Some(body) = self.take_body() else {
-                return result;
+                return self.take_result();
             };
             let instance = to.chosen.id.clone();
             self.tried.push(to.chosen.key);
@@ -104,18 +109,32 @@
             let next = self.attempt(to, body).await;
             self.at_target = false;
             match next {
-                Step::Finish(done) => return done,
-                Step::Retry(so_far) => {
-                    let reason = reason(&so_far);
+                Step::Finish(result) => {
+                    self.ended(result);
+                    return self.take_result();
+                }
+                Step::Retry(result) => {
+                    let reason = reason(&result);
                     self.entry
                         .journal
                         .attempt_failed(&self.id, &instance, &reason, true);
-                    result = so_far;
+                    self.ended(result);
                 }
             }
         }
     }
 
+    /// An attempt has ended. One that has not run says nothing about an earlier one that may have.
+    fn ended(&mut self, result: AttemptResult) {
+        if may_have_run(&result) || !may_have_run(&self.so_far) {
+            self.so_far = result;
+        }
+    }
+
+    fn take_result(&mut self) -> AttemptResult {
+        std::mem::replace(&mut self.so_far, Err(Refused::from(Refusal::NoInstance)))
+    }
+
     async fn next_instance(&self) -> Option<SendTo> {
         let ask = SendAsk {
             service: self.admitted.service.clone(),
@@ -222,7 +241,7 @@
     }
 
     /// After a target has failed: sent again where that is harmless, allowed and affordable.
-    async fn failed(&self, result: Result<TargetAnswer, Refused>, may_have_run: bool) -> Step {
+    async fn failed(&self, result: AttemptResult, may_have_run: bool) -> Step {
         let route = self.admitted.config.route(self.admitted.route);
         let harmless = !may_have_run || route.repeat == Repeat::Idempotent;
         if !harmless || self.at_targets >= route.max_attempts || self.body.is_none() {
@@ -276,7 +295,7 @@
 
     /// What its caller is told when its time is over.
     pub(super) fn expired(&self) -> Refused {
-        match self.at_target || self.at_targets > 0 {
+        match self.at_target || may_have_run(&self.so_far) {
             true => Refused::from(Refusal::Expired),
             false => Refused::from(Refusal::ExpiredUnsent),
         }
@@ -301,7 +320,7 @@
     }
 
     /// Gives back what a request that has not run took of its workspace's quota.
-    pub(super) fn settle_quota(&self, result: &Result<TargetAnswer, Refused>) {
+    pub(super) fn settle_quota(&self, result: &AttemptResult) {
         let Err(refused) = result else {
             return;
         };
@@ -317,7 +336,7 @@
     }
 
     /// Tells the journal what its caller gets.
-    pub(super) fn log(&self, result: &Result<TargetAnswer, Refused>) {
+    pub(super) fn log(&self, result: &AttemptResult) {
         let (status, refusal) = match result {
             Ok(answer) => (answer.status.as_u16(), ""),
             Err(refused) => (refused.refusal.rule().status, refused.refusal.as_str()),
@@ -339,7 +358,15 @@
     }
 }
 
-fn reason(result: &Result<TargetAnswer, Refused>) -> SmolStr {
+/// Whether a target may have worked on a request that ended so.
+fn may_have_run(result: &AttemptResult) -> bool {
+    match result {
+        Ok(_) => true,
+        Err(refused) => !refused.refusal.is_not_run(),
+    }
+}
+
+fn reason(result: &AttemptResult) -> SmolStr {
     match result {
         Ok(answer) => SmolStr::new(answer.status.as_str()),
         Err(refused) => SmolStr::new_static(refused.refusal.as_str()),
