Rename: lifecycle, with the usual words for a graceful shutdown

Names only: Life -> Lifecycle, LOOK -> POLL_INTERVAL, QUIET -> IDLE_BEFORE_EXIT, MARGIN -> EXIT_MARGIN, CALLERS_LEAVE -> ACCEPT_WHILE_DRAINING, asked and began -> latest_signal and signalled_at.

--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -7,7 +7,7 @@
 mod entry;
 mod host;
 pub mod journal;
-mod life;
+mod lifecycle;
 mod link;
 mod metrics;
 mod news;
--- a/crates/node/src/mesh/life.rs
+++ b/crates/node/src/mesh/lifecycle.rs
@@ -15,16 +15,16 @@
 
 /// Time for which a stopping node goes on taking requests. Its callers are told by the readiness check, asked each second
 /// and believed after two misses, and some still send until then.
-const CALLERS_LEAVE: Duration = Duration::from_millis(2500);
+const ACCEPT_WHILE_DRAINING: Duration = Duration::from_millis(2500);
 
 /// How long nothing must have been open before the node ends: a caller may send again on a connection just used.
-const QUIET: Duration = Duration::from_millis(250);
+const IDLE_BEFORE_EXIT: Duration = Duration::from_millis(250);
 
 /// Time between looks.
-const LOOK: Duration = Duration::from_millis(50);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time before the forced end at which the node ends with what is still open.
-const MARGIN: Duration = Duration::from_millis(500);
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
 /// The signals that a node takes. Until they are taken over each of them ends the process, so this is done first.
 pub struct Signals {
@@ -49,7 +49,7 @@
 }
 
 /// Signals and what they lead to.
-pub struct Life {
+pub struct Lifecycle {
     /// The signals.
     pub signals: Signals,
     /// Refuses new requests for the own target.
@@ -68,12 +68,12 @@
     pub log: Logger,
 }
 
-impl Life {
+impl Lifecycle {
     /// Returns when the process may end.
     pub async fn run(mut self) {
         loop {
             tokio::select! {
-                () = stop_asked(&mut self.signals.terminate, &mut self.signals.interrupt) => break,
+                () = stop_signal(&mut self.signals.terminate, &mut self.signals.interrupt) => break,
                 () = received(&mut self.signals.hangup) => self.hup.send_modify(|count| *count += 1),
             }
         }
@@ -81,33 +81,33 @@
     }
 
     async fn stop(&mut self) {
-        let began = self.clock.now();
-        let mut asked = began;
+        let signalled_at = self.clock.now();
+        let mut latest_signal = signalled_at;
         info!(self.log, "stopping"; "open" => self.open.load(Ordering::SeqCst));
         self.stopping.send_replace(true);
         self.controller.tell(ControllerEvent::Stop);
-        let latest = self.settings.borrow().grace.saturating_sub(MARGIN);
-        let mut quiet_since = None;
+        let latest = self.settings.borrow().grace.saturating_sub(EXIT_MARGIN);
+        let mut idle_since = None;
         loop {
             tokio::select! {
-                () = sleep(LOOK) => {}
-                () = stop_asked(&mut self.signals.terminate, &mut self.signals.interrupt) => {
+                () = sleep(POLL_INTERVAL) => {}
+                () = stop_signal(&mut self.signals.terminate, &mut self.signals.interrupt) => {
                     // Whoever asks again waits the whole time again before it ends the node. Counted from the first word on, a
                     // node whose target had left, and that a rollout stopped a second later, cut off what was still running.
-                    asked = self.clock.now();
+                    latest_signal = self.clock.now();
                     info!(self.log, "asked to stop again");
                 }
             }
             let now = self.clock.now();
-            let passed = now.saturating_duration_since(began);
+            let passed = now.saturating_duration_since(signalled_at);
             let open = self.open.load(Ordering::SeqCst) + self.controller.hosted().await;
-            let since = *quiet_since.get_or_insert(now);
+            let since = *idle_since.get_or_insert(now);
             if open > 0 {
-                quiet_since = None;
+                idle_since = None;
             }
-            let quiet = open == 0 && now.saturating_duration_since(since) >= QUIET;
-            let is_latest = now.saturating_duration_since(asked) >= latest;
-            if is_latest || (quiet && passed >= CALLERS_LEAVE) {
+            let is_idle = open == 0 && now.saturating_duration_since(since) >= IDLE_BEFORE_EXIT;
+            let is_latest = now.saturating_duration_since(latest_signal) >= latest;
+            if is_latest || (is_idle && passed >= ACCEPT_WHILE_DRAINING) {
                 info!(self.log, "stopped"; "open" => open, "after_ms" => passed.as_millis() as u64);
                 return;
             }
@@ -116,7 +116,7 @@
 }
 
 /// Returns when either of the two signals comes that ask the node to stop.
-async fn stop_asked(terminate: &mut Signal, interrupt: &mut Signal) {
+async fn stop_signal(terminate: &mut Signal, interrupt: &mut Signal) {
     tokio::select! {
         () = received(terminate) => {}
         () = received(interrupt) => {}
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -22,7 +22,7 @@
 use super::entry::Entry;
 use super::host::Host;
 use super::journal::Journal;
-use super::life::{Life, Signals};
+use super::lifecycle::{Lifecycle, Signals};
 use super::link::{self, LinkHub, Serving, watch_peers};
 use super::metrics::MeshMetrics;
 use super::news::{Board, News, Sharing};
@@ -171,7 +171,7 @@
         service_tx,
         controller.clone(),
     ));
-    let life = Life {
+    let lifecycle = Lifecycle {
         signals,
         controller,
         stopping: stopping_tx,
@@ -181,7 +181,7 @@
         clock,
         log,
     };
-    life.run().await;
+    lifecycle.run().await;
     Ok(())
 }
 
