A port that is given out is held by no other child

Cause: looking whether a port is free opens a listener for a moment. A child that another thread forks in that moment holds it until exec, so whoever waits for the port's new process meets that listener, and the connection after it is refused.

Change: starting a program and looking at a port take one lock; the commands of the rig that started programs by themselves go through it. The client names the address of a connection that fails.

Ruled out: two programs with one port (blocks are claimed), phases that are not waited for (target, platform and node all are), descriptors (limit 20,000).

--- a/crates/rig/src/demo/probe.rs
+++ b/crates/rig/src/demo/probe.rs
@@ -1,7 +1,7 @@
 //! One request and its time line over all nodes.
 
 use std::net::SocketAddr;
-use std::process::Command;
+use std::process::{Command, Stdio};
 
 use http::Method;
 use tokio::task::spawn_blocking;
@@ -9,6 +9,7 @@
 use crate::error::RigError;
 use crate::fleet::{Fleet, Programs};
 use crate::http::ClientCall;
+use crate::process::spawn;
 
 use super::plan::{DEEPEST, FIRST};
 use super::promise::Promise;
@@ -40,7 +41,8 @@
         command
             .args(["timeline", "--operators", &operators.to_string()])
             .args(["--all", "--request", request]);
-        let output = spawn_blocking(move || command.output()).await;
+        command.stdout(Stdio::piped()).stderr(Stdio::piped());
+        let output = spawn_blocking(move || spawn(&mut command)?.wait_with_output()).await;
         let output = output.map_err(|e| RigError::Settings(e.to_string()))??;
         Ok(Self {
             text: String::from_utf8_lossy(&output.stdout).into_owned(),
--- a/crates/rig/src/fleet/keys.rs
+++ b/crates/rig/src/fleet/keys.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 
 use crate::error::RigError;
+use crate::process::spawn;
 
 /// Keys of one fleet.
 #[derive(Clone, Debug)]
@@ -32,12 +33,10 @@
 }
 
 fn keys(node: &Path, args: &[&str], input: &str) -> Result<String, RigError> {
-    let mut child = Command::new(node)
-        .arg("keys")
-        .args(args)
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .spawn()?;
+    let mut command = Command::new(node);
+    command.arg("keys").args(args);
+    command.stdin(Stdio::piped()).stdout(Stdio::piped());
+    let mut child = spawn(&mut command)?;
     if let Some(mut stdin) = child.stdin.take() {
         stdin.write_all(input.as_bytes())?;
     }
--- a/crates/rig/src/http/client.rs
+++ b/crates/rig/src/http/client.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -175,14 +175,14 @@
     }
 
     async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<ClientAnswer, RigError> {
-        let answer = self
-            .inner
-            .request(req)
-            .await
-            .map_err(|e| connection_error(&e))?;
+        let uri = req.uri().clone();
+        let answer = self.inner.request(req).await;
+        let answer = answer.map_err(|e| connection_error(&uri, &e))?;
         let (parts, body) = answer.into_parts();
         let body = Limited::new(body, ANSWER_LIMIT).collect().await;
-        let body = body.map_err(|e| connection_error(e.as_ref()))?.to_bytes();
+        let body = body
+            .map_err(|e| connection_error(&uri, e.as_ref()))?
+            .to_bytes();
         Ok(ClientAnswer {
             status: parts.status,
             headers: parts.headers,
@@ -191,13 +191,13 @@
     }
 }
 
-/// The error with its causes: by itself it says that a connection failed, and not which way.
-fn connection_error(e: &(dyn Error + 'static)) -> RigError {
+/// The error with its address and its causes: by itself it says that a connection failed, and not which way.
+fn connection_error(uri: &Uri, e: &(dyn Error + 'static)) -> RigError {
     let causes = successors(e.source(), |cause: &&(dyn Error + 'static)| {
         (*cause).source()
     });
     let told = causes.fold(e.to_string(), |told, cause| format!("{told}: {cause}"));
-    RigError::Connection(told)
+    RigError::Connection(format!("{uri}: {told}"))
 }
 
 fn success(answer: ClientAnswer) -> Result<ClientAnswer, RigError> {
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -1,6 +1,7 @@
 //! Real child processes for tests, demo and experiments.
 
 mod ports;
+mod spawn;
 mod spec;
 
 use std::io::Write;
@@ -17,6 +18,7 @@
 use crate::http::{Client, ClientCall};
 
 pub use self::ports::{block_of, free_port, free_ports, loopback};
+pub use self::spawn::spawn;
 pub use self::spec::{Output, ProcessSpec};
 pub use rustix::process::Signal;
 
@@ -37,7 +39,7 @@
 impl Process {
     /// Starts a child and writes its settings to its standard input.
     pub fn start(spec: ProcessSpec) -> Result<Self, RigError> {
-        let mut child = spec.command()?.spawn()?;
+        let mut child = spawn(&mut spec.command()?)?;
         let pid = Pid::from_child(&child);
         let input = child.stdin.take();
         let process = Self {
--- a/crates/rig/src/process/ports.rs
+++ b/crates/rig/src/process/ports.rs
@@ -4,6 +4,7 @@
 use std::process;
 use std::sync::{Mutex, PoisonError};
 
+use super::spawn::no_spawn;
 use crate::error::RigError;
 
 /// First port that is given out.
@@ -91,6 +92,7 @@
 }
 
 fn is_free(port: u16) -> bool {
+    let _open = no_spawn();
     let addr = loopback(port);
     TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok()
 }
--- a/crates/rig/tests/process.rs
+++ b/crates/rig/tests/process.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use coltsfootport_rig::error::RigError;
@@ -103,3 +104,29 @@
     let block = block_of(port);
     assert!(block < port && TcpListener::bind(loopback(block)).is_err());
 }
+
+/// A port that another child held for a moment after it was given out: whoever waited for a listener there met that child,
+/// and the next connection was refused.
+#[test]
+fn nobody_listens_at_a_port_that_is_given_out() {
+    const SPAWNERS: usize = 4;
+    const PORTS: usize = 1500;
+    let is_over = AtomicBool::new(false);
+    let mut held = 0;
+    std::thread::scope(|scope| {
+        for _ in 0..SPAWNERS {
+            scope.spawn(|| {
+                while !is_over.load(Ordering::SeqCst) {
+                    let mut child = Process::start(spec("--version")).expect("a child");
+                    let _ = child.kill();
+                }
+            });
+        }
+        for _ in 0..PORTS {
+            let [port] = free_ports().expect("a port");
+            held += usize::from(std::net::TcpStream::connect(loopback(port)).is_ok());
+        }
+        is_over.store(true, Ordering::SeqCst);
+    });
+    assert_eq!(held, 0, "of {PORTS} ports");
+}
