A draining node takes from others only what does not keep it from ending

Cause: hosts took requests for 0.9 s longer than before, although entries can choose another host at once; and the future of each request was held twice, once as the argument and once pinned, while its node waits for the end of the grace period.

The future of a request is pinned where it is made.

--- a/crates/core/tests/mesh_drain.rs
+++ b/crates/core/tests/mesh_drain.rs
@@ -16,7 +16,8 @@
         passed: u64,
         expected: u64,
         left: u64,
-        admitted: bool,
+        caller: bool,
+        peer: bool,
     }
     let cases = [
         Case {
@@ -24,62 +25,81 @@
             passed: 0,
             expected: 100,
             left: 5000,
-            admitted: true,
+            caller: true,
+            peer: true,
         },
         Case {
             name: "unknown kind",
             passed: 2300,
             expected: 0,
             left: 9000,
-            admitted: true,
+            caller: true,
+            peer: true,
         },
         Case {
             name: "long, at once",
             passed: 0,
             expected: 2500,
             left: 9000,
-            admitted: true,
+            caller: true,
+            peer: false,
+        },
+        Case {
+            name: "short, just before callers have been told",
+            passed: 2200,
+            expected: 150,
+            left: 5000,
+            caller: true,
+            peer: false,
         },
         Case {
             name: "long, later",
             passed: 1000,
             expected: 2500,
             left: 9000,
-            admitted: false,
+            caller: false,
+            peer: false,
         },
         Case {
             name: "long, but limited by its own time",
             passed: 1000,
             expected: 2500,
             left: 4000,
-            admitted: true,
+            caller: true,
+            peer: false,
         },
         Case {
             name: "short, after callers have been told",
             passed: 2400,
             expected: 10,
             left: 5000,
-            admitted: false,
+            caller: false,
+            peer: false,
         },
         Case {
             name: "short, after the end",
             passed: 7000,
             expected: 10,
             left: 5000,
-            admitted: false,
+            caller: false,
+            peer: false,
         },
     ];
     let now = Instant::now();
     let cfg = DrainConfig {
         grace: ms(6000),
-        admit: ms(2400),
+        callers: ms(2400),
         margin: ms(500),
         spread: 2.0,
     };
     for case in cases {
         let drain = Drain::new(cfg, now);
-        let admits = drain.admits(ms(case.expected), ms(case.left), now + ms(case.passed));
-        assert_eq!(admits, case.admitted, "{}", case.name);
+        let (expected, left) = (ms(case.expected), ms(case.left));
+        let then = now + ms(case.passed);
+        let admits = drain.admits_caller(expected, left, then);
+        assert_eq!(admits, case.caller, "{}, caller", case.name);
+        let admits = drain.admits_peer(expected, left, then);
+        assert_eq!(admits, case.peer, "{}, peer", case.name);
     }
 }
 
@@ -92,5 +112,6 @@
         ..Default::default()
     };
     let drain = Drain::new(cfg, now);
-    assert!(!drain.admits(ms(10), ms(5000), now));
+    assert!(!drain.admits_caller(ms(10), ms(5000), now));
+    assert!(!drain.admits_peer(ms(10), ms(5000), now));
 }
--- a/crates/node/src/mesh/controller/drain.rs
+++ b/crates/node/src/mesh/controller/drain.rs
@@ -22,7 +22,7 @@
         let left = ask
             .time_left
             .map_or(route.timeout, |left| left.min(route.timeout));
-        drain.admits(expected, left, now)
+        drain.admits_caller(expected, left, now)
     }
 
     /// Whether a request of another node is admitted although this one may be draining.
@@ -31,7 +31,7 @@
             return true;
         };
         let left = req.deadline.saturating_duration_since(now);
-        drain.admits(self.gate.expected_time(req), left, now)
+        drain.admits_peer(self.gate.expected_time(req), left, now)
     }
 
     /// Logs what this host still has at the end of the grace period.
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -85,8 +86,11 @@
             .deadline
             .saturating_duration_since(self.clock.now());
         let (id, deadline) = (attempts.id.clone(), attempts.deadline);
-        let served = self.log_if_unfinished(&id, deadline, timeout(limit, attempts.run()));
-        let result = match served.await {
+        let result = {
+            let served = pin!(timeout(limit, attempts.run()));
+            self.log_if_unfinished(&id, deadline, served).await
+        };
+        let result = match result {
             Ok(result) => result,
             Err(_) => Err(attempts.expired()),
         };
@@ -104,11 +108,15 @@
     }
 
     /// Waits for a request, and logs it if it has not ended when the grace period is nearly over.
-    async fn log_if_unfinished<F>(&self, id: &str, deadline: Instant, served: F) -> F::Output
+    async fn log_if_unfinished<F>(
+        &self,
+        id: &str,
+        deadline: Instant,
+        mut served: Pin<&mut F>,
+    ) -> F::Output
     where
         F: Future,
     {
-        tokio::pin!(served);
         let mut grace_over = self.grace_over.clone();
         tokio::select! {
             biased;
