--- a/crates/rig/tests/process.rs
+++ b/crates/rig/tests/process.rs
@@ -20,9 +20,7 @@
     ProcessSpec::new("rig", RIG, line.split_whitespace())
 }
 
-/// Symptom: a process answers nothing for a while, then acts on what it had been sent.
-/// Sequence: a target is frozen, called, and woken before the caller gives up.
-/// Cause: a paused process whose sockets stay open.
+/// A process that is paused: it answered nothing, then acted on what it had been sent.
 #[tokio::test]
 async fn a_frozen_child_wakes_up_and_goes_on() {
     let client = Client::default();
