A request behind a body in pieces is not read as more of that body

What callers saw: 502, outcome unknown, 2 s after a request over a link between two nodes that had carried a body of more than 64 KiB before; mostly of non-idempotent requests, since others are sent again. It never reached a target.

Cause: a target answers when a body of known length is in, and its host may pass the answer on before it has read the end that the entry writes behind the last piece. It then read what was left of the body until the connection ended, although the entry, which had sent all, kept the connection for its next request. That request was read as pieces for 2 s and the connection closed.

Change: the host stops at the end of the body and goes on with the connection.

--- a/crates/node/src/mesh/link/pieces.rs
+++ b/crates/node/src/mesh/link/pieces.rs
@@ -93,11 +93,21 @@
     conn.closed().await;
 }
 
-/// Reads what is left of a body until the other end leaves.
-pub async fn drain(conn: &mut PeerConn) {
-    let rest = async { while conn.read_piece(LARGEST_PIECE).await.is_ok() {} };
+/// Reads what is left of a body; `false` where the other end leaves before its end, so that the connection is of no more use.
+///
+/// Nothing behind the end is read: it is the next request.
+pub async fn drain(conn: &mut PeerConn) -> bool {
+    let rest = async {
+        loop {
+            match conn.read_piece(LARGEST_PIECE).await {
+                Ok(piece) if piece.is_empty() => return true,
+                Ok(_) => {}
+                Err(_) => return false,
+            }
+        }
+    };
     // Whoever is that slow has its answer cut.
-    let _ = timeout(LINGER, rest).await;
+    timeout(LINGER, rest).await.unwrap_or(false)
 }
 
 /// The body of an answer, read as it comes. The connection is closed after it.
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -143,11 +143,7 @@
         return Ok(false);
     };
     write_reply(conn, reply).await?;
-    let whole = ended.load(Ordering::Relaxed);
-    if !whole {
-        pieces::drain(conn).await;
-    }
-    Ok(whole)
+    Ok(ended.load(Ordering::Relaxed) || pieces::drain(conn).await)
 }
 
 async fn write_reply(conn: &mut PeerConn, reply: HostReply) -> Result<(), FrameError> {
