Log the end of a target's process, and a name for a request that stays the same

Change: after a connection to its target is lost, the host looks whether anybody still listens (refused: the process has ended; all requests of one end share one look and one number). No decision changed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod mesh;
 pub mod once;
 pub mod outcome;
+pub mod quarantine;
 pub mod routing;
 pub mod timeline;
 pub mod workspace;
--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{Refusal, Repeat, RequestKind};
+use coltsfootport_core::quarantine::{BodyDigest, Fingerprint};
 use http::{HeaderMap, StatusCode};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -65,6 +66,8 @@
     pub head: RequestHead,
     /// Its body.
     pub body: Body,
+    /// Digest of what of its body is held.
+    pub digest: BodyDigest,
     /// When its head had arrived.
     pub arrived: Instant,
 }
@@ -78,6 +81,8 @@
     pub body: Body,
     /// Id of the request; empty where the caller gave none.
     pub id: SmolStr,
+    /// What stays the same when it is sent again.
+    pub fingerprint: Fingerprint,
     /// The only instance that may run it.
     pub instance: SmolStr,
     /// Urgency of the request from outside that it serves.
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -5,6 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use coltsfootport_core::mesh::{CallerLimits, Refusal};
+use coltsfootport_core::quarantine::BodyDigest;
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::{mpsc, oneshot};
@@ -178,8 +179,15 @@
         let mut decoder = BodyDecoder::new(framing);
         let mut held = BytesMut::new();
         let ended = self.hold(&mut decoder, &mut held, limits).await?;
+        let digest = BodyDigest::of(&held);
+        let req = |body| CallerRequest {
+            head,
+            body,
+            digest,
+            arrived,
+        };
         if ended {
-            self.start(head, Body::Whole(held.freeze()), arrived, tx, tasks);
+            self.start(req(Body::Whole(held.freeze())), tx, tasks);
             return Ok(());
         }
         let length = match framing {
@@ -190,7 +198,7 @@
         let mut total = held.len() as u64;
         // The channel is empty and holds several pieces.
         let _ = pieces.send(Ok(held.freeze())).await;
-        self.start(head, Body::Stream { length, rx }, arrived, tx, tasks);
+        self.start(req(Body::Stream { length, rx }), tx, tasks);
         let passed = self
             .pass_on(&mut decoder, &mut total, limits, &pieces)
             .await;
@@ -253,21 +261,13 @@
 
     fn start(
         &self,
-        head: RequestHead,
-        body: Body,
-        arrived: Instant,
+        req: CallerRequest,
         tx: oneshot::Sender<CallerAnswer>,
         tasks: &mut JoinSet<()>,
     ) {
         let entry = self.cfg.entry.clone();
         tasks.spawn(async move {
-            let answer = entry
-                .serve(CallerRequest {
-                    head,
-                    body,
-                    arrived,
-                })
-                .await;
+            let answer = entry.serve(req).await;
             // The writer has gone where the caller has.
             let _ = tx.send(answer);
         });
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -8,6 +8,7 @@
 
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{Dialect, QueueTimeoutConfig, TimeLimits};
+use coltsfootport_core::quarantine::Fingerprinter;
 use http::header::{HOST, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
@@ -53,6 +54,8 @@
     pub limits: TimeLimits,
     /// Port at which nodes take requests of others.
     pub peers_port: u16,
+    /// Recognises requests that are sent again.
+    pub fingerprinter: Fingerprinter,
 }
 
 impl Entry {
@@ -154,6 +157,7 @@
     fn log_denied(&self, id: &str, denied: Denied, arrived: Instant, time_left: Option<Duration>) {
         self.journal.ended(Ending {
             id,
+            fingerprint: None,
             route: "",
             service: "",
             instance: "",
--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -6,9 +6,11 @@
 use coltsfootport_core::mesh::{
     InstanceKey, Limited, QueueTimeoutRequest, Refusal, Repeat, SendOutcome,
 };
+use coltsfootport_core::quarantine::{Fingerprint, RequestParts};
+use http::header::HOST;
 use smol_str::SmolStr;
 
-use super::Entry;
+use super::{Entry, text_header};
 use crate::h1::{RequestHead, strip_hop_by_hop};
 use crate::mesh::call::{
     Body, CallerRequest, HostReply, HostedRequest, Refused, Report, TargetAnswer,
@@ -28,6 +30,7 @@
     head: RequestHead,
     body: Option<Body>,
     pub(super) id: SmolStr,
+    fingerprint: Fingerprint,
     arrived: Instant,
     pub(super) deadline: Instant,
     caller_deadline: Option<Instant>,
@@ -68,6 +71,7 @@
             caller: time_left,
             outer: admitted.outer.as_ref().map(|outer| outer.deadline),
         });
+        let fingerprint = fingerprint(entry, &req, &admitted);
         let mut head = req.head;
         strip_hop_by_hop(&mut head.headers);
         // The host sets them anew, so they need not travel between nodes.
@@ -81,6 +85,7 @@
             head,
             body: Some(req.body),
             id,
+            fingerprint,
             arrived: req.arrived,
             deadline,
             caller_deadline,
@@ -115,9 +120,12 @@
                 }
                 Step::Retry(result) => {
                     let reason = reason(&result);
-                    self.entry
-                        .journal
-                        .attempt_failed(&self.id, &instance, &reason, true);
+                    self.entry.journal.attempt_failed(
+                        &self.id,
+                        self.fingerprint,
+                        &instance,
+                        &reason,
+                    );
                     self.ended(result);
                 }
             }
@@ -266,6 +274,7 @@
             head: self.head.clone(),
             body,
             id: self.id.clone(),
+            fingerprint: self.fingerprint,
             instance: to.chosen.id.clone(),
             rank: self.admitted.rank,
             workspace: self.admitted.workspace.clone(),
@@ -344,6 +353,7 @@
         let now = self.entry.clock.now();
         self.entry.journal.ended(Ending {
             id: &self.id,
+            fingerprint: Some(self.fingerprint),
             route: &self.route_name(),
             service: self.admitted.service.as_str(),
             instance: &self.last_instance,
@@ -358,6 +368,16 @@
     }
 }
 
+fn fingerprint(entry: &Entry, req: &CallerRequest, admitted: &Admitted) -> Fingerprint {
+    entry.fingerprinter.fingerprint(&RequestParts {
+        method: req.head.method.as_str(),
+        host: &text_header(&req.head.headers, HOST.as_str()),
+        target: &req.head.target,
+        workspace: admitted.workspace.as_deref(),
+        body: req.digest,
+    })
+}
+
 /// Whether a target may have worked on a request that ended so.
 fn may_have_run(result: &AttemptResult) -> bool {
     match result {
--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -99,15 +99,24 @@
             Ok(Ok(exchanged)) => self.judge(&req, exchanged),
             Ok(Err(ExchangeFault::CallerCut)) => Err(Refused::from(Refusal::CallerGone)),
             Ok(Err(fault @ ExchangeFault::Closed(_))) => {
-                Err(self.failed(&req, Refusal::Lost, &fault.to_string()))
+                Err(self.lost(&req, Refusal::Lost, &fault).await)
             }
             Ok(Err(fault @ ExchangeFault::Broken(_))) => {
-                Err(self.failed(&req, Refusal::BrokenAnswer, &fault.to_string()))
+                Err(self.lost(&req, Refusal::BrokenAnswer, &fault).await)
             }
             Err(_) => Err(Refused::from(Refusal::Expired)),
         }
     }
 
+    /// A request without a whole answer, and whether the target has ended under it.
+    async fn lost(&self, req: &HostedRequest, refusal: Refusal, fault: &ExchangeFault) -> Refused {
+        if let Some(crash) = self.pool.crash(self.clock.now()).await {
+            let Self { journal, .. } = self;
+            journal.crashed_under(&req.id, req.fingerprint, &req.instance, crash);
+        }
+        self.failed(req, refusal, &fault.to_string())
+    }
+
     /// Decides whether an answer may be passed on.
     fn judge(&self, req: &HostedRequest, exchanged: Exchanged) -> Result<TargetAnswer, Refused> {
         let status = exchanged.answer.status;
@@ -129,8 +138,13 @@
     }
 
     fn failed(&self, req: &HostedRequest, refusal: Refusal, detail: &str) -> Refused {
-        self.journal
-            .target_failed(&req.id, &req.instance, refusal.as_str(), detail);
+        self.journal.target_failed(
+            &req.id,
+            req.fingerprint,
+            &req.instance,
+            refusal.as_str(),
+            detail,
+        );
         Refused::from(refusal)
     }
 }
--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootport_core::mesh::{Route, Shed};
+use coltsfootport_core::quarantine::{CrashId, Fingerprint};
 use coltsfootport_core::workspace::{OverQuota, Quota, Workspace};
 use slog::{Logger, info};
 
@@ -46,6 +47,8 @@
 pub struct Ending<'a> {
     /// Id of the request.
     pub id: &'a str,
+    /// What stays the same when it is sent again; `None` where it was refused unread.
+    pub fingerprint: Option<Fingerprint>,
     /// Route, empty where none was found.
     pub route: &'a str,
     /// Service.
@@ -115,10 +118,10 @@
     }
 
     /// An attempt at an instance brought no usable answer.
-    pub fn attempt_failed(&self, id: &str, instance: &str, reason: &str, goes_on: bool) {
+    pub fn attempt_failed(&self, id: &str, fingerprint: Fingerprint, instance: &str, reason: &str) {
         if let Some(dropped) = self.trouble() {
-            info!(self.log, "attempt failed"; "request" => id, "instance" => instance,
-                "reason" => reason, "goes_on" => goes_on, "dropped" => dropped);
+            info!(self.log, "attempt failed"; "request" => id, "fingerprint" => fingerprint.to_string(),
+                "instance" => instance, "reason" => reason, "goes_on" => true, "dropped" => dropped);
         }
     }
 
@@ -131,10 +134,32 @@
     }
 
     /// The target beside this node gave no usable answer.
-    pub fn target_failed(&self, id: &str, instance: &str, reason: &str, detail: &str) {
+    pub fn target_failed(
+        &self,
+        id: &str,
+        fingerprint: Fingerprint,
+        instance: &str,
+        reason: &str,
+        detail: &str,
+    ) {
+        if let Some(dropped) = self.trouble() {
+            info!(self.log, "target failed"; "request" => id, "fingerprint" => fingerprint.to_string(),
+                "instance" => instance, "reason" => reason, "detail" => detail, "dropped" => dropped);
+        }
+    }
+
+    /// The process of the target beside this node has ended while this request was at work there.
+    pub fn crashed_under(
+        &self,
+        id: &str,
+        fingerprint: Fingerprint,
+        instance: &str,
+        crash: CrashId,
+    ) {
+        self.metrics.ended_by_crash.inc();
         if let Some(dropped) = self.trouble() {
-            info!(self.log, "target failed"; "request" => id, "instance" => instance,
-                "reason" => reason, "detail" => detail, "dropped" => dropped);
+            info!(self.log, "target crashed"; "request" => id, "fingerprint" => fingerprint.to_string(),
+                "instance" => instance, "crash" => crash.to_string(), "dropped" => dropped);
         }
     }
 
@@ -162,7 +187,8 @@
         let Some(dropped) = allowed else {
             return;
         };
-        info!(self.log, "answered"; "request" => ending.id, "route" => ending.route,
+        let fingerprint = ending.fingerprint.map(|known| known.to_string());
+        info!(self.log, "answered"; "request" => ending.id, "fingerprint" => fingerprint, "route" => ending.route,
             "to_service" => ending.service, "instance" => ending.instance, "status" => ending.status,
             "refusal" => ending.refusal, "attempts" => ending.attempts,
             "took_ms" => ending.took.as_millis() as u64, "limit_ms" => ending.limit.as_millis() as u64,
--- a/crates/node/src/mesh/link/frames.rs
+++ b/crates/node/src/mesh/link/frames.rs
@@ -4,6 +4,7 @@
 
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{Refusal, Repeat, RequestKind};
+use coltsfootport_core::quarantine::Fingerprint;
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -42,6 +43,7 @@
 pub struct RequestFrame {
     instance: SmolStr,
     id: SmolStr,
+    fingerprint: Fingerprint,
     rank: u8,
     workspace: Option<SmolStr>,
     inner: bool,
@@ -103,6 +105,7 @@
         Self {
             instance: req.instance.clone(),
             id: req.id.clone(),
+            fingerprint: req.fingerprint,
             rank: req.rank,
             workspace: req.workspace.clone(),
             inner: req.inner,
@@ -145,6 +148,7 @@
             },
             body,
             id: self.id,
+            fingerprint: self.fingerprint,
             instance: self.instance,
             rank: self.rank,
             workspace: self.workspace,
--- a/crates/node/src/mesh/metrics.rs
+++ b/crates/node/src/mesh/metrics.rs
@@ -23,6 +23,8 @@
     repeats: IntCounterVec,
     /// Requests recognised as calls of a run at the own target.
     pub inner: IntCounter,
+    /// Requests that were at work at the own target when its process ended unplanned.
+    pub ended_by_crash: IntCounter,
     /// Log lines above their rate.
     pub lines_dropped: IntCounter,
     /// Published configurations that could not be used.
@@ -84,6 +86,10 @@
             latency,
             repeats: counters("repeats_total", "requests that failed", &["decision"])?,
             inner: counter("inner_total", "requests of the own target's runs")?,
+            ended_by_crash: counter(
+                "ended_by_crash_total",
+                "requests at work at the own target when it crashed",
+            )?,
             lines_dropped: counter("log_lines_dropped_total", "log lines above their rate")?,
             config_faults: counter("config_faults_total", "published configurations not usable")?,
             entry_faults: counters(
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -9,6 +9,7 @@
     CallerLimits, Dialect, DrainConfig, FleetConfig, GateConfig, LevelConfig, Publisher,
     RetryBudgetConfig, ShedderConfig,
 };
+use coltsfootport_core::quarantine::Fingerprinter;
 use coltsfootport_core::workspace::QuotaConfig;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
@@ -101,6 +102,7 @@
         queue_timeout: settings.policy.queue_timeout,
         limits: settings.policy.limits,
         peers_port: settings.node.peers.port(),
+        fingerprinter: Fingerprinter::new(&settings.quarantine.key),
     };
     let (stopping_tx, stopping) = watch::channel(false);
     let open = Arc::new(AtomicUsize::new(0));
--- a/crates/node/src/mesh/settings.rs
+++ b/crates/node/src/mesh/settings.rs
@@ -6,6 +6,7 @@
 use coltsfootport_core::id::{DomainName, NodeName, ServiceName};
 use coltsfootport_core::jsonc::{self, Fault, Item, Section};
 use coltsfootport_core::mesh::ReadersConfig;
+use coltsfootport_core::quarantine::FingerprintKey;
 use coltsfootport_core::workspace::QuotaBound;
 
 use crate::log::LogLevel;
@@ -22,6 +23,8 @@
     pub retries: RepeatSettings,
     /// How far workspaces may go beyond their quotas.
     pub quotas: QuotaBound,
+    /// Requests that crash targets.
+    pub quarantine: QuarantineSettings,
     /// Work that the node takes.
     pub load: LoadSettings,
     /// Decisions under load.
@@ -87,6 +90,13 @@
     pub window: Duration,
 }
 
+/// Requests that crash targets.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct QuarantineSettings {
+    /// Key of the fingerprints by which requests are recognised; the same on all nodes.
+    pub key: FingerprintKey,
+}
+
 /// Work that a node takes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadSettings {
@@ -103,6 +113,7 @@
             publisher: FeedSettings::default(),
             retries: RepeatSettings::default(),
             quotas: QuotaBound::default(),
+            quarantine: QuarantineSettings::default(),
             load: LoadSettings::default(),
             policy: PolicySettings::default(),
             grace: Duration::from_secs(6),
@@ -185,6 +196,7 @@
             ("node.peers", node.peers != other.peers),
             ("node.metrics", node.metrics != other.metrics),
             ("quotas", self.quotas != new.quotas),
+            ("quarantine", self.quarantine != new.quarantine),
             ("publisher", self.publisher != new.publisher),
             ("load.pipelined", self.load.pipelined != new.load.pipelined),
             ("policy", self.policy != new.policy),
@@ -202,6 +214,7 @@
         let publisher = publisher.and_then(FeedSettings::read);
         let retries = root.section("retries", RepeatSettings::read);
         let quotas = root.section("quotas", read_quotas);
+        let quarantine = root.section("quarantine", QuarantineSettings::read);
         let load = root.section("load", LoadSettings::read);
         let policy = root.section("policy", PolicySettings::read);
         let grace = seconds(&mut root, "grace_s", 0.5..=600.0, default.grace);
@@ -212,6 +225,7 @@
             publisher: publisher?,
             retries,
             quotas,
+            quarantine,
             load,
             policy,
             grace,
@@ -291,6 +305,16 @@
     bound
 }
 
+impl QuarantineSettings {
+    fn read(mut section: Section<'_, '_>) -> Self {
+        let key = section.optional("key").and_then(Item::text);
+        section.finish();
+        Self {
+            key: FingerprintKey(key.unwrap_or_default().into()),
+        }
+    }
+}
+
 impl LoadSettings {
     fn read(mut section: Section<'_, '_>) -> Self {
         let default = Self::default();
--- a/crates/node/src/mesh/target.rs
+++ b/crates/node/src/mesh/target.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 towards the target beside the node.
 
 mod connection;
+mod crash_watch;
 mod exchange;
 mod pool;
 mod wire_request;
--- a/crates/node/src/mesh/target/pool.rs
+++ b/crates/node/src/mesh/target/pool.rs
@@ -5,10 +5,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
+use coltsfootport_core::quarantine::CrashId;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use super::TargetConn;
+use super::crash_watch::CrashWatch;
 use crate::clock::SharedClock;
 
 /// Longest time for a new connection; the target is on the same machine.
@@ -29,6 +31,7 @@
 pub struct TargetPool {
     address: SocketAddr,
     clock: SharedClock,
+    crashes: CrashWatch,
     idle: Arc<Mutex<Vec<Idle>>>,
 }
 
@@ -43,6 +46,7 @@
     pub fn new(address: SocketAddr, clock: SharedClock) -> Self {
         Self {
             address,
+            crashes: CrashWatch::new(address, clock.clone()),
             clock,
             idle: Arc::default(),
         }
@@ -76,9 +80,19 @@
     pub async fn connect(&self) -> std::io::Result<TargetConn> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await??;
         stream.set_nodelay(true)?;
+        self.crashes.accepted();
         Ok(TargetConn::new(stream))
     }
 
+    /// The end of the target's process that has cost a connection at `lost_at`; `None` where the process goes on.
+    pub async fn crash(&self, lost_at: Instant) -> Option<CrashId> {
+        let outcome = self.crashes.look(lost_at).await;
+        if let Some(conn) = outcome.spare {
+            self.put(conn, None);
+        }
+        outcome.crash
+    }
+
     /// Keeps a connection whose answer was read whole; `keep` is how long the target says it waits.
     pub fn put(&self, mut conn: TargetConn, keep: Option<Duration>) {
         let keep = keep.map_or(IDLE_DEFAULT, |keep| keep.saturating_sub(IDLE_MARGIN));
--- a/crates/node/tests/mesh_journal.rs
+++ b/crates/node/tests/mesh_journal.rs
@@ -60,6 +60,7 @@
 
 fn ending(status: u16, refusal: &'static str) -> Ending<'static> {
     Ending {
+        fingerprint: None,
         id: "4f2a",
         route: "lots",
         service: "catalog",
