A request that crashes its targets is isolated after two crashes and refused after three

Cause: nothing remembered a request beyond its own attempts. The entry's retry carried it to a second worker, the caller's repeat to the next two, and so on at any node. Class: evidence about a request that ends with the attempt which found it.

Change: the host tells an ended process from a closed connection; all requests at work are suspects. Nodes exchange crashes and answers (sets that merge in any order). Suspects of two crashes meet at one instance and run one at a time; three crashes, one of them alone, or five in company: refused with a final 400. One whole answer clears a request everywhere.

--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -1,6 +1,7 @@
 //! The instances that a node knows, and the choice among them.
 
 use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Instant;
 
@@ -10,12 +11,13 @@
 
 use super::lapsed::Lapsed;
 use super::publisher_health::PublisherHealth;
-use crate::collections::{Map, Set};
+use crate::collections::{FastHasher, Map, Set};
 use crate::id::{DomainName, ServiceName};
 use crate::mesh::{
     FleetConfig, GoneEffect, Instance, MemberState, Observed, PutEffect, ReadersConfig,
     ReadersView, SendOutcome,
 };
+use crate::quarantine::Fingerprint;
 
 new_key_type! {
     /// Key of an instance within a fleet.
@@ -270,6 +272,26 @@
         best.map(|(_, _, key)| self.chosen(key))
     }
 
+    /// The instance outside `tried` that all nodes choose alike for a request, so that its copies meet at one host.
+    pub fn choose_same(
+        &self,
+        service: &ServiceName,
+        fingerprint: Fingerprint,
+        tried: &[InstanceKey],
+        now: Instant,
+    ) -> Option<Chosen> {
+        let keys = self.by_service.get(service)?.iter();
+        let free = keys
+            .filter(|key| self.members[**key].member_state.takes_work() && !tried.contains(key));
+        let best = free.min_by_key(|key| {
+            let member = &self.members[**key];
+            let mut hasher = FastHasher::default();
+            (fingerprint, &member.instance.id).hash(&mut hasher);
+            (member.seen.is_avoided(now), hasher.finish())
+        });
+        best.map(|key| self.chosen(*key))
+    }
+
     fn score(&self, member: &Member, now: Instant) -> f64 {
         let mut score = member.seen.score(member.instance.slots, now);
         if member.instance.domain != self.cfg.domain {
--- a/crates/core/src/mesh/refusal.rs
+++ b/crates/core/src/mesh/refusal.rs
@@ -47,6 +47,10 @@
     Lost,
     /// The target broke HTTP or cut its answer short.
     BrokenAnswer,
+    /// Targets have crashed each time they ran such a request.
+    CrashesTargets,
+    /// Such requests have crashed targets; others of them run one at a time, and too many wait.
+    Isolated,
     /// The body of the request ended early.
     CallerGone,
 }
@@ -64,7 +68,7 @@
 
 impl Refusal {
     /// Every refusal, for tests and printed tables.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 23] = [
         Self::BadRequest,
         Self::HeaderTooLarge,
         Self::BodyTooLarge,
@@ -85,6 +89,8 @@
         Self::Expired,
         Self::Lost,
         Self::BrokenAnswer,
+        Self::CrashesTargets,
+        Self::Isolated,
         Self::CallerGone,
     ];
 
@@ -106,6 +112,9 @@
             Self::ExpiredUnsent => row(503, NotRun, true),
             Self::Expired => row(504, Unknown, false),
             Self::Lost | Self::BrokenAnswer => row(502, Unknown, false),
+            // Final: sent again it would end the next target. An attempt of it may have run.
+            Self::CrashesTargets => row(400, Unknown, false),
+            Self::Isolated => row(503, NotRun, true),
             Self::CallerGone => row(400, NotRun, false),
         }
     }
@@ -133,6 +142,8 @@
             Self::Expired => "expired",
             Self::Lost => "lost",
             Self::BrokenAnswer => "broken-answer",
+            Self::CrashesTargets => "crashes-targets",
+            Self::Isolated => "isolated",
             Self::CallerGone => "caller-gone",
         }
     }
--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod controller;
 mod entry;
+mod findings;
 mod host;
 pub mod journal;
 mod lifecycle;
--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{Refusal, Repeat, RequestKind};
-use coltsfootport_core::quarantine::{BodyDigest, Fingerprint};
+use coltsfootport_core::quarantine::{BodyDigest, CrashId, Finding, Fingerprint};
 use http::{HeaderMap, StatusCode};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -152,6 +152,20 @@
     pub cut_off: bool,
     /// What this run has caused, by service.
     pub downstream: Vec<Caused>,
+    /// What is held against the request, where the target crashed under it.
+    pub finding: Option<Finding>,
+}
+
+/// How a run at the target has ended, as far as the request's standing is concerned.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RunEnd {
+    /// Neither of the others.
+    #[default]
+    Other,
+    /// The target has answered whole.
+    Answered,
+    /// The target's process has ended.
+    Crashed(CrashId),
 }
 
 impl Report {
--- a/crates/node/src/mesh/controller.rs
+++ b/crates/node/src/mesh/controller.rs
@@ -9,6 +9,7 @@
 mod guards;
 mod handle;
 mod news;
+mod quarantine;
 mod quotas;
 mod route_stats;
 mod runs;
@@ -16,10 +17,10 @@
 mod task;
 
 pub use event::{
-    AdmitAsk, Admitted, ControllerEvent, Credential, Denied, EndedSend, EnterAsk, Granted,
-    NotGranted, OuterRun, RetryAsk, SendAsk, SendTo,
+    AdmitAsk, Admitted, AfterRun, ControllerEvent, Credential, Denied, EndedSend, EnterAsk,
+    Granted, LeftSlot, NotGranted, OuterRun, RetryAsk, SendAsk, SendTo,
 };
 pub use guards::{SendGuard, SlotGuard};
 pub use handle::ControllerHandle;
-pub use state::{Controller, ControllerConfig};
+pub use state::{Controller, ControllerChannels, ControllerConfig};
 pub use task::run_controller;
--- a/crates/node/src/mesh/controller/admission.rs
+++ b/crates/node/src/mesh/controller/admission.rs
@@ -6,6 +6,7 @@
 use coltsfootport_core::collections::Map;
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{InstanceKey, MeshConfig, Refusal, RouteKey, SendOutcome, Split};
+use coltsfootport_core::quarantine::Standing;
 use rand::Rng;
 use smol_str::SmolStr;
 
@@ -135,14 +136,26 @@
     }
 
     /// Chooses an instance for a request.
-    pub(super) fn send(&mut self, ask: SendAsk) -> Option<SendTo> {
+    pub(super) fn send(&mut self, ask: SendAsk) -> Result<SendTo, Refusal> {
         let now = self.clock.now();
         if !ask.tried.is_empty() && !self.still_holds(ask.key.as_ref()) {
-            return None;
+            return Err(Refusal::NoInstance);
         }
-        let chosen = self
-            .fleet
-            .choose(&ask.service, &ask.tried, now, &mut self.rng)?;
+        let chosen = match self.quarantine.register.standing(ask.fingerprint, now) {
+            Standing::Refused => {
+                self.log_refused(ask.fingerprint, now);
+                return Err(Refusal::CrashesTargets);
+            }
+            Standing::Isolated => {
+                self.fleet
+                    .choose_same(&ask.service, ask.fingerprint, &ask.tried, now)
+            }
+            Standing::Suspected | Standing::Unsuspected => {
+                self.fleet
+                    .choose(&ask.service, &ask.tried, now, &mut self.rng)
+            }
+        };
+        let chosen = chosen.ok_or(Refusal::NoInstance)?;
         self.fleet.sent(chosen.key, now);
         if ask.tried.is_empty() {
             self.earn(&ask, now);
@@ -157,7 +170,7 @@
             tx: self.tx.clone(),
             ended: false,
         };
-        Some(SendTo {
+        Ok(SendTo {
             own: chosen.address == self.cfg.target,
             cut_off: self.own_cut_off(),
             chosen,
@@ -192,6 +205,9 @@
             other => other,
         };
         if let Some(report) = &ended.report {
+            if let Some(finding) = &report.finding {
+                self.quarantine.register.hear(finding, now);
+            }
             if matches!(outcome, SendOutcome::Answered { .. }) {
                 let below = report.downstream.iter();
                 stats
--- a/crates/node/src/mesh/controller/dispatch.rs
+++ b/crates/node/src/mesh/controller/dispatch.rs
@@ -9,7 +9,7 @@
 
 use super::runs::Run;
 use super::state::Waiter;
-use super::{Controller, EnterAsk, Granted, NotGranted, SlotGuard};
+use super::{AfterRun, Controller, EnterAsk, Granted, LeftSlot, NotGranted, SlotGuard};
 use crate::mesh::call::Report;
 
 /// Ids of ended instances that are remembered, so that a late request for one is refused and not sent to its successor.
@@ -34,6 +34,12 @@
             drop(reply.send(Err(self.not_granted(Refusal::ExpiredUnsent, None))));
             return;
         }
+        self.enter_by_standing(Waiter { ask, reply }, now);
+    }
+
+    /// Gives a request that need not be isolated a slot, lets it wait, or refuses it; the ticket where it is not refused.
+    pub(super) fn enter_gate(&mut self, waiter: Waiter, now: Instant) -> Option<Ticket> {
+        let Waiter { ask, reply } = waiter;
         let waiting = coltsfootport_core::mesh::Waiting {
             rank: ask.rank,
             order: self.shed_order(ask.rank),
@@ -46,20 +52,26 @@
         };
         if !self.drain_admits_peer(&waiting, now) {
             drop(reply.send(Err(self.not_granted(Refusal::Stopping, None))));
-            return;
+            return None;
         }
         match self.gate.enter(waiting, now) {
-            Admission::Run(ticket) => self.grant(ticket, Waiter { ask, reply }, now),
+            Admission::Run(ticket) => {
+                self.grant(ticket, Waiter { ask, reply }, now);
+                Some(ticket)
+            }
             Admission::Wait(ticket) => {
                 self.waiting.insert(ticket, Waiter { ask, reply });
+                Some(ticket)
             }
             Admission::Refused { retry_after } => {
                 let busy = self.not_granted(Refusal::Busy, Some(retry_after));
                 drop(reply.send(Err(busy)));
+                None
             }
             Admission::DeadlineUnreachable => {
                 let refused = self.not_granted(Refusal::ExpiredUnsent, None);
                 drop(reply.send(Err(refused)));
+                None
             }
         }
     }
@@ -68,21 +80,24 @@
     pub(super) fn leave(
         &mut self,
         ticket: Ticket,
-        held: Duration,
-        reply: Option<oneshot::Sender<Report>>,
+        left: LeftSlot,
+        reply: Option<oneshot::Sender<AfterRun>>,
     ) {
         let now = self.clock.now();
-        self.gate.leave(ticket, held, now);
+        self.gate.leave(ticket, left.held, now);
+        let standing = self.run_ended(ticket, left.end, now);
         let run = self.runs.remove(ticket);
+        self.leave_isolation(ticket, now);
         self.pump(now);
         let Some(reply) = reply else {
             return;
         };
         let mut report = self.report();
         if let Some(run) = run {
+            report.finding = self.finding_after(left.end, run.fingerprint, now);
             report.downstream = run.downstream;
         }
-        drop(reply.send(report));
+        drop(reply.send(AfterRun { report, standing }));
     }
 
     /// Gives free slots to those who wait.
@@ -108,6 +123,7 @@
             }
             !gone
         });
+        self.forget_isolated();
     }
 
     /// Refuses everyone who waits for an instance that takes nothing new; their entries choose another one.
@@ -122,6 +138,7 @@
             self.gate.cancel(ticket);
             self.refuse_waiter(ticket, Refusal::Stopping);
         }
+        self.review_isolated(self.clock.now());
     }
 
     /// Takes in that an instance is gone for good.
@@ -132,7 +149,7 @@
         self.left.push_back(id);
     }
 
-    fn has_left(&self, instance: &str) -> bool {
+    pub(super) fn has_left(&self, instance: &str) -> bool {
         match self.fleet.member_state(instance) {
             Some(member_state) => member_state == MemberState::Draining,
             // Not in the list: either gone, or so new that the list has not told yet.
@@ -143,6 +160,8 @@
     fn grant(&mut self, ticket: Ticket, waiter: Waiter, now: Instant) {
         let run = Run {
             id: waiter.ask.id,
+            fingerprint: waiter.ask.fingerprint,
+            instance: waiter.ask.instance,
             rank: waiter.ask.rank,
             workspace: waiter.ask.workspace,
             admitted: waiter.ask.admitted,
@@ -174,7 +193,11 @@
         }
     }
 
-    fn not_granted(&self, refusal: Refusal, retry_after: Option<Duration>) -> NotGranted {
+    pub(super) fn not_granted(
+        &self,
+        refusal: Refusal,
+        retry_after: Option<Duration>,
+    ) -> NotGranted {
         NotGranted {
             refusal,
             retry_after,
@@ -189,6 +212,7 @@
             stopping: self.drain.is_some(),
             cut_off: !self.publisher_sound,
             downstream: Vec::new(),
+            finding: None,
         }
     }
 }
--- a/crates/node/src/mesh/controller/event.rs
+++ b/crates/node/src/mesh/controller/event.rs
@@ -8,13 +8,14 @@
     Chosen, InstanceKey, MeshConfig, ReadersConfig, ReadersView, Refusal, RequestKind, RouteKey,
     SendOutcome, Ticket, UpdateBatch,
 };
+use coltsfootport_core::quarantine::{Finding, Fingerprint, Standing};
 use coltsfootport_core::workspace::{QuotaClaim, QuotaNotice, RoutedClaim, Verdict};
 use http::HeaderValue;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
 use super::{ControllerConfig, SendGuard, SlotGuard};
-use crate::mesh::call::Report;
+use crate::mesh::call::{Report, RunEnd};
 
 /// Everything that the controller hears.
 #[derive(Debug)]
@@ -22,15 +23,15 @@
     /// A request has come from a caller.
     Admit(AdmitAsk, oneshot::Sender<Result<Admitted, Denied>>),
     /// An admitted request wants an instance.
-    Send(SendAsk, oneshot::Sender<Option<SendTo>>),
+    Send(SendAsk, oneshot::Sender<Result<SendTo, Refusal>>),
     /// A sending has ended.
     SendEnded(InstanceKey, EndedSend),
     /// A request that failed wants to be sent again.
     Retry(RetryAsk, oneshot::Sender<bool>),
     /// A request from an entry wants a slot at the target.
     Enter(EnterAsk, oneshot::Sender<Result<Granted, NotGranted>>),
-    /// A request has left its slot; the reply tells what its run has caused.
-    Left(Ticket, Duration, Option<oneshot::Sender<Report>>),
+    /// A request has left its slot; the reply tells what came of its run.
+    Left(Ticket, LeftSlot, Option<oneshot::Sender<AfterRun>>),
     /// News of the publisher: one change after the other.
     News(UpdateBatch),
     /// Everything published, as listed at one time.
@@ -55,12 +56,34 @@
     QuotaUntold(Vec<RoutedClaim>),
     /// Another node tells this one, a home, what it has used.
     QuotaClaimed(Vec<QuotaClaim>, oneshot::Sender<Vec<Verdict>>),
+    /// Another node tells what it knows of requests that crash targets.
+    FindingsHeard(Vec<Finding>),
+    /// Another node with this digest wants to know what this one knows.
+    FindingsPulled(u64, oneshot::Sender<Vec<Finding>>),
     /// The grace period is nearly over: what is still here is logged.
     LogUnfinished,
     /// Number of requests of others that wait or run here.
     Hosted(oneshot::Sender<usize>),
 }
 
+/// How a request has left its slot.
+#[derive(Clone, Copy, Debug)]
+pub struct LeftSlot {
+    /// How long it had the slot.
+    pub held: Duration,
+    /// How its run has ended.
+    pub end: RunEnd,
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, Default)]
+pub struct AfterRun {
+    /// What the host tells the entry.
+    pub report: Report,
+    /// How far the request is suspected now of crashing targets.
+    pub standing: Standing,
+}
+
 /// A request as far as its admission is concerned.
 #[derive(Clone, Debug)]
 pub struct AdmitAsk {
@@ -143,6 +166,8 @@
     pub service: ServiceName,
     /// Name of its route.
     pub route: SmolStr,
+    /// What stays the same when it is sent again.
+    pub fingerprint: Fingerprint,
     /// The run that it serves.
     pub outer: Option<SmolStr>,
     /// Instances that have had it.
@@ -203,6 +228,8 @@
     pub instance: SmolStr,
     /// Its id.
     pub id: SmolStr,
+    /// What stays the same when it is sent again.
+    pub fingerprint: Fingerprint,
     /// Urgency of the request from outside.
     pub rank: u8,
     /// Workspace of that request.
--- a/crates/node/src/mesh/controller/guards.rs
+++ b/crates/node/src/mesh/controller/guards.rs
@@ -7,9 +7,9 @@
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
 
-use super::{ControllerEvent, EndedSend};
+use super::{AfterRun, ControllerEvent, EndedSend, LeftSlot};
 use crate::clock::SharedClock;
-use crate::mesh::call::Report;
+use crate::mesh::call::{Report, RunEnd};
 
 /// A request that is at an instance.
 ///
@@ -71,26 +71,27 @@
 }
 
 impl SlotGuard {
-    /// Gives the slot back and learns what the run has caused.
-    pub async fn leave(mut self) -> Report {
+    /// Gives the slot back and learns what came of the run.
+    pub async fn leave(mut self, end: RunEnd) -> AfterRun {
         let (tx, rx) = oneshot::channel();
-        self.tell(Some(tx));
+        self.tell(end, Some(tx));
         rx.await.unwrap_or_default()
     }
 
-    fn tell(&mut self, reply: Option<oneshot::Sender<Report>>) {
+    fn tell(&mut self, end: RunEnd, reply: Option<oneshot::Sender<AfterRun>>) {
         self.left = true;
         let held = self.clock.now().saturating_duration_since(self.since);
+        let left = LeftSlot { held, end };
         let _ = self
             .tx
-            .send(ControllerEvent::Left(self.ticket, held, reply));
+            .send(ControllerEvent::Left(self.ticket, left, reply));
     }
 }
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         if !self.left {
-            self.tell(None);
+            self.tell(RunEnd::Other, None);
         }
     }
 }
--- a/crates/node/src/mesh/controller/handle.rs
+++ b/crates/node/src/mesh/controller/handle.rs
@@ -3,6 +3,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use coltsfootport_core::mesh::{ReadersConfig, ReadersView, Refusal};
+use coltsfootport_core::quarantine::Finding;
 use coltsfootport_core::workspace::{QuotaClaim, Verdict};
 
 use super::{
@@ -46,11 +47,21 @@
             .unwrap_or(Err(denied))
     }
 
-    /// Asks for an instance; `None` where none is left.
-    pub async fn send(&self, ask: SendAsk) -> Option<SendTo> {
+    /// Asks for an instance.
+    ///
+    /// # Errors
+    ///
+    /// Why the request goes to none.
+    pub async fn send(&self, ask: SendAsk) -> Result<SendTo, Refusal> {
         self.ask(|tx| ControllerEvent::Send(ask, tx))
             .await
-            .flatten()
+            .unwrap_or(Err(Refusal::Stopping))
+    }
+
+    /// What this node knows of requests that crash targets, where it differs from what the digest stands for.
+    pub async fn findings(&self, digest: u64) -> Vec<Finding> {
+        let asked = self.ask(|tx| ControllerEvent::FindingsPulled(digest, tx));
+        asked.await.unwrap_or_default()
     }
 
     /// Tells this node, as a home, what another one has used.
--- a/crates/node/src/mesh/controller/runs.rs
+++ b/crates/node/src/mesh/controller/runs.rs
@@ -5,6 +5,7 @@
 use coltsfootport_core::collections::Map;
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::Ticket;
+use coltsfootport_core::quarantine::Fingerprint;
 use smol_str::SmolStr;
 
 use super::OuterRun;
@@ -15,6 +16,10 @@
 pub struct Run {
     /// Its id.
     pub id: SmolStr,
+    /// What stays the same when it is sent again.
+    pub fingerprint: Fingerprint,
+    /// The instance that runs it.
+    pub instance: SmolStr,
     /// Urgency of the request from outside that it serves.
     pub rank: u8,
     /// Workspace of that request.
@@ -102,6 +107,16 @@
         }
     }
 
+    /// The request that has this ticket.
+    pub fn get(&self, ticket: Ticket) -> Option<&Run> {
+        self.by_ticket.get(&ticket)
+    }
+
+    /// Whether a request has this ticket.
+    pub fn holds(&self, ticket: Ticket) -> bool {
+        self.by_ticket.contains_key(&ticket)
+    }
+
     /// All requests.
     pub fn iter(&self) -> impl Iterator<Item = &Run> {
         self.by_ticket.values()
--- a/crates/node/src/mesh/controller/state.rs
+++ b/crates/node/src/mesh/controller/state.rs
@@ -11,6 +11,7 @@
     CallerLimits, Drain, DrainConfig, Fleet, FleetConfig, GateConfig, MeshConfig, RetryBudget,
     RetryBudgetConfig, Shedder, ShedderConfig, Split, TargetGate, Ticket,
 };
+use coltsfootport_core::quarantine::QuarantineConfig;
 use coltsfootport_core::workspace::{EntryQuotas, HomeQuotas, QuotaConfig, QuotaRouter};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -18,10 +19,12 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::entries::Entries;
+use super::quarantine::Quarantine;
 use super::route_stats::RouteStats;
 use super::runs::Runs;
 use super::{ControllerEvent, EnterAsk, Granted, NotGranted};
 use crate::clock::SharedClock;
+use crate::mesh::findings::FindingsMessage;
 use crate::mesh::journal::Journal;
 use crate::mesh::metrics::MeshMetrics;
 use crate::mesh::quotas::QuotaWord;
@@ -45,6 +48,8 @@
     pub drain: DrainConfig,
     /// Quotas of workspaces.
     pub quotas: QuotaConfig,
+    /// Requests that crash targets.
+    pub quarantine: QuarantineConfig,
     /// Age of the publisher's last answer up to which an unknown route is said not to exist.
     pub publisher_fresh: Duration,
     /// Level from which requests from outside are not sent again after a failure: what it costs is missing to others.
@@ -62,6 +67,7 @@
             gate: GateConfig::default(),
             drain: DrainConfig::default(),
             quotas: QuotaConfig::default(),
+            quarantine: QuarantineConfig::default(),
             publisher_fresh: Duration::from_millis(2600),
             no_repeat_level: 0.5,
         }
@@ -75,6 +81,18 @@
     pub reply: oneshot::Sender<Result<Granted, NotGranted>>,
 }
 
+/// Where a controller sends what others are to do.
+pub struct ControllerChannels {
+    /// Its own events, for the guards that it gives out.
+    pub events: mpsc::UnboundedSender<ControllerEvent>,
+    /// What a caller may send.
+    pub limits: watch::Sender<CallerLimits>,
+    /// Quotas of workspaces, for other nodes.
+    pub quota_words: mpsc::UnboundedSender<QuotaWord>,
+    /// Requests that crash targets, for other nodes.
+    pub findings: mpsc::UnboundedSender<FindingsMessage>,
+}
+
 /// Everything that a node decides by.
 pub struct Controller {
     pub(super) cfg: ControllerConfig,
@@ -96,6 +114,8 @@
     pub(super) quota_router: QuotaRouter,
     pub(super) quota_words: mpsc::UnboundedSender<QuotaWord>,
     pub(super) waiting: Map<Ticket, Waiter>,
+    pub(super) quarantine: Quarantine,
+    pub(super) findings: mpsc::UnboundedSender<FindingsMessage>,
     pub(super) left: VecDeque<SmolStr>,
     pub(super) publisher_answered: Option<Instant>,
     pub(super) publisher_sound: bool,
@@ -111,14 +131,18 @@
     pub fn new(
         cfg: ControllerConfig,
         clock: SharedClock,
-        tx: mpsc::UnboundedSender<ControllerEvent>,
-        limits: watch::Sender<CallerLimits>,
-        quota_words: mpsc::UnboundedSender<QuotaWord>,
+        channels: ControllerChannels,
         journal: Journal,
         metrics: MeshMetrics,
     ) -> Self {
         let now = clock.now();
         let mut rng = SmallRng::from_os_rng();
+        let ControllerChannels {
+            events,
+            limits,
+            quota_words,
+            findings,
+        } = channels;
         Self {
             shedder: Shedder::new(cfg.shedder, rng.random(), now),
             config: None,
@@ -134,6 +158,8 @@
             quota_router: QuotaRouter::new(rng.random_range(0..1024)),
             quota_words,
             waiting: Map::default(),
+            quarantine: Quarantine::new(cfg.quarantine),
+            findings,
             left: VecDeque::new(),
             publisher_answered: None,
             publisher_sound: false,
@@ -144,7 +170,7 @@
             rng,
             cfg,
             clock,
-            tx,
+            tx: events,
             limits,
         }
     }
--- a/crates/node/src/mesh/controller/task.rs
+++ b/crates/node/src/mesh/controller/task.rs
@@ -39,7 +39,7 @@
             ControllerEvent::SendEnded(key, ended) => self.send_ended(key, ended),
             ControllerEvent::Retry(ask, tx) => drop(tx.send(self.retry(&ask))),
             ControllerEvent::Enter(ask, tx) => self.enter(ask, tx),
-            ControllerEvent::Left(ticket, held, tx) => self.leave(ticket, held, tx),
+            ControllerEvent::Left(ticket, left, tx) => self.leave(ticket, left, tx),
             ControllerEvent::News(batch) => self.news(batch),
             ControllerEvent::Listed(batch) => self.listed(batch),
             ControllerEvent::PublisherAnswered => self.publisher_answered(),
@@ -55,7 +55,11 @@
             ControllerEvent::QuotaClaimed(claims, tx) => {
                 drop(tx.send(self.quota_claimed(&claims)));
             }
-            ControllerEvent::Hosted(tx) => drop(tx.send(self.runs.len() + self.waiting.len())),
+            ControllerEvent::FindingsHeard(findings) => self.findings_heard(&findings),
+            ControllerEvent::FindingsPulled(digest, tx) => {
+                drop(tx.send(self.findings_unlike(digest)));
+            }
+            ControllerEvent::Hosted(tx) => drop(tx.send(self.hosted())),
         }
     }
 
@@ -65,6 +69,7 @@
             self.ended(id, "lapsed");
         }
         self.forget_waiters();
+        self.tend_quarantine(now);
         self.tell_homes(now);
         self.gate.update_level(now);
         self.pump(now);
--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -101,8 +101,10 @@
     /// Sends the request to instances until one answers or nothing is left to try.
     pub(super) async fn run(&mut self) -> AttemptResult {
         loop {
-            let Some(to) = self.next_instance().await else {
-                return self.take_result();
+            let to = match self.next_instance().await {
+                Ok(to) => to,
+                Err(Refusal::CrashesTargets) => return Err(Refusal::CrashesTargets.into()),
+                Err(_) => return self.take_result(),
             };
             let Some(body) = self.take_body() else {
                 return self.take_result();
@@ -143,10 +145,11 @@
         std::mem::replace(&mut self.so_far, Err(Refused::from(Refusal::NoInstance)))
     }
 
-    async fn next_instance(&self) -> Option<SendTo> {
+    async fn next_instance(&self) -> Result<SendTo, Refusal> {
         let ask = SendAsk {
             service: self.admitted.service.clone(),
             route: self.route_name(),
+            fingerprint: self.fingerprint,
             outer: self.admitted.outer.as_ref().map(|outer| outer.id.clone()),
             tried: self.tried.clone(),
             key: self.admitted.key.clone(),
--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use coltsfootport_core::mesh::{Dialect, Refusal, Repeat};
+use coltsfootport_core::quarantine::{CrashId, Standing};
 use http::StatusCode;
 use tokio::time::timeout;
 
 use crate::clock::SharedClock;
-use crate::mesh::call::{Body, HostReply, HostedRequest, Refused, Report, TargetAnswer};
+use crate::mesh::call::{Body, HostReply, HostedRequest, Refused, Report, RunEnd, TargetAnswer};
 use crate::mesh::controller::{ControllerHandle, EnterAsk, NotGranted, SlotGuard};
 use crate::mesh::journal::Journal;
 use crate::mesh::target::{ExchangeFault, Exchanged, TargetPool, WireRequest, exchange};
@@ -32,6 +33,28 @@
     pub journal: Journal,
 }
 
+/// How a run at the target has ended.
+struct Ran {
+    result: Result<TargetAnswer, Refused>,
+    end: RunEnd,
+}
+
+/// Why a target has not answered.
+struct NoAnswer {
+    refused: Refused,
+    /// The end of the target's process that cost the answer.
+    crash: Option<CrashId>,
+}
+
+impl From<Refused> for NoAnswer {
+    fn from(refused: Refused) -> Self {
+        Self {
+            refused,
+            crash: None,
+        }
+    }
+}
+
 impl Host {
     /// Runs a request, or tells why it did not run.
     ///
@@ -41,6 +64,7 @@
         let ask = EnterAsk {
             instance: req.instance.clone(),
             id: req.id.clone(),
+            fingerprint: req.fingerprint,
             rank: req.rank,
             workspace: req.workspace.clone(),
             admitted: req.admitted,
@@ -67,16 +91,41 @@
     }
 
     async fn run_in_slot(&self, req: HostedRequest, slot: SlotGuard, grace: Duration) -> HostReply {
-        let result = self.at_target(req, grace).await;
-        let report = slot.leave().await;
-        HostReply { result, report }
+        let Ran { mut result, end } = self.at_target(req, grace).await;
+        let left = slot.leave(end).await;
+        // Told to come again, its caller would end the next target.
+        if left.standing == Standing::Refused && matches!(end, RunEnd::Crashed(_)) {
+            result = Err(Refused::from(Refusal::CrashesTargets));
+        }
+        HostReply {
+            result,
+            report: left.report,
+        }
     }
 
-    async fn at_target(
+    async fn at_target(&self, mut req: HostedRequest, grace: Duration) -> Ran {
+        match self.exchanged(&mut req, grace).await {
+            Ok(exchanged) => {
+                let is_whole = matches!(exchanged.answer.body, Body::Whole(_));
+                let end = match is_whole && !exchanged.not_run {
+                    true => RunEnd::Answered,
+                    false => RunEnd::Other,
+                };
+                let result = self.judge(&req, exchanged);
+                Ran { result, end }
+            }
+            Err(NoAnswer { refused, crash }) => Ran {
+                result: Err(refused),
+                end: crash.map_or(RunEnd::Other, RunEnd::Crashed),
+            },
+        }
+    }
+
+    async fn exchanged(
         &self,
-        mut req: HostedRequest,
+        req: &mut HostedRequest,
         grace: Duration,
-    ) -> Result<TargetAnswer, Refused> {
+    ) -> Result<Exchanged, NoAnswer> {
         let careful = req.repeat == Repeat::AtMostOnce;
         let kept = self.pool.take(careful);
         let conn = match kept {
@@ -85,36 +134,40 @@
                 .pool
                 .connect()
                 .await
-                .map_err(|e| self.failed(&req, Refusal::NoInstance, &e.to_string()))?,
+                .map_err(|e| self.failed(req, Refusal::NoInstance, &e.to_string()))?,
         };
         // The clock counts suspensions, the runtime's timers don't: the last look before the request leaves the node.
         let left = req.deadline.saturating_duration_since(self.clock.now());
         if left.is_zero() {
-            return Err(Refused::from(Refusal::ExpiredUnsent));
+            return Err(Refused::from(Refusal::ExpiredUnsent).into());
         }
         let body = std::mem::replace(&mut req.body, Body::empty());
-        let wire = WireRequest::new(&req, left, &self.dialect);
+        let wire = WireRequest::new(req, left, &self.dialect);
         let exchanged = exchange(conn, &self.pool, wire, body, &self.dialect);
         match timeout(left + grace, exchanged).await {
-            Ok(Ok(exchanged)) => self.judge(&req, exchanged),
-            Ok(Err(ExchangeFault::CallerCut)) => Err(Refused::from(Refusal::CallerGone)),
+            Ok(Ok(exchanged)) => Ok(exchanged),
+            Ok(Err(ExchangeFault::CallerCut)) => Err(Refused::from(Refusal::CallerGone).into()),
             Ok(Err(fault @ ExchangeFault::Closed(_))) => {
-                Err(self.lost(&req, Refusal::Lost, &fault).await)
+                Err(self.lost(req, Refusal::Lost, &fault).await)
             }
             Ok(Err(fault @ ExchangeFault::Broken(_))) => {
-                Err(self.lost(&req, Refusal::BrokenAnswer, &fault).await)
+                Err(self.lost(req, Refusal::BrokenAnswer, &fault).await)
             }
-            Err(_) => Err(Refused::from(Refusal::Expired)),
+            Err(_) => Err(Refused::from(Refusal::Expired).into()),
         }
     }
 
     /// A request without a whole answer, and whether the target has ended under it.
-    async fn lost(&self, req: &HostedRequest, refusal: Refusal, fault: &ExchangeFault) -> Refused {
-        if let Some(crash) = self.pool.crash(self.clock.now()).await {
+    async fn lost(&self, req: &HostedRequest, refusal: Refusal, fault: &ExchangeFault) -> NoAnswer {
+        let crash = self.pool.crash(self.clock.now()).await;
+        if let Some(crash) = crash {
             let Self { journal, .. } = self;
             journal.crashed_under(&req.id, req.fingerprint, &req.instance, crash);
         }
-        self.failed(req, refusal, &fault.to_string())
+        NoAnswer {
+            refused: self.failed(req, refusal, &fault.to_string()),
+            crash,
+        }
     }
 
     /// Decides whether an answer may be passed on.
--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootport_core::mesh::{Route, Shed};
-use coltsfootport_core::quarantine::{CrashId, Fingerprint};
+use coltsfootport_core::quarantine::{CrashId, Evidence, Finding, Fingerprint};
 use coltsfootport_core::workspace::{OverQuota, Quota, Workspace};
 use slog::{Logger, info};
 
@@ -163,6 +163,18 @@
         }
     }
 
+    /// A request is refused since it crashes targets.
+    pub fn quarantined(&self, finding: &Finding) {
+        let Evidence::Crashes(crashes) = &finding.evidence else {
+            return;
+        };
+        if let Some(dropped) = self.trouble() {
+            info!(self.log, "refused as it crashes targets"; "fingerprint" => finding.fingerprint.to_string(),
+                "crashes" => crashes.ids.len(), "alone" => crashes.alone,
+                "age_ms" => finding.age.as_millis() as u64, "dropped" => dropped);
+        }
+    }
+
     /// A request has not ended at the end of the grace period; `phase` tells where it is.
     pub fn unfinished(&self, id: &str, phase: &str, left: Duration) {
         if let Some(dropped) = self.trouble() {
--- a/crates/node/src/mesh/link.rs
+++ b/crates/node/src/mesh/link.rs
@@ -1,7 +1,10 @@
 //! TCP between nodes: plain frames, one request at a time on a connection.
 
+mod ask;
 mod client;
 mod conn;
+mod finding_frames;
+mod findings;
 mod frames;
 mod health;
 mod hub;
@@ -13,6 +16,8 @@
 
 pub use client::{LinkFault, send};
 pub use conn::PeerConn;
+pub use finding_frames::MOST_FINDINGS;
+pub use findings::{pull_findings, tell_findings};
 pub use frames::StreamHead;
 pub use hub::LinkHub;
 pub use quotas::{claim, notify};
--- /dev/null
+++ b/crates/node/src/mesh/link/findings.rs
@@ -0,0 +1,40 @@
+//! Tells other nodes which requests crash targets, and asks them.
+
+use std::net::SocketAddr;
+
+use coltsfootport_core::quarantine::Finding;
+
+use super::LinkHub;
+use super::ask::ask;
+use super::finding_frames::{FindingFrame, FindingsFrame};
+use super::frames::StreamHead;
+use crate::wire::FrameError;
+
+/// Tells a node what this one has found out.
+///
+/// # Errors
+///
+/// The node does not answer.
+pub async fn tell_findings(
+    links: &LinkHub,
+    node: SocketAddr,
+    findings: &[Finding],
+) -> Result<(), FrameError> {
+    let frames = findings.iter().map(FindingFrame::from).collect();
+    let FindingsFrame(_) = ask(links, node, &StreamHead::Findings(frames)).await?;
+    Ok(())
+}
+
+/// What a node knows, where that differs from what `digest` stands for.
+///
+/// # Errors
+///
+/// The node does not answer.
+pub async fn pull_findings(
+    links: &LinkHub,
+    node: SocketAddr,
+    digest: u64,
+) -> Result<Vec<Finding>, FrameError> {
+    let FindingsFrame(frames) = ask(links, node, &StreamHead::FindingsPull(digest)).await?;
+    Ok(frames.into_iter().map(Finding::from).collect())
+}
--- a/crates/node/src/mesh/link/frames.rs
+++ b/crates/node/src/mesh/link/frames.rs
@@ -4,11 +4,12 @@
 
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{Refusal, Repeat, RequestKind};
-use coltsfootport_core::quarantine::Fingerprint;
+use coltsfootport_core::quarantine::{Finding, Fingerprint};
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::finding_frames::FindingFrame;
 use super::quota_frames::{ClaimFrame, NoticeFrame};
 use crate::h1::RequestHead;
 use crate::mesh::call::{Body, Caused, HostReply, HostedRequest, Refused, Report, TargetAnswer};
@@ -29,6 +30,10 @@
     QuotaClaims(Vec<ClaimFrame>),
     /// Another node, a home of these workspaces, tells its verdicts; nothing is answered but that they came.
     QuotaNotices(Vec<NoticeFrame>),
+    /// Another node tells what it knows of requests that crash targets; nothing is answered but that it came.
+    Findings(Vec<FindingFrame>),
+    /// Another node wants to be told what this one knows, unless both know the same; this is its digest.
+    FindingsPull(u64),
 }
 
 /// First frame of each connection, from the node that has accepted it.
@@ -76,6 +81,7 @@
     stopping: bool,
     cut_off: bool,
     downstream: Vec<Caused>,
+    finding: Option<FindingFrame>,
     result: ResultFrame,
 }
 
@@ -188,6 +194,7 @@
             stopping: reply.report.stopping,
             cut_off: reply.report.cut_off,
             downstream: reply.report.downstream.clone(),
+            finding: reply.report.finding.as_ref().map(FindingFrame::from),
             result,
         }
     }
@@ -242,6 +249,7 @@
                 stopping: self.stopping,
                 cut_off: self.cut_off,
                 downstream: self.downstream,
+                finding: self.finding.map(Finding::from),
             },
         })
     }
--- a/crates/node/src/mesh/link/quotas.rs
+++ b/crates/node/src/mesh/link/quotas.rs
@@ -1,20 +1,15 @@
 //! Tells other nodes about quotas.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use coltsfootport_core::workspace::{QuotaNotice, RoutedClaim, Verdict};
-use tokio::time::timeout;
 
 use super::LinkHub;
-use super::frames::{MAX_HEAD, StreamHead};
+use super::ask::ask;
+use super::frames::StreamHead;
 use super::quota_frames::{ClaimFrame, NoticeFrame, VerdictsFrame};
 use crate::wire::FrameError;
 
-/// Time within which a node must answer. It is asked beside requests and not on their way, so this only bounds for how long an
-/// entry goes by older verdicts; a lost packet is repeated within it.
-const ANSWER: Duration = Duration::from_millis(300);
-
 /// Tells a home what was used; its verdicts stand in the order of the claims.
 ///
 /// # Errors
@@ -45,30 +40,6 @@
     notices: &[QuotaNotice],
 ) -> Result<(), FrameError> {
     let frames = notices.iter().map(NoticeFrame::from);
-    ask(links, entry, &StreamHead::QuotaNotices(frames.collect())).await?;
+    let VerdictsFrame(_) = ask(links, entry, &StreamHead::QuotaNotices(frames.collect())).await?;
     Ok(())
 }
-
-async fn ask(
-    links: &LinkHub,
-    node: SocketAddr,
-    head: &StreamHead,
-) -> Result<VerdictsFrame, FrameError> {
-    // Requests to the node have shown already that it is paused, cut off or gone.
-    if links.peer(node).is_silent() {
-        return Err(FrameError::Cut);
-    }
-    let exchange = async {
-        let mut link = match links.take(node) {
-            Some(link) => link,
-            None => links.connect(node).await.map_err(|_| FrameError::Cut)?,
-        };
-        link.conn.write(head, &[]).await.map_err(FrameError::from)?;
-        let verdicts = link.conn.read_head(MAX_HEAD).await?;
-        links.put(node, link);
-        Ok(verdicts)
-    };
-    timeout(ANSWER, exchange)
-        .await
-        .unwrap_or(Err(FrameError::Cut))
-}
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use coltsfootport_core::quarantine::Finding;
 use coltsfootport_core::workspace::{QuotaClaim, QuotaNotice};
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -10,6 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::conn::PeerConn;
+use super::finding_frames::{FindingFrame, FindingsFrame};
 use super::frames::{HelloFrame, MAX_HEAD, ReplyFrame, RequestFrame, StreamHead};
 use super::hub::{KEPT, prepare};
 use super::pieces;
@@ -103,6 +105,19 @@
             conn.write(&VerdictsFrame(verdicts), &[]).await?;
             Ok(true)
         }
+        StreamHead::Findings(findings) => {
+            let findings = findings.into_iter().map(Finding::from).collect();
+            let heard = ControllerEvent::FindingsHeard(findings);
+            serving.host.controller.tell(heard);
+            conn.write(&FindingsFrame(Vec::new()), &[]).await?;
+            Ok(true)
+        }
+        StreamHead::FindingsPull(digest) => {
+            let findings = serving.host.controller.findings(digest).await;
+            let frames = findings.iter().map(FindingFrame::from).collect();
+            conn.write(&FindingsFrame(frames), &[]).await?;
+            Ok(true)
+        }
         StreamHead::QuotaNotices(notices) => {
             let notices = notices.into_iter().map(QuotaNotice::from).collect();
             let heard = ControllerEvent::QuotaHeard(notices);
--- a/crates/node/src/mesh/metrics.rs
+++ b/crates/node/src/mesh/metrics.rs
@@ -25,6 +25,12 @@
     pub inner: IntCounter,
     /// Requests that were at work at the own target when its process ended unplanned.
     pub ended_by_crash: IntCounter,
+    /// Unplanned ends of the own target's process.
+    pub target_crashes: IntCounter,
+    /// Requests that waited until no other suspect of crashes was at work.
+    pub isolated: IntCounter,
+    /// Requests that are suspected of crashing targets.
+    pub suspects: IntGauge,
     /// Log lines above their rate.
     pub lines_dropped: IntCounter,
     /// Published configurations that could not be used.
@@ -90,6 +96,12 @@
                 "ended_by_crash_total",
                 "requests at work at the own target when it crashed",
             )?,
+            target_crashes: counter(
+                "target_crashes_total",
+                "unplanned ends of the own target's process",
+            )?,
+            isolated: counter("isolated_total", "requests that waited in isolation")?,
+            suspects: gauge("suspects", "requests suspected of crashing targets")?,
             lines_dropped: counter("log_lines_dropped_total", "log lines above their rate")?,
             config_faults: counter("config_faults_total", "published configurations not usable")?,
             entry_faults: counters(
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -18,9 +18,11 @@
 use super::boot_clock::BootClock;
 use super::callers::{self, CallersConfig};
 use super::controller::{
-    Controller, ControllerConfig, ControllerEvent, ControllerHandle, run_controller,
+    Controller, ControllerChannels, ControllerConfig, ControllerEvent, ControllerHandle,
+    run_controller,
 };
 use super::entry::Entry;
+use super::findings::FindingsSpreader;
 use super::host::Host;
 use super::journal::Journal;
 use super::lifecycle::{Lifecycle, Signals};
@@ -67,13 +69,17 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let controller = ControllerHandle::new(tx.clone());
     let (words_tx, words) = mpsc::unbounded_channel();
+    let (findings_tx, findings) = mpsc::unbounded_channel();
     let (limits_tx, limits) = watch::channel(CallerLimits::default());
     let state = Controller::new(
         controller_config(&settings),
         Arc::clone(&clock),
-        tx,
-        limits_tx,
-        words_tx,
+        ControllerChannels {
+            events: tx,
+            limits: limits_tx,
+            quota_words: words_tx,
+            findings: findings_tx,
+        },
         journal.clone(),
         metrics.clone(),
     );
@@ -143,6 +149,12 @@
         peers_port: settings.node.peers.port(),
         log: log.clone(),
     };
+    let spreader = FindingsSpreader {
+        controller: controller.clone(),
+        links: links.clone(),
+        peers_port: settings.node.peers.port(),
+        log: log.clone(),
+    };
     let serving = Serving {
         host: host.clone(),
         sharing,
@@ -155,6 +167,7 @@
     tokio::spawn(watch_peers(links, log.clone()));
     tokio::spawn(link::serve(peers_socket, serving));
     tokio::spawn(quotas.run(words));
+    tokio::spawn(spreader.run(findings));
     tokio::spawn(news.run());
     tokio::spawn(ready::serve(ready_socket, ready.clone()));
     if let Some(address) = settings.node.metrics {
