--- a/crates/core/src/quarantine/register.rs
+++ b/crates/core/src/quarantine/register.rs
@@ -72,11 +72,9 @@
     pub fn answered(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
         match self.records.get_mut(&fingerprint) {
             Some(record) if record.evidence != Evidence::Answered => {
-                *record = Record {
-                    evidence: Evidence::Answered,
-                    at: now,
-                    untold_since: Some(now),
-                };
+                record.evidence = Evidence::Answered;
+                record.at = now;
+                record.untold_since.get_or_insert(now);
                 true
             }
             Some(_) | None => false,
--- a/crates/node/src/mesh/controller/admission.rs
+++ b/crates/node/src/mesh/controller/admission.rs
@@ -164,6 +164,8 @@
             key: chosen.key,
             service: ask.service,
             route: ask.route,
+            fingerprint: ask.fingerprint,
+            answered_whole: false,
             outer: ask.outer,
             since: now,
             clock: Arc::clone(&self.clock),
@@ -197,6 +199,9 @@
     /// Learns from a sending that has ended.
     pub(super) fn send_ended(&mut self, key: InstanceKey, ended: EndedSend) {
         let now = self.clock.now();
+        if ended.answered_whole {
+            self.answered(ended.fingerprint, now);
+        }
         let stats = entry(&mut self.stats, &ended.route, RouteStats::new);
         let outcome = match ended.outcome {
             SendOutcome::Answered { .. } => SendOutcome::Answered {
--- a/crates/node/src/mesh/controller/event.rs
+++ b/crates/node/src/mesh/controller/event.rs
@@ -200,6 +200,10 @@
     pub service: ServiceName,
     /// Name of the route.
     pub route: SmolStr,
+    /// What stays the same of the request when it is sent again.
+    pub fingerprint: Fingerprint,
+    /// Whether the whole answer of the target has come.
+    pub answered_whole: bool,
     /// The run that it serves.
     pub outer: Option<SmolStr>,
     /// The host's report, where one came.
--- a/crates/node/src/mesh/controller/guards.rs
+++ b/crates/node/src/mesh/controller/guards.rs
@@ -4,6 +4,7 @@
 
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{InstanceKey, SendOutcome, Ticket};
+use coltsfootport_core::quarantine::Fingerprint;
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
 
@@ -19,14 +20,21 @@
     pub(super) key: InstanceKey,
     pub(super) service: ServiceName,
     pub(super) route: SmolStr,
+    pub(super) fingerprint: Fingerprint,
     pub(super) outer: Option<SmolStr>,
     pub(super) since: Instant,
     pub(super) clock: SharedClock,
     pub(super) tx: mpsc::UnboundedSender<ControllerEvent>,
+    pub(super) answered_whole: bool,
     pub(super) ended: bool,
 }
 
 impl SendGuard {
+    /// The target has answered, and the whole answer is here.
+    pub fn answered_whole(&mut self) {
+        self.answered_whole = true;
+    }
+
     /// The sending has ended.
     pub fn end(mut self, outcome: SendOutcome, report: Option<Report>) {
         self.tell(outcome, report);
@@ -39,6 +47,8 @@
             took: self.clock.now().saturating_duration_since(self.since),
             service: self.service.clone(),
             route: self.route.clone(),
+            fingerprint: self.fingerprint,
+            answered_whole: self.answered_whole,
             outer: self.outer.clone(),
             report,
         };
--- a/crates/node/src/mesh/controller/quarantine.rs
+++ b/crates/node/src/mesh/controller/quarantine.rs
@@ -140,11 +140,7 @@
         };
         let fingerprint = run.fingerprint;
         match end {
-            RunEnd::Answered => {
-                if self.quarantine.register.answered(fingerprint, now) {
-                    self.review_isolated(now);
-                }
-            }
+            RunEnd::Answered => self.answered(fingerprint, now),
             // A target that has said that it leaves ends as planned.
             RunEnd::Crashed(crash) if !self.has_left(&run.instance) => {
                 return self.crashed_under(fingerprint, crash, now);
@@ -154,6 +150,13 @@
         self.quarantine.register.standing(fingerprint, now)
     }
 
+    /// A target, the own one or that of another node, has answered a request whole.
+    pub(super) fn answered(&mut self, fingerprint: Fingerprint, now: Instant) {
+        if self.quarantine.register.answered(fingerprint, now) {
+            self.review_isolated(now);
+        }
+    }
+
     /// What the entry of a request is told after a crash.
     pub(super) fn finding_after(
         &self,
--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -193,8 +193,11 @@
         link::send(&self.entry.links, peer, req).await
     }
 
-    async fn replied(&mut self, reply: HostReply, guard: SendGuard) -> Step {
+    async fn replied(&mut self, reply: HostReply, mut guard: SendGuard) -> Step {
         let HostReply { result, report } = reply;
+        if matches!(&result, Ok(answer) if matches!(answer.body, Body::Whole(_))) {
+            guard.answered_whole();
+        }
         match result {
             Ok(answer) if answer.status.is_server_error() => {
                 self.at_targets += 1;
