--- a/crates/rig/src/soak/machine.rs
+++ b/crates/rig/src/soak/machine.rs
@@ -97,7 +97,7 @@
         let links = vec![
             LinkPlan {
                 listen: address(&outer, peers_port)?,
-                ..LinkPlan::new(name(Wire::Peers), Protocol::Udp, peers)
+                ..LinkPlan::new(name(Wire::Peers), Protocol::Tcp, peers)
             },
             LinkPlan::new(name(Wire::Store), Protocol::Tcp, store.addr),
             LinkPlan {
