--- a/crates/rig/src/proxy/links.rs
+++ b/crates/rig/src/proxy/links.rs
@@ -20,6 +20,8 @@
     pub to: SocketAddr,
     /// Seed of the link's draws.
     pub seed: u64,
+    /// See [`LinkPlan::mirrors_refusal`].
+    pub mirrors_refusal: bool,
     /// Current faults.
     pub faults: watch::Receiver<LinkFaults>,
     /// What passed.
@@ -148,6 +150,7 @@
     let link = Link {
         to: plan.to,
         seed: plan.seed,
+        mirrors_refusal: plan.mirrors_refusal,
         faults: faults_rx,
         counters: Arc::clone(&counters),
     };
--- a/crates/rig/src/proxy/plan.rs
+++ b/crates/rig/src/proxy/plan.rs
@@ -46,6 +46,9 @@
     /// Seed of jitter, loss, reordering and duplicates.
     #[serde(default)]
     pub seed: u64,
+    /// TCP: refuses connections for as long as the far end does, so that a process that has ended looks so.
+    #[serde(default)]
+    pub mirrors_refusal: bool,
 }
 
 impl LinkPlan {
@@ -61,6 +64,7 @@
             to,
             faults: LinkFaults::default(),
             seed: 0,
+            mirrors_refusal: false,
         }
     }
 }
--- a/crates/rig/src/proxy/tcp.rs
+++ b/crates/rig/src/proxy/tcp.rs
@@ -1,6 +1,7 @@
 //! TCP links.
 
 use std::io;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -9,7 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -27,6 +28,9 @@
 /// Pause after a failed accept, such as when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Time between looks at whether a far end that refused connections accepts them again.
+const FAR_PAUSE: Duration = Duration::from_millis(20);
+
 /// A part of a stream and when it is due; no bytes stand for its end.
 struct Piece {
     due: Instant,
@@ -42,29 +46,58 @@
 }
 
 /// Accepts and passes on until the task is aborted.
-pub async fn run(listener: TcpListener, link: Link) {
+pub async fn run(mut listener: TcpListener, link: Link) {
     let mut connections = JoinSet::new();
+    let refused = Arc::new(Notify::new());
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let number = link.counters.add_connection();
-                connections.spawn(connection(stream, link.clone(), number));
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let number = link.counters.add_connection();
+                    let refused = Arc::clone(&refused);
+                    connections.spawn(connection(stream, link.clone(), number, refused));
+                }
+                Err(_) => sleep(ACCEPT_PAUSE).await,
+            },
+            () = refused.notified(), if link.mirrors_refusal => {
+                listener = reopened(listener, &link).await;
             }
-            Err(_) => sleep(ACCEPT_PAUSE).await,
         }
         while connections.try_join_next().is_some() {}
     }
 }
 
+/// Closes a listener until the far end accepts connections again.
+async fn reopened(listener: TcpListener, link: &Link) -> TcpListener {
+    let addr = listener.local_addr();
+    drop(listener);
+    loop {
+        sleep(FAR_PAUSE).await;
+        if TcpStream::connect(link.to).await.is_err() {
+            continue;
+        }
+        // The address is its own; while something else holds it for a moment, it is tried again.
+        if let Ok(addr) = &addr
+            && let Ok(listener) = TcpListener::bind(addr).await
+        {
+            return listener;
+        }
+    }
+}
+
 /// Dropping both streams closes them, which is how a cut reaches the two ends.
-async fn connection(near: TcpStream, link: Link, number: u64) {
+async fn connection(near: TcpStream, link: Link, number: u64, refused: Arc<Notify>) {
     let mut faults = link.faults.clone();
     tokio::select! {
         // Looked at first, so that a link which is cut from the start never connects to the far end.
         biased;
         _ = faults.wait_for(LinkFaults::closes) => {}
         // A fault of either stream ends both; the ends see a closed connection.
-        _ = pass(near, &link, number) => {}
+        passed = pass(near, &link, number) => {
+            if passed.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
+                refused.notify_one();
+            }
+        }
     }
 }
 
--- a/crates/rig/src/soak/callers.rs
+++ b/crates/rig/src/soak/callers.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, SeedableRng};
 use tokio::time::sleep;
 
+use super::machine::CRASHING;
 use crate::soak::{Key, Kind, Record};
 
 /// Time limit of every route.
@@ -89,6 +90,41 @@
     }
 }
 
+/// A request that crashes each target which runs it, at one machine.
+#[derive(Clone, Copy, Debug)]
+pub struct CrashingRequest {
+    /// The machine.
+    pub machine: usize,
+    /// Where its node listens.
+    pub address: SocketAddr,
+    /// Tells it from others of the run.
+    pub request: u32,
+}
+
+impl CrashingRequest {
+    /// Sends one copy of it and notes what becomes of it.
+    pub async fn send(self, copy: usize, shared: &Shared) {
+        let Some(mut caller) = Caller::open(self.address, Duration::from_secs(1)).await else {
+            return;
+        };
+        let kind = Kind::Crashing(self.request);
+        let id = format!("{CRASHING}{}x{copy}", self.request);
+        let sent = Instant::now();
+        let text = request(kind, Key::Lasting, &id);
+        let record = Record {
+            kind,
+            key: Key::Lasting,
+            machine: self.machine,
+            sent,
+            asked: caller.ask(&text, ROUTE_LIMIT + LATE).await,
+            ended: Instant::now(),
+            id,
+        };
+        let records = shared.records.lock();
+        records.unwrap_or_else(PoisonError::into_inner).push(record);
+    }
+}
+
 async fn take(open: &mut Option<Caller>, address: SocketAddr) -> Option<Caller> {
     match open.take() {
         Some(caller) => Some(caller),
@@ -102,6 +138,7 @@
     let plain = match kind {
         Kind::Read => get(HOST, "/read/x", id, ""),
         Kind::Bid => post(HOST, "/bid/x", id, "a bid"),
+        Kind::Crashing(request) => get(HOST, &format!("/read/{CRASHING}{request}"), id, ""),
         Kind::Version(version) => get(HOST, &format!("/v{version}/x"), id, ""),
     };
     plain.replacen("\r\n", &format!("\r\n{headers}"), 1)
--- a/crates/rig/src/soak/evidence.rs
+++ b/crates/rig/src/soak/evidence.rs
@@ -14,6 +14,8 @@
     Read,
     /// May run once only.
     Bid,
+    /// It crashes each target that runs it; the number tells it from others.
+    Crashing(u32),
     /// A route that came with this version of the configuration and stays.
     Version(u32),
 }
@@ -74,6 +76,18 @@
 /// Time after an outage in which entries and configuration are caught up with.
 const SETTLED: Duration = Duration::from_millis(3000);
 
+/// Crashes after which a request must be known.
+const CRASHES_TO_KNOW: usize = 3;
+
+/// Time after the last of them within which every node must know.
+const KNOWN_WITHIN: Duration = Duration::from_millis(3000);
+
+/// Most arrivals of such a request after that.
+const MOST_AFTER_KNOWN: usize = 3;
+
+/// Status by which a node ends requests that crash targets.
+const CRASHES_TARGETS: u16 = 400;
+
 /// The promises that are broken, as lines for people.
 pub fn breaches_of(evidence: &Evidence) -> Vec<String> {
     let mut at_targets: HashMap<&str, AtTargets> = HashMap::new();
@@ -95,9 +109,63 @@
     breaches.extend(wrong_workspaces(evidence));
     breaches.extend(steps_back(evidence));
     breaches.extend(late_arrivals(evidence));
+    breaches.extend(crashing_requests(evidence));
+    breaches.extend(refused_as_crashing(evidence));
     breaches
 }
 
+/// Requests that reach targets although they have crashed three, sent by nodes that could know.
+fn crashing_requests(evidence: &Evidence) -> Vec<String> {
+    let mut by_request: HashMap<u32, Vec<&Record>> = HashMap::new();
+    for record in &evidence.records {
+        if let Kind::Crashing(request) = record.kind {
+            by_request.entry(request).or_default().push(record);
+        }
+    }
+    let mut breaches = Vec::new();
+    for (request, records) in by_request {
+        let entries: HashMap<&str, usize> = records
+            .iter()
+            .map(|record| (record.id.as_str(), record.machine))
+            .collect();
+        let arrivals = evidence.arrivals.iter().flatten().filter(|one| one.ran);
+        let mut arrived: Vec<(Instant, usize)> = arrivals
+            .filter_map(|one| Some((one.at, *entries.get(one.id()?)?)))
+            .collect();
+        arrived.sort_unstable();
+        let Some((third, _)) = arrived.get(CRASHES_TO_KNOW - 1).copied() else {
+            continue;
+        };
+        let late = arrived.iter().filter(|(at, entry)| {
+            let since = at.checked_sub(KNOWN_WITHIN).unwrap_or(*at);
+            let excused = [&evidence.away, &evidence.stops];
+            *at > third + KNOWN_WITHIN
+                && !excused
+                    .iter()
+                    .any(|spans| overlaps(spans, *entry, since, *at))
+        });
+        let late = late.count();
+        if late > MOST_AFTER_KNOWN {
+            breaches.push(format!(
+                "crashing request {request} reached targets {late} times after it was known"
+            ));
+        }
+    }
+    breaches
+}
+
+/// Other requests that are ended as if they crashed targets.
+fn refused_as_crashing(evidence: &Evidence) -> Vec<String> {
+    let wrongly = evidence.records.iter().filter(|record| {
+        let refused =
+            matches!(&record.asked, Asked::Answered(answer) if answer.status == CRASHES_TARGETS);
+        refused && !matches!(record.kind, Kind::Crashing(_))
+    });
+    wrongly
+        .map(|record| format!("{} was answered {CRASHES_TARGETS}", record.id))
+        .collect()
+}
+
 /// Requests that ran for another workspace than that of their key, that brought their key to a target, or whose key is known and
 /// was called unknown.
 fn wrong_workspaces(evidence: &Evidence) -> Vec<String> {
--- a/crates/rig/src/soak/machine.rs
+++ b/crates/rig/src/soak/machine.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use coltsfootport_stand_ins::{Act, Store, Worker};
+use coltsfootport_stand_ins::{Act, Crashes, Store, Worker};
 
 use crate::error::RigError;
 use crate::fleet::Programs;
@@ -58,6 +58,12 @@
 /// Time that a target works on a request.
 const WORK: Duration = Duration::from_millis(8);
 
+/// What stands in requests that crash targets.
+pub const CRASHING: &str = "crashing";
+
+/// Time after which a crashed target is back.
+pub const CRASHED_FOR: Duration = Duration::from_millis(1200);
+
 /// A machine of a soak.
 pub struct Machine {
     /// Its target.
@@ -93,6 +99,11 @@
         };
         let worker = Worker::start(&inner, &format!("i-{at}")).await;
         worker.always(Act::Work(WORK));
+        worker.crashes(Crashes {
+            mark: CRASHING.to_owned(),
+            after: WORK,
+            down: CRASHED_FOR,
+        });
         let peers = address(&inner, peers_port)?;
         let links = vec![
             LinkPlan {
@@ -102,6 +113,7 @@
             LinkPlan::new(name(Wire::Store), Protocol::Tcp, store.addr),
             LinkPlan {
                 listen: address(&outer, 0)?,
+                mirrors_refusal: true,
                 ..LinkPlan::new(name(Wire::Target), Protocol::Tcp, worker.addr)
             },
         ];
--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -112,6 +112,22 @@
         /// How long.
         ms: u64,
     },
+    /// The process of a target ends and is back after a while.
+    CrashTarget {
+        /// The machine.
+        machine: usize,
+        /// Time until it is back.
+        down_ms: u64,
+    },
+    /// A request that crashes each target which runs it comes again and again, at one machine after the other.
+    Crashing {
+        /// Tells it from others of the run.
+        request: u32,
+        /// How often it comes.
+        copies: usize,
+        /// Time between two of them.
+        gap_ms: u64,
+    },
 }
 
 /// A strike and its time.
@@ -150,6 +166,7 @@
             let strike = draw(&mut rng, machines);
             strikes.push(Timed { at_ms, strike });
         }
+        add_crashes(&mut strikes, seed, seconds, machines);
         Self {
             seed,
             seconds,
@@ -159,6 +176,33 @@
     }
 }
 
+/// Adds crashes of targets, drawn by themselves so that the other strikes of a seed stay as they are.
+fn add_crashes(strikes: &mut Vec<Timed>, seed: u64, seconds: u64, machines: usize) {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let mut add = |at_ms: u64, strike: Strike| {
+        let is_taken = |at_ms| strikes.iter().any(|timed| timed.at_ms == at_ms);
+        let free = (at_ms..).find(|at_ms| !is_taken(*at_ms));
+        let at_ms = free.unwrap_or(at_ms);
+        strikes.push(Timed { at_ms, strike });
+    };
+    for request in 0..rng.random_range(1..3) {
+        let strike = Strike::Crashing {
+            request,
+            copies: rng.random_range(8..24),
+            gap_ms: rng.random_range(50..500),
+        };
+        add(rng.random_range(0..seconds * 500), strike);
+    }
+    for _ in 0..rng.random_range(0..4) {
+        let strike = Strike::CrashTarget {
+            machine: rng.random_range(0..machines),
+            down_ms: rng.random_range(200..2000),
+        };
+        add(rng.random_range(0..seconds * 1000), strike);
+    }
+    strikes.sort_by_key(|timed| timed.at_ms);
+}
+
 fn draw(rng: &mut SmallRng, machines: usize) -> Strike {
     let machine = rng.random_range(0..machines);
     let ms = rng.random_range(200..2500);
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -15,8 +15,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until};
 
-use super::callers::{LATE, ROUTE_LIMIT, Shared, SoakCaller};
-use super::machine::Machine;
+use super::callers::{CrashingRequest, LATE, ROUTE_LIMIT, Shared, SoakCaller};
+use super::machine::{CRASHED_FOR, Machine};
 use crate::error::RigError;
 use crate::process::{Process, Signal, free_port};
 use crate::proxy::{Cut, DirectionFaults, LinkFaults};
@@ -255,6 +255,27 @@
                 };
                 self.wire(machine, wire, faults, ms, from).await;
             }
+            Strike::CrashTarget { machine, down_ms } => {
+                self.machines[machine].worker.crash(time(down_ms));
+                sleep(time(down_ms)).await;
+                self.note(|e| &mut e.troubled, None, from);
+            }
+            Strike::Crashing {
+                request,
+                copies,
+                gap_ms,
+            } => {
+                for copy in 0..copies {
+                    let machine = copy % self.machines.len();
+                    let sender = CrashingRequest {
+                        machine,
+                        address: self.machines[machine].callers,
+                        request,
+                    };
+                    sender.send(copy, &self.shared).await;
+                    sleep(time(gap_ms)).await;
+                }
+            }
             Strike::Reset { machine, wire, ms } => {
                 let faults = LinkFaults::both(DirectionFaults::cut(Cut::Close));
                 self.wire(machine, wire, faults, ms, from).await;
@@ -366,7 +387,15 @@
     fn evidence(&self) -> Evidence {
         let spans = self.spans.lock().unwrap_or_else(PoisonError::into_inner);
         let records = self.shared.records.lock();
+        let workers = self.machines.iter().map(|machine| &machine.worker);
+        let crashes = workers.flat_map(|worker| worker.ended()).map(|from| Span {
+            machine: None,
+            from,
+            to: from + CRASHED_FOR,
+        });
+        let troubled = spans.troubled.iter().copied().chain(crashes).collect();
         Evidence {
+            troubled,
             records: records.unwrap_or_else(PoisonError::into_inner).clone(),
             arrivals: self
                 .machines
