A store that comes back from an older copy does not hide its changes

Cause: revisions stood for changes without their era. 76 of 88 nodes had subscribed to the readers at revision 116; the store came back at 113; their sources waited until they would pass 116 and said meanwhile that they were sound. They were healed by the change that began beyond 113. Also: a watch that returns after the old figure was passed hides what lies between, and a list at a lower figure was followed by changes that counted as known. Class: an identity kept by a number that is given out again.

Change: a position (era, revision) wherever a revision was compared, kept or sent. A new era is a new list for the reader; it passes the list on to its subscribers, so that they need not read the store. Answers and sources of an earlier era say nothing.

--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -14,7 +14,7 @@
 use crate::collections::{FastHasher, Map, Set};
 use crate::id::{DomainName, ServiceName};
 use crate::mesh::{
-    FleetConfig, GoneEffect, Instance, MemberState, Observed, PutEffect, ReadersConfig,
+    FleetConfig, GoneEffect, Instance, MemberState, Observed, Position, PutEffect, ReadersConfig,
     ReadersView, SendOutcome,
 };
 use crate::quarantine::Fingerprint;
@@ -380,7 +380,7 @@
             instances: self.members.len(),
             ..Default::default()
         };
-        let mut by_domain: BTreeMap<&DomainName, Vec<(u64, &str, IpAddr)>> = BTreeMap::new();
+        let mut by_domain: BTreeMap<&DomainName, Vec<(Position, &str, IpAddr)>> = BTreeMap::new();
         for member in self
             .members
             .values()
--- a/crates/core/src/mesh/instance.rs
+++ b/crates/core/src/mesh/instance.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use crate::id::{DomainName, ServiceName};
+use crate::mesh::Position;
 
 /// One start of a target, as its entry in the published list tells.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,8 +26,8 @@
     pub slots: u32,
     /// Whether it has said that it is about to end.
     pub leaving: bool,
-    /// When its entry was first written, in revisions of the publisher; tells which of two instances at an address is newer.
-    pub created: u64,
+    /// When its entry was first written; tells which of two instances at an address is newer.
+    pub created: Position,
     /// How long it stays slow after its start, from when the entry was written.
     pub cold: Duration,
 }
--- a/crates/core/src/mesh/publisher.rs
+++ b/crates/core/src/mesh/publisher.rs
@@ -9,6 +9,9 @@
 ///
 /// An implementation knows paths and formats. When to ask, and what to believe of the answers, is decided by the caller.
 pub trait Publisher: Debug + Send + Sync {
+    /// Name of the header in which every answer tells its era; without it the publisher has had only one.
+    fn era_header(&self) -> &'static str;
+
     /// Path and query of a page of everything published, from the key `after` on.
     fn list_path(&self, after: Option<&str>) -> String;
 
--- a/crates/core/src/mesh/update.rs
+++ b/crates/core/src/mesh/update.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 
-use crate::mesh::{EntryFault, Instance, MeshConfig};
+use crate::mesh::{EntryFault, Era, Instance, MeshConfig, Position};
 
 /// One thing that has changed.
 #[derive(Clone, Debug)]
@@ -29,8 +29,8 @@
 /// What one read of the publisher brought.
 #[derive(Clone, Debug, Default)]
 pub struct UpdateBatch {
-    /// Revision of the publisher after these updates.
-    pub revision: u64,
+    /// Where the publisher stands after these updates.
+    pub position: Position,
     /// The updates in their order.
     pub updates: Vec<Update>,
     /// Configurations that could not be decoded, with the reason; they change nothing.
@@ -38,3 +38,16 @@
     /// Key after which the next page begins; `None` where this was the last one.
     pub next_page: Option<String>,
 }
+
+impl UpdateBatch {
+    /// These updates as those of an era. Bodies name revisions only, and stand for what they meant when they were read.
+    pub fn in_era(mut self, era: Era) -> Self {
+        self.position.era = era;
+        for update in &mut self.updates {
+            if let Update::Instance(instance) = update {
+                instance.created.era = era;
+            }
+        }
+        self
+    }
+}
--- a/crates/core/tests/mesh_fleet.rs
+++ b/crates/core/tests/mesh_fleet.rs
@@ -25,7 +25,7 @@
         domain: "a".into(),
         slots: 10,
         leaving: false,
-        created: 1,
+        created: 1.into(),
         cold: Duration::ZERO,
     }
 }
@@ -287,7 +287,7 @@
         id: "i-z".into(),
         service: service.into(),
         address,
-        created: 5,
+        created: 5.into(),
         ..instance("i-a")
     };
     for service in ["svc", "other"] {
@@ -315,7 +315,7 @@
     let mut bench = Bench::new(&["i-a", "i-b"]);
     let successor = Instance {
         id: "i-z".into(),
-        created: 5,
+        created: 5.into(),
         ..instance("i-a")
     };
     let effect = bench.fleet.put(successor.clone(), bench.now);
@@ -336,7 +336,7 @@
     let mut bench = Bench::new(&["i-a"]);
     let successor = Instance {
         id: "i-z".into(),
-        created: 5,
+        created: 5.into(),
         ..instance("i-a")
     };
     let ended = bench.fleet.replace_all(vec![successor], bench.now);
@@ -448,7 +448,7 @@
                 Successor => {
                     let successor = Instance {
                         id: "i-z".into(),
-                        created: 5,
+                        created: 5.into(),
                         ..instance("i-a")
                     };
                     bench.fleet.put(successor, bench.now);
--- a/crates/core/tests/mesh_readers.rs
+++ b/crates/core/tests/mesh_readers.rs
@@ -177,7 +177,7 @@
         domain: domain.into(),
         slots: 10,
         leaving: false,
-        created,
+        created: created.into(),
         cold: Duration::ZERO,
     }
 }
--- a/crates/core/tests/replay/world.rs
+++ b/crates/core/tests/replay/world.rs
@@ -142,7 +142,7 @@
             domain: format!("d{}", host % 3).as_str().into(),
             slots: deployment.services[hosts[host]].slots,
             leaving: false,
-            created: 1,
+            created: 1.into(),
             cold: Duration::ZERO,
         };
         let node = |host: usize| {
--- a/crates/node/src/mesh/news.rs
+++ b/crates/node/src/mesh/news.rs
@@ -6,6 +6,7 @@
 mod board;
 mod follow;
 mod frames;
+mod listing;
 mod share;
 mod source;
 mod store_reader;
--- a/crates/node/src/mesh/news/follow.rs
+++ b/crates/node/src/mesh/news/follow.rs
@@ -4,11 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootport_core::mesh::Publisher;
+use bytes::Bytes;
+use coltsfootport_core::mesh::{Position, Publisher};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use super::board::Listing;
 use super::frames::{FollowFrame, MAX_BODY, MAX_HEAD, NewsFrame};
+use super::listing::read_pages;
 use super::source::{Changes, Heard, Source, What};
 use crate::mesh::link::{LinkHub, PeerConn, StreamHead};
 use crate::wire::FrameError;
@@ -36,8 +39,8 @@
 pub struct Follow {
     /// The node.
     pub peer: SocketAddr,
-    /// The revision up to which everything is known.
-    pub revision: u64,
+    /// The position up to which everything is known.
+    pub position: Position,
     /// Links to nodes.
     pub links: LinkHub,
     /// Reads the publisher's answers.
@@ -60,7 +63,7 @@
         let connected = self.links.connect(self.peer).await;
         let mut conn = connected.map_err(|_| FollowError::NoLink)?.conn;
         let asked = FollowFrame {
-            revision: self.revision,
+            position: self.position,
         };
         let written = conn.write(&StreamHead::Follow(asked), &[]).await;
         written.map_err(FrameError::from)?;
@@ -72,26 +75,38 @@
 
     async fn next(&self, conn: &mut PeerConn) -> Result<What, FollowError> {
         match conn.read_head::<NewsFrame>(MAX_HEAD).await? {
-            NewsFrame::State { sound, answered } => Ok(What::State { sound, answered }),
+            NewsFrame::State {
+                sound,
+                answered,
+                era,
+            } => Ok(What::State {
+                sound,
+                answered,
+                era,
+            }),
             NewsFrame::HistoryGone => Err(FollowError::HistoryGone),
+            NewsFrame::Listed { position, pages } => {
+                let mut listing = Listing {
+                    position,
+                    pages: Vec::with_capacity(pages.len()),
+                };
+                for length in pages {
+                    listing.pages.push(read_body(conn, length).await?);
+                }
+                let read = read_pages(&*self.publisher, &listing);
+                let batch = read.map_err(|e| FollowError::Malformed(e.to_string()))?;
+                Ok(What::Listed(listing, batch))
+            }
             NewsFrame::Changes {
                 after,
-                revision,
+                until,
                 length,
             } => {
-                let length = length as usize;
-                if length > MAX_BODY {
-                    return Err(FrameError::TooLarge(length).into());
-                }
-                let body = conn.read_body(length).await?;
+                let body = read_body(conn, length).await?;
                 let read = self.publisher.read_watch(&body);
                 let batch = read.map_err(|e| FollowError::Malformed(e.to_string()))?;
-                let changes = Changes {
-                    after,
-                    revision,
-                    body,
-                };
-                Ok(What::Changes(changes, batch))
+                let changes = Changes { after, until, body };
+                Ok(What::Changes(changes, batch.in_era(until.era)))
             }
         }
     }
@@ -102,3 +117,11 @@
         let _ = self.tx.send(Heard { from, what });
     }
 }
+
+async fn read_body(conn: &mut PeerConn, length: u32) -> Result<Bytes, FollowError> {
+    let length = length as usize;
+    if length > MAX_BODY {
+        return Err(FrameError::TooLarge(length).into());
+    }
+    Ok(conn.read_body(length).await?)
+}
--- a/crates/node/src/mesh/news/share.rs
+++ b/crates/node/src/mesh/news/share.rs
@@ -4,9 +4,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use super::board::Listing;
 use super::frames::{FollowFrame, NewsFrame};
 use super::source::Changes;
 use super::{Board, follow::SILENCE};
@@ -37,24 +39,34 @@
 ) -> Result<(), FrameError> {
     let _counted = Counted::new(sharing.followers);
     let mut board = sharing.board;
-    let mut told = asked.revision;
+    let mut told = asked.position;
     let mut answers = board.borrow().answers;
     loop {
-        let (changes, state) = {
+        let (listing, changes, state) = {
             let board = board.borrow_and_update();
             let state = NewsFrame::State {
                 sound: board.sound,
                 answered: board.answers != answers,
+                era: board.era(),
             };
             answers = board.answers;
-            (board.since(told), state)
+            let listing = match board.since(told) {
+                Some(_) => None,
+                None => board.listing(),
+            };
+            let from = listing.as_ref().map_or(told, |listing| listing.position);
+            (listing, board.since(from), state)
         };
         let Some(changes) = changes else {
             conn.write(&NewsFrame::HistoryGone, &[]).await?;
             return Ok(());
         };
+        if let Some(listing) = listing {
+            told = listing.position;
+            send_listing(conn, listing).await?;
+        }
         for changes in changes {
-            told = changes.revision;
+            told = changes.until;
             send(conn, changes).await?;
         }
         conn.write(&state, &[]).await?;
@@ -73,12 +85,25 @@
 async fn send(conn: &mut PeerConn, changes: Changes) -> Result<(), FrameError> {
     let head = NewsFrame::Changes {
         after: changes.after,
-        revision: changes.revision,
-        length: u32::try_from(changes.body.len()).map_err(|_| FrameError::Malformed)?,
+        until: changes.until,
+        length: length(&changes.body)?,
     };
     Ok(conn.write(&head, &changes.body).await?)
 }
 
+async fn send_listing(conn: &mut PeerConn, listing: Listing) -> Result<(), FrameError> {
+    let pages: Result<Vec<u32>, FrameError> = listing.pages.iter().map(length).collect();
+    let head = NewsFrame::Listed {
+        position: listing.position,
+        pages: pages?,
+    };
+    Ok(conn.write(&head, &listing.pages.concat()).await?)
+}
+
+fn length(body: &Bytes) -> Result<u32, FrameError> {
+    u32::try_from(body.len()).map_err(|_| FrameError::Malformed)
+}
+
 /// Counts a follower for as long as it is served.
 struct Counted(Arc<AtomicUsize>);
 
--- a/crates/node/src/mesh/news/source.rs
+++ b/crates/node/src/mesh/news/source.rs
@@ -3,9 +3,11 @@
 use std::net::IpAddr;
 
 use bytes::Bytes;
-use coltsfootport_core::mesh::UpdateBatch;
+use coltsfootport_core::mesh::{Era, Position, UpdateBatch};
 use tokio::task::AbortHandle;
 
+use super::board::Listing;
+
 /// Who tells news.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -27,8 +29,8 @@
 /// What a source can tell.
 #[derive(Debug)]
 pub enum What {
-    /// Everything published.
-    Listed(UpdateBatch),
+    /// Everything published, as it came and decoded.
+    Listed(Listing, UpdateBatch),
     /// What has changed since a revision, as it came and decoded; may be nothing.
     Changes(Changes, UpdateBatch),
     /// Whether a node hears the publisher, and whether it has just had an answer.
@@ -37,6 +39,8 @@
         sound: bool,
         /// Since it told last.
         answered: bool,
+        /// The era in which it hears it.
+        era: Era,
     },
     /// The publisher does not answer as it should.
     Failed,
@@ -47,10 +51,10 @@
 /// An answer of the publisher about changes, as it came.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Changes {
-    /// The revision after which they begin.
-    pub after: u64,
-    /// The revision with which they end.
-    pub revision: u64,
+    /// The position after which they begin.
+    pub after: Position,
+    /// The position with which they end.
+    pub until: Position,
     /// The answer's body.
     pub body: Bytes,
 }
--- a/crates/node/src/mesh/news/store_reader.rs
+++ b/crates/node/src/mesh/news/store_reader.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use coltsfootport_core::mesh::{Publisher, PublisherError, UpdateBatch};
+use coltsfootport_core::mesh::{Era, Position, Publisher, PublisherError};
 use http::header::HOST;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Empty, Limited};
@@ -17,6 +17,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
+use super::board::Listing;
+use super::listing::read_pages;
 use super::source::{Changes, Heard, Source, What};
 use crate::clock::SharedClock;
 use crate::mesh::metrics::MeshMetrics;
@@ -70,6 +72,10 @@
     Broken(String),
     #[error("the publisher answered {0}")]
     Status(StatusCode),
+    #[error("the publisher has come back from an older copy")]
+    CameBack,
+    #[error("the answer is of an earlier era of the publisher")]
+    Outdated,
     #[error(transparent)]
     Malformed(#[from] PublisherError),
 }
@@ -81,13 +87,15 @@
             Self::Slow => "slow",
             Self::Broken(_) => "broken",
             Self::Status(_) => "status",
+            Self::CameBack => "came-back",
+            Self::Outdated => "outdated",
             Self::Malformed(_) => "malformed",
         }
     }
 
-    /// The history after our revision is not available any more; everything must be listed again.
+    /// The history after our position is not available any more; everything must be listed again.
     fn is_history_gone(&self) -> bool {
-        matches!(self, Self::Status(StatusCode::GONE))
+        matches!(self, Self::Status(StatusCode::GONE) | Self::CameBack)
     }
 }
 
@@ -112,16 +120,18 @@
 type Sender = SendRequest<Empty<Bytes>>;
 
 impl StoreReader {
-    /// Reads until it is aborted: a list where no revision is known, then what changes.
-    pub async fn run(self, mut revision: Option<u64>) {
+    /// Reads until it is aborted: a list where no position is known, then what changes.
+    pub async fn run(self, mut position: Option<Position>) {
         let mut failures = 0;
+        let mut era = position.map_or(Era::default(), |position| position.era);
         loop {
-            match self.read(&mut revision, &mut failures).await {
+            match self.read(&mut position, &mut era, &mut failures).await {
                 Ok(never) => match never {},
                 Err(e) if e.is_history_gone() => {
-                    info!(self.log, "publisher's history is gone"; "revision" => revision);
+                    info!(self.log, "publisher's history is gone"; "reason" => e.to_string(),
+                        "era" => era.0, "revision" => position.map(|position| position.revision));
                     self.metrics.read("gone");
-                    revision = None;
+                    position = None;
                 }
                 Err(e) => {
                     // The first failure may be that of one connection only; the publisher is in trouble where the next
@@ -138,17 +148,18 @@
         }
     }
 
-    /// Reads on one connection until something fails.
+    /// Reads on one connection until something fails; `era` is the latest one that was heard of.
     async fn read(
         &self,
-        revision: &mut Option<u64>,
+        position: &mut Option<Position>,
+        era: &mut Era,
         failures: &mut u32,
     ) -> Result<std::convert::Infallible, FeedError> {
         let mut tx = self.connect().await?;
         let mut flood = Flood::default();
         loop {
-            let Some(after) = *revision else {
-                *revision = Some(self.list(&mut tx).await?);
+            let Some(after) = *position else {
+                *position = Some(self.list(&mut tx, era).await?);
                 *failures = 0;
                 continue;
             };
@@ -156,21 +167,21 @@
                 0 => self.cfg.watch,
                 _ => FIRST_LOOK,
             };
-            let path = self.publisher.watch_path(after, wait);
-            let body = self.fetch(&mut tx, path, wait).await?;
-            let batch = self.publisher.read_watch(&body)?;
-            let until = batch.revision.max(after);
-            *revision = Some(until);
+            let path = self.publisher.watch_path(after.revision, wait);
+            let body = self.fetch(&mut tx, path, wait, era).await?;
+            // A revision of before names another change now, whether the publisher has reached it again or not.
+            if *era != after.era {
+                return Err(FeedError::CameBack);
+            }
+            let batch = self.publisher.read_watch(&body)?.in_era(*era);
+            let until = batch.position.max(after);
+            *position = Some(until);
             *failures = 0;
             let rest = match batch.updates.is_empty() {
                 true => Duration::ZERO,
                 false => flood.rest(self.clock.now()),
             };
-            let changes = Changes {
-                after,
-                revision: until,
-                body,
-            };
+            let changes = Changes { after, until, body };
             self.tell(What::Changes(changes, batch));
             sleep(rest).await;
         }
@@ -178,30 +189,33 @@
 
     /// Lists everything. Pages are read one after the other and may miss what changes meanwhile, so the watch begins at
     /// the revision of the first page.
-    async fn list(&self, tx: &mut Sender) -> Result<u64, FeedError> {
-        let mut all: Option<UpdateBatch> = None;
+    async fn list(&self, tx: &mut Sender, era: &mut Era) -> Result<Position, FeedError> {
+        let mut listing: Option<Listing> = None;
         let mut after: Option<String> = None;
         for _ in 0..MOST_PAGES {
             let path = self.publisher.list_path(after.as_deref());
-            let body = self.fetch(tx, path, Duration::ZERO).await?;
-            let mut page = self.publisher.read_list(&body)?;
-            after = page.next_page.take();
-            match &mut all {
-                Some(all) => {
-                    all.updates.append(&mut page.updates);
-                    all.faults.append(&mut page.faults);
-                }
-                None => all = Some(page),
+            let body = self.fetch(tx, path, Duration::ZERO, era).await?;
+            let page = self.publisher.read_list(&body)?.in_era(*era);
+            let listing = listing.get_or_insert_with(|| Listing {
+                position: page.position,
+                pages: Vec::new(),
+            });
+            if listing.position.era != *era {
+                return Err(FeedError::CameBack);
             }
+            listing.pages.push(body);
+            after = page.next_page;
             if after.is_none() {
                 break;
             }
         }
-        let all = all.unwrap_or_default();
-        let revision = all.revision;
-        info!(self.log, "publisher listed"; "revision" => revision, "entries" => all.updates.len());
-        self.tell(What::Listed(all));
-        Ok(revision)
+        let listing = listing.ok_or(FeedError::CameBack)?;
+        let position = listing.position;
+        let all = read_pages(&*self.publisher, &listing)?;
+        info!(self.log, "publisher listed"; "era" => position.era.0, "revision" => position.revision,
+            "entries" => all.updates.len());
+        self.tell(What::Listed(listing, all));
+        Ok(position)
     }
 
     fn pause(&self, failures: u32) -> Duration {
@@ -233,13 +247,26 @@
         tx: &mut Sender,
         path: String,
         wait: Duration,
+        era: &mut Era,
     ) -> Result<Bytes, FeedError> {
         let limit = self.cfg.timeout + wait;
-        let body = timeout(limit, exchange(tx, self.cfg.address, path))
+        let header = self.publisher.era_header();
+        let answer = timeout(limit, exchange(tx, self.cfg.address, path, header))
             .await
             .map_err(|_| FeedError::Slow)??;
-        self.metrics.read("answered");
-        Ok(body)
+        // An answer that does not tell its era is taken to be of the one that is known.
+        let told = answer.era.unwrap_or(*era);
+        if told < *era {
+            return Err(FeedError::Outdated);
+        }
+        *era = told;
+        match answer.status {
+            StatusCode::OK => {
+                self.metrics.read("answered");
+                Ok(answer.body)
+            }
+            status => Err(FeedError::Status(status)),
+        }
     }
 }
 
@@ -266,7 +293,20 @@
     }
 }
 
-async fn exchange(tx: &mut Sender, address: SocketAddr, path: String) -> Result<Bytes, FeedError> {
+/// An answer of the publisher.
+struct Answer {
+    status: StatusCode,
+    /// `None` where it does not tell.
+    era: Option<Era>,
+    body: Bytes,
+}
+
+async fn exchange(
+    tx: &mut Sender,
+    address: SocketAddr,
+    path: String,
+    era_header: &str,
+) -> Result<Answer, FeedError> {
     let broken = |e: &dyn std::fmt::Display| FeedError::Broken(e.to_string());
     let req = Request::get(path)
         .header(HOST, address.to_string())
@@ -274,12 +314,15 @@
         .map_err(|e| broken(&e))?;
     let res = tx.send_request(req).await.map_err(|e| broken(&e))?;
     let status = res.status();
+    let era = res.headers().get(era_header);
+    let era = era.and_then(|era| era.to_str().ok()?.trim().parse().ok());
     let body = Limited::new(res.into_body(), MAX_ANSWER).collect().await;
     let body = body.map_err(|e| broken(&e))?.to_bytes();
-    match status {
-        StatusCode::OK => Ok(body),
-        status => Err(FeedError::Status(status)),
-    }
+    Ok(Answer {
+        status,
+        era: era.map(Era),
+        body,
+    })
 }
 
 /// A connection can go silent without a reset: probes show it.
--- a/crates/node/src/mesh/news/task.rs
+++ b/crates/node/src/mesh/news/task.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use coltsfootport_core::collections::Map;
-use coltsfootport_core::mesh::{Publisher, Readers, ReadingPlan, UpdateBatch};
-use slog::{Logger, info};
+use coltsfootport_core::mesh::{Position, Publisher, Readers, ReadingPlan, UpdateBatch};
+use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
 use tokio::time::interval;
 
 use super::Board;
+use super::board::Listing;
 use super::follow::Follow;
 use super::source::{Changes, Heard, Listening, Source, What};
 use super::store_reader::{ALONE_PAUSE, FOLLOWING_PAUSE, StoreReader};
@@ -51,8 +52,8 @@
 struct Running {
     news: News,
     readers: Readers,
-    /// The revision up to which everything is known.
-    revision: Option<u64>,
+    /// The position up to which everything is known.
+    position: Option<Position>,
     reader: Option<Listening>,
     /// Longest pause of the reader after a failure.
     longest_pause: watch::Sender<Duration>,
@@ -69,7 +70,7 @@
         let mut running = Running {
             readers: Readers::new(self.cfg.readers),
             news: self,
-            revision: None,
+            position: None,
             reader: None,
             longest_pause: watch::Sender::new(ALONE_PAUSE),
             sound: false,
@@ -94,12 +95,21 @@
     /// Takes in what a source tells; `true` where it may change who should read.
     fn hear(&mut self, heard: Heard) -> bool {
         match (heard.from, heard.what) {
-            (_, What::Listed(batch)) => {
-                self.listed(batch);
+            (from, What::Listed(listing, batch)) => {
+                self.listed(from, listing, batch);
                 return true;
             }
             (from, What::Changes(changes, batch)) => return self.changes(from, changes, batch),
-            (Source::Node(node), What::State { sound, answered }) => {
+            (
+                Source::Node(node),
+                What::State {
+                    sound,
+                    answered,
+                    era,
+                },
+            ) => {
+                // It hears a publisher that has since come back from a copy.
+                let sound = sound && self.position.is_none_or(|known| era >= known.era);
                 self.readers.heard(node, sound);
                 match sound {
                     true if answered => self
@@ -125,21 +135,41 @@
         false
     }
 
-    fn listed(&mut self, batch: UpdateBatch) {
-        self.revision = Some(batch.revision);
-        let revision = batch.revision;
-        self.news.board.send_modify(|board| board.listed(revision));
-        self.set_sound(true);
+    /// A list that is behind what is known, such as one of an earlier era, says nothing.
+    fn listed(&mut self, from: Source, listing: Listing, batch: UpdateBatch) {
+        if from == Source::Publisher {
+            self.set_sound(true);
+        }
+        if self.position.is_some_and(|known| listing.position < known) {
+            return;
+        }
+        if let Some(known) = self
+            .position
+            .filter(|known| known.era < listing.position.era)
+        {
+            let position = listing.position;
+            warn!(self.news.log, "publisher has come back from an older copy"; "era" => position.era.0,
+                "revision" => position.revision, "was_era" => known.era.0, "was_revision" => known.revision);
+        }
+        self.position = Some(listing.position);
+        // Only who reads is subscribed to.
+        let is_kept = self.reader.is_some();
+        self.news.board.send_modify(|board| {
+            board.listed(listing);
+            if !is_kept {
+                board.forget_listing();
+            }
+        });
         self.news.controller.tell(ControllerEvent::Listed(batch));
     }
 
-    /// Several sources tell the same changes, each in answers of its own: what ends with a known revision is known, and
+    /// Several sources tell the same changes, each in answers of its own: what ends with a known position is known, and
     /// what begins after it would leave a gap.
     fn changes(&mut self, from: Source, changes: Changes, batch: UpdateBatch) -> bool {
         if from == Source::Publisher {
             self.set_sound(true);
         }
-        let Some(known) = self.revision else {
+        let Some(known) = self.position else {
             return false;
         };
         if changes.after > known {
@@ -148,15 +178,16 @@
             }
             return true;
         }
-        if changes.revision <= known {
-            if from == Source::Publisher {
+        if changes.until <= known {
+            // An answer of an earlier era does not show that what is known is fresh.
+            if from == Source::Publisher && changes.until.era == known.era {
                 self.news
                     .controller
                     .tell(ControllerEvent::PublisherAnswered);
             }
             return false;
         }
-        self.revision = Some(changes.revision);
+        self.position = Some(changes.until);
         self.news.board.send_modify(|board| board.push(changes));
         self.news.controller.tell(ControllerEvent::News(batch));
         false
@@ -205,7 +236,7 @@
             });
         match (wanted, &self.reader) {
             (true, None) => {
-                info!(self.news.log, "reads the publisher"; "revision" => self.revision);
+                info!(self.news.log, "reads the publisher"; "revision" => self.position.map(|known| known.revision));
                 let reader = StoreReader {
                     longest_pause: self.longest_pause.subscribe(),
                     cfg: self.news.cfg,
@@ -215,13 +246,14 @@
                     log: self.news.log.clone(),
                     tx: self.tx.clone(),
                 };
-                let task = tokio::spawn(reader.run(self.revision));
+                let task = tokio::spawn(reader.run(self.position));
                 self.reader = Some(Listening(task.abort_handle()));
             }
             (false, Some(_)) => {
                 info!(self.news.log, "hears the publisher's news from others"; "sources" => self.following.len());
                 self.reader = None;
                 self.set_sound(false);
+                self.news.board.send_modify(Board::forget_listing);
             }
             (true, Some(_)) | (false, None) => {}
         }
@@ -229,7 +261,7 @@
 
     fn follow(&mut self, plan: &ReadingPlan) {
         self.following.retain(|node, _| plan.follow.contains(node));
-        let Some(revision) = self.revision else {
+        let Some(position) = self.position else {
             return;
         };
         for node in &plan.follow {
@@ -238,7 +270,7 @@
             }
             let follow = Follow {
                 peer: SocketAddr::new(*node, self.news.peers_port),
-                revision,
+                position,
                 links: self.news.links.clone(),
                 publisher: Arc::clone(&self.news.publisher),
                 tx: self.tx.clone(),
