What a store's older copy says of an instance does not outweigh what is known

Cause: the first list of a new era was believed as any list. It says of an instance that has said that it leaves that it is ready, it has instances that have ended since, and it lacks those that came in the lost seconds; so a leaving one was taken back into use, an ended one got requests, and a living one was dropped. Read in the code and shown by the three tests; in the records the leaving instance had left after the store's return.

Change: such a list is taken in by Fleet::restore.

Evidence: an_instance_that_leaves_is_not_taken_back_from_a_copy (29 requests before), an_instance_that_has_ended_is_not_taken_back_from_a_copy (30) and an_instance_that_the_copy_lacks_is_used_until_it_has_had_time_to_come_back failed before and pass.

--- a/crates/core/src/mesh.rs
+++ b/crates/core/src/mesh.rs
@@ -25,6 +25,7 @@
 mod queue_timeout;
 mod readers;
 mod refusal;
+mod restored;
 mod retry_budget;
 mod route;
 mod route_table;
--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -11,6 +11,7 @@
 
 use super::lapsed::Lapsed;
 use super::publisher_health::PublisherHealth;
+use super::restored::Restored;
 use crate::collections::{FastHasher, Map, Set};
 use crate::id::{DomainName, ServiceName};
 use crate::mesh::{
@@ -64,6 +65,7 @@
     by_service: Map<ServiceName, Vec<InstanceKey>>,
     publisher: PublisherHealth,
     lapsed: Lapsed,
+    restored: Restored,
 }
 
 impl Fleet {
@@ -77,6 +79,7 @@
             by_service: Map::default(),
             publisher: PublisherHealth::Sound,
             lapsed: Lapsed::default(),
+            restored: Restored::default(),
         }
     }
 
@@ -94,9 +97,13 @@
         if self.is_superseded(&instance) {
             return PutEffect::Same;
         }
+        self.restored.written(&instance.id);
         let Some(key) = self.by_id.get(&instance.id).copied() else {
             let older = self.by_address.get(&instance.address).copied();
             let ended = older.and_then(|key| self.remove(key));
+            if let Some(id) = &ended {
+                self.restored.ended(id.clone(), now);
+            }
             self.insert(instance, member_state, cold_until);
             return ended.map_or(PutEffect::Changed, PutEffect::Superseded);
         };
@@ -134,7 +141,9 @@
 
     /// Takes in that an entry was removed.
     pub fn gone(&mut self, id: &str, now: Instant) -> GoneEffect {
+        self.restored.removed(id);
         let Some(key) = self.by_id.get(id).copied() else {
+            self.restored.ended(SmolStr::new(id), now);
             return GoneEffect::Unknown;
         };
         let member = &mut self.members[key];
@@ -150,6 +159,7 @@
         }
         let instance = member.instance.clone();
         self.remove(key);
+        self.restored.ended(SmolStr::new(id), now);
         if unannounced {
             self.lapsed.add(instance, now);
         }
@@ -190,7 +200,11 @@
     pub fn replace_all(&mut self, listed: Vec<Instance>, now: Instant) -> Vec<SmolStr> {
         let ids: Set<SmolStr> = listed.iter().map(|instance| instance.id.clone()).collect();
         let mut ended = Vec::new();
+        self.restored.keep_doubts_of(&ids);
         for instance in listed {
+            if self.restored.is_doubted(&instance) {
+                continue;
+            }
             if let PutEffect::Superseded(older) = self.put(instance, now) {
                 ended.push(older);
             }
@@ -205,6 +219,41 @@
         ended
     }
 
+    /// Takes in the list of a publisher that has come back from an older copy. Returns the ids of instances that ended.
+    ///
+    /// What the copy lacks, instances write again; who has said that it leaves, or has ended, does not come back by it.
+    pub fn restore(&mut self, listed: Vec<Instance>, now: Instant) -> Vec<SmolStr> {
+        self.absences_count_from(now);
+        let (doubted, believed): (Vec<Instance>, Vec<Instance>) = listed
+            .into_iter()
+            .partition(|instance| self.is_older_word(instance, now));
+        let leaving = doubted.iter().filter_map(|doubted| {
+            let key = self.by_id.get(&doubted.id)?;
+            let known = &self.members[*key].instance;
+            known.leaving.then(|| known.clone())
+        });
+        let listed = leaving.chain(believed).collect();
+        let ended = self.replace_all(listed, now);
+        let until = now + self.cfg.copy_hold;
+        for instance in doubted {
+            self.restored.doubt(instance, until);
+        }
+        ended
+    }
+
+    /// Whether an entry says less than what is known of its instance.
+    fn is_older_word(&self, instance: &Instance, now: Instant) -> bool {
+        let known = self.by_id.get(&instance.id);
+        match known.map(|key| &self.members[*key]) {
+            Some(member) => {
+                member.member_state != MemberState::Ready
+                    && !instance.leaving
+                    && !is_another_start(instance, &member.instance)
+            }
+            None => self.restored.has_ended(&instance.id, now),
+        }
+    }
+
     /// The publisher does not answer as it should.
     pub fn publisher_lost(&mut self) {
         self.publisher = PublisherHealth::Troubled;
@@ -212,9 +261,13 @@
 
     /// The publisher answers again.
     pub fn publisher_back(&mut self, now: Instant) {
-        if self.publisher != PublisherHealth::Troubled {
-            return;
+        if self.publisher == PublisherHealth::Troubled {
+            self.absences_count_from(now);
         }
+    }
+
+    /// Gives every entry that is missing its time to come back.
+    fn absences_count_from(&mut self, now: Instant) {
         self.publisher = PublisherHealth::BackSince(now);
         let until = now + self.cfg.lapse_hold;
         for member in self.members.values_mut() {
@@ -237,9 +290,17 @@
             .filter(|(_, member)| over(member))
             .map(|(key, _)| key)
             .collect();
-        keys.into_iter()
+        let ended: Vec<SmolStr> = keys
+            .into_iter()
             .filter_map(|key| self.remove(key))
-            .collect()
+            .collect();
+        for id in &ended {
+            self.restored.ended(id.clone(), now);
+        }
+        for instance in self.restored.tick(now) {
+            self.put(instance, now);
+        }
+        ended
     }
 
     /// The best instance of a service outside `tried`.
--- a/crates/node/src/mesh/controller/news.rs
+++ b/crates/node/src/mesh/controller/news.rs
@@ -28,8 +28,9 @@
         self.after_news();
     }
 
-    /// Takes in everything published: instances that it lacks have been removed meanwhile.
+    /// Takes in everything published: instances that it lacks have been removed meanwhile, unless it is an older copy.
     pub(super) fn listed(&mut self, batch: UpdateBatch) {
+        let era = batch.position.era;
         self.publisher_answered();
         self.log_faults(&batch);
         let mut instances = Vec::new();
@@ -40,7 +41,13 @@
             }
         }
         let now = self.clock.now();
-        for id in self.fleet.replace_all(instances, now) {
+        let came_back = self.era.is_some_and(|known| known < era);
+        self.era = Some(era);
+        let ended = match came_back {
+            true => self.fleet.restore(instances, now),
+            false => self.fleet.replace_all(instances, now),
+        };
+        for id in ended {
             self.ended(id, "not listed");
         }
         self.after_news();
--- a/crates/node/src/mesh/controller/state.rs
+++ b/crates/node/src/mesh/controller/state.rs
@@ -8,7 +8,7 @@
 use coltsfootport_core::collections::Map;
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{
-    CallerLimits, Drain, DrainConfig, Fleet, FleetConfig, GateConfig, MeshConfig, RetryBudget,
+    CallerLimits, Drain, DrainConfig, Era, Fleet, FleetConfig, GateConfig, MeshConfig, RetryBudget,
     RetryBudgetConfig, Shedder, ShedderConfig, Split, TargetGate, Ticket,
 };
 use coltsfootport_core::quarantine::QuarantineConfig;
@@ -117,6 +117,8 @@
     pub(super) quarantine: Quarantine,
     pub(super) findings: mpsc::UnboundedSender<FindingsMessage>,
     pub(super) left: VecDeque<SmolStr>,
+    /// Era of the last list.
+    pub(super) era: Option<Era>,
     pub(super) publisher_answered: Option<Instant>,
     pub(super) publisher_sound: bool,
     /// Set by the first signal to stop.
@@ -161,6 +163,7 @@
             quarantine: Quarantine::new(cfg.quarantine),
             findings,
             left: VecDeque::new(),
+            era: None,
             publisher_answered: None,
             publisher_sound: false,
             drain: None,
