Soak: the store comes back from older copies

Up to two returns a run, of one to seven changes, which are written again in another order up to 1.5 s later unless their keys were written anew; the promises are checked without an excuse for it.

--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -112,6 +112,13 @@
         /// How long.
         ms: u64,
     },
+    /// The store comes back from an older copy; what it has lost is written again after a while.
+    GoBack {
+        /// Changes that the copy lacks.
+        lost: usize,
+        /// Time until they are written again.
+        again_ms: u64,
+    },
     /// The process of a target ends and is back after a while.
     CrashTarget {
         /// The machine.
@@ -167,6 +174,7 @@
             strikes.push(Timed { at_ms, strike });
         }
         add_crashes(&mut strikes, seed, seconds, machines);
+        add_returns(&mut strikes, seed, seconds);
         Self {
             seed,
             seconds,
@@ -179,12 +187,7 @@
 /// Adds crashes of targets, drawn by themselves so that the other strikes of a seed stay as they are.
 fn add_crashes(strikes: &mut Vec<Timed>, seed: u64, seconds: u64, machines: usize) {
     let mut rng = SmallRng::seed_from_u64(!seed);
-    let mut add = |at_ms: u64, strike: Strike| {
-        let is_taken = |at_ms| strikes.iter().any(|timed| timed.at_ms == at_ms);
-        let free = (at_ms..).find(|at_ms| !is_taken(*at_ms));
-        let at_ms = free.unwrap_or(at_ms);
-        strikes.push(Timed { at_ms, strike });
-    };
+    let mut add = |at_ms: u64, strike: Strike| add_at(strikes, at_ms, strike);
     for request in 0..rng.random_range(1..3) {
         let strike = Strike::Crashing {
             request,
@@ -203,6 +206,29 @@
     strikes.sort_by_key(|timed| timed.at_ms);
 }
 
+/// Adds returns of the store from older copies, drawn by themselves as well.
+fn add_returns(strikes: &mut Vec<Timed>, seed: u64, seconds: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32) ^ 1);
+    for _ in 0..rng.random_range(0..3) {
+        let strike = Strike::GoBack {
+            lost: rng.random_range(1..8),
+            again_ms: rng.random_range(0..1500),
+        };
+        add_at(strikes, rng.random_range(0..seconds * 1000), strike);
+    }
+    strikes.sort_by_key(|timed| timed.at_ms);
+}
+
+/// Adds a strike at the first free moment from `at_ms` on.
+fn add_at(strikes: &mut Vec<Timed>, at_ms: u64, strike: Strike) {
+    let is_taken = |at_ms| strikes.iter().any(|timed| timed.at_ms == at_ms);
+    let free = (at_ms..).find(|at_ms| !is_taken(*at_ms));
+    strikes.push(Timed {
+        at_ms: free.unwrap_or(at_ms),
+        strike,
+    });
+}
+
 fn draw(rng: &mut SmallRng, machines: usize) -> Strike {
     let machine = rng.random_range(0..machines);
     let ms = rng.random_range(200..2500);
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -255,6 +255,11 @@
                 };
                 self.wire(machine, wire, faults, ms, from).await;
             }
+            Strike::GoBack { lost, again_ms } => {
+                let lost = self.store.go_back(lost);
+                sleep(time(again_ms)).await;
+                self.store.write_again(lost);
+            }
             Strike::CrashTarget { machine, down_ms } => {
                 self.machines[machine].worker.crash(time(down_ms));
                 sleep(time(down_ms)).await;
