Only an answer that shows the end of a run clears a suspect

Cause (by reading, before anybody saw it): an answer at the time limit, or one that says that the request did not run, cleared a request for 30 s, so that its caller could keep it out of quarantine with a short limit or without an id. Also, a host that refused a suspect counted as failed, and one whose target had crashed was tried again at once.

Change: an answer clears below 500, whole, and without the mark of a request that has not run. A crash counts as a target that is gone, a refused suspect as nothing.

--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -120,6 +120,15 @@
     pub body: Body,
 }
 
+impl TargetAnswer {
+    /// Whether the target has run the request to its end and is none the worse for it; an answer at the time limit, or one in
+    /// place of a run, does not show that.
+    pub fn ended_well(&self, not_run: &str) -> bool {
+        let is_whole = matches!(self.body, Body::Whole(_));
+        is_whole && !self.status.is_server_error() && !self.headers.contains_key(not_run)
+    }
+}
+
 /// Why a host has no answer of its target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refused {
--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -195,7 +195,7 @@
 
     async fn replied(&mut self, reply: HostReply, mut guard: SendGuard) -> Step {
         let HostReply { result, report } = reply;
-        if matches!(&result, Ok(answer) if matches!(answer.body, Body::Whole(_))) {
+        if matches!(&result, Ok(answer) if answer.ended_well(self.entry.dialect.not_run)) {
             guard.answered_whole();
         }
         match result {
@@ -215,12 +215,14 @@
 
     async fn refused(&mut self, refused: Refused, report: Report, guard: SendGuard) -> Step {
         let outcome = match refused.refusal {
+            _ if report.finding.is_some() => SendOutcome::TargetGone,
             Refusal::Busy => SendOutcome::HostBusy,
             Refusal::Stopping => SendOutcome::HostStopping,
             Refusal::NoInstance | Refusal::WrongInstance => SendOutcome::TargetGone,
             Refusal::ExpiredUnsent | Refusal::CallerGone | Refusal::Expired => {
                 SendOutcome::Abandoned
             }
+            Refusal::CrashesTargets | Refusal::Isolated => SendOutcome::Abandoned,
             _ => SendOutcome::Failed,
         };
         guard.end(outcome, Some(report));
--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -106,8 +106,7 @@
     async fn at_target(&self, mut req: HostedRequest, grace: Duration) -> Ran {
         match self.exchanged(&mut req, grace).await {
             Ok(exchanged) => {
-                let is_whole = matches!(exchanged.answer.body, Body::Whole(_));
-                let end = match is_whole && !exchanged.not_run {
+                let end = match exchanged.answer.ended_well(self.dialect.not_run) {
                     true => RunEnd::Answered,
                     false => RunEnd::Other,
                 };
