--- a/crates/core/tests/mesh_fleet.rs
+++ b/crates/core/tests/mesh_fleet.rs
@@ -77,9 +77,7 @@
 
 const WELL: SendOutcome = SendOutcome::Answered { relative: 1.0 };
 
-/// Symptom: most requests of a service are moved once or twice and then refused although half of its hosts are free.
-/// Sequence: a host stops gracefully; it refuses requests at once; its entry sees no load there and sends it more.
-/// Cause: a refusal without the target's part said nothing about the host.
+/// A host that stops refuses at once and looks idle: it drew most requests of its service.
 #[test]
 fn a_stopping_host_draws_no_requests() {
     let mut bench = Bench::new(&["i-a", "i-b", "i-c"]);
@@ -90,9 +88,7 @@
     assert!(went <= 5, "{went} of 100 went to the stopping host");
 }
 
-/// Symptom: requests are answered 503 for a second after an address was given to another service.
-/// Sequence: an instance crashes; another one has its address; the list still names the old one, which is refused at once.
-/// Cause: an instance that is gone answers faster than any that works.
+/// An address that belongs to another service answers at once that it is wrong: it drew requests for a second.
 #[test]
 fn an_instance_that_is_gone_draws_no_requests() {
     let mut bench = Bench::new(&["i-a", "i-b", "i-c"]);
@@ -187,9 +183,7 @@
     ListedWithout,
 }
 
-/// Symptom: the instances of a service vanish while they serve.
-/// Sequence: the publisher is away; leases of living instances run out; its list comes back without them and is believed.
-/// Cause: an entry that lapsed during an outage says nothing until its instance had time to write it again.
+/// Leases that run out during an outage of the publisher: living instances were taken as gone at its return.
 #[test]
 fn entries_that_lapse_during_an_outage_are_held() {
     use Event::{Back, Gone, Leaving, ListedWithout, Lost, Pass, Relisted};
@@ -277,9 +271,7 @@
     }
 }
 
-/// Symptom: for seconds after a loss of power of all machines, most requests are refused as sent to the wrong instance.
-/// Sequence: every target starts again at its address with a new id; the old entries stay until their leases run out.
-/// Cause: an entry was believed although another process has its address.
+/// Targets that start again under new ids while their old entries still stand: requests went to the old ids.
 #[test]
 fn an_address_belongs_to_its_newest_instance() {
     let address = instance("i-a").address;
@@ -307,9 +299,7 @@
     }
 }
 
-/// Symptom: the log calls an instance lapsed that has ended for good, and a late request for it goes to its successor's queue.
-/// Sequence: its address is given to a new instance; its own entry is removed seconds later.
-/// Cause: the fleet dropped the older instance without telling, so its end was never noted.
+/// An instance whose address was given to another one: its end was never noted, and late requests went to its successor.
 #[test]
 fn the_end_of_a_superseded_instance_is_told_once() {
     let mut bench = Bench::new(&["i-a", "i-b"]);
@@ -343,10 +333,7 @@
     assert_eq!(ended, ["i-a"]);
 }
 
-/// Symptom: in a surge one of four instances of a service has 230 requests in its queue, three idle, and a third is served.
-/// Sequence: a third of the machines is cut off from the publisher, not from the other nodes; the entries of the targets
-/// beside them lapse; the other nodes take them as gone.
-/// Cause: a removed entry was read as an instance that has ended, whatever its own node says.
+/// Machines that are cut off from the publisher only: their targets were taken as ended, and the rest got all the load.
 #[test]
 fn an_instance_whose_node_is_cut_off_is_used_without_its_entry() {
     enum Event {
@@ -465,9 +452,7 @@
     }
 }
 
-/// Symptom: a target that has started again gets nothing for seconds, or the load of its earlier start counts against it.
-/// Sequence: it crashes with requests in progress and starts again under the id that it had.
-/// Cause: an instance was its id alone, so what was learnt of the earlier start held for the new one.
+/// A target that starts again under its id: load and failures of its earlier start counted against it.
 #[test]
 fn a_new_start_under_an_old_id_is_a_new_instance() {
     let born = |at: u64| Instance {
--- a/crates/core/tests/mesh_readers.rs
+++ b/crates/core/tests/mesh_readers.rs
@@ -118,10 +118,7 @@
     }
 }
 
-/// Symptom: a node handles requests by an old configuration for seconds while its store is in good health.
-/// Sequence: the node that it hears the news from is cut off from the store, or is killed, just before a change.
-/// Cause: one source alone says nothing when it hears nothing. With two, and reading for itself while one of them is
-/// missing, a node has the news.
+/// A single source that is lost or cut off just before a change: its follower heard nothing of the change.
 #[test]
 fn a_node_reads_for_itself_while_a_source_is_missing() {
     let all = view(&[1, 2, 3]);
@@ -153,9 +150,7 @@
     assert_eq!(bench.plan(&all, 0).follow, [ip(1), ip(2)]);
 }
 
-/// Symptom: at each change of a domain's oldest instance all its nodes read the store for a second.
-/// Sequence: that instance leaves, another one is appointed, and everyone who followed the first changes over.
-/// Cause: a source was left although it still told the news.
+/// A source that is not appointed any more but still reads: all its followers left it and read for themselves.
 #[test]
 fn a_sound_source_is_kept_when_others_are_appointed() {
     let mut bench = Bench::new();
@@ -220,9 +215,7 @@
     assert!(fleet.readers_view(ip(1), &large).appointed, "next in age");
 }
 
-/// Symptom: a starting fleet asks the store more in ten seconds than in the minute after.
-/// Sequence: entries are written one after the other; nodes that have found their sources go on reading beside them.
-/// Cause: a node waited for its sources to prove themselves, as after a loss, although none had been lost.
+/// A starting fleet whose nodes went on reading beside sources that had never been lost.
 #[test]
 fn a_starting_node_stops_reading_as_soon_as_it_is_covered() {
     // Nobody else can be followed.
@@ -295,9 +288,7 @@
     }
 }
 
-/// Symptom: while the store turns away a third of the nodes, half of the fleet asks it.
-/// Sequence: a source says that it does not hear the store, and others do.
-/// Cause: it was kept, since it was still appointed; its followers read for themselves beside it.
+/// A source that does not hear the store was kept, and its followers read beside it.
 #[test]
 fn a_source_that_does_not_hear_the_store_is_left_for_one_that_may() {
     let all = view(&[1, 2, 3]);
--- a/crates/node/tests/mesh_journal.rs
+++ b/crates/node/tests/mesh_journal.rs
@@ -90,9 +90,7 @@
     metrics.lines_dropped.get()
 }
 
-/// Symptom: under overload a node spends more on lines about refusals than on requests.
-/// Sequence: each of thousands of refused requests a second writes a line.
-/// Cause: nothing bounded the lines. What is left out must be told, or a reader counts wrongly.
+/// A line for each of thousands of refusals a second: a node spent more on them than on requests.
 #[test]
 fn lines_above_the_rate_are_counted_and_told() {
     let (out, rx) = sink();
@@ -127,9 +125,7 @@
     }
 }
 
-/// Symptom: all requests of a node stand still when the reader of its log does.
-/// Sequence: the pipe behind standard output is full; a task that writes a line waits for room.
-/// Cause: lines were written by the tasks that serve requests.
+/// A full pipe behind standard output: tasks that serve requests waited for room in it.
 #[test]
 fn a_log_that_nobody_reads_blocks_no_request() {
     let out = Stalled::default();
