--- a/crates/core/src/quarantine/config.rs
+++ b/crates/core/src/quarantine/config.rs
@@ -16,11 +16,11 @@
     pub refuse_for: Duration,
     /// How long crashes count after the latest one, or after the end of a refusal.
     pub retention: Duration,
-    /// How long a request that was answered is beyond suspicion. Longer than a crash takes to be known everywhere.
+    /// How long an answered request is not suspected again. Longer than a crash takes to be known on every node.
     pub cleared_for: Duration,
     /// Requests that are remembered at most.
     pub most_records: usize,
-    /// How long news that no decision waits for are collected before they are spread.
+    /// How long findings that change no decision are batched before they are sent to other nodes.
     pub spread_after: Duration,
 }
 
--- a/crates/core/src/quarantine/register.rs
+++ b/crates/core/src/quarantine/register.rs
@@ -20,7 +20,7 @@
     evidence: Evidence,
     /// Of the latest crash, or of the answer.
     at: Instant,
-    /// Since when other nodes are to be told of it.
+    /// Since when it waits to be sent to other nodes.
     untold_since: Option<Instant>,
 }
 
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Takes in what another node knows; `true` where it was new.
+    /// Merges the finding of another node; `true` where it was new.
     pub fn hear(&mut self, finding: &Finding, now: Instant) -> bool {
         let at = now.checked_sub(finding.age).unwrap_or(now);
         let told = Record {
@@ -115,8 +115,8 @@
         is_new
     }
 
-    /// What other nodes are to be told now, at most so many findings: at once where it changes how a request is handled,
-    /// after a while for the rest.
+    /// The findings to send to other nodes now, at most so many: at once where a finding changes how a request is handled,
+    /// otherwise after [`QuarantineConfig::spread_after`].
     pub fn take_untold(&mut self, most: usize, now: Instant) -> Vec<Finding> {
         let is_due = |record: &Record| {
             let waited = record
@@ -139,7 +139,7 @@
         taken.collect()
     }
 
-    /// What is known, the latest first and at most so many, where it differs from what `digest` stands for.
+    /// The latest findings, at most so many, for a node with this digest; none where both know the same.
     pub fn unlike(&self, digest: u64, most: usize, now: Instant) -> Vec<Finding> {
         if digest == self.digest() {
             return Vec::new();
--- a/crates/node/src/mesh/controller/quarantine.rs
+++ b/crates/node/src/mesh/controller/quarantine.rs
@@ -23,10 +23,10 @@
 /// When a request is to come back that found too many others waiting.
 const RETRY_AFTER_ISOLATED: Duration = Duration::from_millis(500);
 
-/// Nodes that each node tells what is new to it. All but one in some hundred hear of it within a few rounds.
+/// Peers that a node sends new findings to. They forward them, so nearly all nodes have them within a few rounds.
 const FAN_OUT: usize = 6;
 
-/// Time between two questions to other nodes, for what was not heard: after a start, a cut, or by chance.
+/// Time between two pulls from a random peer, which bring what pushes have missed: after a start, a partition, or by chance.
 const PULL_INTERVAL: Duration = Duration::from_millis(1000);
 
 /// The quarantine of one node.
@@ -223,7 +223,7 @@
         register.unlike(digest, MOST_FINDINGS, self.clock.now())
     }
 
-    /// Lets time pass: tells other nodes what is new, and asks one of them from time to time.
+    /// Lets time pass: pushes new findings to peers, and pulls from one of them from time to time.
     pub(super) fn tend_quarantine(&mut self, now: Instant) {
         let was_pulled = self.quarantine.pulled;
         self.quarantine.register.tick(now);
--- a/crates/node/src/mesh/findings.rs
+++ b/crates/node/src/mesh/findings.rs
@@ -1,4 +1,4 @@
-//! The task that tells other nodes which requests crash targets, and asks them.
+//! The task that exchanges findings about requests that crash targets with other nodes: pushes of what is new, pulls of the rest.
 
 use std::net::{IpAddr, SocketAddr};
 
