--- a/crates/rig/src/soak/machine.rs
+++ b/crates/rig/src/soak/machine.rs
@@ -55,6 +55,9 @@
     )
 }
 
+/// Settings by which a fleet of any size shares the reading of the store.
+const SHARES_READING: &str = r#", "direct_ratio": 0"#;
+
 /// Time that a target works on a request.
 const WORK: Duration = Duration::from_millis(8);
 
@@ -89,6 +92,7 @@
         peers_port: u16,
         store: &Store,
         folder: &Path,
+        shares_reading: bool,
     ) -> Result<Self, RigError> {
         let outer = format!("127.0.2.{}", at + 1);
         let inner = format!("127.0.3.{}", at + 1);
@@ -137,7 +141,10 @@
             ready: address(&inner, free_port()?)?,
             peers,
             store: end(Wire::Store)?,
-            publisher: "",
+            publisher: match shares_reading {
+                true => SHARES_READING,
+                false => "",
+            },
         });
         let settings = folder.join(format!("node-{at}.jsonc"));
         fs::write(&settings, text)?;
--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -155,10 +155,15 @@
     pub seconds: u64,
     /// Number of machines.
     pub machines: usize,
+    /// Whether few nodes read the store and the others hear from them, as in a large fleet.
+    pub shares_reading: bool,
     /// The strikes in their order.
     pub strikes: Vec<Timed>,
 }
 
+/// One seed in so many is run with shared reading of the store.
+const SHARED_READING: u64 = 2;
+
 impl SoakPlan {
     /// The plan of a seed. Strikes follow each other faster than they end, so that they overlap.
     pub fn of_seed(seed: u64, seconds: u64, machines: usize) -> Self {
@@ -179,6 +184,7 @@
             seed,
             seconds,
             machines,
+            shares_reading: seed % SHARED_READING == 0,
             strikes,
         }
     }
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -123,7 +123,7 @@
         let peers = free_port()?;
         let (mut machines, mut nodes) = (Vec::new(), Vec::new());
         for at in 0..plan.machines {
-            let machine = Machine::prepare(at, peers, &store, folder).await?;
+            let machine = Machine::prepare(at, peers, &store, folder, plan.shares_reading).await?;
             nodes.push(AsyncMutex::new(Running::start(&machine)?));
             machines.push(machine);
         }
