--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -123,7 +123,7 @@
         let peers = free_port()?;
         let (mut machines, mut nodes) = (Vec::new(), Vec::new());
         for at in 0..plan.machines {
-            let machine = Machine::prepare(at, peers, &store, folder).await?;
+            let machine = Machine::prepare(at, peers, &store, folder, plan.shares_reading).await?;
             nodes.push(AsyncMutex::new(Running::start(&machine)?));
             machines.push(machine);
         }
@@ -255,6 +255,11 @@
                 };
                 self.wire(machine, wire, faults, ms, from).await;
             }
+            Strike::GoBack { lost, again_ms } => {
+                let lost = self.store.go_back(lost);
+                sleep(time(again_ms)).await;
+                self.store.write_again(lost);
+            }
             Strike::CrashTarget { machine, down_ms } => {
                 self.machines[machine].worker.crash(time(down_ms));
                 sleep(time(down_ms)).await;
