--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -184,7 +184,7 @@
             seed,
             seconds,
             machines,
-            shares_reading: seed % SHARED_READING == 0,
+            shares_reading: seed.is_multiple_of(SHARED_READING),
             strikes,
         }
     }
