Quotas: what entries and homes decide, logged once a second and counted

The logs told which requests were refused, but not what the admitted ones went by, nor what homes took in, so the three readings of the fault could not be told apart.

Entries now log 'quota decisions' (admitted by verdicts, without one, while starting, alone; refused) and homes 'quota given out' (claims, asked, used, saved, share), at most four workspaces a second each; mesh_quota_decisions_total counts by basis.

Within the cut each of the 23 cut-off entries admitted just half of what came (14 of 28 a second): the mean of the shares of two homes, one of which owed 120 to 200 requests (share 0), while the other said 1.0. At 11.5 s, when the entries of cut-off nodes lapsed, the other side got two new homes which began with a full burst.

--- a/crates/core/src/workspace.rs
+++ b/crates/core/src/workspace.rs
@@ -11,7 +11,7 @@
 pub use directory::{Directory, DirectoryError, MAX_KEY_BYTES};
 pub use key_digest::DirectorySecret;
 pub use quota::{
-    EntryQuotas, HomeQuotas, OverQuota, QuotaBound, QuotaClaim, QuotaConfig, QuotaNotice,
-    QuotaRouter, RoutedClaim, Verdict, homes_of,
+    EntryQuotas, HomeQuotas, HomeTally, OverQuota, QuotaBasis, QuotaBound, QuotaClaim, QuotaConfig,
+    QuotaNotice, QuotaRouter, QuotaTally, RoutedClaim, Verdict, homes_of,
 };
 pub use spec::{Quota, Workspace, WorkspaceSpec};
--- a/crates/core/src/workspace/quota.rs
+++ b/crates/core/src/workspace/quota.rs
@@ -11,9 +11,11 @@
 mod home;
 mod homes;
 mod routing;
+mod tally;
 
 pub use bound::QuotaBound;
 pub use entry::{EntryQuotas, OverQuota, QuotaClaim, QuotaConfig};
 pub use home::{HomeQuotas, Verdict};
 pub use homes::homes_of;
 pub use routing::{QuotaNotice, QuotaRouter, RoutedClaim};
+pub use tally::{HomeTally, QuotaBasis, QuotaTally};
--- a/crates/core/src/workspace/quota/entry.rs
+++ b/crates/core/src/workspace/quota/entry.rs
@@ -6,7 +6,7 @@
 
 use super::accounts::account_of;
 use super::homes::HOMES;
-use super::{QuotaBound, Verdict};
+use super::{QuotaBasis, QuotaBound, QuotaTally, Verdict};
 use crate::collections::Map;
 use crate::workspace::Quota;
 
@@ -90,6 +90,8 @@
     /// Requests that may run by a bucket of the entry's own.
     tokens: f64,
     at: Instant,
+    /// Decisions since they were last read.
+    tally: QuotaTally,
 }
 
 /// Time after which an entry that has reached no home of a workspace asks again. Without it an entry that is cut off asked all
@@ -140,11 +142,20 @@
             ..quota
         };
         let unheard = careful && account.share(&cfg, now).is_none();
-        let admitted = match (account.alone, unheard) {
-            (true, _) => account.bucket(few, cfg.bound.alone() / nodes, passed, phase),
-            (false, true) => account.bucket(few, 1.0 / nodes, passed, phase),
-            (false, false) => account.by_share(&cfg, now),
+        let basis = match (account.alone, unheard) {
+            (true, _) => QuotaBasis::Alone,
+            (false, true) => QuotaBasis::Starting,
+            (false, false) => match account.share(&cfg, now) {
+                Some(_) => QuotaBasis::Verdicts,
+                None => QuotaBasis::NoVerdict,
+            },
         };
+        let admitted = match basis {
+            QuotaBasis::Alone => account.bucket(few, cfg.bound.alone() / nodes, passed, phase),
+            QuotaBasis::Starting => account.bucket(few, 1.0 / nodes, passed, phase),
+            QuotaBasis::Verdicts | QuotaBasis::NoVerdict => account.by_share(&cfg, now),
+        };
+        account.tally.count(basis, admitted.is_ok());
         match admitted {
             Ok(()) => {
                 account.used += 1;
@@ -208,6 +219,13 @@
         }
     }
 
+    /// Decisions since the last call, by workspace.
+    pub fn tallies(&mut self) -> impl Iterator<Item = (&SmolStr, QuotaTally)> {
+        let accounts = self.accounts.iter_mut();
+        let taken = accounts.map(|(name, account)| (name, std::mem::take(&mut account.tally)));
+        taken.filter(|(_, tally)| !tally.is_empty())
+    }
+
     /// Forgets workspaces that are not published any more.
     pub fn retain<F>(&mut self, mut keep: F)
     where
@@ -227,6 +245,7 @@
             demand: 0.0,
             tokens: f64::NAN,
             at: now,
+            tally: QuotaTally::default(),
         })
     }
 }
--- a/crates/core/src/workspace/quota/home.rs
+++ b/crates/core/src/workspace/quota/home.rs
@@ -4,10 +4,10 @@
 
 use smol_str::SmolStr;
 
-use super::QuotaBound;
 use super::accounts::account_of;
 use super::demand::Demand;
 use super::homes::HOMES;
+use super::{HomeTally, QuotaBound};
 use crate::collections::Map;
 use crate::workspace::Quota;
 
@@ -82,6 +82,12 @@
     at: Instant,
     /// When all entries were told last.
     told: Option<Instant>,
+    /// Claims, requests asked for and requests let run since they were last read.
+    claims: u32,
+    asked: f64,
+    used: f64,
+    /// The newest verdict.
+    share: f64,
 }
 
 impl HomeQuotas {
@@ -125,6 +131,13 @@
         account.claimed(&self.bound, quota, settled, asked, used, now)
     }
 
+    /// What was taken in since the last call, by workspace.
+    pub fn tallies(&mut self) -> impl Iterator<Item = HomeTally> {
+        let accounts = self.accounts.iter_mut();
+        let claimed = accounts.filter(|(_, account)| account.claims > 0);
+        claimed.map(|(name, account)| account.take_tally(name))
+    }
+
     /// Forgets workspaces that are not published any more.
     pub fn retain<F>(&mut self, mut keep: F)
     where
@@ -143,6 +156,10 @@
             demand: Demand::new(rate * EXPECTED_SHARE, known, now),
             at: began,
             told: None,
+            claims: 0,
+            asked: 0.0,
+            used: 0.0,
+            share: 1.0,
         }
     }
 
@@ -174,8 +191,23 @@
         };
         let allowed = (rate + extra).max(0.0);
         let share = (allowed / self.demand.per_second().max(f64::MIN_POSITIVE)).min(1.0);
+        self.claims += 1;
+        self.asked += asked;
+        self.used += used;
+        self.share = share;
         Verdict { share }
     }
+
+    fn take_tally(&mut self, workspace: &SmolStr) -> HomeTally {
+        HomeTally {
+            workspace: workspace.clone(),
+            claims: std::mem::take(&mut self.claims),
+            asked: std::mem::take(&mut self.asked),
+            used: std::mem::take(&mut self.used),
+            saved: self.saved,
+            share: self.share,
+        }
+    }
 }
 
 /// Time in which so many requests come at a rate; long beyond use where there is hardly any.
--- a/crates/node/src/mesh/controller.rs
+++ b/crates/node/src/mesh/controller.rs
@@ -10,6 +10,7 @@
 mod handle;
 mod news;
 mod quarantine;
+mod quota_report;
 mod quotas;
 mod route_stats;
 mod runs;
--- a/crates/node/src/mesh/controller/state.rs
+++ b/crates/node/src/mesh/controller/state.rs
@@ -112,6 +112,8 @@
     pub(super) entry_quotas: EntryQuotas,
     pub(super) home_quotas: HomeQuotas,
     pub(super) quota_router: QuotaRouter,
+    /// When decisions about quotas were last reported.
+    pub(super) quotas_reported: Instant,
     pub(super) quota_words: mpsc::UnboundedSender<QuotaWord>,
     pub(super) waiting: Map<Ticket, Waiter>,
     pub(super) quarantine: Quarantine,
@@ -158,6 +160,7 @@
             entry_quotas: EntryQuotas::new(cfg.quotas, rng.random(), now),
             home_quotas: HomeQuotas::new(cfg.quotas.bound, now),
             quota_router: QuotaRouter::new(rng.random_range(0..1024)),
+            quotas_reported: now,
             quota_words,
             waiting: Map::default(),
             quarantine: Quarantine::new(cfg.quarantine),
--- a/crates/node/src/mesh/controller/task.rs
+++ b/crates/node/src/mesh/controller/task.rs
@@ -71,6 +71,7 @@
         self.forget_waiters();
         self.tend_quarantine(now);
         self.tell_homes(now);
+        self.report_quotas(now);
         self.gate.update_level(now);
         self.pump(now);
         self.show(now);
--- a/crates/node/src/mesh/metrics.rs
+++ b/crates/node/src/mesh/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use coltsfootport_core::mesh::EntryFault;
+use coltsfootport_core::workspace::QuotaBasis;
 use prometheus::{
     Encoder, Error, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
@@ -21,6 +22,8 @@
     answers: IntCounterVec,
     latency: Histogram,
     repeats: IntCounterVec,
+    /// Decisions about quotas of workspaces, by what they went by and by outcome.
+    quota_decisions: IntCounterVec,
     /// Requests recognised as calls of a run at the own target.
     pub inner: IntCounter,
     /// Requests that were at work at the own target when its process ended unplanned.
@@ -91,6 +94,11 @@
             )?,
             latency,
             repeats: counters("repeats_total", "requests that failed", &["decision"])?,
+            quota_decisions: counters(
+                "quota_decisions_total",
+                "requests counted towards the quota of a workspace",
+                &["basis", "outcome"],
+            )?,
             inner: counter("inner_total", "requests of the own target's runs")?,
             ended_by_crash: counter(
                 "ended_by_crash_total",
@@ -137,6 +145,17 @@
         self.repeats.with_label_values(&[decision]).inc();
     }
 
+    /// Requests were admitted or refused by the quotas of their workspaces.
+    pub fn quota_decided(&self, basis: QuotaBasis, admitted: u32, refused: u32) {
+        for (outcome, requests) in [("admitted", admitted), ("refused", refused)] {
+            if requests > 0 {
+                self.quota_decisions
+                    .with_label_values(&[basis.as_str(), outcome])
+                    .inc_by(u64::from(requests));
+            }
+        }
+    }
+
     /// An entry has turned into one that names no instance.
     pub fn entry_fault(&self, fault: EntryFault) {
         self.entry_faults.with_label_values(&[fault.as_str()]).inc();
