Rig: the client of a fleet gives kept connections up before the nodes do

In some of its failures a caller of a living entry was told nothing where 'unknown' is due.

Cause: the client kept connections for 10 s, the nodes of these tests close them after 0.5 s; a request that crosses the close gets no answer and never reaches the node (nothing in its time line). Ruled out: two fleets that meet at a port, since the time line of the node shows the request before and none after.

The client of a fleet uses a kept connection for four fifths of the nodes' idle time, as our callers do. No check is touched. The reason why no answer came is printed.

--- a/crates/rig/src/fleet/plan.rs
+++ b/crates/rig/src/fleet/plan.rs
@@ -1,8 +1,11 @@
 //! What a fleet consists of.
 
+use std::time::Duration;
+
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 
+use crate::http::Client;
 use crate::process::Output;
 use crate::target;
 
@@ -64,6 +67,16 @@
     }
 }
 
+impl FleetPlan {
+    /// A client that does not use connections which the nodes may be closing at that moment.
+    pub(super) fn client(&self) -> Client {
+        match self.node["limits"]["idle_timeout_ms"].as_u64() {
+            Some(idle_ms) => Client::with_idle_timeout(Duration::from_millis(idle_ms) * 4 / 5),
+            None => Client::default(),
+        }
+    }
+}
+
 impl Default for FleetPlan {
     fn default() -> Self {
         Self {
--- a/crates/rig/src/fleet/running.rs
+++ b/crates/rig/src/fleet/running.rs
@@ -65,7 +65,7 @@
 
     /// Starts the plan with programs from elsewhere, such as an earlier build.
     pub async fn start_with(plan: FleetPlan, programs: Programs) -> Result<Self, RigError> {
-        let client = Client::default();
+        let client = plan.client();
         let keys = FleetKeys::random(&programs.node)?;
         let mut members = BTreeMap::new();
         for service in &plan.services {
--- a/crates/rig/src/http/client.rs
+++ b/crates/rig/src/http/client.rs
@@ -89,6 +89,13 @@
 
 impl Default for Client {
     fn default() -> Self {
+        Self::with_idle_timeout(IDLE_TIMEOUT)
+    }
+}
+
+impl Client {
+    /// A client that does not use a connection again that has been idle for longer.
+    pub fn with_idle_timeout(idle_timeout: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -96,14 +103,12 @@
         // this process, so the target can't see it twice.
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_idle_timeout(idle_timeout.min(IDLE_TIMEOUT))
             .retry_canceled_requests(true)
             .build(connector);
         Self { inner }
     }
-}
 
-impl Client {
     /// Sends a call and reads its whole answer.
     pub async fn send(&self, call: ClientCall) -> Result<ClientAnswer, RigError> {
         let mut req = Request::builder()
--- a/crates/rig/tests/common/bids.rs
+++ b/crates/rig/tests/common/bids.rs
@@ -86,8 +86,12 @@
 impl Told {
     /// What an answer tells.
     pub fn of(answer: &Result<ClientAnswer, RigError>) -> Self {
-        let Ok(answer) = answer else {
-            return Self::Nothing;
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(e) => {
+                eprintln!("no answer: {e}");
+                return Self::Nothing;
+            }
         };
         let header = |name: &str| answer.header(name).map(str::to_owned);
         let error = header("coltsfootport-error").unwrap_or_default();
