A request that came while the node was paused is not dropped with its idle connection

Callers of an entry that was paused for longer than the idle time of their kept connection saw it closed without an answer, with the request at work.

Cause: the listener looks whether bytes wait before it closes an idle connection, but did so in a select beside the connection itself. Polled first, the connection takes the request out of the kernel, nothing is unread, and it is closed. Evidence: time line of a failing run, the entry logs 'received' for the request and nothing after it. What is unread is now looked at before the connection is polled again; begins_soon then sees the request handed on.

The mesh engine's reader (callers/reader.rs) polls the read before the timeout and is not affected.

--- a/crates/node/src/http/listener.rs
+++ b/crates/node/src/http/listener.rs
@@ -176,7 +176,9 @@
         }
         // A process that was paused finds the time over and, in the same moment, a request that came meanwhile. Closing the
         // connection over it would leave its caller without an answer.
-        let begins = async { caller.has_unread() && begins_soon(&mut answered).await };
+        // Looked at before the connection is served again, which reads what is unread.
+        let has_unread = caller.has_unread();
+        let begins = async { has_unread && begins_soon(&mut answered).await };
         let begun = tokio::select! {
             _ = serving.as_mut() => return,
             begun = begins => begun,
