Connections from before a pause of the process are proved before they are used

A bid that waited at a paused entry was answered 'not run' as the entry woke, although the caller waited and the home was well. The answer was true and came with a fresh token; no promise was broken.

Cause, from the time lines of three failing runs, all alike: the entry wakes after 0.75 s, sends try 1 on a connection that had idled out after 0.5 s, loses it 0.9 to 3 ms later, has no retry to spend and therefore has the home refuse number 1 (token_burned attempt=1), 4 ms later. Ruled out by the same lines: a refusal by the second entry that reaches the home after the heal; the caller's end; a time limit.

The task that owns the connections now notices that it has not run for half of the idle time. It then has each connection from before answer a ping before handing it out, and opens a new one otherwise; nothing is sent on the old one. Ways not taken: a free repeat after a quick loss (a call that has run may have been lost quickly too, and idempotent ones would run twice); a timer for each connection.

--- a/crates/node/src/node/base.rs
+++ b/crates/node/src/node/base.rs
@@ -179,7 +179,7 @@
             },
             frame_time: limits.header_timeout,
         };
-        let (hub_task, hub) = Hub::new(endpoint.clone(), services.clone());
+        let (hub_task, hub) = Hub::new(endpoint.clone(), services.clone(), limits.idle_timeout);
         tokio::spawn(hub_task.run());
         tokio::spawn(PeerServer::new(endpoint.clone(), services, hub.clone()).run());
         Ok(Peers {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -4,6 +4,7 @@
 mod hub;
 mod identity;
 mod link;
+mod pause;
 mod server;
 mod tls;
 
--- a/crates/node/src/peers/hub.rs
+++ b/crates/node/src/peers/hub.rs
@@ -8,7 +8,9 @@
 use coltsfootport_core::id::NodeName;
 use quinn::Endpoint;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval};
 
+use super::pause::PauseDetector;
 use super::server::serve_connection;
 use super::{Link, PeerServices};
 use crate::data::HostReport;
@@ -22,6 +24,7 @@
     inbound: Vec<Inbound>,
     hashes: RandomState,
     slots: Map<NodeName, Slot>,
+    pauses: PauseDetector,
     tx: mpsc::UnboundedSender<HubMessage>,
     rx: mpsc::UnboundedReceiver<HubMessage>,
 }
@@ -64,6 +67,8 @@
 enum Slot {
     Opening(SocketAddr, Vec<Waiting>),
     Open(SocketAddr, Link),
+    /// Open before this process was paused; the peer may have given it up since.
+    Unproven(SocketAddr, Link),
     Failed(Failure),
 }
 
@@ -84,12 +89,18 @@
 }
 
 impl Hub {
-    /// The task and its handle; streams that peers open on these connections are served by `services`.
-    pub fn new(endpoint: Endpoint, services: PeerServices) -> (Self, HubHandle) {
+    /// The task and its handle; streams that peers open on these connections are served by `services`. A connection without
+    /// a packet ends after the idle timeout.
+    pub fn new(
+        endpoint: Endpoint,
+        services: PeerServices,
+        idle_timeout: Duration,
+    ) -> (Self, HubHandle) {
         let (tx, rx) = mpsc::unbounded_channel();
         let handle = HubHandle { tx: tx.clone() };
         let slots = Map::default();
         let inbound = Vec::new();
+        let pauses = PauseDetector::new(idle_timeout / 2, services.clock.now());
         (
             Self {
                 endpoint,
@@ -97,6 +108,7 @@
                 inbound,
                 hashes: RandomState::new(),
                 slots,
+                pauses,
                 tx,
                 rx,
             },
@@ -106,7 +118,20 @@
 
     /// Runs until the process ends.
     pub async fn run(mut self) {
-        while let Some(message) = self.rx.recv().await {
+        let mut looks = interval(self.pauses.longest / 2);
+        looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let message = tokio::select! {
+                message = self.rx.recv() => message,
+                _ = looks.tick() => {
+                    self.look_for_pause();
+                    continue;
+                }
+            };
+            let Some(message) = message else {
+                return;
+            };
+            self.look_for_pause();
             match message {
                 HubMessage::Get(node, address, insistence, reply) => {
                     self.get(node, address, insistence, reply);
@@ -139,10 +164,22 @@
         self.inbound.push(Inbound { link, certificate });
     }
 
+    /// Doubts all connections after a pause of this process.
+    fn look_for_pause(&mut self) {
+        if !self.pauses.has_paused(self.services.clock.now()) {
+            return;
+        }
+        for slot in self.slots.values_mut() {
+            if let Slot::Open(address, link) = slot {
+                *slot = Slot::Unproven(*address, link.clone());
+            }
+        }
+    }
+
     /// Tells everybody who has a connection here, in either direction.
     fn tell_all(&self, request: ControlRequest, patience: Duration) {
         let opened = self.slots.values().filter_map(|slot| match slot {
-            Slot::Open(_, link) => Some(link),
+            Slot::Open(_, link) | Slot::Unproven(_, link) => Some(link),
             Slot::Opening(..) | Slot::Failed(_) => None,
         });
         let inbound = self.inbound.iter().map(|inbound| &inbound.link);
@@ -174,11 +211,22 @@
             {
                 let _ = reply.send(None);
             }
-            _ => self.open(node, address, vec![Waiting::first(reply)]),
+            Some(Slot::Unproven(at, link)) if *at == address && !link.is_closed() => {
+                let link = link.clone();
+                self.open(node, address, Some(link), vec![Waiting::first(reply)]);
+            }
+            _ => self.open(node, address, None, vec![Waiting::first(reply)]),
         }
     }
 
-    fn open(&mut self, node: NodeName, address: SocketAddr, waiting: Vec<Waiting>) {
+    /// Opens a connection, unless the one from before still answers.
+    fn open(
+        &mut self,
+        node: NodeName,
+        address: SocketAddr,
+        unproven: Option<Link>,
+        waiting: Vec<Waiting>,
+    ) {
         let failures = match self.slots.get(&node) {
             Some(Slot::Failed(failure)) if failure.address == address => failure.failures,
             _ => 0,
@@ -193,7 +241,10 @@
         );
         let tx = self.tx.clone();
         tokio::spawn(async move {
-            let link = opening.await;
+            let link = match prove(unproven).await {
+                Some(link) => Some(link),
+                None => opening.await,
+            };
             let _ = tx.send(HubMessage::Opened(node, address, link, failures));
         });
     }
@@ -226,7 +277,7 @@
             let again = again
                 .into_iter()
                 .map(|waiting| Waiting::first(waiting.reply));
-            self.open(node, address, again.collect());
+            self.open(node, address, None, again.collect());
         }
     }
 }
@@ -293,6 +344,18 @@
     }
 }
 
+/// The connection, if its peer still answers on it; closed otherwise.
+async fn prove(unproven: Option<Link>) -> Option<Link> {
+    let link = unproven?;
+    match link.control(ControlRequest::Ping, CONNECT_TIME).await {
+        Ok(_) => Some(link),
+        Err(_) => {
+            link.close();
+            None
+        }
+    }
+}
+
 async fn open(
     endpoint: Endpoint,
     node: NodeName,
--- a/crates/rig/tests/not_run.rs
+++ b/crates/rig/tests/not_run.rs
@@ -86,8 +86,31 @@
         let first = first.await.expect("a sending");
         fleet.all_ready().await.expect("a ready fleet");
         assert!(matches!(second, Told::Unknown { .. }), "{name}: {second:?}");
-        let runs = bid.check_at_rest(&fleet, &[first, second], &name).await;
-        assert_eq!(runs, [1], "{name}: try 1 was not kept by the frozen entry");
+        let told = [first, second];
+        let runs = bid.check_at_rest(&fleet, &told, &name).await;
+        assert_eq!(
+            runs,
+            [1],
+            "{name}: try 1 was not kept by the frozen entry; told {told:?}"
+        );
+    }
+}
+
+/// Guards against a bid that is refused or dropped by its entry's waking, though caller and home wait for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bid_that_waited_at_a_frozen_entry_runs() {
+    let mut fleet = fleet(slow(5.0), json!({})).await;
+    let freezes_ms = [200, 490, 510, 600, 750, 1000, 1500];
+    for (serial, freeze_ms) in freezes_ms.into_iter().cycle().take(28).enumerate() {
+        let mut bid = Bid::at(&fleet, HOME, &format!("waited-{serial}")).await;
+        fleet.member_mut(ENTRY_B).freeze().expect("frozen");
+        let sending = bid.send(&fleet, ENTRY_B);
+        sleep(Duration::from_millis(freeze_ms)).await;
+        fleet.member_mut(ENTRY_B).wake().expect("awake");
+        let told = sending.await.expect("a sending");
+        let name = format!("frozen for {freeze_ms} ms");
+        assert!(matches!(told, Told::Ran { .. }), "{name}: {told:?}");
+        assert_eq!(bid.check(&fleet, &[told], &name).await, [1], "{name}");
     }
 }
 
