--- a/crates/core/src/workspace/quota.rs
+++ b/crates/core/src/workspace/quota.rs
@@ -8,6 +8,7 @@
 mod bound;
 mod demand;
 mod entry;
+mod entry_account;
 mod home;
 mod homes;
 mod routing;
--- a/crates/core/src/workspace/quota/demand.rs
+++ b/crates/core/src/workspace/quota/demand.rs
@@ -4,8 +4,8 @@
 
 /// Requests and the time in which they came, both forgotten with the same window.
 ///
-/// Their quotient is right from the first word on. Over a fixed window a home that had just started took a surge for calm until
-/// the window had passed, and let all of it run: with a restart of all nodes within a surge 1.03 of what may run ran.
+/// Their quotient is right from the first claim on; over a fixed window a home that has just started would take a surge for calm
+/// until the window has passed.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Demand {
     requests: f64,
--- a/crates/core/src/workspace/quota/home.rs
+++ b/crates/core/src/workspace/quota/home.rs
@@ -34,13 +34,11 @@
 /// a burst run a moment ago.
 const OWED_AT_START: Duration = Duration::from_millis(500);
 
-/// Share of a quota that a home gives out in its first two windows. What entries let run before the homes know of a surge is not
-/// known any more after a restart; with all nodes started anew twice within a surge up to 1.07 of what may run ran at the whole
-/// quota in one of some thousand cases, and less than all of it with this.
+/// Share of a quota that a home gives out in its first two windows: what entries let run before a restart is not known any more.
 const UNSETTLED_SHARE: f64 = 0.9;
 
-/// Share of requests below which all entries are told, not only those that ask. Without that each entry of a large fleet
-/// would let its first request run: 1,400 of a workspace that may send 282 in a window.
+/// Share of requests below which all entries are told, not only those that ask: each entry of a large fleet would let its first
+/// request run otherwise.
 const TOLD_SHARE: f64 = 0.98;
 
 /// Time between two words to all entries about a workspace. Shorter than a verdict is believed.
--- a/crates/core/src/workspace/quota/homes.rs
+++ b/crates/core/src/workspace/quota/homes.rs
@@ -4,15 +4,15 @@
 
 use crate::collections::FastHasher;
 
-/// Nodes that keep a part of a quota each. With three, the loss of one leaves two thirds, which is more than the usual
-/// demand of a workspace, and a fleet cut in two has homes on both sides more often than not.
+/// Nodes that keep a part of a quota each: the loss of one leaves more than the usual demand of a workspace, and a fleet cut in
+/// two has homes on both sides more often than not.
 pub(super) const HOMES: usize = 3;
 
 /// The homes of a workspace among nodes with these names and failure domains, by rendezvous hashing: where one node goes,
 /// only the workspaces that it was a home of get another one, and all who see the same list agree without a message.
 ///
 /// They lie in different failure domains while there are enough: a domain that is cut off then has its part of the quota with
-/// it. With homes anywhere, one cut in four left all of them on one side, and the other side refused four in five requests.
+/// it.
 ///
 /// The list is the published one, whether its nodes can be reached or not. By reachability each half of a fleet that is cut in
 /// two would make homes for the whole quota of its own.
--- a/crates/core/src/workspace/quota/routing.rs
+++ b/crates/core/src/workspace/quota/routing.rs
@@ -42,8 +42,8 @@
 
 /// The homes of one workspace, each in turn.
 ///
-/// With one turn for all workspaces of an entry, the rhythm of one decided where the other's claims went: all of them to the same
-/// home, which has a third of the quota, so that a workspace at half its quota had two in five requests refused.
+/// With one turn for all workspaces of an entry, the rhythm of one would decide where the other's claims go: all of them to the
+/// same home, which has a third of the quota.
 #[derive(Clone, Debug)]
 struct Turns {
     homes: Vec<IpAddr>,
--- a/crates/core/tests/quota_model/main.rs
+++ b/crates/core/tests/quota_model/main.rs
@@ -19,9 +19,7 @@
 use patterns::{cuts, patterns};
 use scenario::{CUT_PLAYS, Cut, CutKind, Found, PLAYS, Scenario, quota};
 
-/// Symptom: a hot workspace takes the room of all others, or a calm one is refused although it stays within its quota.
-/// Sequence: demand grows by several times within a moment, at all entries, while homes are cut off, lost or start anew.
-/// Cause: no entry sees what the others let run.
+/// Guards against a hot workspace that takes the room of others, and against refusals within a quota.
 #[test]
 fn quotas_hold_over_the_fleet_and_refuse_little_that_is_allowed() {
     let mut failed = Vec::new();
@@ -52,9 +50,7 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
-/// Symptom: a node that is cut off sends words by the hundred, most of them to homes that don't answer.
-/// Sequence: requests of a workspace go on at an entry that reaches none of its homes.
-/// Cause: what could not be told was due again at once.
+/// Guards against a flood of claims from a node that is cut off.
 #[test]
 fn an_entry_that_reaches_no_home_waits_before_it_asks_again() {
     let cfg = QuotaConfig::default();
--- a/crates/core/tests/quota_routing.rs
+++ b/crates/core/tests/quota_routing.rs
@@ -51,10 +51,7 @@
     assert_eq!(counts, [30, 30]);
 }
 
-/// Symptom: a workspace at half its quota has two in five requests refused while another one is hot.
-/// Sequence: at one entry both send in a fixed rhythm, so many claims of the one to each of the other.
-/// Cause: one turn for all workspaces. In some rhythms all claims of the calm one went to the same home, which has a third of the
-/// quota.
+/// Guards against refusals within a quota, where another workspace's claims decide which home is told.
 #[test]
 fn each_workspace_tells_its_homes_in_turn_whatever_others_do() {
     let nodes = nine_nodes();
--- a/crates/rig/tests/not_run.rs
+++ b/crates/rig/tests/not_run.rs
@@ -49,10 +49,7 @@
     Malformed,
 }
 
-// Symptom: a caller hears "not run", and its call runs later.
-// Sequence: try 1 sits in a frozen entry; the caller tries through a second entry, which ends the call by itself; the first
-// entry wakes and sends try 1 on.
-// Cause: the second entry takes what it did not send for what was not sent.
+/// Guards against "not run" from an entry that can't know of a sending which waits at a frozen one.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_does_not_speak_for_another_frozen_one() {
     let mut fleet = fleet(slow(5.0), json!({})).await;
@@ -114,10 +111,7 @@
     }
 }
 
-// Symptom: a call runs for a caller that has long gone and perhaps tried elsewhere.
-// Sequence: an entry is frozen; the request reaches its socket buffer; the caller gives up and closes its connection; the
-// entry wakes.
-// Cause: the entry reads the request before the close behind it.
+/// Guards against a call that runs after its caller has closed the connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_woken_entry_does_not_send_for_a_caller_that_has_gone() {
     let mut fleet = fleet(slow(5.0), json!({})).await;
@@ -142,10 +136,7 @@
     }
 }
 
-// Symptom: a caller hears "not run" from its token's home, and an older sending of its call runs.
-// Sequence: sending 1 waits at the home, or in a frozen entry; sending 2 comes by another entry and is refused; then there
-// is room for sending 1.
-// Cause: the refusal of the second covers the second alone, or is not looked at again before the call goes to the target.
+/// Guards against an older sending that runs after its home has said "not run".
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refusal_by_the_home_covers_older_sendings() {
     let admission = json!({"mode": "static", "initial_limit": 1, "min_limit": 1, "max_limit": 1,
@@ -191,9 +182,7 @@
     }
 }
 
-// Symptom: a bid that was at its target when contact was lost is told "not run".
-// Sequence: the home sleeps with the call in its socket buffer, or with it queued, past the call's deadline, and wakes.
-// Cause: the entry takes the passed deadline for a call that can't run any more.
+/// Guards against "not run" of a bid that was at its target when contact was lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_passed_deadline_is_no_proof() {
     let mut fleet = fleet(slow(5.0), json!({})).await;
@@ -211,9 +200,7 @@
     }
 }
 
-// Symptom: an old token runs a second time, or one is said not to have run that did.
-// Sequence: a bid runs; its token is sent again until and after its record has expired; another token is first sent then.
-// Cause: a forgotten record is taken for a call that never came.
+/// Guards against an expired token that runs a second time, or is said not to have run.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_token_past_its_retention_never_runs() {
     let once = json!({"once": {"retention_ms": 1000, "record_margin_ms": 1000}});
@@ -240,9 +227,7 @@
     );
 }
 
-// Symptom: a call runs under a token that nobody gave out.
-// Sequence: a caller changes single characters of a token, cuts it, or sends it to another service.
-// Cause: a seal that does not cover the whole token, or is not checked.
+/// Guards against a token that nobody gave out.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_forged_token_never_runs() {
     let fleet = fleet(slow(1.0), json!({})).await;
@@ -273,9 +258,7 @@
     assert!(front.iter().all(|counts| counts.started == 0));
 }
 
-// Symptom: a call that was refused for want of room runs later, or a record that can still be replayed is given up.
-// Sequence: the table of the home holds one record; another token comes; both are sent again.
-// Cause: a refusal without a trace, or eviction of the record of a call that ran.
+/// Guards against a refused call that runs later, and against eviction of the record of one that ran.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_full_table_refuses_for_good_and_evicts_nothing() {
     let once = json!({"once": {"capacity": 1}});
@@ -306,9 +289,7 @@
     held.check_at_rest(&fleet, &told, "held").await;
 }
 
-// Symptom: a call with the caller's own key runs at two targets.
-// Sequence: the caller sends the same key through entries that see different lists.
-// Cause: no home of a plain key can be proved; so none is guessed and a token is asked for.
+/// Guards against a call with a caller's own key that runs at two targets.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_plain_key_is_answered_with_a_token() {
     let fleet = fleet(slow(1.0), json!({})).await;
@@ -339,9 +320,7 @@
     }
 }
 
-// Symptom: while a node leaves, callers of bids that ran there hear "unknown" or "not run" in place of their answers.
-// Sequence: a bid has run, another one runs; the home is told to stop; both are sent again; a new one comes.
-// Cause: a leaving node refuses before it looks into its table.
+/// Guards against answers that a leaving node keeps and does not give.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_home_gives_the_answers_that_it_keeps() {
     let node = json!({"shutdown": {"announce_ms": 0}});
@@ -388,9 +367,7 @@
     assert_eq!(new.check(&fleet, &[refused], "new").await, [0; 0]);
 }
 
-// Symptom: shed bids run all the same.
-// Sequence: far more bids than one slot takes; many wait, are shed, expire in the queue or lose their callers.
-// Cause: a call that was given up leaves a copy in the queue.
+/// Guards against a shed call that runs from a copy left in the queue.
 #[tokio::test(flavor = "multi_thread")]
 async fn what_is_shed_does_not_run() {
     let admission = json!({"mode": "static", "initial_limit": 1, "min_limit": 1, "max_limit": 1,
@@ -425,9 +402,7 @@
     }
 }
 
-// Symptom: a caller hears "not run" of a call that ran, without any token.
-// Sequence: one target breaks off its answer, so the hop tries the next one, whose target is down.
-// Cause: the answer tells of the last attempt alone.
+/// Guards against "not run" that tells of the last attempt alone.
 #[tokio::test(flavor = "multi_thread")]
 async fn not_run_counts_every_attempt() {
     let services = vec![ServicePlan::new("bidding", &["a", "a"])];
@@ -460,9 +435,7 @@
     assert!(tried > 0, "no call reached the first target");
 }
 
-// Symptom: the last callers of a node that stops as planned hear "unknown" of calls that ran to their end.
-// Sequence: a call runs with a long answer over a link with latency; the node is told to stop; the target answers.
-// Cause: the node closes its connections as soon as nothing runs, with the answer still on its way.
+/// Guards against answers cut off by the close of a stopping node.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stopping_home_delivers_its_last_answers() {
     let target = Settings {
