A home of quotas holds back only while nodes are silent; silent nodes are remembered

It held on because silent nodes get no requests and were forgotten after 10 s, so that a cut would have looked healed. They are now remembered for ten minutes (asked every 0.4 s as before), and a home goes by what it sees: replaced while the publisher and a tenth of the nodes are silent, home again once they answer, half of its part for 2.5 s after it heard the publisher.

--- a/crates/core/src/workspace/quota/home.rs
+++ b/crates/core/src/workspace/quota/home.rs
@@ -186,14 +186,13 @@
     ) -> bool {
         let was_replaced = self.is_replaced();
         let over = |since: Instant| now.saturating_duration_since(since) >= RETURNS_WITHIN;
-        let unheard = publisher_silent >= REPLACED_AFTER;
+        let cut_off = publisher_silent >= REPLACED_AFTER && nodes_silent >= CUT_OFF_SHARE;
         self.standing = match self.standing {
-            // Silent nodes are not used any more and forgotten in time, so what they showed holds until the publisher is heard.
+            _ if cut_off => Standing::Replaced,
             Standing::Replaced if publisher_silent.is_zero() => Standing::Returning(now),
+            // The publisher is away for all, and the nodes that were silent are back: nobody was made a home.
+            Standing::Replaced => Standing::Home,
             Standing::Returning(since) if over(since) => Standing::Home,
-            Standing::Home | Standing::Returning(_) if unheard && nodes_silent >= CUT_OFF_SHARE => {
-                Standing::Replaced
-            }
             standing => standing,
         };
         was_replaced != self.is_replaced()
--- /dev/null
+++ b/crates/core/tests/quota_home.rs
@@ -0,0 +1,50 @@
+//! What a home gives out while others may have been made homes in its place.
+
+use std::time::{Duration, Instant};
+
+use coltsfootport_core::workspace::{HomeQuotas, Quota, QuotaBound};
+
+const QUOTA: Quota = Quota {
+    per_second: 60.0,
+    burst: 60.0,
+};
+
+/// What a node sees, and whether it holds back.
+struct Case {
+    what: &'static str,
+    publisher_silent_s: f64,
+    nodes_silent: f64,
+    replaced: bool,
+}
+
+/// Guards against two homes for one part of a quota, and against a part withheld while only the publisher is away.
+#[test]
+fn a_home_holds_back_only_while_it_may_be_cut_off_itself() {
+    let case = |what, publisher_silent_s, nodes_silent, replaced| Case {
+        what,
+        publisher_silent_s,
+        nodes_silent,
+        replaced,
+    };
+    let cases = [
+        case("all is well", 0.0, 0.0, false),
+        case("nodes are lost", 0.0, 0.5, false),
+        case("cut off a moment ago", 2.0, 0.5, false),
+        case("cut off", 3.5, 0.5, true),
+        case("only few nodes are reached", 9.0, 0.95, true),
+        case("the nodes are back, the publisher is not", 10.0, 0.0, false),
+        case("cut off again", 11.0, 0.4, true),
+        case("the publisher is back", 0.0, 0.0, false),
+        case("the publisher is away for all", 20.0, 0.05, false),
+    ];
+    let start = Instant::now();
+    let mut home = HomeQuotas::new(QuotaBound::default(), start);
+    for (step, case) in cases.into_iter().enumerate() {
+        let now = start + Duration::from_secs(30 + step as u64);
+        let silent = Duration::from_secs_f64(case.publisher_silent_s);
+        home.check_replaced(silent, case.nodes_silent, now);
+        assert_eq!(home.is_replaced(), case.replaced, "{}", case.what);
+        let rate = home.claimed(&"w".into(), QUOTA, 1.0, 1.0, now).rate;
+        assert_eq!(rate < 10.0, case.replaced, "{}: rate {rate}", case.what);
+    }
+}
--- a/crates/node/src/mesh/link/hub.rs
+++ b/crates/node/src/mesh/link/hub.rs
@@ -26,6 +26,10 @@
 /// which a request is on its way.
 pub const KEPT: Duration = Duration::from_secs(10);
 
+/// Time without a request for which a silent node is remembered: it gets no requests, and by how many are silent a node tells
+/// whether it is cut off itself.
+const SILENT_KEPT: Duration = Duration::from_secs(600);
+
 /// Connections kept for one node at most: more than it has slots are only needed while a queue stands before it.
 const MOST_KEPT: usize = 32;
 
@@ -156,7 +160,8 @@
             idle.retain(|kept| now.saturating_duration_since(kept.since) < KEPT);
             !idle.is_empty()
         });
-        let is_used = |peer: &Peer| peer.has_requests() || peer.unused_for(now) < KEPT;
+        let kept = |peer: &Peer| if peer.is_silent() { SILENT_KEPT } else { KEPT };
+        let is_used = |peer: &Peer| peer.has_requests() || peer.unused_for(now) < kept(peer);
         state.peers.retain(|_, peer| is_used(peer));
     }
 
