Log the age of requests whose callers leave; count connections and failed accepts

The line now has the age of the oldest open request; caller_connections and accept_failures_total are new metrics.

No logic changed.

--- a/crates/node/src/mesh/callers/connection.rs
+++ b/crates/node/src/mesh/callers/connection.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use prometheus::IntGauge;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -25,11 +26,14 @@
     let mut tasks = JoinSet::new();
     let writer = Writer::new(write, Arc::clone(&shared), cfg.stopping.clone());
     let journal = cfg.entry.journal.clone();
+    let _counted = Counted::new(journal.metrics().caller_connections.clone());
+    let clock = Arc::clone(&cfg.entry.clock);
     let mut reader = Reader::new(read, Arc::clone(&shared), cfg);
     tokio::select! {
         () = reader.run(slots, &mut tasks) => {
-            if shared.pending() > 0 {
-                journal.caller_disconnected(usize::try_from(shared.pending()).unwrap_or(usize::MAX));
+            if let Some(oldest) = shared.oldest() {
+                let age = clock.now().saturating_duration_since(oldest);
+                journal.caller_disconnected(shared.pending(), age);
             }
         }
         () = writer.run(waiting) => {
@@ -38,3 +42,19 @@
         }
     }
 }
+
+/// Counts a connection as open until it is dropped.
+struct Counted(IntGauge);
+
+impl Counted {
+    fn new(gauge: IntGauge) -> Self {
+        gauge.inc();
+        Self(gauge)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
--- a/crates/node/src/mesh/callers/listener.rs
+++ b/crates/node/src/mesh/callers/listener.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use coltsfootport_core::mesh::CallerLimits;
-use slog::warn;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -46,7 +45,7 @@
                 tokio::spawn(serve_connection(stream, cfg.clone()));
             }
             Err(e) => {
-                warn!(cfg.entry.journal.log(), "failed to accept caller connection"; "reason" => e.to_string());
+                cfg.entry.journal.accept_failed("callers", &e);
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -79,7 +79,8 @@
                 Err(ReadEnd::Disconnected) => return,
                 Err(ReadEnd::Closing) => return self.drain().await,
                 Err(ReadEnd::Refused(refusal)) => {
-                    self.shared.record_request();
+                    let now = self.cfg.entry.clock.now();
+                    self.shared.record_request(now);
                     self.shared.close();
                     self.refuse(refusal, &slots).await;
                     return self.drain().await;
@@ -118,7 +119,7 @@
         if matches!(framing, Framing::Length(length) if length > limits.body_bytes) {
             return Err(ReadEnd::Refused(Refusal::BodyTooLarge));
         }
-        if !self.shared.record_request() {
+        if !self.shared.record_request(arrived) {
             return Err(ReadEnd::Closing);
         }
         let keep_alive = head.keep_alive;
--- a/crates/node/src/mesh/callers/slot.rs
+++ b/crates/node/src/mesh/callers/slot.rs
@@ -1,6 +1,9 @@
 //! Response slots and the state shared by the two halves of a caller connection.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use tokio::sync::oneshot;
 
@@ -25,32 +28,34 @@
 /// State shared by the reading and writing halves of a connection.
 #[derive(Debug, Default)]
 pub struct ConnectionState {
-    requests: AtomicU64,
-    responses: AtomicU64,
+    /// When each request without a complete response was read, oldest first.
+    open: Mutex<VecDeque<Instant>>,
     closing: AtomicBool,
 }
 
 impl ConnectionState {
     /// Records that a request was read. Returns `false` if the connection is closing; the request must not run then.
-    pub fn record_request(&self) -> bool {
+    pub fn record_request(&self, now: Instant) -> bool {
         if self.closing.load(Ordering::SeqCst) {
             return false;
         }
-        self.requests.fetch_add(1, Ordering::SeqCst);
+        self.open().push_back(now);
         true
     }
 
     /// Records that a response was written.
     pub fn record_response(&self) {
-        self.responses.fetch_add(1, Ordering::SeqCst);
+        self.open().pop_front();
     }
 
     /// Number of requests that were read and have no complete response yet.
-    pub fn pending(&self) -> u64 {
-        let responses = self.responses.load(Ordering::SeqCst);
-        self.requests
-            .load(Ordering::SeqCst)
-            .saturating_sub(responses)
+    pub fn pending(&self) -> usize {
+        self.open().len()
+    }
+
+    /// When the oldest request without a complete response was read.
+    pub fn oldest(&self) -> Option<Instant> {
+        self.open().front().copied()
     }
 
     /// Marks the connection as closing after the next response, unless further requests have been read. Callers resend
@@ -72,4 +77,8 @@
     pub fn is_closing(&self) -> bool {
         self.closing.load(Ordering::SeqCst)
     }
+
+    fn open(&self) -> MutexGuard<'_, VecDeque<Instant>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -1,12 +1,13 @@
 //! Rate-limited log of request outcomes.
 
+use std::io;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use coltsfootport_core::mesh::{Route, Shed};
 use coltsfootport_core::quarantine::{CrashId, Evidence, Finding, Fingerprint};
 use coltsfootport_core::workspace::{OverQuota, Quota, Workspace};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 
 use crate::clock::SharedClock;
 use crate::mesh::metrics::MeshMetrics;
@@ -187,13 +188,28 @@
         }
     }
 
-    /// Logs a caller that disconnected with `requests` requests unanswered.
-    pub fn caller_disconnected(&self, requests: usize) {
+    /// Logs a caller that disconnected with `requests` requests unanswered, the oldest of which was read `oldest` ago.
+    pub fn caller_disconnected(&self, requests: usize, oldest: Duration) {
         if let Some(dropped) = self.admit_failure_line() {
-            info!(self.log, "caller left"; "requests" => requests, "dropped" => dropped);
+            info!(self.log, "caller left"; "requests" => requests,
+                "oldest_ms" => oldest.as_millis() as u64, "dropped" => dropped);
         }
     }
 
+    /// Logs and counts a connection that `listener` failed to accept.
+    pub fn accept_failed(&self, listener: &str, error: &io::Error) {
+        self.metrics.accept_failed(listener);
+        if let Some(dropped) = self.admit_failure_line() {
+            warn!(self.log, "failed to accept connection"; "listener" => listener,
+                "reason" => error.to_string(), "dropped" => dropped);
+        }
+    }
+
+    /// Metrics in which the journal counts what it logs.
+    pub fn metrics(&self) -> &MeshMetrics {
+        &self.metrics
+    }
+
     /// Logs and counts a request that was answered.
     pub fn request_answered(&self, summary: RequestSummary<'_>) {
         self.metrics
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -5,7 +5,7 @@
 
 use coltsfootport_core::quarantine::Finding;
 use coltsfootport_core::workspace::{QuotaNotice, QuotaUsage};
-use slog::{Logger, debug, warn};
+use slog::{Logger, debug};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
@@ -50,7 +50,7 @@
                 tokio::spawn(serve_conn(stream, ctx.clone()));
             }
             Err(e) => {
-                warn!(ctx.log, "failed to accept peer connection"; "reason" => e.to_string());
+                ctx.host.journal.accept_failed("peers", &e);
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- a/crates/node/src/mesh/metrics.rs
+++ b/crates/node/src/mesh/metrics.rs
@@ -26,6 +26,10 @@
     retries: IntCounterVec,
     /// Decisions about workspace quotas, by basis and outcome.
     quota_decisions: IntCounterVec,
+    /// Connections that could not be accepted, by listener.
+    accept_failures: IntCounterVec,
+    /// Open connections of callers.
+    pub caller_connections: IntGauge,
     /// Requests identified as calls made by a request that is running on the local target.
     pub inner: IntCounter,
     /// Requests that were running on the local target when its process crashed.
@@ -102,6 +106,12 @@
                 "requests counted towards the quota of a workspace",
                 &["basis", "outcome"],
             )?,
+            accept_failures: counter_vec(
+                "accept_failures_total",
+                "connections that could not be accepted",
+                &["listener"],
+            )?,
+            caller_connections: gauge("caller_connections", "open connections of callers")?,
             inner: counter("inner_total", "requests of the own target's runs")?,
             ended_by_crash: counter(
                 "ended_by_crash_total",
@@ -164,6 +174,11 @@
         self.entry_faults.with_label_values(&[fault.as_str()]).inc();
     }
 
+    /// Records a connection that could not be accepted.
+    pub fn accept_failed(&self, listener: &str) {
+        self.accept_failures.with_label_values(&[listener]).inc();
+    }
+
     /// Records a read of the publisher.
     pub fn read(&self, outcome: &str) {
         self.reads.with_label_values(&[outcome]).inc();
