--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use http::Method;
-use rustix::process::{Pid, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, kill_process, prlimit};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -71,6 +71,18 @@
         kill_process(self.pid, signal).map_err(|e| RigError::Io(e.into()))
     }
 
+    /// Limits the number of descriptors that the child may have open.
+    pub fn limit_descriptors(&self, limit: u64) -> Result<(), RigError> {
+        let limit = Rlimit {
+            current: Some(limit),
+            maximum: Some(limit),
+        };
+        match prlimit(Some(self.pid), Resource::Nofile, limit) {
+            Ok(_) => Ok(()),
+            Err(e) => Err(RigError::Io(e.into())),
+        }
+    }
+
     /// Returns whether the child is still running; a paused child counts as running.
     pub fn is_running(&mut self) -> Result<bool, RigError> {
         Ok(self.child.try_wait()?.is_none())
--- a/crates/rig/src/soak/machine.rs
+++ b/crates/rig/src/soak/machine.rs
@@ -32,17 +32,22 @@
     pub store: SocketAddr,
     /// Additional publisher settings, starting with a comma, or empty.
     pub publisher: &'a str,
+    /// Maximum number of open descriptors; `None` leaves it to the limit of the process.
+    pub descriptors: Option<u64>,
 }
 
 /// Formats a settings file. Watches are short, so that nodes detect store outages quickly.
 pub fn settings_text(node: &NodeSettings<'_>) -> String {
+    let load = node
+        .descriptors
+        .map(|limit| format!(r#"  "load": {{ "descriptors": {limit} }},{}"#, '\n'));
     format!(
         r#"{{
   "node": {{ "name": "{}", "service": "svc", "domain": "{}", "target": "{}",
     "callers": "{}", "ready": "{}", "peers": "{}" }},
   "publisher": {{ "address": "{}", "watch_ms": 300, "timeout_ms": 400{} }},
   "retries": {{ "ratio": 0.2, "slack": 50, "window_s": 10 }},
-  "grace_s": 6
+{}  "grace_s": 6
 }}"#,
         node.name,
         node.domain,
@@ -52,6 +57,7 @@
         node.peers,
         node.store,
         node.publisher,
+        load.unwrap_or_default(),
     )
 }
 
@@ -147,6 +153,7 @@
                 true => SHARED_READS,
                 false => "",
             },
+            descriptors: None,
         });
         let settings = folder.join(format!("node-{at}.jsonc"));
         fs::write(&settings, text)?;
