A request does not start when the close of its caller lies behind it

Cause: the reader started a request as soon as its head and body were read, and looked at the rest of the socket only afterwards, or not at all while it waited for room among the pipelined requests or for a body's channel. A node that reads late - it was paused, or had no descriptor left to accept the connection - finds request and close together.

Now the reader takes what the socket holds, up to 64 KiB, before it starts a request, by asking the kernel (the runtime knows of a close only after its next event), and goes on reading ahead where it waits. The end of a cut body is told to the target without holding up the cancellation.

Costs one more system call for a request.

--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -1,11 +1,14 @@
 //! Reading half of a caller connection.
 
+use std::io::{ErrorKind, Read};
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use coltsfootport_core::mesh::{CallerLimits, Refusal};
 use coltsfootport_core::quarantine::BodyDigest;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::{mpsc, oneshot};
@@ -30,6 +33,9 @@
 /// there are hundreds of them under surge load.
 const SMALL_READ: usize = 1024;
 
+/// Bytes that are read ahead of the requests in progress, to see whether the caller has disconnected behind them.
+const MAX_READ_AHEAD: usize = 64 * 1024;
+
 /// Longest time for which input is read and discarded after the last response. Closing a socket with unread input
 /// resets the connection, and the caller may lose the response that it has not read yet.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -135,7 +141,8 @@
             open: OpenRequestGuard::new(&self.cfg.open_requests),
         };
         // Blocks while the maximum number of pipelined requests is pending.
-        slots.send(slot).await.map_err(|_| ReadEnd::Disconnected)?;
+        let sent = self.while_connected(slots.send(slot)).await?;
+        sent.map_err(|_| ReadEnd::Disconnected)?;
         self.read_body(head, framing, arrived, limits, tx, tasks)
             .await
     }
@@ -196,6 +203,7 @@
             digest,
             arrived,
         };
+        self.read_available()?;
         if is_complete {
             self.spawn_request(req(Body::Whole(buffered.freeze())), tx, tasks);
             return Ok(());
@@ -213,8 +221,9 @@
             .stream_body(&mut decoder, &mut total, limits, &tx_body)
             .await;
         if streamed.is_err() {
-            // The target must not take a truncated body for a complete one.
-            let _ = tx_body.send(Err(BodyTruncated)).await;
+            // The target must not take a truncated body for a complete one. It may not be reading now, which must not
+            // delay the cancellation of the request.
+            tokio::spawn(async move { tx_body.send(Err(BodyTruncated)).await });
         }
         streamed
     }
@@ -262,7 +271,7 @@
                     }
                     // The channel is closed if the response came before the end of the body. The rest is then
                     // discarded, so that the connection stays usable.
-                    let _ = tx_body.send(Ok(data)).await;
+                    let _ = self.while_connected(tx_body.send(Ok(data))).await?;
                 }
                 Decoded::More => self.fill_with_timeout(limits).await?,
             }
@@ -297,6 +306,38 @@
         let _ = slots.send(slot).await;
     }
 
+    /// Waits for `ready` and reads ahead meanwhile, so that a caller that disconnects is noticed.
+    async fn while_connected<F>(&mut self, ready: F) -> Result<F::Output, ReadEnd>
+    where
+        F: Future,
+    {
+        let mut ready = pin!(ready);
+        while self.buf.len() < MAX_READ_AHEAD {
+            tokio::select! {
+                biased;
+                output = &mut ready => return Ok(output),
+                read = self.fill() => read?,
+            }
+        }
+        Ok(ready.await)
+    }
+
+    /// Reads what the socket holds, without waiting. A request must not start if the close of its caller lies behind
+    /// it, which the runtime reports only with its next event.
+    fn read_available(&mut self) -> Result<(), ReadEnd> {
+        let mut chunk = [0; SMALL_READ];
+        while self.buf.len() < MAX_READ_AHEAD {
+            let read = (&*SockRef::from(self.read.as_ref())).read(&mut chunk);
+            match read {
+                Ok(0) => return Err(ReadEnd::Disconnected),
+                Ok(read) => self.buf.extend_from_slice(&chunk[..read]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(_) => return Err(ReadEnd::Disconnected),
+            }
+        }
+        Ok(())
+    }
+
     async fn fill_with_timeout(&mut self, limits: &CallerLimits) -> Result<(), ReadEnd> {
         match timeout(limits.idle_timeout, self.fill()).await {
             Ok(read) => read,
