--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -12,7 +12,9 @@
 use crate::mesh::call::{Body, HostReply, HostedRequest, Refused, Report, RunEnd, TargetAnswer};
 use crate::mesh::controller::{AcquireSlotRequest, ControllerHandle, SlotGuard, SlotRefusal};
 use crate::mesh::journal::Journal;
-use crate::mesh::target::{CheckedResponse, ExchangeError, TargetPool, WireRequest, exchange};
+use crate::mesh::target::{
+    CheckedResponse, ExchangeError, TargetConn, TargetPool, WireRequest, exchange,
+};
 
 /// Time after its deadline for which an at-most-once request keeps its slot. The target itself stops at the deadline;
 /// the grace time leaves room for its response to arrive, and bounds the wait for a target that fails to stop.
@@ -80,21 +82,45 @@
             Ok(granted) => granted.guard,
             Err(refused) => return slot_refused(refused),
         };
+        // Until something is written to the target, a request of either kind can be cancelled.
+        let conn = match self.connect(&req).await {
+            Ok(conn) => conn,
+            Err(refused) => return not_sent(refused, slot).await,
+        };
         match req.repeat {
-            Idempotency::Idempotent => self.run_in_slot(req, slot, Duration::ZERO).await,
+            Idempotency::Idempotent => self.run_in_slot(req, conn, slot, Duration::ZERO).await,
             Idempotency::AtMostOnce => {
                 let host = self.clone();
-                let running =
-                    tokio::spawn(
-                        async move { host.run_in_slot(req, slot, AT_MOST_ONCE_GRACE).await },
-                    );
+                let running = tokio::spawn(async move {
+                    host.run_in_slot(req, conn, slot, AT_MOST_ONCE_GRACE).await
+                });
                 running.await.unwrap_or_else(|_| task_failed())
             }
         }
     }
 
-    async fn run_in_slot(&self, req: HostedRequest, slot: SlotGuard, grace: Duration) -> HostReply {
-        let RunResult { mut result, end } = self.run_at_target(req, grace).await;
+    /// Takes an idle connection to the target, or opens one before the deadline of the request.
+    async fn connect(&self, req: &HostedRequest) -> Result<TargetConn, Refused> {
+        let at_most_once = req.repeat == Idempotency::AtMostOnce;
+        if let Some(conn) = self.pool.take(at_most_once) {
+            return Ok(conn);
+        }
+        let left = req.deadline.saturating_duration_since(self.clock.now());
+        match timeout(left, self.pool.connect()).await {
+            Ok(Ok(conn)) => Ok(conn),
+            Ok(Err(e)) => Err(self.log_failure(req, Refusal::NoInstance, &e.to_string())),
+            Err(_) => Err(Refused::from(Refusal::ExpiredUnsent)),
+        }
+    }
+
+    async fn run_in_slot(
+        &self,
+        req: HostedRequest,
+        conn: TargetConn,
+        slot: SlotGuard,
+        grace: Duration,
+    ) -> HostReply {
+        let RunResult { mut result, end } = self.run_at_target(req, conn, grace).await;
         let outcome = slot.release(end).await;
         // The refusal tells the caller not to retry: a retry would crash the next target.
         if outcome.standing == SuspicionLevel::Refused && matches!(end, RunEnd::Crashed(_)) {
@@ -106,8 +132,13 @@
         }
     }
 
-    async fn run_at_target(&self, mut req: HostedRequest, grace: Duration) -> RunResult {
-        match self.exchange_with_target(&mut req, grace).await {
+    async fn run_at_target(
+        &self,
+        mut req: HostedRequest,
+        conn: TargetConn,
+        grace: Duration,
+    ) -> RunResult {
+        match self.exchange_with_target(&mut req, conn, grace).await {
             Ok(exchanged) => {
                 let end = match exchanged.answer.completed_normally(self.dialect.not_run) {
                     true => RunEnd::Answered,
@@ -126,18 +157,9 @@
     async fn exchange_with_target(
         &self,
         req: &mut HostedRequest,
+        conn: TargetConn,
         grace: Duration,
     ) -> Result<CheckedResponse, ExchangeFailure> {
-        let at_most_once = req.repeat == Idempotency::AtMostOnce;
-        let pooled = self.pool.take(at_most_once);
-        let conn = match pooled {
-            Some(conn) => conn,
-            None => self
-                .pool
-                .connect()
-                .await
-                .map_err(|e| self.log_failure(req, Refusal::NoInstance, &e.to_string()))?,
-        };
         // Last check before the request leaves the node. Unlike the runtime's timers, the clock also advances while the
         // machine is suspended.
         let left = req.deadline.saturating_duration_since(self.clock.now());
@@ -228,6 +250,14 @@
     )
 }
 
+/// Releases the slot of a request of which nothing was sent to the target.
+async fn not_sent(refused: Refused, slot: SlotGuard) -> HostReply {
+    HostReply {
+        result: Err(refused),
+        report: slot.release(RunEnd::Other).await.report,
+    }
+}
+
 fn slot_refused(refused: SlotRefusal) -> HostReply {
     HostReply {
         result: Err(Refused {
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -154,8 +154,9 @@
             let length = head.length;
             let req = head.into_request(Body::Stream { length, rx }, host.clock.now())?;
             tokio::select! {
-                reply = host.run(req) => Some(reply),
+                biased;
                 () = body_stream::forward_request_body(conn, tx, &is_body_read) => None,
+                reply = host.run(req) => Some(reply),
             }
         }
     };
