Close idle connections of callers before descriptors run out

Cause: refused callers come back on new connections and keep the old ones for the idle time. Nothing bounded them, so they took all descriptors; accept failed 48 times a second, and requests waited in the kernel's queue, where the node sees neither their age nor that their callers leave.

Callers' connections may now take half of the descriptors. Above three quarters of that each response closes its connection; above the half, and when accept fails, the longest idle ones are closed. One with a request at work is never closed, and a request that arrives at the last moment is served.

A property over random sequences holds the bound. Weighed: answers that always close under overload (callers that are served pay for it too), a shorter idle time (the configuration promises the other one).

--- a/crates/core/src/mesh.rs
+++ b/crates/core/src/mesh.rs
@@ -6,6 +6,7 @@
 
 mod authentication;
 mod balance;
+mod caller_connections;
 mod caller_limits;
 mod config;
 mod dialect;
@@ -40,6 +41,7 @@
 
 pub use authentication::{AuthenticationRequest, PresentedKey, authenticate};
 pub use balance::InstanceStats;
+pub use caller_connections::{CallerConnection, CallerConnections, CallerConnectionsConfig};
 pub use caller_limits::CallerLimits;
 pub use config::{ConfigVersion, MeshConfig, MeshConfigError, RouteKey};
 pub use dialect::Dialect;
--- a/crates/node/src/mesh/callers.rs
+++ b/crates/node/src/mesh/callers.rs
@@ -4,7 +4,9 @@
 mod listener;
 mod open_request;
 mod reader;
+mod registry;
 mod slot;
 mod writer;
 
 pub use listener::{CallersConfig, listen};
+pub use registry::ConnectionRegistry;
--- a/crates/node/src/mesh/callers/connection.rs
+++ b/crates/node/src/mesh/callers/connection.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use prometheus::IntGauge;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -21,12 +20,11 @@
         return;
     }
     let (read, write) = stream.into_split();
-    let shared = Arc::new(ConnectionState::default());
+    let shared = Arc::new(ConnectionState::new(cfg.connections.register()));
     let (slots, waiting) = mpsc::channel::<ResponseSlot>(cfg.pipelined);
     let mut tasks = JoinSet::new();
     let writer = Writer::new(write, Arc::clone(&shared), cfg.stopping.clone());
     let journal = cfg.entry.journal.clone();
-    let _counted = Counted::new(journal.metrics().caller_connections.clone());
     let clock = Arc::clone(&cfg.entry.clock);
     let mut reader = Reader::new(read, Arc::clone(&shared), cfg);
     tokio::select! {
@@ -42,19 +40,3 @@
         }
     }
 }
-
-/// Counts a connection as open until it is dropped.
-struct Counted(IntGauge);
-
-impl Counted {
-    fn new(gauge: IntGauge) -> Self {
-        gauge.inc();
-        Self(gauge)
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.dec();
-    }
-}
--- a/crates/node/src/mesh/callers/listener.rs
+++ b/crates/node/src/mesh/callers/listener.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use super::connection::serve_connection;
+use super::registry::ConnectionRegistry;
 use crate::mesh::entry::Entry;
 
 /// Configuration and shared state of the caller-facing server.
@@ -26,6 +27,8 @@
     pub stopping: watch::Receiver<bool>,
     /// Open requests; see `OpenRequestGuard`.
     pub open_requests: Arc<AtomicUsize>,
+    /// All open connections.
+    pub connections: ConnectionRegistry,
 }
 
 /// Delay after `accept` fails, for example for lack of file descriptors, to avoid a busy loop.
@@ -46,6 +49,7 @@
             }
             Err(e) => {
                 cfg.entry.journal.accept_failed("callers", &e);
+                cfg.connections.make_room();
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -168,7 +168,19 @@
                     .saturating_sub(now.saturating_duration_since(started)),
                 None => limits.idle_timeout,
             };
-            match timeout(wait, self.fill()).await {
+            let shared = Arc::clone(&self.shared);
+            let filled = tokio::select! {
+                biased;
+                filled = timeout(wait, self.fill()) => filled,
+                () = shared.evicted() => {
+                    self.read_available()?;
+                    match self.buf.is_empty() {
+                        true => return Err(ReadEnd::Disconnected),
+                        false => continue,
+                    }
+                }
+            };
+            match filled {
                 Ok(read) => read?,
                 Err(_) if started.is_some() => {
                     return Err(ReadEnd::Refused(Refusal::HeaderTimeout));
--- /dev/null
+++ b/crates/node/src/mesh/callers/registry.rs
@@ -0,0 +1,124 @@
+//! Registry of the connections of callers, which closes idle ones when there are too many.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use coltsfootport_core::mesh::{CallerConnection, CallerConnections, CallerConnectionsConfig};
+use prometheus::IntGauge;
+use slotmap::SecondaryMap;
+use tokio::sync::Notify;
+
+/// Idle connections that are closed after `accept` has failed.
+const EVICTED_AFTER_FAILURE: usize = 16;
+
+/// All connections of callers; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct ConnectionRegistry {
+    state: Arc<Mutex<State>>,
+    open: IntGauge,
+}
+
+#[derive(Debug)]
+struct State {
+    connections: CallerConnections,
+    evictions: SecondaryMap<CallerConnection, Arc<Notify>>,
+}
+
+/// A connection in the registry; dropping it removes the connection.
+#[derive(Debug)]
+pub struct Registration {
+    registry: ConnectionRegistry,
+    conn: CallerConnection,
+    eviction: Arc<Notify>,
+}
+
+impl ConnectionRegistry {
+    /// Creates an empty registry; `open` follows the number of connections.
+    pub fn new(cfg: CallerConnectionsConfig, open: IntGauge) -> Self {
+        let state = State {
+            connections: CallerConnections::new(cfg),
+            evictions: SecondaryMap::new(),
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+            open,
+        }
+    }
+
+    /// Adds a connection, and evicts others if there are too many.
+    pub fn register(&self) -> Registration {
+        let eviction = Arc::new(Notify::new());
+        let mut state = self.state();
+        let conn = state.connections.open();
+        state.evictions.insert(conn, Arc::clone(&eviction));
+        while let Some(excess) = state.connections.evict_excess() {
+            state.notify(excess);
+        }
+        self.open.inc();
+        drop(state);
+        Registration {
+            registry: self.clone(),
+            conn,
+            eviction,
+        }
+    }
+
+    /// Evicts idle connections because the process has no descriptors left.
+    pub fn make_room(&self) {
+        let mut state = self.state();
+        for _ in 0..EVICTED_AFTER_FAILURE {
+            match state.connections.evict_longest_idle() {
+                Some(conn) => state.notify(conn),
+                None => return,
+            }
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn notify(&self, conn: CallerConnection) {
+        if let Some(eviction) = self.evictions.get(conn) {
+            eviction.notify_one();
+        }
+    }
+}
+
+impl Registration {
+    /// Records that a request was read.
+    pub fn set_busy(&self) {
+        self.registry.state().connections.set_busy(self.conn);
+    }
+
+    /// Records that all requests have been answered.
+    pub fn set_idle(&self) {
+        self.registry.state().connections.set_idle(self.conn);
+    }
+
+    /// Whether responses should close their connections to make room for others.
+    pub fn is_crowded(&self) -> bool {
+        self.registry.state().connections.is_crowded()
+    }
+
+    /// Resolves when the connection should be closed because it has been idle for longer than others.
+    pub async fn evicted(&self) {
+        loop {
+            self.eviction.notified().await;
+            // A request may have been read since the notification.
+            if self.registry.state().connections.is_evicted(self.conn) {
+                return;
+            }
+        }
+    }
+}
+
+impl Drop for Registration {
+    fn drop(&mut self) {
+        let mut state = self.registry.state();
+        state.evictions.remove(self.conn);
+        state.connections.close(self.conn);
+        self.registry.open.dec();
+    }
+}
--- a/crates/node/src/mesh/callers/slot.rs
+++ b/crates/node/src/mesh/callers/slot.rs
@@ -8,6 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::open_request::OpenRequestGuard;
+use super::registry::Registration;
 use crate::mesh::call::CallerAnswer;
 
 /// A pending response, queued for writing in the order of the requests.
@@ -26,26 +27,53 @@
 }
 
 /// State shared by the reading and writing halves of a connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConnectionState {
     /// When each request without a complete response was read, oldest first.
     open: Mutex<VecDeque<Instant>>,
     closing: AtomicBool,
+    registration: Registration,
 }
 
 impl ConnectionState {
+    /// Creates the state of a new connection.
+    pub fn new(registration: Registration) -> Self {
+        Self {
+            open: Mutex::default(),
+            closing: AtomicBool::new(false),
+            registration,
+        }
+    }
+
     /// Records that a request was read. Returns `false` if the connection is closing; the request must not run then.
     pub fn record_request(&self, now: Instant) -> bool {
         if self.closing.load(Ordering::SeqCst) {
             return false;
         }
-        self.open().push_back(now);
+        let mut open = self.open();
+        if open.is_empty() {
+            self.registration.set_busy();
+        }
+        open.push_back(now);
         true
     }
 
     /// Records that a response was written.
     pub fn record_response(&self) {
-        self.open().pop_front();
+        let mut open = self.open();
+        if open.pop_front().is_some() && open.is_empty() {
+            self.registration.set_idle();
+        }
+    }
+
+    /// Whether the connection should be closed after its next response to make room for others.
+    pub fn is_crowded(&self) -> bool {
+        self.registration.is_crowded()
+    }
+
+    /// Resolves when the connection should be closed because it has been idle for longer than others.
+    pub async fn evicted(&self) {
+        self.registration.evicted().await;
     }
 
     /// Number of requests that were read and have no complete response yet.
--- a/crates/node/src/mesh/callers/writer.rs
+++ b/crates/node/src/mesh/callers/writer.rs
@@ -68,7 +68,8 @@
             let Ok(answer) = answer.await else {
                 return;
             };
-            let last = !keep_alive || answer.close || self.closes_for_shutdown();
+            let last =
+                !keep_alive || answer.close || self.closes_for_shutdown() || self.closes_for_room();
             if last && (answer.close || !keep_alive) {
                 self.shared.close();
             }
@@ -110,6 +111,11 @@
         *self.stopping.borrow() && self.shared.try_close_after_next()
     }
 
+    /// Whether to close the connection after this response because callers keep too many open.
+    fn closes_for_room(&self) -> bool {
+        self.shared.is_crowded() && self.shared.try_close_after_next()
+    }
+
     async fn write_answer(
         &mut self,
         mut answer: CallerAnswer,
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -6,17 +6,18 @@
 use std::time::Duration;
 
 use coltsfootport_core::mesh::{
-    CallerLimits, Dialect, DrainConfig, FleetConfig, GateConfig, LevelConfig, Publisher,
-    RetryBudgetConfig, ShedderConfig,
+    CallerConnectionsConfig, CallerLimits, Dialect, DrainConfig, FleetConfig, GateConfig,
+    LevelConfig, Publisher, RetryBudgetConfig, ShedderConfig,
 };
 use coltsfootport_core::quarantine::Fingerprinter;
 use coltsfootport_core::workspace::QuotaConfig;
+use rustix::process::{Resource, getrlimit};
 use slog::{Logger, info};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
 use super::boot_clock::BootClock;
-use super::callers::{self, CallersConfig};
+use super::callers::{self, CallersConfig, ConnectionRegistry};
 use super::controller::{
     Controller, ControllerChannels, ControllerConfig, ControllerEvent, ControllerHandle,
     run_controller,
@@ -31,7 +32,7 @@
 use super::metrics::MeshMetrics;
 use super::quotas::QuotaSender;
 use super::ready::{self, StatusServer};
-use super::settings::{MeshSettings, PublisherKind};
+use super::settings::{LoadSettings, MeshSettings, PublisherKind};
 use super::settings_file::SettingsFile;
 use super::target::TargetPool;
 use crate::clock::SharedClock;
@@ -121,6 +122,13 @@
         pipelined: settings.load.pipelined as usize,
         stopping: stopping.clone(),
         open_requests: Arc::clone(&open),
+        connections: ConnectionRegistry::new(
+            CallerConnectionsConfig {
+                descriptors: descriptor_limit(settings.load),
+                ..CallerConnectionsConfig::default()
+            },
+            metrics.caller_connections.clone(),
+        ),
     };
     let status_server = StatusServer {
         controller: controller.clone(),
@@ -233,6 +241,16 @@
     }
 }
 
+/// Number of descriptors that the process may have open.
+fn descriptor_limit(load: LoadSettings) -> usize {
+    let limit = match load.descriptors {
+        0 => getrlimit(Resource::Nofile).current,
+        set => Some(u64::from(set)),
+    };
+    let limit = limit.unwrap_or(u64::from(u32::MAX));
+    usize::try_from(limit).unwrap_or(usize::MAX)
+}
+
 /// Returns the HTTP dialect and the [`Publisher`] implementation for `kind`.
 fn dialect_and_publisher(kind: PublisherKind) -> (Arc<Dialect>, Arc<dyn Publisher>) {
     match kind {
--- a/crates/node/src/mesh/settings.rs
+++ b/crates/node/src/mesh/settings.rs
@@ -104,6 +104,8 @@
     pub slots: u32,
     /// Maximum number of pipelined requests of one connection that are processed concurrently.
     pub pipelined: u32,
+    /// Maximum number of descriptors that the process may have open; 0 takes the limit that the system sets for it.
+    pub descriptors: u32,
 }
 
 impl Default for MeshSettings {
@@ -165,6 +167,7 @@
         Self {
             slots: 16,
             pipelined: 64,
+            descriptors: 0,
         }
     }
 }
@@ -199,6 +202,10 @@
             ("quarantine", self.quarantine != new.quarantine),
             ("publisher", self.publisher != new.publisher),
             ("load.pipelined", self.load.pipelined != new.load.pipelined),
+            (
+                "load.descriptors",
+                self.load.descriptors != new.load.descriptors,
+            ),
             ("policy", self.policy != new.policy),
             ("log_level", self.log_level != new.log_level),
         ];
@@ -321,6 +328,7 @@
         let settings = Self {
             slots: section.integer("slots", 1..=65_535, default.slots),
             pipelined: section.integer("pipelined", 1..=1024, default.pipelined),
+            descriptors: section.integer("descriptors", 0..=1_048_576, default.descriptors),
         };
         section.finish();
         settings
