Start no more requests at a target than the rate that it names

Cause: the header was passed on to callers and read nowhere. Every request to a target passes the gate of the node beside it, so the sum over all entries is bound there, without agreement: a token bucket in front of the slots, set by each response, ended by one that names no limit and by a new process at the address. Starts go by rank, calls of runs and age, as slots do; who would wait too long is refused before it has run and goes to another target. A target near its limit is reported as full, so that entries of any version send elsewhere. Until the first response of a process at most eight requests run, since a node that restarts knows no limit.

Not done: overload levels do not follow the limit, and entries do not shed by it.

--- a/crates/core/src/mesh.rs
+++ b/crates/core/src/mesh.rs
@@ -4,6 +4,7 @@
 //! target and acts in two roles: as an entry node it accepts requests that originate on its machine, and as a host it
 //! executes requests of other nodes at its target. The entry of an instance is its record in the published list.
 
+mod announcement;
 mod authentication;
 mod balance;
 mod caller_connections;
@@ -25,6 +26,7 @@
 mod publisher;
 mod publisher_health;
 mod queue_timeout;
+mod rate_limit;
 mod readers;
 mod refusal;
 mod restored;
@@ -39,6 +41,7 @@
 mod update;
 mod weighted_round_robin;
 
+pub use announcement::Announcement;
 pub use authentication::{AuthenticationRequest, PresentedKey, authenticate};
 pub use balance::InstanceStats;
 pub use caller_connections::{CallerConnection, CallerConnections, CallerConnectionsConfig};
@@ -57,6 +60,7 @@
 pub use position::{Era, Position};
 pub use publisher::{Publisher, PublisherError};
 pub use queue_timeout::{QueueTimeoutConfig, QueueTimeoutRequest};
+pub use rate_limit::RateLimit;
 pub use readers::{ReadPlan, ReadPlanner, ReadersConfig, ReadersView};
 pub use refusal::{Refusal, RefusalRule};
 pub use retry_budget::{RetryBudget, RetryBudgetConfig};
--- a/crates/core/src/mesh/dialect.rs
+++ b/crates/core/src/mesh/dialect.rs
@@ -19,6 +19,11 @@
     pub not_run: &'static str,
     /// Response of a target: proves that the response was produced by the target.
     pub signature: &'static str,
+    /// Response of a target: requests per second, as a decimal number, that it takes from all nodes together for as
+    /// long as it names them.
+    pub rate_limit: &'static str,
+    /// Response of a target: it is leaving.
+    pub leaving: &'static str,
     /// Path of the node's readiness endpoint.
     pub ready_path: &'static str,
 }
@@ -34,6 +39,8 @@
         workspace: "coltsfootport-workspace",
         not_run: "coltsfootport-not-run",
         signature: "coltsfootport-signature",
+        rate_limit: "coltsfootport-rate-limit",
+        leaving: "coltsfootport-leaving",
         ready_path: "/ready",
     };
 }
--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -4,7 +4,9 @@
 
 use super::headroom::Headroom;
 use crate::collections::Map;
-use crate::mesh::{Backlog, LevelConfig, LevelControl, RequestKind, ServiceTimes, TimeLimits};
+use crate::mesh::{
+    Backlog, LevelConfig, LevelControl, RateLimit, RequestKind, ServiceTimes, TimeLimits,
+};
 
 /// Settings of the queue in front of a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -92,6 +94,10 @@
     service_times: ServiceTimes,
     headroom: Headroom,
     level: LevelControl,
+    /// Limit on the rate of starts, while the target names one.
+    rate: Option<RateLimit>,
+    /// Whether no response of the target is known yet.
+    unanswered: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -132,6 +138,9 @@
 /// persist.
 const DRAIN_RANGE: (f64, f64) = (0.2, 2.0);
 
+/// Requests running at most until the first response of a target, which may name a limit far below its slots.
+const MAX_UNANSWERED: u32 = 8;
+
 impl TargetGate {
     /// Creates a gate with an empty queue and all slots free.
     pub fn new(cfg: GateConfig, now: Instant) -> Self {
@@ -144,6 +153,8 @@
             service_times: ServiceTimes::default(),
             headroom: Headroom::default(),
             level: LevelControl::new(cfg.level, now),
+            rate: None,
+            unanswered: false,
             cfg,
         }
     }
@@ -168,6 +179,30 @@
         self.usable = self.slots;
     }
 
+    /// Records that the target is a new process, about which nothing is known.
+    pub fn target_started(&mut self) {
+        self.rate = None;
+        self.unanswered = true;
+    }
+
+    /// Records a response of the target, and the rate limit in requests per second that it names. Returns whether the
+    /// limit has changed.
+    pub fn target_answered(&mut self, per_second: Option<f64>, now: Instant) -> bool {
+        self.unanswered = false;
+        match (&mut self.rate, per_second) {
+            (Some(rate), Some(per_second)) => {
+                let before = *rate;
+                rate.set_rate(per_second, now);
+                !rate.has_same_limit(&before)
+            }
+            (rate, per_second) => {
+                let changed = rate.is_some() != per_second.is_some();
+                *rate = per_second.map(|per_second| RateLimit::new(per_second, now));
+                changed
+            }
+        }
+    }
+
     /// Dispatches, queues or refuses a request.
     pub fn admit(&mut self, request: SlotRequest, now: Instant) -> Admission {
         let ticket = Ticket(self.next_ticket);
@@ -178,7 +213,8 @@
         if self.latest_start(&request) <= now {
             return Admission::DeadlineUnreachable;
         }
-        if self.running() < self.usable && self.queue.is_empty() {
+        self.refill(now);
+        if self.queue.is_empty() && self.take_start() {
             self.start(ticket, request.kind);
             return Admission::Dispatched(ticket);
         }
@@ -217,6 +253,9 @@
     /// Releases the slot of a dispatched request that did not run, without recording a service time.
     pub fn release_unused(&mut self, ticket: Ticket) {
         self.running.remove(&ticket);
+        if let Some(rate) = &mut self.rate {
+            rate.put_back();
+        }
     }
 
     /// Removes a request from the queue. Returns `false` if it was not queued.
@@ -228,7 +267,7 @@
 
     /// Dispatches the first queued request if a slot is free. To be called until it returns `None`.
     pub fn dispatch_next(&mut self) -> Option<Ticket> {
-        if self.running() >= self.usable || self.queue.is_empty() {
+        if self.queue.is_empty() || !self.take_start() {
             return None;
         }
         let queued = self.queue.remove(0);
@@ -238,6 +277,7 @@
 
     /// Removes and returns the queued requests that have expired or can no longer finish before their deadline.
     pub fn expire(&mut self, now: Instant) -> Vec<Ticket> {
+        self.refill(now);
         let mut expired = Vec::new();
         let mut queue = std::mem::take(&mut self.queue);
         queue.retain(|queued| {
@@ -276,6 +316,15 @@
         self.running() + u32::try_from(self.queue.len()).unwrap_or(u32::MAX)
     }
 
+    /// Load to report to the senders of requests, in requests at the target. A target near its rate limit counts as
+    /// full, although most of its slots are free.
+    pub fn reported_load(&self) -> u32 {
+        let limited = self.rate.map_or(0.0, |rate| {
+            rate.utilization(self.queue.len()) * f64::from(self.slots)
+        });
+        self.in_flight().max(limited as u32)
+    }
+
     /// Number of requests running.
     pub fn running(&self) -> u32 {
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
@@ -289,7 +338,8 @@
     /// Expected time until a request that is admitted now has ended: its wait for a slot plus the mean service time of
     /// its kind.
     pub fn expected_completion(&self, request: &SlotRequest) -> Duration {
-        let is_free = self.running() < self.usable && self.queue.is_empty();
+        let is_limited = self.rate.is_some_and(|rate| !rate.wait(0).is_zero());
+        let is_free = self.has_free_slot() && self.queue.is_empty() && !is_limited;
         let wait = match is_free {
             true => Duration::ZERO,
             false => self.expected_wait(request),
@@ -298,6 +348,25 @@
         wait + Duration::from_secs_f64(mean)
     }
 
+    fn has_free_slot(&self) -> bool {
+        let usable = match self.unanswered {
+            true => self.usable.min(MAX_UNANSWERED),
+            false => self.usable,
+        };
+        self.running() < usable
+    }
+
+    /// Takes a start from the rate limit, if a slot is free.
+    fn take_start(&mut self) -> bool {
+        self.has_free_slot() && self.rate.as_mut().is_none_or(RateLimit::try_take)
+    }
+
+    fn refill(&mut self, now: Instant) {
+        if let Some(rate) = &mut self.rate {
+            rate.refill(now);
+        }
+    }
+
     fn start(&mut self, ticket: Ticket, kind: RequestKind) {
         let nearly_full = Headroom::is_nearly_full(self.running() + 1, self.slots);
         self.running.insert(ticket, Running { kind, nearly_full });
@@ -341,6 +410,7 @@
             .sum::<f64>()
             / f64::from(self.usable);
         let queued_work: f64 = self.queue[..ahead].iter().map(|queued| queued.work).sum();
-        Duration::from_secs_f64((queued_work + turnover) / f64::from(self.usable))
+        let wait = Duration::from_secs_f64((queued_work + turnover) / f64::from(self.usable));
+        self.rate.map_or(wait, |rate| rate.wait(ahead).max(wait))
     }
 }
--- a/crates/node/src/mesh/controller.rs
+++ b/crates/node/src/mesh/controller.rs
@@ -2,6 +2,7 @@
 //! retry budgets and the gate of the local target.
 
 mod admission;
+mod announcements;
 mod authentication;
 mod dispatch;
 mod drain;
--- /dev/null
+++ b/crates/node/src/mesh/controller/announcements.rs
@@ -0,0 +1,38 @@
+//! What the local target announces about itself in its responses.
+
+use std::time::Instant;
+
+use coltsfootport_core::mesh::Announcement;
+use slog::info;
+
+use super::Controller;
+
+impl Controller {
+    /// Applies what the local target announced in a response as the instance with this id.
+    pub(super) fn apply_announcement(
+        &mut self,
+        instance: &str,
+        announced: Announcement,
+        now: Instant,
+    ) {
+        // A late response of an earlier instance says nothing about its successor.
+        let own = self.fleet.at_address(self.cfg.target);
+        if own.is_some_and(|own| own.id != instance) {
+            return;
+        }
+        if self.gate.target_answered(announced.rate_limit, now) {
+            info!(self.journal.log(), "target's rate limit"; "instance" => instance,
+                "per_second" => announced.rate_limit);
+        }
+    }
+
+    /// Forgets what the local target announced if another process runs at its address.
+    pub(super) fn note_target_process(&mut self) {
+        let own = self.fleet.at_address(self.cfg.target);
+        let process = own.map(|own| (own.id.clone(), own.started_at_ms));
+        if process.is_some() && process != self.target_process {
+            self.target_process = process;
+            self.gate.target_started();
+        }
+    }
+}
--- a/crates/node/src/mesh/controller/dispatch.rs
+++ b/crates/node/src/mesh/controller/dispatch.rs
@@ -91,6 +91,9 @@
         self.gate.release(ticket, release.held, now);
         let standing = self.record_run_end(ticket, release.end, now);
         let run = self.runs.remove(ticket);
+        if let (Some(run), Some(announced)) = (&run, release.announcement) {
+            self.apply_announcement(&run.instance, announced, now);
+        }
         self.end_isolation(ticket, now);
         self.start_queued(now);
         let Some(reply) = reply else {
@@ -212,7 +215,7 @@
 
     fn report(&self) -> Report {
         Report {
-            busy: self.gate.in_flight(),
+            busy: self.gate.reported_load(),
             level: self.gate.level(),
             stopping: self.drain.is_some(),
             cut_off: !self.publisher_healthy,
--- a/crates/node/src/mesh/controller/event.rs
+++ b/crates/node/src/mesh/controller/event.rs
@@ -5,8 +5,8 @@
 
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{
-    InstanceKey, MeshConfig, ReadersConfig, ReadersView, Refusal, RequestKind, RouteKey,
-    SelectedInstance, SendOutcome, Ticket, UpdateBatch,
+    Announcement, InstanceKey, MeshConfig, ReadersConfig, ReadersView, Refusal, RequestKind,
+    RouteKey, SelectedInstance, SendOutcome, Ticket, UpdateBatch,
 };
 use coltsfootport_core::quarantine::{Finding, Fingerprint, SuspicionLevel};
 use coltsfootport_core::workspace::{QuotaNotice, QuotaUsage, RoutedClaim, Verdict};
@@ -86,6 +86,8 @@
     pub held: Duration,
     /// How the run ended.
     pub end: RunEnd,
+    /// What the target announced in its response, if there was one.
+    pub announcement: Option<Announcement>,
 }
 
 /// The outcome of a run, as the controller sees it after the slot was released.
--- a/crates/node/src/mesh/controller/guards.rs
+++ b/crates/node/src/mesh/controller/guards.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use coltsfootport_core::id::ServiceName;
-use coltsfootport_core::mesh::{InstanceKey, SendOutcome, Ticket};
+use coltsfootport_core::mesh::{Announcement, InstanceKey, SendOutcome, Ticket};
 use coltsfootport_core::quarantine::Fingerprint;
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
@@ -84,16 +84,25 @@
 
 impl SlotGuard {
     /// Releases the slot and returns the outcome of the run.
-    pub async fn release(mut self, end: RunEnd) -> RunOutcome {
+    pub async fn release(mut self, end: RunEnd, announcement: Option<Announcement>) -> RunOutcome {
         let (tx, rx) = oneshot::channel();
-        self.report_release(end, Some(tx));
+        self.report_release(end, announcement, Some(tx));
         rx.await.unwrap_or_default()
     }
 
-    fn report_release(&mut self, end: RunEnd, reply: Option<oneshot::Sender<RunOutcome>>) {
+    fn report_release(
+        &mut self,
+        end: RunEnd,
+        announcement: Option<Announcement>,
+        reply: Option<oneshot::Sender<RunOutcome>>,
+    ) {
         self.released = true;
         let held = self.clock.now().saturating_duration_since(self.since);
-        let release = SlotRelease { held, end };
+        let release = SlotRelease {
+            held,
+            end,
+            announcement,
+        };
         let _ = self
             .tx
             .send(ControllerEvent::SlotReleased(self.ticket, release, reply));
@@ -103,7 +112,7 @@
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         if !self.released {
-            self.report_release(RunEnd::Other, None);
+            self.report_release(RunEnd::Other, None, None);
         }
     }
 }
--- a/crates/node/src/mesh/controller/state.rs
+++ b/crates/node/src/mesh/controller/state.rs
@@ -133,6 +133,8 @@
     pub(super) metrics: MeshMetrics,
     /// Overload level of this node that was last logged.
     pub(super) logged_level: f64,
+    /// Id and start of the local target's process, once its entry is known.
+    pub(super) target_process: Option<(SmolStr, Option<u64>)>,
 }
 
 impl Controller {
@@ -178,6 +180,7 @@
             journal,
             metrics,
             logged_level: 0.0,
+            target_process: None,
             rng,
             cfg,
             clock,
--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootport_core::mesh::{Dialect, Idempotency, Refusal};
+use coltsfootport_core::mesh::{Announcement, Dialect, Idempotency, Refusal};
 use coltsfootport_core::quarantine::{CrashId, SuspicionLevel};
 use http::StatusCode;
 use tokio::time::timeout;
@@ -39,6 +39,8 @@
 struct RunResult {
     result: Result<TargetAnswer, Refused>,
     end: RunEnd,
+    /// What the target announced, if it responded.
+    announcement: Option<Announcement>,
 }
 
 /// The reason why an exchange with the target yielded no response.
@@ -120,8 +122,12 @@
         slot: SlotGuard,
         grace: Duration,
     ) -> HostReply {
-        let RunResult { mut result, end } = self.run_at_target(req, conn, grace).await;
-        let outcome = slot.release(end).await;
+        let RunResult {
+            mut result,
+            end,
+            announcement,
+        } = self.run_at_target(req, conn, grace).await;
+        let outcome = slot.release(end, announcement).await;
         // The refusal tells the caller not to retry: a retry would crash the next target.
         if outcome.standing == SuspicionLevel::Refused && matches!(end, RunEnd::Crashed(_)) {
             result = Err(Refused::from(Refusal::CrashesTargets));
@@ -144,12 +150,24 @@
                     true => RunEnd::Answered,
                     false => RunEnd::Other,
                 };
+                if let Some(invalid) = &exchanged.invalid_limit {
+                    self.journal
+                        .announcement_ignored(&req.id, &req.instance, invalid);
+                }
+                // Unsigned responses may come from elsewhere.
+                let is_from_target = exchanged.signed || exchanged.not_run;
+                let announcement = is_from_target.then_some(exchanged.announcement);
                 let result = self.check_answer(&req, exchanged);
-                RunResult { result, end }
+                RunResult {
+                    result,
+                    end,
+                    announcement,
+                }
             }
             Err(ExchangeFailure { refused, crash }) => RunResult {
                 result: Err(refused),
                 end: crash.map_or(RunEnd::Other, RunEnd::Crashed),
+                announcement: None,
             },
         }
     }
@@ -254,7 +272,7 @@
 async fn not_sent(refused: Refused, slot: SlotGuard) -> HostReply {
     HostReply {
         result: Err(refused),
-        report: slot.release(RunEnd::Other).await.report,
+        report: slot.release(RunEnd::Other, None).await.report,
     }
 }
 
--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -11,6 +11,7 @@
 
 use crate::clock::SharedClock;
 use crate::mesh::metrics::MeshMetrics;
+use crate::mesh::target::InvalidRateLimit;
 
 /// Maximum lines per second for failed or refused requests. Enough to log examples of every kind of failure, at a cost
 /// of about 0.1% of a core.
@@ -205,6 +206,14 @@
         }
     }
 
+    /// Logs a part of the local target's announcement that can't be read.
+    pub fn announcement_ignored(&self, id: &str, instance: &str, error: &InvalidRateLimit) {
+        if let Some(dropped) = self.admit_failure_line() {
+            warn!(self.log, "announcement ignored"; "request" => id, "instance" => instance,
+                "reason" => error.to_string(), "dropped" => dropped);
+        }
+    }
+
     /// Metrics in which the journal counts what it logs.
     pub fn metrics(&self) -> &MeshMetrics {
         &self.metrics
--- a/crates/node/src/mesh/target.rs
+++ b/crates/node/src/mesh/target.rs
@@ -1,11 +1,13 @@
 //! HTTP/1.1 client for the local target.
 
+mod announcement;
 mod connection;
 mod crash_detector;
 mod exchange;
 mod pool;
 mod wire_request;
 
+pub use announcement::{InvalidRateLimit, read_announcement};
 pub use connection::TargetConn;
 pub use exchange::{CheckedResponse, ExchangeError, exchange};
 pub use pool::TargetPool;
--- a/crates/node/src/mesh/target/exchange.rs
+++ b/crates/node/src/mesh/target/exchange.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use coltsfootport_core::mesh::Dialect;
+use coltsfootport_core::mesh::{Announcement, Dialect};
 use http::{HeaderMap, Method};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::mpsc;
 
 use super::connection::READ_SIZE;
-use super::{TargetConn, TargetPool, WireRequest};
+use super::{InvalidRateLimit, TargetConn, TargetPool, WireRequest, read_announcement};
 use crate::h1::{
     BodyDecoder, Decoded, Framing, H1Error, LAST_CHUNK, ResponseHead, encode_chunk,
     encode_request_head, parse_response, response_framing, strip_hop_by_hop,
@@ -49,6 +49,10 @@
     pub not_run: bool,
     /// Whether the response carries the target's signature.
     pub signed: bool,
+    /// What the target announces about itself.
+    pub announcement: Announcement,
+    /// A rate limit in the announcement that can't be read, which was left out.
+    pub invalid_limit: Option<InvalidRateLimit>,
 }
 
 /// Sends a request and reads its response; returns the connection to the pool if it can be reused.
@@ -100,6 +104,7 @@
     let keep_alive = keep_alive_time(&head.headers);
     let not_run = head.headers.contains_key(dialect.not_run);
     let signed = head.headers.contains_key(dialect.signature);
+    let (announcement, invalid_limit) = read_announcement(&head.headers, dialect);
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
     let body = match complete {
@@ -127,6 +132,8 @@
         },
         not_run,
         signed,
+        announcement,
+        invalid_limit,
     })
 }
 
