A target that announces its leaving in a response gets no further requests

What targets saw: requests after they had told in every response that they are leaving, for as long as their published entry said otherwise (the rule on responses is new; not seen by callers so far).

Cause: only the published list could make an instance leave. Both ends now read the response: the node beside the target refuses what it has queued for it, and the entry that passes the response on selects it no more, also for retries and calls of runs. It holds for that process of the instance, while its entry is written, removed and written again; a new start under the same id, or another id at the address, is used.

The announcement travels in the response's headers, so that nodes of an older build need not know it.

--- a/crates/core/src/mesh.rs
+++ b/crates/core/src/mesh.rs
@@ -4,6 +4,7 @@
 //! target and acts in two roles: as an entry node it accepts requests that originate on its machine, and as a host it
 //! executes requests of other nodes at its target. The entry of an instance is its record in the published list.
 
+mod announced_leaving;
 mod announcement;
 mod authentication;
 mod balance;
--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -9,6 +9,7 @@
 use slotmap::{SlotMap, new_key_type};
 use smol_str::SmolStr;
 
+use super::announced_leaving::AnnouncedLeaving;
 use super::lapsed::LapsedInstances;
 use super::publisher_health::PublisherHealth;
 use super::restored::RestoredEntries;
@@ -67,6 +68,7 @@
     publisher: PublisherHealth,
     lapsed: LapsedInstances,
     restored: RestoredEntries,
+    announced_leaving: AnnouncedLeaving,
 }
 
 impl Fleet {
@@ -81,6 +83,7 @@
             publisher: PublisherHealth::Healthy,
             lapsed: LapsedInstances::default(),
             restored: RestoredEntries::default(),
+            announced_leaving: AnnouncedLeaving::default(),
         }
     }
 
@@ -89,7 +92,8 @@
     /// An address belongs to one process at a time, so the older of two instances at an address has ended and is
     /// removed. Its entry remains published until its lease expires; without this rule, most requests after a power
     /// failure of all machines would be sent to ended instances for several seconds and rejected by their successors.
-    pub fn put(&mut self, instance: Instance, now: Instant) -> PutEffect {
+    pub fn put(&mut self, mut instance: Instance, now: Instant) -> PutEffect {
+        instance.leaving |= self.announced_leaving.contains(&instance);
         let member_state = match instance.leaving {
             true => MemberState::Draining,
             false => MemberState::Ready,
@@ -199,6 +203,24 @@
         }
     }
 
+    /// Records that an instance has announced in a response that it is leaving, which holds for its process whatever
+    /// its entry says. Returns its id if that is new.
+    pub fn mark_leaving(&mut self, key: InstanceKey) -> Option<SmolStr> {
+        let member = self.members.get_mut(key)?;
+        member.instance.leaving = true;
+        member.member_state = MemberState::Draining;
+        let Instance {
+            id, started_at_ms, ..
+        } = &member.instance;
+        let is_new = self.announced_leaving.add(id, *started_at_ms);
+        is_new.then(|| id.clone())
+    }
+
+    /// Returns the key of the instance with this id.
+    pub fn key_of(&self, id: &str) -> Option<InstanceKey> {
+        self.by_id.get(id).copied()
+    }
+
     /// Applies a complete list; instances missing from it are treated as removed entries. Returns the ids of the
     /// instances that ended.
     pub fn replace_all(&mut self, listed: Vec<Instance>, now: Instant) -> Vec<SmolStr> {
--- a/crates/core/tests/mesh_fleet.rs
+++ b/crates/core/tests/mesh_fleet.rs
@@ -528,3 +528,31 @@
     harness.fleet.put(instance("i-a"), harness.now);
     assert_eq!(harness.fleet.member_state("i-a"), Some(MemberState::Ready));
 }
+
+/// What an instance announces in a response outweighs its entry, until another process has its id.
+#[test]
+fn an_announced_leaving_outlasts_the_entry() {
+    let now = Instant::now();
+    let started = |started_at_ms| Instance {
+        started_at_ms,
+        ..instance("a")
+    };
+    let mut fleet = Fleet::new(FleetConfig::default());
+    fleet.put(started(Some(1)), now);
+    let key = fleet.key_of("a").expect("known");
+    assert_eq!(fleet.mark_leaving(key).as_deref(), Some("a"));
+    assert_eq!(fleet.mark_leaving(key), None, "known already");
+    // Its entry is written, listed, and removed and written again.
+    fleet.put(started(Some(1)), now);
+    assert_eq!(fleet.member_state("a"), Some(MemberState::Draining));
+    fleet.replace_all(vec![started(Some(1))], now);
+    assert_eq!(fleet.member_state("a"), Some(MemberState::Draining));
+    assert_eq!(fleet.entry_removed("a", now), RemoveEffect::Removed);
+    fleet.put(started(Some(1)), now);
+    assert_eq!(fleet.member_state("a"), Some(MemberState::Draining));
+    assert!(!fleet.mark_partitioned_by_id("a", now));
+    assert_eq!(fleet.member_state("a"), Some(MemberState::Draining));
+    // A new process.
+    fleet.put(started(Some(2)), now);
+    assert_eq!(fleet.member_state("a"), Some(MemberState::Ready));
+}
--- a/crates/node/src/mesh/controller/admission.rs
+++ b/crates/node/src/mesh/controller/admission.rs
@@ -179,6 +179,7 @@
             route: req.route,
             fingerprint: req.fingerprint,
             answer_complete: false,
+            target_leaving: false,
             parent: req.parent,
             since: now,
             clock: Arc::clone(&self.clock),
@@ -241,6 +242,9 @@
                 self.fleet.mark_partitioned(key, now);
             }
         }
+        if ended.target_leaving {
+            self.note_leaving(key);
+        }
         let busy = ended.report.as_ref().map(|report| report.busy);
         self.fleet.request_ended(key, outcome, busy, now);
         if let Some(parent) = &ended.parent {
--- a/crates/node/src/mesh/controller/announcements.rs
+++ b/crates/node/src/mesh/controller/announcements.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use coltsfootport_core::mesh::Announcement;
+use coltsfootport_core::mesh::{Announcement, InstanceKey};
 use slog::info;
 
 use super::Controller;
@@ -24,6 +24,18 @@
             info!(self.journal.log(), "target's rate limit"; "instance" => instance,
                 "per_second" => announced.rate_limit);
         }
+        let own = self.fleet.key_of(instance).filter(|_| announced.leaving);
+        if let Some(key) = own {
+            self.note_leaving(key);
+            self.refuse_waiters_of_stopped();
+        }
+    }
+
+    /// Records that an instance announced in a response that it is leaving.
+    pub(super) fn note_leaving(&mut self, key: InstanceKey) {
+        if let Some(id) = self.fleet.mark_leaving(key) {
+            info!(self.journal.log(), "instance is leaving"; "instance" => id.as_str());
+        }
     }
 
     /// Forgets what the local target announced if another process runs at its address.
--- a/crates/node/src/mesh/controller/event.rs
+++ b/crates/node/src/mesh/controller/event.rs
@@ -219,6 +219,8 @@
     pub fingerprint: Fingerprint,
     /// Whether the target's response arrived completely.
     pub answer_complete: bool,
+    /// Whether the target announced in its response that it is leaving.
+    pub target_leaving: bool,
     /// Id of the run that made the call.
     pub parent: Option<SmolStr>,
     /// The host's report, if one arrived.
--- a/crates/node/src/mesh/controller/guards.rs
+++ b/crates/node/src/mesh/controller/guards.rs
@@ -26,6 +26,7 @@
     pub(super) clock: SharedClock,
     pub(super) tx: mpsc::UnboundedSender<ControllerEvent>,
     pub(super) answer_complete: bool,
+    pub(super) target_leaving: bool,
     pub(super) reported: bool,
 }
 
@@ -35,6 +36,11 @@
         self.answer_complete = true;
     }
 
+    /// Records that the target announced in its response that it is leaving.
+    pub fn set_target_leaving(&mut self) {
+        self.target_leaving = true;
+    }
+
     /// Reports the outcome of the request to the controller.
     pub fn end(mut self, outcome: SendOutcome, report: Option<Report>) {
         self.report_end(outcome, report);
@@ -49,6 +55,7 @@
             route: self.route.clone(),
             fingerprint: self.fingerprint,
             answer_complete: self.answer_complete,
+            target_leaving: self.target_leaving,
             parent: self.parent.clone(),
             report,
         };
