The soak's targets name rate limits, and the soak checks that they hold

Up to three targets of a run name 5 to 19 requests a second for 4.5 to 9 s, from a generator of their own, so that the other faults of a seed stay as they are. Counted are requests of machines that were neither down nor suspended since the limit was first named, from 3 s after that on, in windows of 4 s; 1.5 times the limit and 5 are allowed. A host that restarts excuses nothing.

A case of the checks' own test has 36 requests where 35 are allowed.

--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -3,12 +3,14 @@
 mod callers;
 mod evidence;
 mod key;
+mod limits;
 mod machine;
 mod plan;
 mod run;
 
 pub use self::evidence::{Evidence, RequestKind, RequestRecord, Span, find_breaches};
 pub use self::key::{CHANGING_WORKSPACE, Key, LASTING_WORKSPACE};
+pub use self::limits::NamedLimit;
 pub use self::machine::{NodeSettings, settings_text};
 pub use self::plan::{Fault, Link, ScheduledFault, SoakPlan};
 pub use self::run::{SoakReport, run};
--- a/crates/rig/src/soak/evidence.rs
+++ b/crates/rig/src/soak/evidence.rs
@@ -5,7 +5,8 @@
 
 use coltsfootport_stand_ins::{Arrival, RequestOutcome};
 
-use super::Key;
+use super::limits::find_exceeded_limits;
+use super::{Key, NamedLimit};
 
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,6 +64,8 @@
     pub stops: Vec<Span>,
     /// Times from a target being published as draining until it is ready again.
     pub drains: Vec<Span>,
+    /// Rate limits that targets named.
+    pub limits: Vec<NamedLimit>,
     /// Times at which some node could not reach the store or be reached, or a target failed by itself.
     pub impairments: Vec<Span>,
 }
@@ -110,6 +113,7 @@
     breaches.extend(find_workspace_breaches(evidence));
     breaches.extend(find_version_regressions(evidence));
     breaches.extend(find_late_arrivals(evidence));
+    breaches.extend(find_exceeded_limits(evidence));
     breaches.extend(find_unblocked_requests(evidence));
     breaches.extend(find_wrongly_blocked_requests(evidence));
     breaches
@@ -329,7 +333,7 @@
     }
 }
 
-fn overlaps(spans: &[Span], machine: usize, from: Instant, to: Instant) -> bool {
+pub(super) fn overlaps(spans: &[Span], machine: usize, from: Instant, to: Instant) -> bool {
     let mut of_machine = spans.iter().filter(|span| span.affects(machine));
     of_machine.any(|span| span.overlaps(from, to))
 }
--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -129,6 +129,15 @@
         /// Time until the target is back.
         down_ms: u64,
     },
+    /// Makes a target name a rate limit in its responses.
+    Limit {
+        /// Index of the machine.
+        machine: usize,
+        /// Limit in requests per second.
+        per_second: u32,
+        /// Duration.
+        ms: u64,
+    },
     /// Repeats a request that crashes every target that runs it, at each machine in turn.
     Crashing {
         /// Number of the crashing request within the run.
@@ -185,6 +194,7 @@
         }
         add_target_crashes(&mut faults, seed, seconds, machines);
         add_store_rollbacks(&mut faults, seed, seconds);
+        add_rate_limits(&mut faults, seed, seconds, machines);
         Self {
             seed,
             seconds,
@@ -230,6 +240,20 @@
     faults.sort_by_key(|scheduled| scheduled.at_ms);
 }
 
+/// Adds rate limits of targets, also from a separate generator. They last long enough to bind.
+fn add_rate_limits(faults: &mut Vec<ScheduledFault>, seed: u64, seconds: u64, machines: usize) {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(16) ^ 2);
+    for _ in 0..rng.random_range(0..4) {
+        let fault = Fault::Limit {
+            machine: rng.random_range(0..machines),
+            per_second: rng.random_range(5..20),
+            ms: rng.random_range(4500..9000),
+        };
+        add_at(faults, rng.random_range(0..seconds * 500), fault);
+    }
+    faults.sort_by_key(|scheduled| scheduled.at_ms);
+}
+
 /// Adds a fault at the first millisecond from `at_ms` on that has none yet.
 fn add_at(faults: &mut Vec<ScheduledFault>, at_ms: u64, fault: Fault) {
     let is_occupied = |at_ms| faults.iter().any(|scheduled| scheduled.at_ms == at_ms);
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -21,7 +21,7 @@
 use crate::process::{Process, Signal, free_port};
 use crate::proxy::{Cut, DirectionFaults, LinkFaults};
 use crate::soak::{
-    CHANGING_WORKSPACE, Evidence, Fault, Key, LASTING_WORKSPACE, Link, SoakPlan, Span,
+    CHANGING_WORKSPACE, Evidence, Fault, Key, LASTING_WORKSPACE, Link, NamedLimit, SoakPlan, Span,
     find_breaches,
 };
 
@@ -275,6 +275,18 @@
                 sleep(time(down_ms)).await;
                 self.record_span(|e| &mut e.impairments, None, from);
             }
+            Fault::Limit {
+                machine,
+                per_second,
+                ms,
+            } => {
+                let worker = &self.machines[machine].worker;
+                let limit = f64::from(per_second);
+                worker.announce_limit(Some(&limit.to_string()));
+                sleep(time(ms)).await;
+                self.record_limit(machine, limit, from);
+                worker.announce_limit(None);
+            }
             Fault::Crashing {
                 request,
                 copies,
@@ -350,6 +362,17 @@
         });
     }
 
+    /// Records a rate limit that a target named from `from` until now.
+    fn record_limit(&self, machine: usize, per_second: f64, from: Instant) {
+        let mut evidence = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
+        evidence.limits.push(NamedLimit {
+            machine,
+            per_second,
+            from,
+            to: Instant::now(),
+        });
+    }
+
     fn publish_config(&self) {
         let version = self.shared.version.load(Ordering::SeqCst);
         let more: Vec<String> = (0..=version)
--- a/crates/rig/tests/soak.rs
+++ b/crates/rig/tests/soak.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use coltsfootport_rig::soak::{
-    self, CHANGING_WORKSPACE, Evidence, Key, LASTING_WORKSPACE, RequestKind, RequestRecord,
-    SoakPlan, Span, find_breaches,
+    self, CHANGING_WORKSPACE, Evidence, Key, LASTING_WORKSPACE, NamedLimit, RequestKind,
+    RequestRecord, SoakPlan, Span, find_breaches,
 };
 use coltsfootport_stand_ins::{Answer, Arrival, RequestOutcome, key_header, workspace_header};
 
@@ -126,6 +126,33 @@
     })
 }
 
+/// Target 1 names a limit of 5 a second from the start on and gets 36 requests from `ms` on, where 35 are allowed.
+fn limited(ms: u64) -> EvidenceBuilder {
+    let mut seen = EvidenceBuilder::new();
+    for n in 0..36 {
+        let id = format!("limited-{n}");
+        let mut arrival = Arrival::new(&id, seen.at(ms + n * 20), true);
+        arrival.head.push_str(&seen.headers);
+        seen.evidence.arrivals[1].push(arrival);
+        seen.evidence.records.push(RequestRecord {
+            asked: answer(200, &format!("answer to {id}")),
+            id,
+            kind: RequestKind::Read,
+            key: seen.key,
+            machine: 0,
+            sent: seen.at(ms + n * 20),
+            ended: seen.at(ms + n * 20),
+        });
+    }
+    seen.evidence.limits.push(NamedLimit {
+        machine: 1,
+        per_second: 5.0,
+        from: seen.at(0),
+        to: seen.at(9000),
+    });
+    seen
+}
+
 #[test]
 fn each_broken_promise_is_found() {
     struct Case {
@@ -134,6 +161,16 @@
         breaches: usize,
     }
     let cases = [
+        Case {
+            name: "more requests than a limit allows",
+            seen: || limited(4000),
+            breaches: 1,
+        },
+        Case {
+            name: "as many requests before a limit binds",
+            seen: || limited(500),
+            breaches: 0,
+        },
         Case {
             name: "served once",
             seen: || {
