A node that restarts uses all slots before its target's first response

Suspected: at most eight requests ran until a new process had responded, which in a chain of services waits for the responses below, at hosts that wait as well.

--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -96,8 +96,6 @@
     level: LevelControl,
     /// Limit on the rate of starts, while the target names one.
     rate: Option<RateLimit>,
-    /// Whether no response of the target is known yet.
-    unanswered: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -138,9 +136,6 @@
 /// persist.
 const DRAIN_RANGE: (f64, f64) = (0.2, 2.0);
 
-/// Requests running at most until the first response of a target, which may name a limit far below its slots.
-const MAX_UNANSWERED: u32 = 8;
-
 impl TargetGate {
     /// Creates a gate with an empty queue and all slots free.
     pub fn new(cfg: GateConfig, now: Instant) -> Self {
@@ -154,7 +149,6 @@
             headroom: Headroom::default(),
             level: LevelControl::new(cfg.level, now),
             rate: None,
-            unanswered: false,
             cfg,
         }
     }
@@ -179,16 +173,8 @@
         self.usable = self.slots;
     }
 
-    /// Records that the target is a new process, about which nothing is known.
-    pub fn target_started(&mut self) {
-        self.rate = None;
-        self.unanswered = true;
-    }
-
-    /// Records a response of the target, and the rate limit in requests per second that it names. Returns whether the
-    /// limit has changed.
-    pub fn target_answered(&mut self, per_second: Option<f64>, now: Instant) -> bool {
-        self.unanswered = false;
+    /// Sets the rate limit in requests per second that the target names. Returns whether it has changed.
+    pub fn set_rate_limit(&mut self, per_second: Option<f64>, now: Instant) -> bool {
         match (&mut self.rate, per_second) {
             (Some(rate), Some(per_second)) => {
                 let before = *rate;
@@ -349,11 +335,7 @@
     }
 
     fn has_free_slot(&self) -> bool {
-        let usable = match self.unanswered {
-            true => self.usable.min(MAX_UNANSWERED),
-            false => self.usable,
-        };
-        self.running() < usable
+        self.running() < self.usable
     }
 
     /// Takes a start from the rate limit, if a slot is free.
--- a/crates/node/src/mesh/controller/announcements.rs
+++ b/crates/node/src/mesh/controller/announcements.rs
@@ -20,7 +20,7 @@
         if own.is_some_and(|own| own.id != instance) {
             return;
         }
-        if self.gate.target_answered(announced.rate_limit, now) {
+        if self.gate.set_rate_limit(announced.rate_limit, now) {
             info!(self.journal.log(), "target's rate limit"; "instance" => instance,
                 "per_second" => announced.rate_limit);
         }
@@ -39,12 +39,12 @@
     }
 
     /// Forgets what the local target announced if another process runs at its address.
-    pub(super) fn note_target_process(&mut self) {
+    pub(super) fn note_target_process(&mut self, now: Instant) {
         let own = self.fleet.at_address(self.cfg.target);
         let process = own.map(|own| (own.id.clone(), own.started_at_ms));
         if process.is_some() && process != self.target_process {
             self.target_process = process;
-            self.gate.target_started();
+            self.gate.set_rate_limit(None, now);
         }
     }
 }
--- a/crates/node/src/mesh/controller/publisher_updates.rs
+++ b/crates/node/src/mesh/controller/publisher_updates.rs
@@ -238,9 +238,9 @@
         if let Some(own) = self.fleet.at_address(self.cfg.target) {
             self.gate.set_slots(own.slots);
         }
-        self.note_target_process();
-        self.refuse_waiters_of_stopped();
         let now = self.clock.now();
+        self.note_target_process(now);
+        self.refuse_waiters_of_stopped();
         self.start_queued(now);
     }
 
