--- a/crates/core/src/mesh/caller_connections.rs
+++ b/crates/core/src/mesh/caller_connections.rs
@@ -11,7 +11,7 @@
     pub descriptors: usize,
     /// Share of the descriptors that connections of callers may take; links, the target and the publisher need the rest.
     pub callers_share: f64,
-    /// Share of the bound above which responses close their connections.
+    /// Share of the bound on callers' connections above which responses close theirs.
     pub crowded_share: f64,
 }
 
@@ -30,12 +30,15 @@
     pub struct CallerConnection;
 }
 
+/// Position in the order in which connections became idle.
+type IdleOrder = u64;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     /// Requests are unanswered.
     Busy,
-    /// No request is unanswered since the time with this number.
-    Idle(u64),
+    /// No request is unanswered; ordered by the time at which that began.
+    Idle(IdleOrder),
     /// Told to close.
     Evicted,
 }
@@ -49,10 +52,10 @@
     max: usize,
     crowded: usize,
     open: SlotMap<CallerConnection, State>,
-    /// Idle connections by the number of the time at which they became idle.
-    idle: BTreeMap<u64, CallerConnection>,
+    /// Idle connections, the longest idle one first.
+    idle: BTreeMap<IdleOrder, CallerConnection>,
     evicted: usize,
-    time: u64,
+    next_order: IdleOrder,
 }
 
 impl CallerConnections {
@@ -65,7 +68,7 @@
             open: SlotMap::with_key(),
             idle: BTreeMap::new(),
             evicted: 0,
-            time: 0,
+            next_order: 0,
         }
     }
 
@@ -83,11 +86,11 @@
 
     /// Records that all requests have been answered.
     pub fn set_idle(&mut self, conn: CallerConnection) {
-        self.time += 1;
-        let time = self.time;
-        self.replace(conn, State::Idle(time));
+        let order = self.next_order;
+        self.next_order += 1;
+        self.replace(conn, State::Idle(order));
         if self.open.contains_key(conn) {
-            self.idle.insert(time, conn);
+            self.idle.insert(order, conn);
         }
     }
 
@@ -140,7 +143,7 @@
         let old = std::mem::replace(state, new);
         self.evicted += usize::from(new == State::Evicted);
         match old {
-            State::Idle(time) => drop(self.idle.remove(&time)),
+            State::Idle(order) => drop(self.idle.remove(&order)),
             State::Evicted => self.evicted -= 1,
             State::Busy => {}
         }
