A soak run names one rate limit a target at most

The log of the node says why: the target named 9, then 19, then none, 1.7 s after the second began. Two limits of one target overlapped, and the end of the first one ended the second, which the check went on counting. So the case is allowed, and the fault was the plan's; the check and its bound are as they were.

--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -1,5 +1,7 @@
 //! Fault schedule of a soak test, generated from its seed.
 
+use std::collections::HashSet;
+
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
@@ -240,16 +242,22 @@
     faults.sort_by_key(|scheduled| scheduled.at_ms);
 }
 
-/// Adds rate limits of targets, also from a separate generator. They last long enough to bind.
+/// Adds rate limits of targets, also from a separate generator. They last long enough to bind, and there is one for
+/// each target at most: the end of one would also end another.
 fn add_rate_limits(faults: &mut Vec<ScheduledFault>, seed: u64, seconds: u64, machines: usize) {
     let mut rng = SmallRng::seed_from_u64(seed.rotate_left(16) ^ 2);
+    let mut limited = HashSet::new();
     for _ in 0..rng.random_range(0..4) {
+        let machine = rng.random_range(0..machines);
         let fault = Fault::Limit {
-            machine: rng.random_range(0..machines),
+            machine,
             per_second: rng.random_range(5..20),
             ms: rng.random_range(4500..9000),
         };
-        add_at(faults, rng.random_range(0..seconds * 500), fault);
+        let at_ms = rng.random_range(0..seconds * 500);
+        if limited.insert(machine) {
+            add_at(faults, at_ms, fault);
+        }
     }
     faults.sort_by_key(|scheduled| scheduled.at_ms);
 }
--- a/crates/rig/tests/soak.rs
+++ b/crates/rig/tests/soak.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootport_rig::soak::{
-    self, CHANGING_WORKSPACE, Evidence, Key, LASTING_WORKSPACE, NamedLimit, RequestKind,
+    self, CHANGING_WORKSPACE, Evidence, Fault, Key, LASTING_WORKSPACE, NamedLimit, RequestKind,
     RequestRecord, SoakPlan, Span, find_breaches,
 };
 use coltsfootport_stand_ins::{Answer, Arrival, RequestOutcome, key_header, workspace_header};
@@ -40,6 +40,26 @@
     assert!(in_order);
 }
 
+/// Guards against two limits of one target, the first of which ends the second while the checks still count it.
+#[test]
+fn a_target_names_one_limit_in_a_run() {
+    for seed in 0..1000 {
+        let plan = SoakPlan::of_seed(seed, 10, 6);
+        let limited = plan
+            .faults
+            .iter()
+            .filter_map(|scheduled| match scheduled.fault {
+                Fault::Limit { machine, .. } => Some(machine),
+                _ => None,
+            });
+        let mut limited: Vec<usize> = limited.collect();
+        let count = limited.len();
+        limited.sort_unstable();
+        limited.dedup();
+        assert_eq!(limited.len(), count, "seed {seed}");
+    }
+}
+
 /// Builder for the evidence of a run; times are in milliseconds from its start.
 struct EvidenceBuilder {
     start: Instant,
