--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -214,11 +214,6 @@
         }
     }
 
-    /// Metrics in which the journal counts what it logs.
-    pub fn metrics(&self) -> &MeshMetrics {
-        &self.metrics
-    }
-
     /// Logs and counts a request that was answered.
     pub fn request_answered(&self, summary: RequestSummary<'_>) {
         self.metrics
