Compare instances with the usual response time of a route only once that is known

Cause: the usual response time of a route was its first response until others had moved it. If that one was slow, the next ones looked fast, so the instance that gave them got all requests, and those without responses none.

Evidence: 1 of 20 runs of the test program beside twelve busy processes failed with its logs kept: the first response took 21 ms, all others 11 to 12 ms and every logged one came from one instance. Ruled out: a closed connection (writes would fail), waiting pipelined requests (answers came after 11 ms), chance ((3/4)^50).

Why it works: the median of five responses is not moved by a slow one, and no instance is judged before it is known. A cumulative mean was ruled out on paper: one response of 250 ms among ones of 10 ms still makes them look fast by a third after twenty.

--- a/crates/node/src/mesh/controller/admission.rs
+++ b/crates/node/src/mesh/controller/admission.rs
@@ -217,10 +217,10 @@
         if ended.answer_complete {
             self.record_answer(ended.fingerprint, now);
         }
-        let stats = get_or_insert(&mut self.route_stats, &ended.route, RouteStats::new);
+        let stats = get_or_insert(&mut self.route_stats, &ended.route, RouteStats::default);
         let outcome = match ended.outcome {
             SendOutcome::Answered { .. } => SendOutcome::Answered {
-                relative_latency: stats.record_response(ended.took),
+                relative_latency: stats.latency.record(ended.took),
             },
             other => other,
         };
--- a/crates/node/src/mesh/controller/drain.rs
+++ b/crates/node/src/mesh/controller/drain.rs
@@ -23,7 +23,7 @@
             return true;
         };
         let stats = self.route_stats.get(&route.name);
-        let expected = stats.map_or(Duration::ZERO, |stats| stats.mean_response_time());
+        let expected = stats.map_or(Duration::ZERO, |stats| stats.latency.usual());
         let left = req
             .time_left
             .map_or(route.timeout, |left| left.min(route.timeout));
