Allocate only ports that are free at every loopback address

What was seen: three tests of announcements.rs timed out once at the start of their fleets of two and three nodes; the test with one node passed.

Cause: free_port looked at 127.0.0.1 only, but the second and third node of a fleet listen at 127.0.0.2 and 127.0.0.3. A test program that is killed leaves its nodes behind, and the reservation of its block of ports ends with it. The next program that takes the block gets the same ports in the same order; its first node starts, the others fail with 'Address already in use'.

Ruled out: load, 7 runs at load 8 to 20 passed.

--- a/crates/rig/src/process/ports.rs
+++ b/crates/rig/src/process/ports.rs
@@ -1,8 +1,10 @@
 //! Free loopback ports for child processes.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
-use std::process;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::{Mutex, PoisonError};
+use std::{io, process};
+
+use socket2::{Domain, Socket, Type};
 
 use super::spawn::lock_spawning;
 use crate::error::RigError;
@@ -91,8 +93,16 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
+/// Whether no process listens on this port at any address. Fleets use several loopback addresses with the same ports, and
+/// a node that is left over from a killed program may hold a port at one of them.
 fn is_free(port: u16) -> bool {
     let _guard = lock_spawning();
-    let addr = loopback(port);
-    TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok()
+    can_bind(port, Type::STREAM).is_ok() && can_bind(port, Type::DGRAM).is_ok()
+}
+
+fn can_bind(port: u16, socket_type: Type) -> io::Result<()> {
+    let socket = Socket::new(Domain::IPV4, socket_type, None)?;
+    // Connections that have been closed do not hinder a new listener.
+    socket.set_reuse_address(socket_type == Type::STREAM)?;
+    socket.bind(&SocketAddr::from((Ipv4Addr::UNSPECIFIED, port)).into())
 }
--- a/crates/rig/tests/process.rs
+++ b/crates/rig/tests/process.rs
@@ -2,13 +2,15 @@
 
 mod common;
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use coltsfootport_rig::error::RigError;
 use coltsfootport_rig::http::Client;
-use coltsfootport_rig::process::{Process, ProcessSpec, Signal, block_start, free_ports, loopback};
+use coltsfootport_rig::process::{
+    Process, ProcessSpec, Signal, block_start, free_port, free_ports, loopback,
+};
 use coltsfootport_rig::target::TargetCounts;
 use tokio::net::TcpStream;
 
@@ -131,3 +133,21 @@
     });
     assert_eq!(held, 0, "of {PORTS} ports");
 }
+
+/// Guards against nodes that can't start because another process holds their port at another loopback address.
+#[test]
+fn a_port_that_is_in_use_at_any_loopback_address_is_not_allocated() {
+    let next = free_port().expect("a port") + 1;
+    let others: Vec<TcpListener> = (next..next + 20)
+        .filter_map(|port| TcpListener::bind(SocketAddr::from(([127, 0, 0, 2], port))).ok())
+        .collect();
+    let taken: Vec<u16> = others
+        .iter()
+        .map(|other| other.local_addr().expect("its address").port())
+        .collect();
+    assert!(taken.len() > 10, "{taken:?}");
+    for _ in 0..20 {
+        let port = free_port().expect("a port");
+        assert!(!taken.contains(&port), "{port}");
+    }
+}
