--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -20,7 +20,7 @@
 };
 use crate::mesh::journal::RequestSummary;
 use crate::mesh::link::{self, LinkError};
-use crate::mesh::target::read_announcement;
+use crate::mesh::target::announces_leaving;
 
 /// Maximum number of reroutes of a request after hosts refused it without involving their targets. Each one costs a
 /// round trip between nodes, and more of them would only shift the load of an overloaded service around.
@@ -211,11 +211,9 @@
         if matches!(&result, Ok(answer) if answer.completed_normally(self.entry.dialect.not_run)) {
             guard.set_answer_complete();
         }
-        if let Ok(answer) = &result {
-            let (announced, _) = read_announcement(&answer.headers, &self.entry.dialect);
-            if announced.leaving {
-                guard.set_target_leaving();
-            }
+        if matches!(&result, Ok(answer) if announces_leaving(&answer.headers, &self.entry.dialect))
+        {
+            guard.set_target_leaving();
         }
         match result {
             Ok(answer) if answer.status.is_server_error() => {
--- a/crates/node/src/mesh/target.rs
+++ b/crates/node/src/mesh/target.rs
@@ -8,7 +8,7 @@
 mod standstill;
 mod wire_request;
 
-pub use announcement::{InvalidRateLimit, read_announcement};
+pub use announcement::{InvalidRateLimit, announces_leaving, read_announcement};
 pub use connection::TargetConn;
 pub use exchange::{CheckedResponse, ExchangeError, exchange};
 pub use pool::TargetPool;
--- a/crates/node/src/mesh/target/announcement.rs
+++ b/crates/node/src/mesh/target/announcement.rs
@@ -14,9 +14,6 @@
     headers: &HeaderMap,
     dialect: &Dialect,
 ) -> (Announcement, Option<InvalidRateLimit>) {
-    let leaving = headers
-        .get(dialect.leaving)
-        .is_some_and(|value| value.as_bytes() != b"0");
     let (rate_limit, invalid) = match headers.get(dialect.rate_limit) {
         None => (None, None),
         Some(value) => match parse_rate(value.to_str().unwrap_or_default()) {
@@ -29,11 +26,18 @@
     };
     let announcement = Announcement {
         rate_limit,
-        leaving,
+        leaving: announces_leaving(headers, dialect),
     };
     (announcement, invalid)
 }
 
+/// Whether a target announces in the headers of a response that it is leaving.
+pub fn announces_leaving(headers: &HeaderMap, dialect: &Dialect) -> bool {
+    headers
+        .get(dialect.leaving)
+        .is_some_and(|value| value.as_bytes() != b"0")
+}
+
 fn parse_rate(text: &str) -> Option<f64> {
     let rate: f64 = text.trim().parse().ok()?;
     (rate.is_finite() && rate >= 0.0).then_some(rate)
