A target counts as silent only after one usual service time without any response

Missing responses now count only once the target has been quiet for the mean service time, at least 100 ms, and lines and metric follow a silence that is there at a tick. many_callers_that_leave_at_once_do_not_make_a_target_silent fails without the quiet time.

--- a/crates/core/src/mesh/target_silence.rs
+++ b/crates/core/src/mesh/target_silence.rs
@@ -6,6 +6,9 @@
 /// that works.
 const MISSING_RESPONSES: f64 = 8.0;
 
+/// Shortest time without any response after which a target counts as silent, unless its usual service time is longer.
+const MIN_QUIET: Duration = Duration::from_millis(100);
+
 /// Time until a silent target is sent a request again; doubled after each of them.
 const FIRST_PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -50,10 +53,11 @@
     pub fn unanswered(&mut self, waited: Duration, service_time: Duration, now: Instant) {
         let quiet = self
             .last_response
-            .map(|at| now.saturating_duration_since(at));
-        let waited = quiet.map_or(waited, |quiet| quiet.min(waited));
-        self.missing += waited.as_secs_f64() / service_time.max(MIN_SERVICE_TIME).as_secs_f64();
-        if self.missing >= MISSING_RESPONSES && self.probes.is_none() {
+            .map_or(waited, |at| now.saturating_duration_since(at));
+        let in_vain = quiet.min(waited).as_secs_f64();
+        self.missing += in_vain / service_time.max(MIN_SERVICE_TIME).as_secs_f64();
+        let is_silent = self.missing >= MISSING_RESPONSES && quiet >= service_time.max(MIN_QUIET);
+        if is_silent && self.probes.is_none() {
             self.probes = Some(Probes {
                 now,
                 next_at: now + FIRST_PROBE_INTERVAL,
--- a/crates/core/tests/mesh_target_silence.rs
+++ b/crates/core/tests/mesh_target_silence.rs
@@ -21,9 +21,10 @@
     Duration::from_millis(n)
 }
 
-fn gate(now: Instant) -> TargetGate {
+/// Creates a gate that knows the usual service time.
+fn gate(slots: u32, now: Instant) -> TargetGate {
     let cfg = GateConfig {
-        slots: SLOTS,
+        slots,
         headroom: false,
         ..GateConfig::default()
     };
@@ -103,7 +104,7 @@
 fn a_target_without_responses_gets_few_requests() {
     for case in CASES {
         let begin = Instant::now();
-        let mut gate = gate(begin);
+        let mut gate = gate(SLOTS, begin);
         let mut running: Vec<(Instant, Ticket, bool)> = Vec::new();
         let mut started = 0;
         let mut now = begin;
@@ -132,7 +133,7 @@
 }
 
 fn silent_gate(now: Instant) -> TargetGate {
-    let mut gate = gate(now);
+    let mut gate = gate(SLOTS, now);
     let ticket = start(&mut gate, now).expect("a free slot");
     gate.release_unanswered(ticket, ms(1000), Some(ms(1000)), now + ms(1000));
     assert!(gate.is_silent());
@@ -162,11 +163,31 @@
     assert!(!gate.is_silent());
 }
 
+/// Guards against a target that counts as silent because many callers leave between two of its responses.
+#[test]
+fn many_callers_that_leave_at_once_do_not_make_a_target_silent() {
+    let begin = Instant::now();
+    let mut gate = gate(100, begin);
+    let mut now = begin;
+    let left_after = SERVICE_TIME - ms(10);
+    for _ in 0..50 {
+        let mut started: Vec<Ticket> = (0..40).filter_map(|_| start(&mut gate, now)).collect();
+        let answered = started.pop().expect("a free slot");
+        now += left_after;
+        for ticket in started {
+            gate.release_unanswered(ticket, left_after, Some(left_after), now);
+            assert!(!gate.is_silent());
+        }
+        now += ms(10);
+        gate.release(answered, SERVICE_TIME, now);
+    }
+}
+
 /// Guards against a target that counts as silent because its callers did not send their requests to the end.
 #[test]
 fn requests_that_were_not_sent_do_not_count() {
     let now = Instant::now();
-    let mut gate = gate(now);
+    let mut gate = gate(SLOTS, now);
     for _ in 0..50 {
         let ticket = start(&mut gate, now).expect("a free slot");
         gate.release_unanswered(ticket, ms(1000), None, now + ms(1000));
--- a/crates/node/src/mesh/controller/state.rs
+++ b/crates/node/src/mesh/controller/state.rs
@@ -138,6 +138,8 @@
     pub(super) target_process: Option<(SmolStr, Option<u64>)>,
     /// Waits for a target that does not respond to go on; empty while it responds.
     pub(super) silence_watch: JoinSet<()>,
+    /// Whether the log says that the local target does not respond.
+    pub(super) logged_silence: bool,
 }
 
 impl Controller {
@@ -185,6 +187,7 @@
             logged_level: 0.0,
             target_process: None,
             silence_watch: JoinSet::new(),
+            logged_silence: false,
             rng,
             cfg,
             clock,
--- a/crates/node/src/mesh/controller/task.rs
+++ b/crates/node/src/mesh/controller/task.rs
@@ -80,6 +80,7 @@
         self.report_quotas(now);
         self.gate.update_level(now);
         self.start_queued(now);
+        self.log_silence();
         self.update_metrics(now);
     }
 }
