--- a/crates/core/tests/replay/deployment.rs
+++ b/crates/core/tests/replay/deployment.rs
@@ -208,6 +208,17 @@
         deployment
     }
 
+    /// The same services with `factor` times as many hosts and requests.
+    pub fn scaled(mut self, factor: usize) -> Self {
+        for service in &mut self.services {
+            service.hosts *= factor;
+        }
+        for kind in &mut self.kinds {
+            kind.calm_rate_per_s *= factor as f64;
+        }
+        self
+    }
+
     /// Slots that a service needs when each kind of external request arrives at `share` times its calm rate.
     pub fn demand<S>(&self, service: usize, share: S) -> f64
     where
@@ -219,6 +230,25 @@
             .sum()
     }
 
+    /// Requests per second that arrive at a service when each kind of external request arrives at `share` times its
+    /// calm rate.
+    pub fn arrivals<S>(&self, service: usize, share: S) -> f64
+    where
+        S: Fn(&KindSpec) -> f64,
+    {
+        let kinds = self.kinds.iter();
+        kinds
+            .map(|kind| kind.calm_rate_per_s * share(kind) * self.arrivals_of(kind, service))
+            .sum()
+    }
+
+    fn arrivals_of(&self, kind: &KindSpec, service: usize) -> f64 {
+        let below = kind.calls.iter().map(|(called, times)| {
+            f64::from(*times) * self.arrivals_of(&self.kinds[*called], service)
+        });
+        f64::from(u8::from(kind.service == service)) + below.sum::<f64>()
+    }
+
     /// Total slots over all hosts of a service.
     pub fn capacity(&self, service: usize) -> f64 {
         let spec = &self.services[service];
@@ -270,6 +300,8 @@
     pub disconnect_share: f64,
     /// Partition from the publisher as (hosts of the last service, start, end). The entries of these hosts lapse.
     pub partition: Option<(usize, f64, f64)>,
+    /// Rate limits that hosts of the last service name, as (hosts, start, end, requests per second of each).
+    pub rate_limit: Option<(usize, f64, f64, f64)>,
     /// Seconds that each hop subtracts from the deadline it passes to its calls.
     pub hop_margin: f64,
     /// Duration of the replay.
--- a/crates/core/tests/replay/mod.rs
+++ b/crates/core/tests/replay/mod.rs
@@ -7,6 +7,6 @@
 pub mod outcome;
 mod world;
 
-pub use deployment::{Deployment, Pattern};
+pub use deployment::{Deployment, KindSpec, Pattern};
 pub use outcome::Outcome;
 pub use world::{Policy, replay};
--- a/crates/core/tests/replay/world.rs
+++ b/crates/core/tests/replay/world.rs
@@ -24,6 +24,8 @@
     pub gate: GateConfig,
     pub shedder: ShedderConfig,
     pub fleet: FleetConfig,
+    /// Instances that a request is sent to after one whose host has refused it.
+    pub further_instances: usize,
 }
 
 /// One-way network delay in seconds.
@@ -73,6 +75,8 @@
     entry: usize,
     host: usize,
     key: InstanceKey,
+    /// Instances whose hosts have refused it.
+    refused_by: Vec<InstanceKey>,
     ticket: Option<Ticket>,
     state: RunState,
     admitted: f64,
@@ -106,6 +110,7 @@
     nodes: Vec<Node>,
     requests: Vec<Request>,
     runs: Vec<Run>,
+    further_instances: usize,
     outcome: Outcome,
 }
 
@@ -177,6 +182,7 @@
             nodes: (0..hosts.len()).map(node).collect(),
             requests: Vec::new(),
             runs: Vec::new(),
+            further_instances: policy.further_instances,
             outcome: Outcome {
                 kinds: vec![(0, 0); deployment.kinds.len()],
                 seconds: vec![Second::default(); pattern.end.ceil() as usize + 1],
@@ -317,6 +323,7 @@
             entry,
             host: host_of(chosen.address),
             key: chosen.key,
+            refused_by: Vec::new(),
             ticket: None,
             state: RunState::Sent,
             admitted,
@@ -370,10 +377,41 @@
                 self.runs[run].ticket = Some(ticket);
                 self.nodes[host].waiting.insert(ticket, run);
             }
+            Admission::Refused { .. } if self.send_elsewhere(run) => {}
             Admission::Refused { .. } | Admission::DeadlineUnreachable => self.end_run(run, false),
         }
     }
 
+    /// Sends a run that its host has refused to another instance. Returns whether there is one.
+    fn send_elsewhere(&mut self, run: usize) -> bool {
+        let now = self.instant(self.now);
+        let Run {
+            kind,
+            entry,
+            host,
+            key,
+            ..
+        } = self.runs[run];
+        self.runs[run].refused_by.push(key);
+        if self.runs[run].refused_by.len() > self.further_instances {
+            return false;
+        }
+        let busy = self.nodes[host].gate.reported_load();
+        let service = self.deployment.kinds[kind].service;
+        let name = format!("s{service}").as_str().into();
+        let fleet = &mut self.nodes[entry].fleet;
+        let refused_by = &self.runs[run].refused_by;
+        let Some(chosen) = fleet.select(&name, refused_by, now, &mut self.rng) else {
+            return false;
+        };
+        fleet.request_ended(key, SendOutcome::HostBusy, Some(busy), now);
+        fleet.request_sent(chosen.key, now);
+        self.runs[run].key = chosen.key;
+        self.runs[run].host = host_of(chosen.address);
+        self.schedule(2.0 * NETWORK_DELAY, Event::Delivery(run));
+        true
+    }
+
     fn start_run(&mut self, run: usize, ticket: Ticket) {
         let Run {
             kind,
@@ -538,7 +576,7 @@
             },
             false => SendOutcome::Abandoned,
         };
-        let busy = self.nodes[host].gate.in_flight();
+        let busy = self.nodes[host].gate.reported_load();
         let level = self.nodes[host].gate.level();
         let service = self.nodes[host].service;
         self.nodes[entry]
@@ -601,6 +639,7 @@
         let first = first_of_last(&self.nodes).expect("hosts of the last service");
         self.apply_restarts(first, now);
         self.apply_partition(first, now);
+        self.apply_rate_limit(first, now);
         for host in 0..self.nodes.len() {
             self.nodes[host].fleet.tick(now);
             self.nodes[host].gate.update_level(now);
@@ -630,6 +669,17 @@
         }
     }
 
+    /// Sets and ends the rate limits of hosts of the last service.
+    fn apply_rate_limit(&mut self, first: usize, now: Instant) {
+        let Some((hosts, from, to, per_second)) = self.pattern.rate_limit else {
+            return;
+        };
+        let limit = (from..to).contains(&self.now).then_some(per_second);
+        for node in &mut self.nodes[first..first + hosts] {
+            node.gate.set_rate_limit(limit, now);
+        }
+    }
+
     /// Lets entries of the last service lapse. The nodes of these hosts report in all their messages that they are
     /// partitioned from the publisher.
     fn apply_partition(&mut self, first: usize, now: Instant) {
