--- a/crates/core/tests/overload_replay.rs
+++ b/crates/core/tests/overload_replay/main.rs
@@ -1,5 +1,6 @@
 //! Overload tests: goodput under simulated load patterns, compared with the capacity of the slots.
 
+mod rate_limits;
 mod replay;
 
 use std::time::Duration;
--- a/crates/core/tests/rate_limit_replay.rs
+++ b/crates/core/tests/overload_replay/rate_limits.rs
@@ -1,8 +1,6 @@
 //! Goodput while targets of the last service name rate limits, under simulated load.
 
-mod replay;
-
-use replay::{Deployment, KindSpec, Outcome, Pattern, Policy, replay};
+use crate::replay::{Deployment, KindSpec, Outcome, Pattern, Policy, replay};
 
 /// Start and end of the limits in seconds.
 const LIMITED_SPAN: (usize, usize) = (4, 12);
