The soak's targets announce their leaving and stand still

Open since the rate limits: the soak named limits, but no target announced its leaving, and none stood still. Half of the plans now have a target that announces its leaving until the end, and up to two standstills of 0.3 to 3 s, from a generator of their own, so that the other faults of a seed stay as they were.

The check follows the rule: from 2 s (and 0.5 s for a busy machine) after a machine has passed on such a response, none of its callers' later requests may reach the target, unless the machine was down, suspended or stopped since.

--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod evidence;
 mod key;
+mod leaving;
 mod limits;
 mod machine;
 mod plan;
--- a/crates/rig/src/soak/evidence.rs
+++ b/crates/rig/src/soak/evidence.rs
@@ -5,6 +5,7 @@
 
 use coltsfootport_stand_ins::{Arrival, RequestOutcome};
 
+use super::leaving::find_requests_to_leaving;
 use super::limits::find_exceeded_limits;
 use super::{Key, NamedLimit};
 
@@ -66,6 +67,8 @@
     pub drains: Vec<Span>,
     /// Rate limits that targets named.
     pub limits: Vec<NamedLimit>,
+    /// Machine of the target that announced its leaving in its responses, if there was one.
+    pub leaving: Option<usize>,
     /// Times at which some node could not reach the store or be reached, or a target failed by itself.
     pub impairments: Vec<Span>,
 }
@@ -75,7 +78,7 @@
 
 /// Time after which a draining target must receive no new requests, including 0.5 s of tolerance
 /// for a busy machine.
-const DRAIN_LIMIT: Duration = Duration::from_millis(2500);
+pub(super) const DRAIN_LIMIT: Duration = Duration::from_millis(2500);
 
 /// Time that nodes need after an outage to catch up with entries and configuration.
 const CATCH_UP_TIME: Duration = Duration::from_millis(3000);
@@ -114,6 +117,7 @@
     breaches.extend(find_version_regressions(evidence));
     breaches.extend(find_late_arrivals(evidence));
     breaches.extend(find_exceeded_limits(evidence));
+    breaches.extend(find_requests_to_leaving(evidence));
     breaches.extend(find_unblocked_requests(evidence));
     breaches.extend(find_wrongly_blocked_requests(evidence));
     breaches
--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -140,6 +140,18 @@
         /// Duration.
         ms: u64,
     },
+    /// Makes a target announce in its responses that it is leaving, until the end of the run.
+    AnnounceLeaving {
+        /// Index of the machine.
+        machine: usize,
+    },
+    /// Makes a target's process stand still.
+    StandStill {
+        /// Index of the machine.
+        machine: usize,
+        /// Duration.
+        ms: u64,
+    },
     /// Repeats a request that crashes every target that runs it, at each machine in turn.
     Crashing {
         /// Number of the crashing request within the run.
@@ -197,6 +209,7 @@
         add_target_crashes(&mut faults, seed, seconds, machines);
         add_store_rollbacks(&mut faults, seed, seconds);
         add_rate_limits(&mut faults, seed, seconds, machines);
+        add_leaving_and_standstills(&mut faults, seed, seconds, machines);
         Self {
             seed,
             seconds,
@@ -262,6 +275,31 @@
     faults.sort_by_key(|scheduled| scheduled.at_ms);
 }
 
+/// Adds a target that announces its leaving in half of the plans, and targets that stand still, also from a separate
+/// generator.
+fn add_leaving_and_standstills(
+    faults: &mut Vec<ScheduledFault>,
+    seed: u64,
+    seconds: u64,
+    machines: usize,
+) {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(48) ^ 3);
+    if rng.random() {
+        let fault = Fault::AnnounceLeaving {
+            machine: rng.random_range(0..machines),
+        };
+        add_at(faults, rng.random_range(0..seconds * 500), fault);
+    }
+    for _ in 0..rng.random_range(0..3) {
+        let fault = Fault::StandStill {
+            machine: rng.random_range(0..machines),
+            ms: rng.random_range(300..3000),
+        };
+        add_at(faults, rng.random_range(0..seconds * 1000), fault);
+    }
+    faults.sort_by_key(|scheduled| scheduled.at_ms);
+}
+
 /// Adds a fault at the first millisecond from `at_ms` on that has none yet.
 fn add_at(faults: &mut Vec<ScheduledFault>, at_ms: u64, fault: Fault) {
     let is_occupied = |at_ms| faults.iter().any(|scheduled| scheduled.at_ms == at_ms);
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -287,6 +287,18 @@
                 self.record_limit(machine, limit, from);
                 worker.announce_limit(None);
             }
+            Fault::AnnounceLeaving { machine } => {
+                self.machines[machine].worker.announce_leaving(true);
+                let mut evidence = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
+                evidence.leaving = Some(machine);
+            }
+            Fault::StandStill { machine, ms } => {
+                let worker = &self.machines[machine].worker;
+                worker.set_paused(true);
+                sleep(time(ms)).await;
+                worker.set_paused(false);
+                self.record_span(|e| &mut e.impairments, None, from);
+            }
             Fault::Crashing {
                 request,
                 copies,
--- a/crates/rig/tests/soak.rs
+++ b/crates/rig/tests/soak.rs
@@ -6,7 +6,9 @@
     self, CHANGING_WORKSPACE, Evidence, Fault, Key, LASTING_WORKSPACE, NamedLimit, RequestKind,
     RequestRecord, SoakPlan, Span, find_breaches,
 };
-use coltsfootport_stand_ins::{Answer, Arrival, RequestOutcome, key_header, workspace_header};
+use coltsfootport_stand_ins::{
+    Answer, Arrival, LEAVING_HEADER, RequestOutcome, key_header, workspace_header,
+};
 
 /// Seeds that once failed, each with the cause.
 ///
@@ -173,6 +175,35 @@
     seen
 }
 
+/// Target 1 is leaving. Machine 0 passes that on at 1,100; its request of `sent` reaches the target.
+fn leaving(sent: u64) -> EvidenceBuilder {
+    let mut seen = EvidenceBuilder::new();
+    for (id, sent, head) in [
+        ("first", 1000, format!("HTTP/1.1 200 X\r\n{LEAVING_HEADER}")),
+        ("next", sent, String::new()),
+    ] {
+        let mut arrival = Arrival::new(id, seen.at(sent + 50), true);
+        arrival.head.push_str(&seen.headers);
+        seen.evidence.arrivals[1].push(arrival);
+        seen.evidence.records.push(RequestRecord {
+            id: String::from(id),
+            kind: RequestKind::Read,
+            key: seen.key,
+            machine: 0,
+            sent: seen.at(sent),
+            ended: seen.at(sent + 100),
+            asked: RequestOutcome::Answered(Answer {
+                status: 200,
+                head,
+                body: format!("answer to {id}"),
+                whole: true,
+            }),
+        });
+    }
+    seen.evidence.leaving = Some(1);
+    seen
+}
+
 #[test]
 fn each_broken_promise_is_found() {
     struct Case {
@@ -191,6 +222,25 @@
             seen: || limited(500),
             breaches: 0,
         },
+        Case {
+            name: "a leaving target receives a request",
+            seen: || leaving(4000),
+            breaches: 1,
+        },
+        Case {
+            name: "a leaving target receives a request within the time allowed",
+            seen: || leaving(3000),
+            breaches: 0,
+        },
+        Case {
+            name: "a leaving target receives a request from a node that has started again",
+            seen: || {
+                let mut seen = leaving(4000);
+                seen.evidence.outages.push(seen.span(Some(0), 2000, 2500));
+                seen
+            },
+            breaches: 0,
+        },
         Case {
             name: "served once",
             seen: || {
