Functions that record what a target does are verbs

Names only: record_response, record_unanswered, record_activity and reset_for_new_process in place of bare participles.

--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -234,7 +234,7 @@
     /// Releases the slot of a request that the target responded to after it held the slot for `held`, and records its
     /// service time.
     pub fn release(&mut self, ticket: Ticket, held: Duration, now: Instant) {
-        self.silence.responded(now);
+        self.silence.record_response(now);
         self.record_end(ticket, held, now);
     }
 
@@ -251,20 +251,20 @@
         if let (Some(running), Some(waited)) = (running, waited) {
             let expected = self.service_times.expected(running.kind);
             let expected = Duration::from_secs_f64(expected);
-            self.silence.unanswered(waited, expected, now);
+            self.silence.record_unanswered(waited, expected, now);
         }
         self.record_end(ticket, held, now);
     }
 
     /// Records a sign, other than a response, that the target's process reads from its connections.
-    pub fn target_reads(&mut self, now: Instant) {
-        self.silence.responded(now);
+    pub fn record_activity(&mut self, now: Instant) {
+        self.silence.record_response(now);
     }
 
     /// Records that another process runs at the address of the target.
-    pub fn target_replaced(&mut self, now: Instant) {
+    pub fn reset_for_new_process(&mut self, now: Instant) {
         self.set_rate_limit(None, now);
-        self.silence.responded(now);
+        self.silence.record_response(now);
     }
 
     /// Whether the target has stopped responding.
--- a/crates/core/src/mesh/target_silence.rs
+++ b/crates/core/src/mesh/target_silence.rs
@@ -41,7 +41,7 @@
 
 impl TargetSilence {
     /// Records a response or another sign that the target's process reads from its connections.
-    pub fn responded(&mut self, now: Instant) {
+    pub fn record_response(&mut self, now: Instant) {
         *self = Self {
             last_response: Some(now),
             ..Self::default()
@@ -50,7 +50,7 @@
 
     /// Records that nobody waits any more for the response to a request that was sent `waited` ago; `service_time` is
     /// the mean of its kind.
-    pub fn unanswered(&mut self, waited: Duration, service_time: Duration, now: Instant) {
+    pub fn record_unanswered(&mut self, waited: Duration, service_time: Duration, now: Instant) {
         let quiet = self
             .last_response
             .map_or(waited, |at| now.saturating_duration_since(at));
--- a/crates/core/tests/mesh_target_silence.rs
+++ b/crates/core/tests/mesh_target_silence.rs
@@ -145,8 +145,10 @@
 fn a_silent_target_that_goes_on_has_all_its_slots() {
     let begin = Instant::now();
     let now = begin + ms(1100);
-    let went_on: [fn(&mut TargetGate, Instant); 2] =
-        [TargetGate::target_reads, TargetGate::target_replaced];
+    let went_on: [fn(&mut TargetGate, Instant); 2] = [
+        TargetGate::record_activity,
+        TargetGate::reset_for_new_process,
+    ];
     for went_on in went_on {
         let mut gate = silent_gate(begin);
         assert_eq!(start(&mut gate, now), None);
--- a/crates/node/src/mesh/controller/announcements.rs
+++ b/crates/node/src/mesh/controller/announcements.rs
@@ -44,7 +44,7 @@
         let process = own.map(|own| (own.id.clone(), own.started_at_ms));
         if process.is_some() && process != self.target_process {
             self.target_process = process;
-            self.gate.target_replaced(now);
+            self.gate.reset_for_new_process(now);
             self.follow_silence();
         }
     }
--- a/crates/node/src/mesh/controller/silence.rs
+++ b/crates/node/src/mesh/controller/silence.rs
@@ -41,7 +41,7 @@
     /// Uses the target without restriction again.
     pub(super) fn note_target_reads(&mut self) {
         let now = self.clock.now();
-        self.gate.target_reads(now);
+        self.gate.record_activity(now);
         self.follow_silence();
         self.start_queued(now);
     }
