The entry written last tells which start of a target is newer

Cause: a node took an entry with a lower start time for a stale read. Start times come from the target's own clock; after that was set back, everything the new process published was ignored, its leaving as well. Targets got requests for 8 s after they had announced that they leave, and calls in progress were cut at their end.

Change: entries are ordered by the revision at which they were written. The start time only tells that two starts differ. In the copy of a restored publisher, where revisions say nothing about the order, an entry with an earlier start time waits as outdated entries do.

--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -87,7 +87,8 @@
         }
     }
 
-    /// Inserts or updates an instance from its published entry.
+    /// Inserts or updates an instance from its published entry. An entry that was written before the known one has no
+    /// effect, since reads from the publisher can be stale.
     ///
     /// An address belongs to one process at a time, so the older of two instances at an address has ended and is
     /// removed. Its entry remains published until its lease expires; without this rule, most requests after a power
@@ -113,7 +114,7 @@
             return ended.map_or(PutEffect::Changed, PutEffect::Superseded);
         };
         let known = &self.members[key].instance;
-        if is_earlier_start(&instance, known) {
+        if instance.written < known.written {
             return PutEffect::Unchanged;
         }
         if is_different_start(&instance, known) {
@@ -273,11 +274,10 @@
     fn is_outdated(&self, instance: &Instance, now: Instant) -> bool {
         let known = self.by_id.get(&instance.id);
         match known.map(|key| &self.members[*key]) {
-            Some(member) => {
-                member.member_state != MemberState::Ready
-                    && !instance.leaving
-                    && !is_different_start(instance, &member.instance)
-            }
+            Some(member) => match is_different_start(instance, &member.instance) {
+                true => has_earlier_start_time(instance, &member.instance),
+                false => member.member_state != MemberState::Ready && !instance.leaving,
+            },
             None => self.restored.has_ended(&instance.id, now),
         }
     }
@@ -549,9 +549,9 @@
     }
 }
 
-/// Whether an entry belongs to an earlier start of the target than the known one; reads from the publisher can be
-/// stale.
-fn is_earlier_start(instance: &Instance, known: &Instance) -> bool {
+/// Whether an entry names an earlier start time than the known one. Only an entry of an older copy is judged by this,
+/// because its position does not tell whether it was written before the restore.
+fn has_earlier_start_time(instance: &Instance, known: &Instance) -> bool {
     matches!((instance.started_at_ms, known.started_at_ms), (Some(new), Some(old)) if new < old)
 }
 
--- a/crates/core/src/mesh/instance.rs
+++ b/crates/core/src/mesh/instance.rs
@@ -15,6 +15,7 @@
     pub id: SmolStr,
     /// Start time in milliseconds of the Unix epoch by the target's own clock, if published. Together with the id it
     /// identifies one start of the target; a restarted target has no knowledge of requests sent to an earlier start.
+    /// It does not tell which start is later, since the clock may have been set back between them.
     pub started_at_ms: Option<u64>,
     /// The service that the instance runs.
     pub service: ServiceName,
@@ -28,6 +29,8 @@
     pub leaving: bool,
     /// When the entry was first written; determines which of two instances at the same address is newer.
     pub created: Position,
+    /// When the entry was last written; determines which of two entries with the same id is newer.
+    pub written: Position,
     /// How long the instance remains slow after its start, measured from the time at which the entry was written.
     pub warm_up: Duration,
 }
--- a/crates/core/src/mesh/update.rs
+++ b/crates/core/src/mesh/update.rs
@@ -47,6 +47,7 @@
         for update in &mut self.updates {
             if let Update::Instance(instance) = update {
                 instance.created.era = era;
+                instance.written.era = era;
             }
         }
         self
--- a/crates/core/tests/mesh_fleet.rs
+++ b/crates/core/tests/mesh_fleet.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 
 use coltsfootport_core::mesh::{
-    Fleet, FleetConfig, Instance, InstanceKey, MemberState, PutEffect, RemoveEffect,
+    Era, Fleet, FleetConfig, Instance, InstanceKey, MemberState, Position, PutEffect, RemoveEffect,
     SelectedInstance, SendOutcome,
 };
 
@@ -26,6 +26,7 @@
         slots: 10,
         leaving: false,
         created: 1.into(),
+        written: 1.into(),
         warm_up: Duration::ZERO,
     }
 }
@@ -479,6 +480,7 @@
 fn a_restart_under_the_same_id_is_a_new_instance() {
     let started_at = |at: u64| Instance {
         started_at_ms: Some(at),
+        written: at.into(),
         ..instance("i-a")
     };
     let mut harness = Harness::new(&["i-b"]);
@@ -515,6 +517,136 @@
     assert!(after.id != before.id || after.key != before.key || after.id == "i-b");
 }
 
+/// An entry of a target that restarts under its id: its start time, and the revision at which it was written.
+#[derive(Clone, Copy)]
+struct Written {
+    started_at_ms: u64,
+    revision: u64,
+    leaving: bool,
+}
+
+fn ready(started_at_ms: u64, revision: u64) -> Written {
+    Written {
+        started_at_ms,
+        revision,
+        leaving: false,
+    }
+}
+
+fn leaving(started_at_ms: u64, revision: u64) -> Written {
+    Written {
+        leaving: true,
+        ..ready(started_at_ms, revision)
+    }
+}
+
+struct RestartCase {
+    name: &'static str,
+    /// Entries in the order in which they are read.
+    read: Vec<Written>,
+    /// Start time of the known process in the end, and whether it is leaving.
+    expected: (u64, bool),
+}
+
+/// The time of day was set back between two starts under one id: the later start was taken for a stale read, and the
+/// target got requests long after it had announced that it leaves.
+#[test]
+fn the_entry_written_last_tells_which_start_is_newer() {
+    let cases = [
+        RestartCase {
+            name: "later start time",
+            read: vec![ready(1000, 2), ready(2000, 3)],
+            expected: (2000, false),
+        },
+        RestartCase {
+            name: "clock set back before the restart",
+            read: vec![ready(3000, 2), ready(2000, 3)],
+            expected: (2000, false),
+        },
+        RestartCase {
+            name: "clock set back, the new process leaves",
+            read: vec![ready(3000, 2), ready(2000, 3), leaving(2000, 4)],
+            expected: (2000, true),
+        },
+        RestartCase {
+            name: "the entry of the new process is read while it leaves already",
+            read: vec![ready(3000, 2), leaving(2000, 4)],
+            expected: (2000, true),
+        },
+        RestartCase {
+            name: "stale read of a process with a later start time",
+            read: vec![ready(3000, 2), ready(2000, 3), ready(3000, 2)],
+            expected: (2000, false),
+        },
+        RestartCase {
+            name: "stale read of a process with an earlier start time",
+            read: vec![ready(1000, 2), ready(2000, 3), leaving(1000, 2)],
+            expected: (2000, false),
+        },
+        RestartCase {
+            name: "stale read of the same process",
+            read: vec![ready(1000, 2), leaving(1000, 5), ready(1000, 3)],
+            expected: (1000, true),
+        },
+        RestartCase {
+            name: "clock set back and forward",
+            read: vec![
+                ready(3000, 2),
+                ready(2000, 3),
+                ready(3500, 6),
+                ready(2000, 3),
+            ],
+            expected: (3500, false),
+        },
+    ];
+    for case in cases {
+        let mut harness = Harness::new(&[]);
+        for written in case.read {
+            let entry = Instance {
+                started_at_ms: Some(written.started_at_ms),
+                written: written.revision.into(),
+                leaving: written.leaving,
+                ..instance("i-a")
+            };
+            harness.fleet.put(entry, harness.now);
+        }
+        let known = harness.fleet.iter().next();
+        let (known, member_state) = known.expect("the instance");
+        assert_eq!(known.started_at_ms, Some(case.expected.0), "{}", case.name);
+        let is_leaving = member_state == MemberState::Draining;
+        assert_eq!(is_leaving, case.expected.1, "{}", case.name);
+    }
+}
+
+/// The copy of a restored publisher holds the entry of an earlier start: it replaced that of the running process.
+#[test]
+fn an_earlier_start_in_a_restored_copy_waits_for_the_running_process() {
+    let started_at = |started_at_ms: u64, written: Position| Instance {
+        started_at_ms: Some(started_at_ms),
+        written,
+        ..instance("i-a")
+    };
+    let mut harness = Harness::new(&[]);
+    harness.fleet.put(started_at(2000, 80.into()), harness.now);
+    let copied = Position::new(Era(1), 50);
+    harness
+        .fleet
+        .restore(vec![started_at(1000, copied)], harness.now);
+    let known = |fleet: &Fleet| {
+        fleet
+            .iter()
+            .next()
+            .and_then(|(known, _)| known.started_at_ms)
+    };
+    assert_eq!(known(&harness.fleet), Some(2000));
+    // The running process writes its entry again.
+    let rewritten = started_at(2000, Position::new(Era(1), 60));
+    harness.fleet.put(rewritten, harness.now);
+    harness.now += ms(60_000);
+    harness.fleet.tick(harness.now);
+    assert_eq!(known(&harness.fleet), Some(2000));
+}
+
 #[test]
 fn an_invalid_entry_removes_its_instance() {
     let mut harness = Harness::new(&["i-a", "i-b"]);
--- a/crates/core/tests/mesh_readers.rs
+++ b/crates/core/tests/mesh_readers.rs
@@ -180,6 +180,7 @@
         slots: 10,
         leaving: false,
         created: created.into(),
+        written: created.into(),
         warm_up: Duration::ZERO,
     }
 }
--- a/crates/core/tests/mesh_restored.rs
+++ b/crates/core/tests/mesh_restored.rs
@@ -23,6 +23,7 @@
         slots: 4,
         leaving,
         created,
+        written: created,
         warm_up: Duration::ZERO,
     }
 }
--- a/crates/core/tests/overload_replay/replay/world.rs
+++ b/crates/core/tests/overload_replay/replay/world.rs
@@ -149,6 +149,7 @@
             slots: deployment.services[hosts[host]].slots,
             leaving: false,
             created: 1.into(),
+            written: 1.into(),
             warm_up: Duration::ZERO,
         };
         let node = |host: usize| {
