A stopping node waits for long answers that pass through it

Cause: the slot of a request is released as soon as the head of an answer over 64 KiB has arrived. From then on the node beside the target counted it nowhere, ended 2.5 s after SIGTERM with a grace period of 6 s, and cut 8 to 12 of 20 answers.

Change: an exchange with another node counts as open until its reply is written, by the guard that counts callers' requests.

A stop with nothing open still ends after the usual time.

--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -13,6 +13,7 @@
 mod lifecycle;
 mod link;
 mod metrics;
+mod open_request;
 mod policy;
 mod quotas;
 mod ready;
--- a/crates/node/src/mesh/callers.rs
+++ b/crates/node/src/mesh/callers.rs
@@ -2,7 +2,6 @@
 
 mod connection;
 mod listener;
-mod open_request;
 mod reader;
 mod registry;
 mod slot;
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -16,7 +16,6 @@
 use tokio::time::timeout;
 
 use super::listener::CallersConfig;
-use super::open_request::OpenRequestGuard;
 use super::slot::{ConnectionState, ResponseSlot};
 use crate::h1::{
     BodyDecoder, Decoded, Framing, H1Error, RequestHead, parse_request, request_framing,
@@ -25,6 +24,7 @@
     BODY_CHANNEL_CAPACITY, Body, BodyTruncated, CallerAnswer, CallerRequest, MAX_BODY_CHUNK,
     MAX_BUFFERED_BODY,
 };
+use crate::mesh::open_request::OpenRequestGuard;
 
 /// Read size in bytes while a long body is received.
 const LARGE_READ: usize = 16 * 1024;
--- a/crates/node/src/mesh/callers/slot.rs
+++ b/crates/node/src/mesh/callers/slot.rs
@@ -7,9 +7,9 @@
 
 use tokio::sync::oneshot;
 
-use super::open_request::OpenRequestGuard;
 use super::registry::Registration;
 use crate::mesh::call::CallerAnswer;
+use crate::mesh::open_request::OpenRequestGuard;
 
 /// A pending response, queued for writing in the order of the requests.
 #[derive(Debug)]
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -1,6 +1,7 @@
 //! Serves requests from other nodes.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use coltsfootport_core::quarantine::Finding;
@@ -20,6 +21,7 @@
 use crate::mesh::controller::ControllerEvent;
 use crate::mesh::feed::{FeedServer, serve_feed};
 use crate::mesh::host::Host;
+use crate::mesh::open_request::OpenRequestGuard;
 use crate::wire::FrameError;
 
 /// How long an idle connection is kept. Senders close theirs sooner; this limit applies to peers that failed without
@@ -36,6 +38,8 @@
     pub host: Host,
     /// Relays the publisher's change feed.
     pub sharing: FeedServer,
+    /// Number of open requests, for the shutdown; see [`OpenRequestGuard`].
+    pub open_requests: Arc<AtomicUsize>,
     /// Random number drawn when the node's process starts.
     pub boot: u64,
     /// Logger for connection failures.
@@ -93,7 +97,10 @@
     ctx: &ServerContext,
 ) -> Result<bool, FrameError> {
     match head {
-        StreamHead::Request(head) => run_request(conn, *head, &ctx.host).await,
+        StreamHead::Request(head) => {
+            let _open = OpenRequestGuard::new(&ctx.open_requests);
+            run_request(conn, *head, &ctx.host).await
+        }
         StreamHead::Follow(frame) => {
             serve_feed(ctx.sharing.clone(), conn, frame).await?;
             Ok(false)
--- a/crates/node/src/mesh/callers/open_request.rs
+++ b/crates/node/src/mesh/open_request.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Guard that counts a request from its head until its response is written, or a closing connection until its last
-/// response can no longer be lost.
+/// response can no longer be lost. Requests from callers and from other nodes are counted.
 ///
 /// A stopping node exits when the count reaches zero. Counting only from the end of the request body to the start of
 /// the response is not enough: a planned stop would cut off requests with slow bodies and responses that are long or
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -168,6 +168,7 @@
     let server_context = ServerContext {
         host: host.clone(),
         sharing,
+        open_requests: Arc::clone(&open),
         boot: rand::random(),
         log: log.clone(),
     };
