A body whose sender is dropped is truncated

Cause: a closed channel stood for the end of a body. When the writing half of a caller's connection ended first (a stop, Connection: close, too many connections), the reader was dropped with the channel of the body it was streaming, and the request that may run at most once went on with that. The target got a last chunk that no caller had sent and ran 4 of 24 MB as complete, or got other requests where the rest of a body with a length was due.

Change: the channel has a type of its own, whose sender must say that the body is complete. Every other end, on each of the four paths that stream a body (caller, link in both directions, target), is a truncated body, and the connection to the target is closed without a last chunk.

--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -1,5 +1,6 @@
 //! Mesh node: a sidecar of one target that routes requests of a service mesh by host and path.
 
+mod body_channel;
 pub mod boot_clock;
 mod call;
 mod callers;
--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -9,8 +9,8 @@
 use http::{HeaderMap, StatusCode};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use tokio::sync::mpsc;
 
+use super::body_channel::BodyReceiver;
 use crate::h1::RequestHead;
 
 /// Largest body, in bytes, that is buffered as a whole. A buffered request can be retried, and a buffered response can
@@ -24,26 +24,17 @@
 /// caller would get a 502, or a response that ended in the middle.
 pub const MAX_BODY_CHUNK: usize = MAX_BUFFERED_BODY;
 
-/// Number of chunks of a streamed body that are queued between two tasks. With chunks of 16 KiB, a body occupies at
-/// most 64 KiB.
-pub const BODY_CHANNEL_CAPACITY: usize = 4;
-
-/// Error for a body that ended early or was reset.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the body was truncated")]
-pub struct BodyTruncated;
-
 /// The body of a request or response.
 #[derive(Debug)]
 pub enum Body {
     /// A buffered body.
     Whole(Bytes),
-    /// A body received in chunks. The body is complete if the channel closes without an error.
+    /// A body received in chunks.
     Stream {
         /// Length in bytes, if known in advance.
         length: Option<u64>,
         /// Receives the chunks.
-        rx: mpsc::Receiver<Result<Bytes, BodyTruncated>>,
+        rx: BodyReceiver,
     },
 }
 
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use coltsfootport_core::mesh::{CallerLimits, Refusal};
 use coltsfootport_core::quarantine::BodyDigest;
 use socket2::SockRef;
@@ -20,10 +20,8 @@
 use crate::h1::{
     BodyDecoder, Decoded, Framing, H1Error, RequestHead, parse_request, request_framing,
 };
-use crate::mesh::call::{
-    BODY_CHANNEL_CAPACITY, Body, BodyTruncated, CallerAnswer, CallerRequest, MAX_BODY_CHUNK,
-    MAX_BUFFERED_BODY,
-};
+use crate::mesh::body_channel::{BodySender, body_channel};
+use crate::mesh::call::{Body, CallerAnswer, CallerRequest, MAX_BODY_CHUNK, MAX_BUFFERED_BODY};
 use crate::mesh::open_request::OpenRequestGuard;
 
 /// Read size in bytes while a long body is received.
@@ -224,20 +222,16 @@
             Framing::Length(length) => Some(length),
             _ => None,
         };
-        let (tx_body, rx) = mpsc::channel(BODY_CHANNEL_CAPACITY);
+        let (tx_body, rx) = body_channel();
         let mut total = buffered.len() as u64;
         // Never blocks: the channel is empty and has capacity for several chunks.
-        let _ = tx_body.send(Ok(buffered.freeze())).await;
+        let _ = tx_body.send(buffered.freeze()).await;
         self.spawn_request(req(Body::Stream { length, rx }), tx, tasks);
         // Boxed, since most connections carry short bodies only and would hold the memory for it all the same.
         let streaming = self.stream_body(&mut decoder, &mut total, limits, &tx_body);
-        let streamed = Box::pin(streaming).await;
-        if streamed.is_err() {
-            // The target must not take a truncated body for a complete one. It may not be reading now, which must not
-            // delay the cancellation of the request.
-            tokio::spawn(async move { tx_body.send(Err(BodyTruncated)).await });
-        }
-        streamed
+        Box::pin(streaming).await?;
+        tx_body.finish();
+        Ok(())
     }
 
     async fn buffer_body(
@@ -270,7 +264,7 @@
         decoder: &mut BodyDecoder,
         total: &mut u64,
         limits: &CallerLimits,
-        tx_body: &mpsc::Sender<Result<Bytes, BodyTruncated>>,
+        tx_body: &BodySender,
     ) -> Result<(), ReadEnd> {
         loop {
             let decoded = decoder.decode_up_to(&mut self.buf, MAX_BODY_CHUNK);
@@ -284,7 +278,7 @@
                     // The channel is closed if the response came before the end of the body. The rest is then
                     // discarded, so that the connection stays usable.
                     if let Ok(permit) = self.while_connected(pin!(tx_body.reserve())).await? {
-                        permit.send(Ok(data));
+                        permit.send(data);
                     }
                 }
                 Decoded::More => self.fill_with_timeout(limits).await?,
--- a/crates/node/src/mesh/callers/writer.rs
+++ b/crates/node/src/mesh/callers/writer.rs
@@ -13,7 +13,8 @@
 
 use super::slot::{ConnectionState, ResponseSlot};
 use crate::h1::{Framing, LAST_CHUNK, encode_chunk, encode_response_head};
-use crate::mesh::call::{Body, BodyTruncated, CallerAnswer};
+use crate::mesh::body_channel::BodyTruncated;
+use crate::mesh::call::{Body, CallerAnswer};
 
 /// Writes responses in request order.
 pub struct Writer {
@@ -138,9 +139,9 @@
             }
             Body::Stream { mut rx, .. } => {
                 self.write.write_all(&buf).await?;
-                while let Some(chunk) = rx.recv().await {
-                    // A truncated body closes the connection before its end, so that the caller detects it.
-                    self.write_chunk(chunk?, framing).await?;
+                // A truncated body closes the connection before its end, so that the caller detects it.
+                while let Some(chunk) = rx.recv().await? {
+                    self.write_chunk(chunk, framing).await?;
                 }
                 if framing == Framing::Chunked {
                     self.write.write_all(LAST_CHUNK).await?;
--- a/crates/node/src/mesh/link/body_stream.rs
+++ b/crates/node/src/mesh/link/body_stream.rs
@@ -3,12 +3,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
-use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use super::conn::PeerConn;
-use crate::mesh::call::{BODY_CHANNEL_CAPACITY, Body, BodyTruncated, MAX_BODY_CHUNK};
+use crate::mesh::body_channel::{BodyReceiver, BodySender, BodyTruncated, body_channel};
+use crate::mesh::call::{Body, MAX_BODY_CHUNK};
 use crate::wire::FrameError;
 
 /// Longest time for which the rest of an unwanted body is read. Closing with unread input would reset the connection
@@ -25,8 +24,12 @@
 /// [`TCP_USER_TIMEOUT`]: super::pool::TCP_USER_TIMEOUT
 const BODY_TCP_USER_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Receives the chunks of a body.
-pub type ChunkReceiver = mpsc::Receiver<Result<Bytes, BodyTruncated>>;
+impl From<BodyTruncated> for FrameError {
+    /// Converts the error of a body that ended early.
+    fn from(_: BodyTruncated) -> Self {
+        Self::Truncated
+    }
+}
 
 /// Sends the body of a request. Returns `false` if the host replied before its end.
 ///
@@ -35,7 +38,7 @@
 /// The body was truncated, or the connection is lost.
 pub async fn send_request_body(
     conn: &mut PeerConn,
-    rx: &mut ChunkReceiver,
+    rx: &mut BodyReceiver,
 ) -> Result<bool, FrameError> {
     conn.set_user_timeout(BODY_TCP_USER_TIMEOUT)?;
     loop {
@@ -43,9 +46,7 @@
             chunk = rx.recv() => chunk,
             () = conn.closed() => return Ok(false),
         };
-        let chunk = chunk
-            .transpose()
-            .map_err(|BodyTruncated| FrameError::Truncated)?;
+        let chunk = chunk?;
         let is_end = chunk.is_none();
         let chunk = chunk.unwrap_or_default();
         if !conn.write_chunk_unless_answered(&chunk).await? {
@@ -62,16 +63,14 @@
 /// # Errors
 ///
 /// The body was truncated, or the peer has closed the connection.
-pub async fn send_reply_body(conn: &mut PeerConn, mut rx: ChunkReceiver) -> Result<(), FrameError> {
+pub async fn send_reply_body(conn: &mut PeerConn, mut rx: BodyReceiver) -> Result<(), FrameError> {
     conn.set_user_timeout(BODY_TCP_USER_TIMEOUT)?;
     loop {
         let chunk = tokio::select! {
             chunk = rx.recv() => chunk,
             () = conn.closed() => return Err(FrameError::Truncated),
         };
-        let chunk = chunk
-            .transpose()
-            .map_err(|BodyTruncated| FrameError::Truncated)?;
+        let chunk = chunk?;
         let is_end = chunk.is_none();
         conn.write_chunk(&chunk.unwrap_or_default()).await?;
         if is_end {
@@ -82,25 +81,21 @@
 
 /// Forwards the body of a request to `tx`, sets `is_complete` at its end, and returns when the peer has closed the
 /// connection.
-pub async fn forward_request_body(
-    conn: &mut PeerConn,
-    tx: mpsc::Sender<Result<Bytes, BodyTruncated>>,
-    is_complete: &AtomicBool,
-) {
+pub async fn forward_request_body(conn: &mut PeerConn, tx: BodySender, is_complete: &AtomicBool) {
     loop {
         match conn.read_chunk(MAX_BODY_CHUNK).await {
             Ok(chunk) if chunk.is_empty() => break,
             Ok(chunk) => {
-                if tx.send(Ok(chunk)).await.is_err() {
+                if tx.send(chunk).await.is_err() {
                     // The target responded without reading the rest; the caller drops this future when it takes the
                     // reply.
                     return std::future::pending().await;
                 }
             }
-            Err(_) => return drop(tx.send(Err(BodyTruncated)).await),
+            Err(_) => return,
         }
     }
-    drop(tx);
+    tx.finish();
     is_complete.store(true, Ordering::Relaxed);
     conn.closed().await;
 }
@@ -125,16 +120,12 @@
 
 /// Returns the streamed body of a reply. The connection is closed after it.
 pub fn receive_body(conn: PeerConn, length: Option<u64>) -> Body {
-    let (tx, rx) = mpsc::channel(BODY_CHANNEL_CAPACITY);
+    let (tx, rx) = body_channel();
     tokio::spawn(receive_chunks(conn, tx, length));
     Body::Stream { length, rx }
 }
 
-async fn receive_chunks(
-    mut conn: PeerConn,
-    tx: mpsc::Sender<Result<Bytes, BodyTruncated>>,
-    length: Option<u64>,
-) {
+async fn receive_chunks(mut conn: PeerConn, tx: BodySender, length: Option<u64>) {
     let mut received = 0;
     loop {
         let chunk = tokio::select! {
@@ -144,13 +135,13 @@
         match chunk {
             Ok(chunk) if !chunk.is_empty() => {
                 received += chunk.len() as u64;
-                if tx.send(Ok(chunk)).await.is_err() {
+                if tx.send(chunk).await.is_err() {
                     return;
                 }
             }
-            Ok(_) if length.is_none_or(|length| length == received) => return,
-            // Sending fails only if the body has no reader any more.
-            Ok(_) | Err(_) => return drop(tx.send(Err(BodyTruncated)).await),
+            Ok(_) if length.is_none_or(|length| length == received) => return tx.finish(),
+            // Dropping the sender truncates the body.
+            Ok(_) | Err(_) => return,
         }
     }
 }
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -8,7 +8,6 @@
 use coltsfootport_core::workspace::{QuotaNotice, QuotaUsage};
 use slog::{Logger, debug};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
 use super::body_stream;
@@ -17,7 +16,8 @@
 use super::frames::{HelloFrame, MAX_HEAD, ReplyFrame, RequestFrame, StreamHead};
 use super::pool::{self, configure_socket};
 use super::quota_frames::{VerdictFrame, VerdictsFrame};
-use crate::mesh::call::{BODY_CHANNEL_CAPACITY, Body, HostReply, MAX_BUFFERED_BODY};
+use crate::mesh::body_channel::body_channel;
+use crate::mesh::call::{Body, HostReply, MAX_BUFFERED_BODY};
 use crate::mesh::controller::ControllerEvent;
 use crate::mesh::feed::{FeedServer, serve_feed};
 use crate::mesh::host::Host;
@@ -157,7 +157,7 @@
         }
         None => {
             is_body_read.store(false, Ordering::Relaxed);
-            let (tx, rx) = mpsc::channel(BODY_CHANNEL_CAPACITY);
+            let (tx, rx) = body_channel();
             let length = head.length;
             let req = head.into_request(Body::Stream { length, rx }, host.clock.now())?;
             tokio::select! {
--- a/crates/node/src/mesh/target/exchange.rs
+++ b/crates/node/src/mesh/target/exchange.rs
@@ -8,7 +8,6 @@
 use http::{HeaderMap, Method};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::sync::mpsc;
 
 use super::connection::READ_SIZE;
 use super::{InvalidRateLimit, TargetConn, TargetPool, WireRequest, read_announcement};
@@ -16,9 +15,8 @@
     BodyDecoder, Decoded, Framing, H1Error, LAST_CHUNK, ResponseHead, encode_chunk,
     encode_request_head, parse_response, response_framing, strip_hop_by_hop,
 };
-use crate::mesh::call::{
-    BODY_CHANNEL_CAPACITY, Body, BodyTruncated, MAX_BODY_CHUNK, MAX_BUFFERED_BODY, TargetAnswer,
-};
+use crate::mesh::body_channel::{BodySender, BodyTruncated, body_channel};
+use crate::mesh::call::{Body, MAX_BODY_CHUNK, MAX_BUFFERED_BODY, TargetAnswer};
 
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD: usize = 64 * 1024;
@@ -147,6 +145,12 @@
     Write,
 }
 
+impl From<BodyTruncated> for SendError {
+    fn from(_: BodyTruncated) -> Self {
+        Self::RequestTruncated
+    }
+}
+
 impl From<io::Error> for SendError {
     fn from(_: io::Error) -> Self {
         Self::Write
@@ -167,8 +171,7 @@
                 self.write
                     .write_all(&encode_request_head(&req.head, framing))
                     .await?;
-                while let Some(piece) = rx.recv().await {
-                    let piece = piece.map_err(|BodyTruncated| SendError::RequestTruncated)?;
+                while let Some(piece) = rx.recv().await? {
                     match framing {
                         Framing::Chunked => self.write.write_all(&encode_chunk(&piece)).await?,
                         _ => self.write.write_all(&piece).await?,
@@ -308,15 +311,20 @@
         Framing::Length(length) => Some(length),
         _ => None,
     };
-    let (tx, rx) = mpsc::channel(BODY_CHANNEL_CAPACITY);
+    let (tx, rx) = body_channel();
     tokio::spawn(async move {
-        if tx.send(Ok(buffered)).await.is_err() {
+        if tx.send(buffered).await.is_err() {
             return;
         }
         match forward_body(&mut conn, &mut decoder, &tx).await {
-            Ok(true) if reusable && conn.buf.is_empty() => pool.put(conn, keep_alive),
-            Ok(_) => {}
-            Err(BodyTruncated) => drop(tx.send(Err(BodyTruncated)).await),
+            Ok(true) => {
+                tx.finish();
+                if reusable && conn.buf.is_empty() {
+                    pool.put(conn, keep_alive);
+                }
+            }
+            // Dropping the sender truncates the body.
+            Ok(false) | Err(BodyTruncated) => {}
         }
     });
     Body::Stream { length, rx }
@@ -326,14 +334,14 @@
 async fn forward_body(
     conn: &mut TargetConn,
     decoder: &mut BodyDecoder,
-    tx: &mpsc::Sender<Result<Bytes, BodyTruncated>>,
+    tx: &BodySender,
 ) -> Result<bool, BodyTruncated> {
     loop {
         let decoded = decoder.decode_up_to(&mut conn.buf, MAX_BODY_CHUNK);
         match decoded.map_err(|_| BodyTruncated)? {
             Decoded::End => return Ok(true),
             Decoded::Data(data) => {
-                if tx.send(Ok(data)).await.is_err() {
+                if tx.send(data).await.is_err() {
                     return Ok(false);
                 }
             }
