A long answer whose host falls silent ends at its deadline

Cause: no time limit held once the head of an answer over 64 KiB had arrived. With the host halted, 9 to 13 of 24 downloads had no end half a second after their route's time limit, some none after 20 s, and each kept a stopping node from ending.

Change: the writer of the answer waits for the next chunk until the deadline of the request, and 200 ms for each that is still coming after it; then it closes the connection within the body and logs 'response stalled'. A stopping node also exits half a second after its grace period, whatever is open, where no supervisor ends it.

Answers that are read slowly stay whole (existing tests).

--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -213,6 +213,10 @@
 /// The response that is sent to a caller.
 #[derive(Debug)]
 pub struct CallerAnswer {
+    /// Id of the request; empty if the caller sent none.
+    pub id: SmolStr,
+    /// Deadline of the request; `None` if the node itself answers.
+    pub deadline: Option<Instant>,
     /// Status.
     pub status: StatusCode,
     /// End-to-end headers.
--- a/crates/node/src/mesh/callers/connection.rs
+++ b/crates/node/src/mesh/callers/connection.rs
@@ -23,9 +23,15 @@
     let shared = Arc::new(ConnectionState::new(cfg.connections.register()));
     let (slots, waiting) = mpsc::channel::<ResponseSlot>(cfg.pipelined);
     let mut tasks = JoinSet::new();
-    let writer = Writer::new(write, Arc::clone(&shared), cfg.stopping.clone());
     let journal = cfg.entry.journal.clone();
     let clock = Arc::clone(&cfg.entry.clock);
+    let writer = Writer {
+        write,
+        shared: Arc::clone(&shared),
+        stopping: cfg.stopping.clone(),
+        clock: Arc::clone(&clock),
+        journal: journal.clone(),
+    };
     let mut reader = Reader::new(read, Arc::clone(&shared), cfg);
     tokio::select! {
         () = reader.run(slots, &mut tasks) => {
--- a/crates/node/src/mesh/callers/writer.rs
+++ b/crates/node/src/mesh/callers/writer.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
@@ -10,17 +10,31 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
 
 use super::slot::{ConnectionState, ResponseSlot};
+use crate::clock::SharedClock;
 use crate::h1::{Framing, LAST_CHUNK, encode_chunk, encode_response_head};
-use crate::mesh::body_channel::BodyTruncated;
+use crate::mesh::body_channel::{BodyReceiver, BodyTruncated};
 use crate::mesh::call::{Body, CallerAnswer};
+use crate::mesh::journal::Journal;
+
+/// Longest wait for the next chunk of a response after the deadline of its request. Leaves room for a response that a
+/// target is still sending; nothing more comes from a host that has failed without closing its connections.
+const LATE_CHUNK_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Writes responses in request order.
 pub struct Writer {
-    write: OwnedWriteHalf,
-    shared: Arc<ConnectionState>,
-    stopping: watch::Receiver<bool>,
+    /// Writing half of the connection.
+    pub write: OwnedWriteHalf,
+    /// State shared with the reading half.
+    pub shared: Arc<ConnectionState>,
+    /// Becomes true when the node starts to shut down.
+    pub stopping: watch::Receiver<bool>,
+    /// Clock.
+    pub clock: SharedClock,
+    /// Journal in which stalled responses are logged.
+    pub journal: Journal,
 }
 
 /// Why a response could not be written completely.
@@ -42,19 +56,6 @@
 }
 
 impl Writer {
-    /// Creates the writer of a new connection.
-    pub fn new(
-        write: OwnedWriteHalf,
-        shared: Arc<ConnectionState>,
-        stopping: watch::Receiver<bool>,
-    ) -> Self {
-        Self {
-            write,
-            shared,
-            stopping,
-        }
-    }
-
     /// Writes responses until the connection's last one, or until one can't be written completely.
     pub async fn run(mut self, mut slots: mpsc::Receiver<ResponseSlot>) {
         while let Some(slot) = slots.recv().await {
@@ -140,7 +141,10 @@
             Body::Stream { mut rx, .. } => {
                 self.write.write_all(&buf).await?;
                 // A truncated body closes the connection before its end, so that the caller detects it.
-                while let Some(chunk) = rx.recv().await? {
+                while let Some(chunk) = self
+                    .next_chunk(&mut rx, &answer.id, answer.deadline)
+                    .await?
+                {
                     self.write_chunk(chunk, framing).await?;
                 }
                 if framing == Framing::Chunked {
@@ -151,6 +155,26 @@
         Ok(())
     }
 
+    /// Waits for the next chunk until the deadline of the request, or for [`LATE_CHUNK_TIMEOUT`] if that is later.
+    async fn next_chunk(
+        &self,
+        rx: &mut BodyReceiver,
+        id: &str,
+        deadline: Option<Instant>,
+    ) -> Result<Option<Bytes>, BodyTruncated> {
+        let Some(deadline) = deadline else {
+            return rx.recv().await;
+        };
+        let left = deadline.saturating_duration_since(self.clock.now());
+        match timeout(left.max(LATE_CHUNK_TIMEOUT), rx.recv()).await {
+            Ok(received) => received,
+            Err(_) => {
+                self.journal.response_stalled(id);
+                Err(BodyTruncated)
+            }
+        }
+    }
+
     async fn write_chunk(&mut self, bytes: Bytes, framing: Framing) -> Result<(), WriteError> {
         match framing {
             Framing::Chunked if bytes.is_empty() => {}
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -101,6 +101,8 @@
         attempts.refund_quota(&result);
         match result {
             Ok(answer) => CallerAnswer {
+                id,
+                deadline: Some(deadline),
                 status: answer.status,
                 headers: answer.headers,
                 body: answer.body,
@@ -149,6 +151,8 @@
             }
         }
         CallerAnswer {
+            id: SmolStr::new(id),
+            deadline: None,
             status: StatusCode::from_u16(rule.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE),
             headers,
             body: Body::empty(),
--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -130,6 +130,14 @@
         }
     }
 
+    /// Logs that a response was cut at the deadline of its request because its host sent nothing more.
+    pub fn response_stalled(&self, id: &str) {
+        if let Some(dropped) = self.admit_failure_line() {
+            info!(self.log, "response stalled"; "request" => id,
+                "reason" => "no data from the host at the deadline", "dropped" => dropped);
+        }
+    }
+
     /// Logs that no further reply will come from the host of an instance for a request that may have reached the
     /// instance.
     pub fn reply_lost(&self, id: &str, instance: &str, reason: &str) {
--- a/crates/node/src/mesh/lifecycle.rs
+++ b/crates/node/src/mesh/lifecycle.rs
@@ -27,6 +27,10 @@
 /// Time before the end of the grace period at which the node stops accepting callers and logs unfinished requests.
 const KILL_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time after the end of the grace period at which the node exits although requests are open, in case that no
+/// supervisor kills it. Peers that have failed without closing their connections can keep requests open for longer.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+
 /// Handlers for the signals of a node.
 ///
 /// Each of these signals kills the process until its handler is installed, so this is done first at startup.
@@ -63,7 +67,7 @@
     pub grace_over: watch::Sender<bool>,
     /// Number of SIGHUPs received; each increment makes the settings file be read again.
     pub reloads: watch::Sender<u64>,
-    /// Number of open requests from callers; see `OpenRequestGuard`.
+    /// Number of open requests from callers and peers; see `OpenRequestGuard`.
     pub open: Arc<AtomicUsize>,
     /// Settings in force, for the grace period.
     pub settings: watch::Receiver<MeshSettings>,
@@ -85,7 +89,7 @@
         self.shut_down().await;
     }
 
-    /// Serves until no requests are open. The node does not exit by itself at the end of the grace period: that would
+    /// Serves until no requests are open, or until [`EXIT_MARGIN`] after the grace period. An exit at its very end would
     /// abort running requests that may still finish before the supervisor kills the process.
     async fn shut_down(&mut self) {
         let signalled_at = self.clock.now();
@@ -94,12 +98,14 @@
         self.stopping.send_replace(true);
         self.controller.notify(ControllerEvent::Stop);
         let mut signals = 1;
+        let mut last_signal_at = signalled_at;
         let mut idle_since = None;
         loop {
             tokio::select! {
                 () = sleep(POLL_INTERVAL) => {}
                 name = stop_signal(&mut self.signals.terminate, &mut self.signals.interrupt) => {
                     signals += 1;
+                    last_signal_at = self.clock.now();
                     self.log_signal(name, signals, signalled_at);
                 }
                 () = received(&mut self.signals.hangup) => self.log_signal("SIGHUP", signals, signalled_at),
@@ -111,6 +117,10 @@
             if grace.saturating_sub(elapsed) <= KILL_MARGIN && !*self.grace_over.borrow() {
                 self.prepare_for_kill(open, hosted);
             }
+            if now.saturating_duration_since(last_signal_at) >= grace + EXIT_MARGIN {
+                warn!(self.log, "grace period over"; "open" => open, "hosted" => hosted);
+                return;
+            }
             let since = *idle_since.get_or_insert(now);
             if open + hosted > 0 {
                 idle_since = None;
