Routes for large bodies, and words of a configuration that a node does not know

Change: both are read: large requests run at most once, large responses may be repeated. A kind that comes from a newer publisher is met by the strictest reading, at most once, with a warning and the gauge config_unknown_words; a kind that is missing or no word still makes the configuration unusable.

--- a/crates/core/src/mesh/config.rs
+++ b/crates/core/src/mesh/config.rs
@@ -30,6 +30,19 @@
     directory: Option<Directory>,
     /// Rank of requests without a workspace.
     public_rank: u8,
+    /// Words that this node does not know, each read in the safest way.
+    unknown_words: Vec<UnknownWord>,
+}
+
+/// A word of a published configuration that comes from a newer publisher than this node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnknownWord {
+    /// Name of the route that it belongs to.
+    pub route: SmolStr,
+    /// Field that holds it.
+    pub field: SmolStr,
+    /// The word.
+    pub word: SmolStr,
 }
 
 /// Why a configuration is invalid.
@@ -80,6 +93,7 @@
             limits,
             directory: None,
             public_rank: 0,
+            unknown_words: Vec::new(),
         };
         Ok(config.with_computed_ranks())
     }
@@ -93,6 +107,18 @@
         self.with_computed_ranks()
     }
 
+    /// Records words that were read in the safest way because this node does not know them.
+    #[must_use]
+    pub fn with_unknown_words(mut self, words: Vec<UnknownWord>) -> Self {
+        self.unknown_words = words;
+        self
+    }
+
+    /// Words that this node does not know, each read in the safest way.
+    pub fn unknown_words(&self) -> &[UnknownWord] {
+        &self.unknown_words
+    }
+
     /// The workspaces; `None` if no keys are required.
     pub fn directory(&self) -> Option<&Directory> {
         self.directory.as_ref()
--- a/crates/core/src/mesh/route.rs
+++ b/crates/core/src/mesh/route.rs
@@ -18,6 +18,18 @@
     AtMostOnce,
 }
 
+/// Which bodies of a route are large.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LargeBodies {
+    /// Neither.
+    #[default]
+    None,
+    /// Those of requests.
+    Requests,
+    /// Those of responses.
+    Responses,
+}
+
 /// A service that receives a share of a route's requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WeightedService {
@@ -38,6 +50,8 @@
     pub prefix: SmolStr,
     /// Whether a request may be executed more than once.
     pub idempotency: Idempotency,
+    /// Which of its bodies are large.
+    pub large_bodies: LargeBodies,
     /// Maximum time until a caller gets a response.
     pub timeout: Duration,
     /// Latency up to which a response has its full value.
--- a/crates/core/tests/mesh_routes.rs
+++ b/crates/core/tests/mesh_routes.rs
@@ -29,6 +29,7 @@
         latency_target: Duration::from_secs(1),
         rank: 1,
         services: vec![weighted("svc", 1.0)],
+        large_bodies: Default::default(),
         max_attempts: 2,
         public: false,
     }
--- a/crates/core/tests/workspaces.rs
+++ b/crates/core/tests/workspaces.rs
@@ -226,6 +226,7 @@
             service: "svc".into(),
             weight: 1.0,
         }],
+        large_bodies: Default::default(),
         max_attempts: 2,
         public,
     }
--- a/crates/node/src/mesh/controller/publisher_updates.rs
+++ b/crates/node/src/mesh/controller/publisher_updates.rs
@@ -5,8 +5,8 @@
 
 use coltsfootport_core::collections::Set;
 use coltsfootport_core::mesh::{
-    EntryFault, Instance, MeshConfig, PutEffect, ReadersConfig, ReadersView, RemoveEffect, Update,
-    UpdateBatch,
+    EntryFault, Instance, MeshConfig, PutEffect, ReadersConfig, ReadersView, RemoveEffect,
+    UnknownWord, Update, UpdateBatch,
 };
 use coltsfootport_core::workspace::Directory;
 use slog::{info, warn};
@@ -171,6 +171,7 @@
         self.metrics
             .config_version
             .set(i64::try_from(config.version().0).unwrap_or(i64::MAX));
+        self.note_unknown_words(&config);
         self.prune_routes(&config);
         self.limits.send_replace(config.limits());
         self.gate.set_ranks(config.last_shed_order() + 1);
@@ -182,6 +183,17 @@
         }
     }
 
+    fn note_unknown_words(&self, config: &MeshConfig) {
+        let unknown = config.unknown_words();
+        for UnknownWord { route, field, word } in unknown {
+            warn!(self.journal.log(), "unknown word in configuration, read as the safest known one";
+                "version" => config.version().0, "route" => route.as_str(), "field" => field.as_str(),
+                "word" => word.as_str());
+        }
+        let count = i64::try_from(unknown.len()).unwrap_or(i64::MAX);
+        self.metrics.config_unknown_words.set(count);
+    }
+
     /// Resets traffic splits whose weights have changed, and drops the state of removed routes.
     fn prune_routes(&mut self, new: &MeshConfig) {
         let names: Set<&SmolStr> = new.routes().iter().map(|route| &route.name).collect();
--- a/crates/node/src/mesh/metrics.rs
+++ b/crates/node/src/mesh/metrics.rs
@@ -46,6 +46,8 @@
     pub lines_dropped: IntCounter,
     /// Published configurations that were rejected.
     pub config_faults: IntCounter,
+    /// Words of the configuration in force that this version does not know.
+    pub config_unknown_words: IntGauge,
     /// Published entries that do not describe a valid instance, by reason.
     entry_faults: IntCounterVec,
     /// Reads of the publisher, by outcome.
@@ -131,6 +133,10 @@
             suspects: gauge("suspects", "requests suspected of crashing targets")?,
             lines_dropped: counter("log_lines_dropped_total", "log lines above their rate")?,
             config_faults: counter("config_faults_total", "published configurations not usable")?,
+            config_unknown_words: gauge(
+                "config_unknown_words",
+                "words in force that this version does not know",
+            )?,
             entry_faults: counter_vec(
                 "entry_faults_total",
                 "published entries that name no instance",
