Replies carry service times and the slot time of each service

Cause: an entry knows how many calls a request makes at each service below, not what they cost there, and each sender learns the speed of an instance from its own few responses. Slot time during which a run waits for its own calls counts as work of its service.

Change: a host reports its mean service time for the kind of request and the slot time of the run without such waits; slot times are summed up by service on the way back. The fields follow those of the first format of a reply: older nodes ignore them, and without them the values are 0.

--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -93,6 +93,8 @@
     queue: Vec<Queued>,
     next_ticket: u64,
     service_times: ServiceTimes,
+    /// Service times without the time during which runs wait for calls of their own.
+    work_times: ServiceTimes,
     headroom: Headroom,
     level: LevelControl,
     /// Limit on the rate of starts, while the target names one.
@@ -149,6 +151,7 @@
             queue: Vec::new(),
             next_ticket: 0,
             service_times: ServiceTimes::default(),
+            work_times: ServiceTimes::default(),
             headroom: Headroom::default(),
             level: LevelControl::new(cfg.level, now),
             rate: None,
@@ -256,6 +259,16 @@
         self.record_end(ticket, held, now);
     }
 
+    /// Records how long a run held its slot without waiting for calls of its own.
+    pub fn record_work(&mut self, kind: RequestKind, work: Duration) {
+        self.work_times.record(kind, work.as_secs_f64());
+    }
+
+    /// Mean time for which runs of a kind hold a slot without waiting for calls of their own; `None` without samples.
+    pub fn mean_work(&self, kind: RequestKind) -> Option<Duration> {
+        self.work_times.mean(kind).map(Duration::from_secs_f64)
+    }
+
     /// Records a sign, other than a response, that the target's process reads from its connections.
     pub fn record_activity(&mut self, now: Instant) {
         self.silence.record_response(now);
--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -7,7 +7,6 @@
 use coltsfootport_core::mesh::{Idempotency, Refusal, RequestKind};
 use coltsfootport_core::quarantine::{BodyDigest, CrashId, Finding, Fingerprint};
 use http::{HeaderMap, StatusCode};
-use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use super::body_channel::BodyReceiver;
@@ -153,6 +152,11 @@
     pub stopping: bool,
     /// Whether the host is cut off from the publisher.
     pub cut_off: bool,
+    /// Mean slot time that the host's target needs for the kind of the request, without waiting for calls of its own;
+    /// zero if unknown.
+    pub service_time: Duration,
+    /// Slot time of the run, without the time during which it waited for calls of its own; zero if it did not run.
+    pub held: Duration,
     /// Downstream calls caused by the run, by service.
     pub downstream: Vec<DownstreamCalls>,
     /// Quarantine finding about the request, if the target crashed while running it.
@@ -180,8 +184,8 @@
     }
 }
 
-/// Downstream calls that a run caused at one service.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+/// Downstream calls that a run caused at one service, at any depth below it.
+#[derive(Clone, Debug, PartialEq)]
 pub struct DownstreamCalls {
     /// Called service.
     pub service: ServiceName,
@@ -190,13 +194,16 @@
     /// Mean overload level that the calls encountered. The mean is used because requests can be moved to other
     /// instances of a service; the maximum over several calls would follow the fluctuations of single hosts.
     pub level: f64,
+    /// Slot time of these calls in seconds, without the time during which they waited for calls of their own.
+    pub work: f64,
 }
 
 impl DownstreamCalls {
     /// Adds further calls to the same service.
-    pub fn add(&mut self, count: u32, level: f64) {
-        let sum = self.level * f64::from(self.count) + level * f64::from(count);
-        self.count = self.count.saturating_add(count);
+    pub fn add(&mut self, other: &Self) {
+        let sum = self.level * f64::from(self.count) + other.level * f64::from(other.count);
+        self.count = self.count.saturating_add(other.count);
+        self.work += other.work;
         self.level = sum / f64::from(self.count.max(1));
     }
 }
--- a/crates/node/src/mesh/controller/admission.rs
+++ b/crates/node/src/mesh/controller/admission.rs
@@ -170,6 +170,9 @@
         };
         let chosen = chosen.ok_or(Refusal::NoInstance)?;
         self.fleet.request_sent(chosen.key, now);
+        if let Some(parent) = &req.parent {
+            self.runs.call_sent(parent, now);
+        }
         if req.tried.is_empty() {
             self.earn_retry_budget(&req, now);
         }
@@ -249,7 +252,7 @@
         self.fleet.request_ended(key, outcome, busy, now);
         if let Some(parent) = &ended.parent {
             self.runs
-                .record_call(parent, &ended.service, ended.report.as_ref());
+                .record_call(parent, &ended.service, ended.report.as_ref(), now);
         }
     }
 
--- a/crates/node/src/mesh/controller/dispatch.rs
+++ b/crates/node/src/mesh/controller/dispatch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coltsfootport_core::mesh::{Admission, MemberState, Refusal, Ticket};
+use coltsfootport_core::mesh::{Admission, MemberState, OpenCalls, Refusal, Ticket};
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
@@ -91,6 +91,7 @@
         self.release_in_gate(ticket, &release, now);
         let standing = self.record_run_end(ticket, release.end, now);
         let run = self.runs.remove(ticket);
+        let work = run.as_ref().map(|run| self.record_work(run, &release, now));
         if let (Some(run), Some(announced)) = (&run, release.announcement) {
             self.apply_announcement(&run.instance, announced, now);
         }
@@ -102,11 +103,22 @@
         let mut report = self.report();
         if let Some(run) = run {
             report.finding = self.finding_after_run(release.end, run.fingerprint, now);
+            report.service_time = self.gate.mean_work(run.kind).unwrap_or_default();
+            report.held = work.unwrap_or_default();
             report.downstream = run.downstream;
         }
         drop(reply.send(RunOutcome { report, standing }));
     }
 
+    /// Returns how long a run held its slot without waiting for calls of its own, and records it if the target answered.
+    fn record_work(&mut self, run: &Run, release: &SlotRelease, now: Instant) -> Duration {
+        let work = release.held.saturating_sub(run.open_calls.waited(now));
+        if release.end != RunEnd::Unanswered {
+            self.gate.record_work(run.kind, work);
+        }
+        work
+    }
+
     fn release_in_gate(&mut self, ticket: Ticket, release: &SlotRelease, now: Instant) {
         let SlotRelease { held, waited, .. } = *release;
         match release.end {
@@ -186,7 +198,9 @@
             admitted: waiter.req.admitted_share,
             began: waiter.req.began,
             deadline: waiter.req.deadline,
+            kind: waiter.req.kind,
             downstream: Vec::new(),
+            open_calls: OpenCalls::default(),
         };
         self.runs.insert(ticket, run);
         let guard = SlotGuard {
@@ -236,6 +250,8 @@
             level: self.gate.level(),
             stopping: self.drain.is_some(),
             cut_off: !self.publisher_healthy,
+            service_time: Duration::ZERO,
+            held: Duration::ZERO,
             downstream: Vec::new(),
             finding: None,
         }
--- a/crates/node/src/mesh/controller/runs.rs
+++ b/crates/node/src/mesh/controller/runs.rs
@@ -4,7 +4,7 @@
 
 use coltsfootport_core::collections::Map;
 use coltsfootport_core::id::ServiceName;
-use coltsfootport_core::mesh::Ticket;
+use coltsfootport_core::mesh::{OpenCalls, RequestKind, Ticket};
 use coltsfootport_core::quarantine::Fingerprint;
 use smol_str::SmolStr;
 
@@ -30,8 +30,12 @@
     pub began: Instant,
     /// Deadline of the request.
     pub deadline: Instant,
+    /// Identifies its route.
+    pub kind: RequestKind,
     /// Downstream calls that it has caused, by service.
     pub downstream: Vec<DownstreamCalls>,
+    /// Calls of its own that it waits for.
+    pub open_calls: OpenCalls,
 }
 
 /// The running requests of a node, indexed by ticket and by id.
@@ -88,26 +92,42 @@
         None
     }
 
+    /// Records that a running request sends a call of its own.
+    pub fn call_sent(&mut self, parent: &str, now: Instant) {
+        if let Some(run) = self.find_mut(parent) {
+            run.open_calls.begin(now);
+        }
+    }
+
     /// Records a finished call of a running request: one call at `service`, plus those listed in its report.
-    pub fn record_call(&mut self, parent: &str, service: &ServiceName, report: Option<&Report>) {
-        let Some(ticket) = self.by_id.get(parent) else {
+    pub fn record_call(
+        &mut self,
+        parent: &str,
+        service: &ServiceName,
+        report: Option<&Report>,
+        now: Instant,
+    ) {
+        let Some(run) = self.find_mut(parent) else {
             return;
         };
-        let Some(run) = self.by_ticket.get_mut(ticket) else {
-            return;
+        run.open_calls.end(now);
+        let own = DownstreamCalls {
+            service: service.clone(),
+            count: 1,
+            level: report.map_or(0.0, |report| report.level),
+            work: report.map_or(0.0, |report| report.held.as_secs_f64()),
         };
-        let level = report.map_or(0.0, |report| report.level);
-        add_downstream(&mut run.downstream, service, 1, level);
+        add_downstream(&mut run.downstream, &own);
         for below in report.into_iter().flat_map(|report| &report.downstream) {
-            add_downstream(
-                &mut run.downstream,
-                &below.service,
-                below.count,
-                below.level,
-            );
+            add_downstream(&mut run.downstream, below);
         }
     }
 
+    fn find_mut(&mut self, id: &str) -> Option<&mut Run> {
+        let ticket = self.by_id.get(id)?;
+        self.by_ticket.get_mut(ticket)
+    }
+
     /// Returns the request with this ticket.
     pub fn get(&self, ticket: Ticket) -> Option<&Run> {
         self.by_ticket.get(&ticket)
@@ -129,21 +149,10 @@
     }
 }
 
-fn add_downstream(
-    downstream: &mut Vec<DownstreamCalls>,
-    service: &ServiceName,
-    count: u32,
-    level: f64,
-) {
-    match downstream
-        .iter_mut()
-        .find(|other| other.service == *service)
-    {
-        Some(known) => known.add(count, level),
-        None => downstream.push(DownstreamCalls {
-            service: service.clone(),
-            count,
-            level,
-        }),
+fn add_downstream(downstream: &mut Vec<DownstreamCalls>, calls: &DownstreamCalls) {
+    let mut known = downstream.iter_mut();
+    match known.find(|known| known.service == calls.service) {
+        Some(known) => known.add(calls),
+        None => downstream.push(calls.clone()),
     }
 }
--- a/crates/node/src/mesh/link.rs
+++ b/crates/node/src/mesh/link.rs
@@ -11,6 +11,7 @@
 mod pool;
 mod quota_frames;
 mod quotas;
+mod reply_extension;
 mod rpc;
 mod server;
 
--- a/crates/node/src/mesh/link/frames.rs
+++ b/crates/node/src/mesh/link/frames.rs
@@ -11,6 +11,7 @@
 
 use super::finding_frames::FindingFrame;
 use super::quota_frames::{ClaimFrame, NoticeFrame};
+use super::reply_extension::{ReplyExtension, Trailing};
 use crate::h1::RequestHead;
 use crate::mesh::call::{
     Body, DownstreamCalls, HostReply, HostedRequest, Refused, Report, TargetAnswer,
@@ -82,9 +83,40 @@
     level_permille: u16,
     stopping: bool,
     cut_off: bool,
-    downstream: Vec<DownstreamCalls>,
+    downstream: Vec<DownstreamFrame>,
     finding: Option<FindingFrame>,
     result: ResultFrame,
+    extension: Trailing<ReplyExtension>,
+}
+
+/// Downstream calls of a run at one service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct DownstreamFrame {
+    service: ServiceName,
+    count: u32,
+    level: f64,
+}
+
+impl From<&DownstreamCalls> for DownstreamFrame {
+    fn from(calls: &DownstreamCalls) -> Self {
+        Self {
+            service: calls.service.clone(),
+            count: calls.count,
+            level: calls.level,
+        }
+    }
+}
+
+impl From<DownstreamFrame> for DownstreamCalls {
+    /// Converts the frame of calls whose slot time is not known yet.
+    fn from(frame: DownstreamFrame) -> Self {
+        Self {
+            service: frame.service,
+            count: frame.count,
+            level: frame.level,
+            work: 0.0,
+        }
+    }
 }
 
 /// Outcome of a request at its host.
@@ -195,9 +227,15 @@
             level_permille: to_permille(reply.report.level),
             stopping: reply.report.stopping,
             cut_off: reply.report.cut_off,
-            downstream: reply.report.downstream.clone(),
+            downstream: reply
+                .report
+                .downstream
+                .iter()
+                .map(DownstreamFrame::from)
+                .collect(),
             finding: reply.report.finding.as_ref().map(FindingFrame::from),
             result,
+            extension: Trailing(ReplyExtension::from(&reply.report)),
         }
     }
 }
@@ -245,17 +283,18 @@
                 retry_after: retry_after_ms.map(|ms| Duration::from_millis(u64::from(ms))),
             }),
         };
-        Ok(HostReply {
-            result,
-            report: Report {
-                busy: self.busy,
-                level: f64::from(self.level_permille) / PERMILLE,
-                stopping: self.stopping,
-                cut_off: self.cut_off,
-                downstream: self.downstream,
-                finding: self.finding.map(Finding::from),
-            },
-        })
+        let downstream = self.downstream.into_iter();
+        let mut report = Report {
+            busy: self.busy,
+            level: f64::from(self.level_permille) / PERMILLE,
+            stopping: self.stopping,
+            cut_off: self.cut_off,
+            downstream: downstream.map(DownstreamCalls::from).collect(),
+            finding: self.finding.map(Finding::from),
+            ..Report::default()
+        };
+        self.extension.0.add_to(&mut report);
+        Ok(HostReply { result, report })
     }
 }
 
--- a/crates/node/src/mesh/target/exchange.rs
+++ b/crates/node/src/mesh/target/exchange.rs
@@ -316,15 +316,12 @@
         if tx.send(buffered).await.is_err() {
             return;
         }
-        match forward_body(&mut conn, &mut decoder, &tx).await {
-            Ok(true) => {
-                tx.finish();
-                if reusable && conn.buf.is_empty() {
-                    pool.put(conn, keep_alive);
-                }
+        // Dropping the sender without finishing truncates the body.
+        if let Ok(true) = forward_body(&mut conn, &mut decoder, &tx).await {
+            tx.finish();
+            if reusable && conn.buf.is_empty() {
+                pool.put(conn, keep_alive);
             }
-            // Dropping the sender truncates the body.
-            Ok(false) | Err(BodyTruncated) => {}
         }
     });
     Body::Stream { length, rx }
