Selection uses the service times that hosts report

Cause: a sender estimated the speed of an instance from its own responses alone, too few for a stable estimate, and all senders chose the same instance, so the busiest target of a service got 2.3 to 2.6 times the mean number of requests.

Change: `InstanceSpeed` compares the reported mean service times of the instances of a service by kind of request. The load balancing score uses the resulting slowness in place of the node's own latency ratio while a fresh report exists. In services of more than 8 instances whose speeds differ, the best of a weighted random draw is chosen.

--- a/crates/core/src/mesh/balance.rs
+++ b/crates/core/src/mesh/balance.rs
@@ -170,8 +170,9 @@
         self.avoided_until.is_some_and(|until| now < until)
     }
 
-    /// Expected cost of a request there, relative to the usual latency on an idle instance; lower is better.
-    pub fn score(&self, slots: u32, now: Instant) -> f64 {
+    /// Expected cost of a request there, relative to the usual latency on an idle instance; lower is better. `slowness`
+    /// is the reported one; without it, the latency ratio observed by this node is used.
+    pub fn score(&self, slots: u32, slowness: Option<f64>, now: Instant) -> f64 {
         if self.needs_probe(now) {
             return PROBE_SCORE;
         }
@@ -182,11 +183,12 @@
         let decay_factor = self.decay_factor(now);
         let failing = 1.0 + FAILURE_WEIGHT * self.failure_rate * decay_factor;
         let latency_ratio = 1.0 + (self.latency_ratio - 1.0) * decay_factor;
+        let slowness = slowness.unwrap_or(latency_ratio);
         let stopping = match self.stopping_until.is_some_and(|until| now < until) {
             true => STOPPING_PENALTY,
             false => 1.0,
         };
-        latency_ratio * failing * stopping * (1.0 + LOAD_WEIGHT * utilization + queueing)
+        slowness * failing * stopping * (1.0 + LOAD_WEIGHT * utilization + queueing)
     }
 
     /// Whether the instance has failed before and has been idle for long enough to be probed.
--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
 use std::net::{IpAddr, SocketAddr};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
@@ -16,8 +16,8 @@
 use crate::collections::{FastHasher, Map, Set};
 use crate::id::{DomainName, ServiceName};
 use crate::mesh::{
-    FleetConfig, Instance, InstanceStats, MemberState, Position, PutEffect, ReadersConfig,
-    ReadersView, RemoveEffect, SendOutcome,
+    FleetConfig, Instance, InstanceSpeed, InstanceStats, MemberState, Position, PutEffect,
+    ReadersConfig, ReadersView, RemoveEffect, RequestKind, SendOutcome, SlownessChange,
 };
 use crate::quarantine::Fingerprint;
 
@@ -43,6 +43,8 @@
     member_state: MemberState,
     warm_up_until: Instant,
     stats: InstanceStats,
+    /// Whether the slowness last crossed the upper threshold of [`Fleet::slowness_changes`].
+    is_slow: bool,
 }
 
 impl Member {
@@ -57,6 +59,15 @@
     }
 }
 
+/// Number of instances of a service above which two drawn at random are compared if their speeds differ.
+const MAX_COMPARED: usize = 8;
+
+/// Slowness above which an instance is reported as slow.
+const SLOW: f64 = 1.5;
+
+/// Slowness below which a slow instance is reported as recovered.
+const RECOVERED: f64 = 1.2;
+
 /// All known instances, indexed by key, id, address and service.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -65,6 +76,7 @@
     by_id: Map<SmolStr, InstanceKey>,
     by_address: Map<SocketAddr, InstanceKey>,
     by_service: Map<ServiceName, Vec<InstanceKey>>,
+    speeds: Map<ServiceName, InstanceSpeed>,
     publisher: PublisherHealth,
     lapsed: LapsedInstances,
     restored: RestoredEntries,
@@ -80,6 +92,7 @@
             by_id: Map::default(),
             by_address: Map::default(),
             by_service: Map::default(),
+            speeds: Map::default(),
             publisher: PublisherHealth::Healthy,
             lapsed: LapsedInstances::default(),
             restored: RestoredEntries::default(),
@@ -334,6 +347,9 @@
     /// Selects the instance of a service with the best score, except those in `tried`.
     ///
     /// Avoided instances are used only as a last resort: misjudged instances must not make the service unavailable.
+    ///
+    /// Where the instances of a large service differ in speed, the best of a random draw is selected. All nodes receive
+    /// the same reports, and would otherwise send their requests to the same few fast instances at the same time.
     pub fn select<R>(
         &self,
         service: &ServiceName,
@@ -344,14 +360,22 @@
     where
         R: Rng + ?Sized,
     {
+        let keys = self.by_service.get(service)?;
+        let speed = self.speeds.get(service);
+        let uneven = speed.filter(|speed| keys.len() > MAX_COMPARED && speed.is_uneven(now));
+        if let Some(speed) = uneven
+            && let Some(key) = self.select_drawn(keys, tried, speed, now, rng)
+        {
+            return Some(self.selected(key));
+        }
         let mut best: Option<(bool, f64, InstanceKey)> = None;
-        for key in self.by_service.get(service)? {
+        for key in keys {
             let member = &self.members[*key];
             if !member.member_state.accepts_requests() || tried.contains(key) {
                 continue;
             }
             let avoided = member.stats.is_avoided(now);
-            let score = self.score(member, now) * (1.0 + self.cfg.jitter * rng.random::<f64>());
+            let score = self.score(*key, speed, now) * self.jitter_factor(rng);
             let better = best
                 .is_none_or(|(other_avoided, other, _)| (avoided, score) < (other_avoided, other));
             if better {
@@ -361,6 +385,88 @@
         best.map(|(_, _, key)| self.selected(key))
     }
 
+    /// Selects the better of two instances that are drawn at random. Two are drawn from the node's own failure domain and
+    /// two from the others, so that the penalty for other domains applies as in a comparison of all. Returns `None` if
+    /// every instance is avoided or in `tried`.
+    fn select_drawn<R>(
+        &self,
+        keys: &[InstanceKey],
+        tried: &[InstanceKey],
+        speed: &InstanceSpeed,
+        now: Instant,
+        rng: &mut R,
+    ) -> Option<InstanceKey>
+    where
+        R: Rng + ?Sized,
+    {
+        let mut best: Option<(f64, InstanceKey)> = None;
+        for near in [true, false] {
+            let mut first = None;
+            for _ in 0..2 {
+                let candidates = keys.iter().copied().filter(|key| {
+                    let member = &self.members[*key];
+                    Some(*key) != first
+                        && self.is_near(member) == near
+                        && member.member_state.accepts_requests()
+                        && !member.stats.is_avoided(now)
+                        && !tried.contains(key)
+                });
+                let Some(drawn) = self.draw(candidates, speed, now, rng) else {
+                    break;
+                };
+                first = Some(drawn);
+                let score = self.score(drawn, Some(speed), now) * self.jitter_factor(rng);
+                if best.is_none_or(|(other, _)| score < other) {
+                    best = Some((score, drawn));
+                }
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Draws one of the candidates at random, weighted by its slots divided by its slowness.
+    fn draw<C, R>(
+        &self,
+        candidates: C,
+        speed: &InstanceSpeed,
+        now: Instant,
+        rng: &mut R,
+    ) -> Option<InstanceKey>
+    where
+        C: Iterator<Item = InstanceKey>,
+        R: Rng + ?Sized,
+    {
+        let mut drawn = None;
+        let mut total = 0.0;
+        for key in candidates {
+            let member = &self.members[key];
+            let unreported = match now < member.warm_up_until {
+                true => self.cfg.cold_factor,
+                false => 1.0,
+            };
+            let slowness = speed.slowness(key, now).unwrap_or(unreported);
+            let weight = f64::from(member.instance.slots.max(1)) / slowness;
+            total += weight;
+            if rng.random::<f64>() * total < weight {
+                drawn = Some(key);
+            }
+        }
+        drawn
+    }
+
+    /// Whether the far penalty does not apply to an instance.
+    fn is_near(&self, member: &Member) -> bool {
+        self.cfg.far_penalty == 0.0 || member.instance.domain == self.cfg.domain
+    }
+
+    /// Random factor on a score.
+    fn jitter_factor<R>(&self, rng: &mut R) -> f64
+    where
+        R: Rng + ?Sized,
+    {
+        1.0 + self.cfg.jitter * rng.random::<f64>()
+    }
+
     /// Selects an instance by rendezvous hashing, except those in `tried`. All nodes select the same one for a
     /// fingerprint, so that copies of a request arrive at the same host.
     pub fn select_by_hash(
@@ -383,12 +489,14 @@
         best.map(|key| self.selected(*key))
     }
 
-    fn score(&self, member: &Member, now: Instant) -> f64 {
-        let mut score = member.stats.score(member.instance.slots, now);
+    fn score(&self, key: InstanceKey, speed: Option<&InstanceSpeed>, now: Instant) -> f64 {
+        let member = &self.members[key];
+        let slowness = speed.and_then(|speed| speed.slowness(key, now));
+        let mut score = member.stats.score(member.instance.slots, slowness, now);
         if member.instance.domain != self.cfg.domain {
             score += self.cfg.far_penalty;
         }
-        if now < member.warm_up_until {
+        if slowness.is_none() && now < member.warm_up_until {
             score *= self.cfg.cold_factor;
         }
         score
@@ -445,6 +553,66 @@
         }
     }
 
+    /// Records the mean service time of a kind of request that the host of an instance reported; zero is unknown.
+    pub fn service_time_reported(
+        &mut self,
+        key: InstanceKey,
+        kind: RequestKind,
+        service_time: Duration,
+        now: Instant,
+    ) {
+        if !self.cfg.reported_speed || service_time.is_zero() {
+            return;
+        }
+        // The instance may have been removed in the meantime.
+        let Some(member) = self.members.get(key) else {
+            return;
+        };
+        let service = &member.instance.service;
+        if !self.speeds.contains_key(service) {
+            self.speeds
+                .insert(service.clone(), InstanceSpeed::default());
+        }
+        if let Some(speed) = self.speeds.get_mut(service) {
+            speed.record(key, kind, service_time, now);
+        }
+    }
+
+    /// Slowness of an instance relative to the median instance of its service, as reported by the hosts; 1 if unknown.
+    pub fn slowness(&self, key: InstanceKey, now: Instant) -> f64 {
+        let speed = self
+            .members
+            .get(key)
+            .and_then(|member| self.speeds.get(&member.instance.service));
+        speed
+            .and_then(|speed| speed.slowness(key, now))
+            .unwrap_or(1.0)
+    }
+
+    /// Returns the instances whose slowness has risen above 1.5 since the last call, or has fallen below 1.2 after that.
+    pub fn slowness_changes(&mut self, now: Instant) -> Vec<SlownessChange> {
+        let mut changes = Vec::new();
+        for (key, member) in &mut self.members {
+            let Some(speed) = self.speeds.get(&member.instance.service) else {
+                continue;
+            };
+            let slowness = speed.slowness(key, now).unwrap_or(1.0);
+            let is_slow = match member.is_slow {
+                true => slowness >= RECOVERED,
+                false => slowness > SLOW,
+            };
+            if is_slow != member.is_slow {
+                member.is_slow = is_slow;
+                changes.push(SlownessChange {
+                    id: member.instance.id.clone(),
+                    is_slow,
+                    slowness,
+                });
+            }
+        }
+        changes
+    }
+
     /// Returns the instance at an address.
     pub fn at_address(&self, address: SocketAddr) -> Option<&Instance> {
         let key = self.by_address.get(&address)?;
@@ -530,6 +698,7 @@
             member_state,
             warm_up_until,
             stats: InstanceStats::default(),
+            is_slow: false,
         });
         self.by_id.insert(id, key);
         self.by_address.insert(address, key);
@@ -545,6 +714,12 @@
         if let Some(keys) = self.by_service.get_mut(&member.instance.service) {
             keys.retain(|other| *other != key);
         }
+        if let Some(speed) = self.speeds.get_mut(&member.instance.service) {
+            speed.remove(key);
+            if speed.is_empty() {
+                self.speeds.remove(&member.instance.service);
+            }
+        }
         Some(member.instance.id)
     }
 }
--- a/crates/core/src/mesh/fleet_config.rs
+++ b/crates/core/src/mesh/fleet_config.rs
@@ -23,6 +23,9 @@
     pub jitter: f64,
     /// Factor on the score of an instance that is warming up.
     pub cold_factor: f64,
+    /// Whether reported service times decide how slow an instance is; otherwise only the response times observed by
+    /// this node do.
+    pub reported_speed: bool,
 }
 
 impl Default for FleetConfig {
@@ -34,6 +37,7 @@
             far_penalty: 1.0,
             jitter: 0.15,
             cold_factor: 1.6,
+            reported_speed: true,
         }
     }
 }
