--- a/crates/core/src/mesh/balance.rs
+++ b/crates/core/src/mesh/balance.rs
@@ -10,6 +10,8 @@
     /// Requests of all nodes at the instance: the count last reported by its host, plus those sent since.
     load: f64,
     load_updated_at: Option<Instant>,
+    /// Whether its host has reported a load.
+    is_load_reported: bool,
     /// Latency relative to the usual latency of the route, as an exponentially weighted moving average (EWMA).
     latency_ratio: f64,
     /// Share of failed requests, as an EWMA.
@@ -34,6 +36,7 @@
             outstanding: 0,
             load: 0.0,
             load_updated_at: None,
+            is_load_reported: false,
             latency_ratio: 1.0,
             failure_rate: 0.0,
             rates_updated_at: None,
@@ -105,10 +108,16 @@
     /// Records the number of requests at the instance as reported by its host.
     pub fn load_reported(&mut self, load: u32, now: Instant) {
         self.load = f64::from(load);
+        self.is_load_reported = true;
         self.load_updated_at = Some(now);
         self.connect_failures = 0;
     }
 
+    /// Whether the host has reported a load. Without a report, a busy instance looks idle.
+    pub fn is_load_reported(&self) -> bool {
+        self.is_load_reported
+    }
+
     /// Records a complete response that took `relative` times the usual latency of its route.
     pub fn request_succeeded(&mut self, relative: f64, now: Instant) {
         self.decay_rates(now);
--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -348,8 +348,9 @@
     ///
     /// Avoided instances are used only as a last resort: misjudged instances must not make the service unavailable.
     ///
-    /// Where the instances of a large service differ in speed, the best of a random draw is selected. All nodes receive
-    /// the same reports, and would otherwise send their requests to the same few fast instances at the same time.
+    /// Reported speeds are used only where they differ by more than the variation of the reports. The best of a random
+    /// draw is selected then if the service is large: all nodes receive the same reports, and would otherwise send their
+    /// requests to the same few fast instances at the same time.
     pub fn select<R>(
         &self,
         service: &ServiceName,
@@ -362,8 +363,8 @@
     {
         let keys = self.by_service.get(service)?;
         let speed = self.speeds.get(service);
-        let uneven = speed.filter(|speed| keys.len() > MAX_COMPARED && speed.is_uneven(now));
-        if let Some(speed) = uneven
+        let speed = speed.filter(|speed| speed.is_uneven(now));
+        if let Some(speed) = speed.filter(|_| keys.len() > MAX_COMPARED)
             && let Some(key) = self.select_drawn(keys, tried, speed, now, rng)
         {
             return Some(self.selected(key));
@@ -401,23 +402,26 @@
     {
         let mut best: Option<(f64, InstanceKey)> = None;
         for near in [true, false] {
-            let mut first = None;
-            for _ in 0..2 {
-                let candidates = keys.iter().copied().filter(|key| {
-                    let member = &self.members[*key];
-                    Some(*key) != first
-                        && self.is_near(member) == near
-                        && member.member_state.accepts_requests()
-                        && !member.stats.is_avoided(now)
-                        && !tried.contains(key)
-                });
-                let Some(drawn) = self.draw(candidates, speed, now, rng) else {
-                    break;
-                };
-                first = Some(drawn);
-                let score = self.score(drawn, Some(speed), now) * self.jitter_factor(rng);
+            let usable = keys.iter().copied().filter(|key| {
+                let member = &self.members[*key];
+                self.is_near(member) == near
+                    && member.member_state.accepts_requests()
+                    && !member.stats.is_avoided(now)
+                    && !tried.contains(key)
+            });
+            let Some(first) = self.draw(usable.clone(), speed, now, rng) else {
+                continue;
+            };
+            let others = usable.filter(|key| *key != first);
+            let second = self.draw(others, speed, now, rng);
+            // An instance without a load report would win each comparison at every node. It is used as often as it is
+            // drawn first, which is the share of an average instance.
+            let is_load_reported = |key: &InstanceKey| self.members[*key].stats.is_load_reported();
+            let second = second.filter(|key| is_load_reported(&first) && is_load_reported(key));
+            for key in [Some(first), second].into_iter().flatten() {
+                let score = self.score(key, Some(speed), now) * self.jitter_factor(rng);
                 if best.is_none_or(|(other, _)| score < other) {
-                    best = Some((score, drawn));
+                    best = Some((score, key));
                 }
             }
         }
--- a/crates/node/src/mesh/controller/admission.rs
+++ b/crates/node/src/mesh/controller/admission.rs
@@ -180,6 +180,7 @@
             key: chosen.key,
             service: req.service,
             route: req.route,
+            kind: req.kind,
             fingerprint: req.fingerprint,
             answer_complete: false,
             target_leaving: false,
@@ -238,6 +239,8 @@
                     .record(below.map(|below| (&below.service, below.count)));
             }
             self.shedder.report(&ended.route, report.max_level(), now);
+            self.fleet
+                .service_time_reported(key, ended.kind, report.service_time, now);
             if report.stopping {
                 self.fleet.host_stopping(key, now);
             }
--- a/crates/node/src/mesh/controller/event.rs
+++ b/crates/node/src/mesh/controller/event.rs
@@ -185,6 +185,8 @@
     pub service: ServiceName,
     /// Name of the matched route.
     pub route: SmolStr,
+    /// Identifies the route in reports and frames.
+    pub kind: RequestKind,
     /// Fingerprint of the request, the same for all its retries.
     pub fingerprint: Fingerprint,
     /// Id of the run that made the call.
@@ -219,6 +221,8 @@
     pub service: ServiceName,
     /// Name of the matched route.
     pub route: SmolStr,
+    /// Identifies the route in reports and frames.
+    pub kind: RequestKind,
     /// Fingerprint of the request, the same for all its retries.
     pub fingerprint: Fingerprint,
     /// Whether the target's response arrived completely.
--- a/crates/node/src/mesh/controller/guards.rs
+++ b/crates/node/src/mesh/controller/guards.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use coltsfootport_core::id::ServiceName;
-use coltsfootport_core::mesh::{Announcement, InstanceKey, SendOutcome, Ticket};
+use coltsfootport_core::mesh::{Announcement, InstanceKey, RequestKind, SendOutcome, Ticket};
 use coltsfootport_core::quarantine::Fingerprint;
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
@@ -20,6 +20,7 @@
     pub(super) key: InstanceKey,
     pub(super) service: ServiceName,
     pub(super) route: SmolStr,
+    pub(super) kind: RequestKind,
     pub(super) fingerprint: Fingerprint,
     pub(super) parent: Option<SmolStr>,
     pub(super) since: Instant,
@@ -53,6 +54,7 @@
             took: self.clock.now().saturating_duration_since(self.since),
             service: self.service.clone(),
             route: self.route.clone(),
+            kind: self.kind,
             fingerprint: self.fingerprint,
             answer_complete: self.answer_complete,
             target_leaving: self.target_leaving,
--- a/crates/node/src/mesh/controller/publisher_updates.rs
+++ b/crates/node/src/mesh/controller/publisher_updates.rs
@@ -79,7 +79,7 @@
         self.fleet.readers_view(self.cfg.target.ip(), cfg)
     }
 
-    /// Updates the metrics and logs changes of the node's own admission level.
+    /// Updates the metrics and logs changes of the node's own admission level and of the slowness of instances.
     pub(super) fn update_metrics(&mut self, now: Instant) {
         let level = self.gate.level();
         if (level - self.logged_level).abs() >= LOGGED_LEVEL_STEP {
@@ -88,6 +88,13 @@
             self.logged_level = level;
         }
         self.metrics.level.set(level);
+        for change in self.fleet.slowness_changes(now) {
+            self.journal.slowness_changed(&change);
+        }
+        let local = self.fleet.at_address(self.cfg.target);
+        let local = local.and_then(|local| self.fleet.key_of(&local.id));
+        let slowness = local.map_or(1.0, |key| self.fleet.slowness(key, now));
+        self.metrics.slowness.set(slowness);
         self.metrics.running.set(i64::from(self.gate.running()));
         self.metrics.waiting.set(self.gate.queued() as i64);
         self.metrics.instances.set(self.fleet.len() as i64);
--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -157,6 +157,7 @@
         let req = InstanceRequest {
             service: self.admitted.service.clone(),
             route: self.route_name(),
+            kind: self.admitted.config.route(self.admitted.route).kind(),
             fingerprint: self.fingerprint,
             parent: self
                 .admitted
--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use coltsfootport_core::mesh::{Route, Shed};
+use coltsfootport_core::mesh::{Route, Shed, SlownessChange};
 use coltsfootport_core::quarantine::{CrashId, Evidence, Finding, Fingerprint};
 use coltsfootport_core::workspace::{OverQuota, Quota, Workspace};
 use slog::{Logger, info, warn};
@@ -105,6 +105,18 @@
         }
     }
 
+    /// Logs that the reported slowness of an instance has crossed a threshold.
+    pub fn slowness_changed(&self, change: &SlownessChange) {
+        if let Some(dropped) = self.admit_failure_line() {
+            let text = match change.is_slow {
+                true => "instance slow",
+                false => "instance no longer slow",
+            };
+            info!(self.log, "{}", text; "instance" => change.id.as_str(), "slowness" => change.slowness,
+                "dropped" => dropped);
+        }
+    }
+
     /// Logs a request that was refused because its workspace exceeds its quota; `age_ms` is the time since
     /// the publisher's last response.
     pub fn over_quota(
--- a/crates/node/src/mesh/metrics.rs
+++ b/crates/node/src/mesh/metrics.rs
@@ -54,6 +54,8 @@
     pub reads: IntCounterVec,
     /// Overload level of the local target.
     pub level: Gauge,
+    /// Slowness of the local target relative to the median of its service, as reported to this node; 1 if unknown.
+    pub slowness: Gauge,
     /// Requests running on the local target.
     pub running: IntGauge,
     /// Requests queued for the local target.
@@ -92,6 +94,11 @@
             };
         let level = Gauge::with_opts(opts("level", "level of overload at the own target"))?;
         registry.register(Box::new(level.clone()))?;
+        let slowness = Gauge::with_opts(opts(
+            "slowness",
+            "reported slowness of the own target, 1 for the median of its service",
+        ))?;
+        registry.register(Box::new(slowness.clone()))?;
         let latency = HistogramOpts::new("answer_seconds", "time from a request to its answer")
             .namespace(NAMESPACE)
             .buckets(LATENCY_BUCKETS.to_vec());
@@ -148,6 +155,7 @@
                 &["outcome"],
             )?,
             level,
+            slowness,
             running: gauge("running", "requests running at the own target")?,
             waiting: gauge("waiting", "requests waiting for the own target")?,
             instances: gauge("instances", "instances known")?,
--- a/crates/node/src/mesh/policy.rs
+++ b/crates/node/src/mesh/policy.rs
@@ -37,6 +37,9 @@
     /// How long an instance is kept after its entry lapsed, so that it can write the entry again; 0 applies every
     /// removal at once.
     pub lapse_hold: Duration,
+    /// Whether instances are selected by the service times that their hosts report, see
+    /// [`FleetConfig::reported_speed`].
+    pub reported_speed: bool,
 }
 
 impl Default for PolicySettings {
@@ -55,6 +58,7 @@
             no_repeat_level: 0.5,
             repeat_share: RetryBudgetConfig::default().used_share,
             lapse_hold: FleetConfig::default().lapse_hold,
+            reported_speed: FleetConfig::default().reported_speed,
         }
     }
 }
@@ -102,6 +106,7 @@
             ),
             repeat_share: section.number("repeat_share", 0.0..=1.0, default.repeat_share),
             lapse_hold: section.millis("lapse_hold_ms", 0..=60_000, default.lapse_hold),
+            reported_speed: section.choice("reported_speed", &ON_OFF, default.reported_speed),
         };
         section.finish();
         settings
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -277,6 +277,7 @@
             domain: settings.node.domain.clone(),
             far_penalty: policy.far_penalty,
             lapse_hold: policy.lapse_hold,
+            reported_speed: policy.reported_speed,
             ..Default::default()
         },
         shedder: ShedderConfig {
