A random draw leaves out hosts that are shutting down

Cause: the penalty of a stopping host decides only between the two instances drawn; with several stopping hosts both could be stopping while others had room.

Change: stopping hosts are left out of the draw and used only if no other instance is left. Tests for this and for the setting.

--- a/crates/core/src/mesh/balance.rs
+++ b/crates/core/src/mesh/balance.rs
@@ -179,6 +179,11 @@
         self.avoided_until.is_some_and(|until| now < until)
     }
 
+    /// Whether its host is assumed to be shutting down.
+    pub fn is_stopping(&self, now: Instant) -> bool {
+        self.stopping_until.is_some_and(|until| now < until)
+    }
+
     /// Expected cost of a request there, relative to the usual latency on an idle instance; lower is better. `slowness`
     /// is the reported one; without it, the latency ratio observed by this node is used.
     pub fn score(&self, slots: u32, slowness: Option<f64>, now: Instant) -> f64 {
@@ -193,7 +198,7 @@
         let failing = 1.0 + FAILURE_WEIGHT * self.failure_rate * decay_factor;
         let latency_ratio = 1.0 + (self.latency_ratio - 1.0) * decay_factor;
         let slowness = slowness.unwrap_or(latency_ratio);
-        let stopping = match self.stopping_until.is_some_and(|until| now < until) {
+        let stopping = match self.is_stopping(now) {
             true => STOPPING_PENALTY,
             false => 1.0,
         };
--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -388,7 +388,7 @@
 
     /// Selects the better of two instances that are drawn at random. Two are drawn from the node's own failure domain and
     /// two from the others, so that the penalty for other domains applies as in a comparison of all. Returns `None` if
-    /// every instance is avoided or in `tried`.
+    /// every instance is avoided, stopping or in `tried`.
     fn select_drawn<R>(
         &self,
         keys: &[InstanceKey],
@@ -407,6 +407,7 @@
                 self.is_near(member) == near
                     && member.member_state.accepts_requests()
                     && !member.stats.is_avoided(now)
+                    && !member.stats.is_stopping(now)
                     && !tried.contains(key)
             });
             let Some(first) = self.draw(usable.clone(), speed, now, rng) else {
--- a/crates/core/tests/mesh_instance_speed.rs
+++ b/crates/core/tests/mesh_instance_speed.rs
@@ -381,6 +381,18 @@
     assert_eq!(far, 0, "requests to the other failure domain");
 }
 
+/// Guards against a host that is shutting down getting requests because a random draw contained no better instance.
+#[test]
+fn a_draw_leaves_out_stopping_hosts() {
+    let mut harness = Harness::new(12, true);
+    harness.report_all(12, 0, ms(150));
+    for index in 1..6 {
+        let key = harness.key(&format!("i-{index}"));
+        harness.fleet.host_stopping(key, harness.now);
+    }
+    assert_eq!(harness.share("i-1", |_| 1.0), 0);
+}
+
 /// Guards against a line in the log for each report of an instance whose slowness is near the threshold.
 #[test]
 fn a_slow_instance_is_reported_once() {
--- a/crates/node/tests/mesh_settings.rs
+++ b/crates/node/tests/mesh_settings.rs
@@ -17,6 +17,18 @@
     assert_eq!(settings.load, Default::default());
 }
 
+/// Guards against a policy setting that is read but not applied, or not on by default.
+#[test]
+fn reported_speed_can_be_switched_off() {
+    let (settings, _) = MeshSettings::parse(MINIMAL).expect("settings");
+    assert!(settings.policy.reported_speed);
+    let off = r#""policy": { "reported_speed": "off" }, "node""#;
+    let text = MINIMAL.replacen("\"node\"", off, 1);
+    let (settings, warnings) = MeshSettings::parse(&text).expect("settings");
+    assert!(warnings.is_empty(), "{warnings:?}");
+    assert!(!settings.policy.reported_speed);
+}
+
 #[test]
 fn faults_name_their_key() {
     struct Case {
