Service times are judged once most instances have reported

Cause: with two reports, the median lies between them. An instance of usual speed looked ten times faster beside one whose first request had been slow, and got all requests of instances without reports (platform test balancing failed 4 times of 4: 48 of 49 requests at one of four targets).

Change: a report is judged only if more than half of the instances of the service, and at least three, have a fresh report about the kind.

--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -579,7 +579,8 @@
                 .insert(service.clone(), InstanceSpeed::default());
         }
         if let Some(speed) = self.speeds.get_mut(service) {
-            speed.record(key, kind, service_time, now);
+            let instances = self.by_service.get(service).map_or(0, Vec::len);
+            speed.record(key, kind, service_time, instances, now);
         }
     }
 
--- a/crates/core/src/mesh/instance_speed.rs
+++ b/crates/core/src/mesh/instance_speed.rs
@@ -53,24 +53,35 @@
 /// Reported means of equally fast instances deviate by less, as each is over about twenty requests.
 const UNEVEN_SLOWNESS: f64 = 1.5;
 
+/// Number of reports from which a single one no longer decides their median.
+const MIN_REPORTS: usize = 3;
+
 /// Maximum number of kinds tracked; bounds memory when routes are added and removed.
 const MAX_KINDS: usize = 256;
 
 impl InstanceSpeed {
     /// Records the mean service time of a kind of request as reported by the host of an instance; zero is unknown and
-    /// has no effect.
+    /// has no effect. `instances` is the number of instances of the service.
+    ///
+    /// It is judged once most instances have reported. Compared with the only other report, that of a slow first
+    /// request, an instance of usual speed would look fast and get the requests of all instances without reports.
     pub fn record(
         &mut self,
         key: InstanceKey,
         kind: RequestKind,
         service_time: Duration,
+        instances: usize,
         now: Instant,
     ) {
         if service_time.is_zero() {
             return;
         }
         let mean = service_time.as_secs_f64();
-        let relative = mean / self.update_median(kind, TimeReport { key, mean, at: now }, now);
+        let median = self.update_median(kind, TimeReport { key, mean, at: now }, now);
+        if self.sorted.len() < MIN_REPORTS || self.sorted.len() * 2 <= instances {
+            return;
+        }
+        let relative = mean / median;
         let relative = relative.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
         let estimate = self.estimates.entry(key).or_insert(Estimate {
             mean: 1.0,
--- a/crates/core/tests/mesh_instance_speed.rs
+++ b/crates/core/tests/mesh_instance_speed.rs
@@ -124,6 +124,23 @@
             expected: [Some(1.0), Some(5.0), Some(1.0), Some(1.0)],
             ..Default::default()
         },
+        Case {
+            name: "two of four instances have reported, one of them a slow first request",
+            repeated: vec![reported(0, 0, 1, 250), reported(0, 1, 1, 10)],
+            expected: [None; 4],
+            uneven: false,
+            ..Default::default()
+        },
+        Case {
+            name: "three of four instances have reported",
+            repeated: vec![
+                reported(0, 0, 1, 100),
+                reported(0, 1, 1, 50),
+                reported(0, 2, 1, 50),
+            ],
+            expected: [Some(2.0), Some(1.0), Some(1.0), None],
+            ..Default::default()
+        },
         Case {
             name: "an instance that has ended",
             removed: Some(0),
@@ -149,6 +166,7 @@
                 keys[report.instance],
                 RequestKind(report.kind),
                 report.service_time,
+                keys.len(),
                 at,
             );
         };
