Entries shed requests by their cost at the constrained service

Cause: an entry shed every route of a rank by the same share, so that many cheap requests were refused for the sake of a few expensive ones. The slot time during which runs wait for their calls counted as load of their service.

Change: entries keep the levels by service and learn the slot time of a route's requests at each service on its path. Within the rank that is shed in part, a share of the work is shed, from the requests with the highest cost first; no route is cut below half of the even share. Until five requests of a route are answered, its own level decides as before. The level of a target counts runs without their waits; queues still count the whole time. `policy.cost_admission` off restores both.

--- a/crates/core/src/mesh/shedder.rs
+++ b/crates/core/src/mesh/shedder.rs
@@ -5,6 +5,7 @@
 
 use smol_str::SmolStr;
 
+use super::reported_level::ReportedLevel;
 use crate::collections::Map;
 
 /// How an entry node follows the overload levels that hosts report.
@@ -41,6 +42,13 @@
     }
 }
 
+impl ShedderConfig {
+    /// Share of the requests of a rank to shed at a level.
+    pub(super) fn share(&self, level: f64, shed_order: usize) -> f64 {
+        (level - shed_order as f64).clamp(0.0, self.max_share)
+    }
+}
+
 /// Overload levels by route, as reported with responses, and the decision which requests to shed.
 ///
 /// Requests are shed at the entry node, before any work has been done for them. If they were refused further
@@ -59,12 +67,6 @@
     seed: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct ReportedLevel {
-    level: f64,
-    at: Instant,
-}
-
 /// The decision to shed a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Shed {
@@ -74,6 +76,19 @@
     pub share: f64,
     /// Retry-After sent to the caller.
     pub retry_after: Duration,
+    /// Whether the request is shed because of its cost; it would be admitted if all routes of its rank were shed alike.
+    pub by_cost: bool,
+}
+
+/// Share of similar requests to shed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ShedShare {
+    /// Overload level of the route.
+    pub level: f64,
+    /// Share of the requests with its route and rank to shed, from 0 to 1.
+    pub share: f64,
+    /// Share that would be shed without regard to cost.
+    pub even_share: f64,
 }
 
 impl Shedder {
@@ -89,25 +104,23 @@
 
     /// Records the highest overload level that a request of a route encountered.
     pub fn report(&mut self, route: &SmolStr, level: f64, now: Instant) {
-        let previous = self.level(route, now);
-        let level = previous + self.cfg.report_weight * (level - previous);
-        self.levels
-            .insert(route.clone(), ReportedLevel { level, at: now });
+        if let Some(known) = self.levels.get_mut(route) {
+            return known.report(&self.cfg, level, now);
+        }
+        let mut reported = ReportedLevel::new(now);
+        reported.report(&self.cfg, level, now);
+        self.levels.insert(route.clone(), reported);
     }
 
     /// Current overload level of a route.
     pub fn level(&self, route: &SmolStr, now: Instant) -> f64 {
-        let Some(reported) = self.levels.get(route) else {
-            return 0.0;
-        };
-        let age = now.saturating_duration_since(reported.at);
-        let stale_time = age.saturating_sub(self.cfg.stale_after).as_secs_f64();
-        (reported.level - self.cfg.decay_per_second * stale_time).max(0.0)
+        let reported = self.levels.get(route);
+        reported.map_or(0.0, |reported| reported.current(&self.cfg, now))
     }
 
     /// Share of a route's requests to shed; `shed_order` is 0 for the rank that is shed first.
     pub fn share(&self, route: &SmolStr, shed_order: usize, now: Instant) -> f64 {
-        (self.level(route, now) - shed_order as f64).clamp(0.0, self.cfg.max_share)
+        self.cfg.share(self.level(route, now), shed_order)
     }
 
     /// Decides whether to admit a request for `host` and `path`. Returns the admitted share of requests with its route
@@ -124,7 +137,34 @@
         path: &str,
         now: Instant,
     ) -> Result<f64, Shed> {
-        let share = self.share(route, shed_order, now);
+        let level = self.level(route, now);
+        let share = self.cfg.share(level, shed_order);
+        let shed_share = ShedShare {
+            level,
+            share,
+            even_share: share,
+        };
+        self.admit_share(shed_share, host, path, now)
+    }
+
+    /// Decides whether to admit a request for `host` and `path`, given the share of similar requests to shed. Returns
+    /// the admitted share of them.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Shed`] if the request is shed.
+    pub fn admit_share(
+        &self,
+        shed_share: ShedShare,
+        host: &str,
+        path: &str,
+        now: Instant,
+    ) -> Result<f64, Shed> {
+        let ShedShare {
+            level,
+            share,
+            even_share,
+        } = shed_share;
         if share <= 0.0 {
             return Ok(1.0);
         }
@@ -136,9 +176,10 @@
         let jitter = 0.75 + 0.5 * (position / share);
         let wait = self.cfg.min_retry_after + self.cfg.extra_retry_after.mul_f64(share);
         Err(Shed {
-            level: self.level(route, now),
+            level,
             share,
             retry_after: wait.mul_f64(jitter),
+            by_cost: position >= even_share,
         })
     }
 
--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -21,6 +21,9 @@
     pub start_share: f64,
     /// Whether to leave slots free when the target slows down near full concurrency.
     pub headroom: bool,
+    /// Whether the overload level counts slot time without the time during which runs wait for calls of their own.
+    /// Otherwise slow calls raise the level of every service above them, which could serve other requests.
+    pub level_without_waits: bool,
     /// Margins that bound how long requests may wait.
     pub limits: TimeLimits,
     /// How the overload level follows the load.
@@ -34,6 +37,7 @@
             max_queued: 2000,
             start_share: 0.5,
             headroom: true,
+            level_without_waits: true,
             limits: TimeLimits::default(),
             level: LevelConfig::default(),
         }
@@ -201,8 +205,12 @@
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
         let work = self.service_times.expected(request.kind);
+        let level_work = match self.cfg.level_without_waits {
+            true => self.work_times.mean(request.kind).unwrap_or(work),
+            false => work,
+        };
         self.level
-            .record_arrival(request.shed_order, work, request.admitted);
+            .record_arrival(request.shed_order, level_work, request.admitted);
         if self.latest_start(&request) <= now {
             return Admission::DeadlineUnreachable;
         }
--- a/crates/core/tests/mesh_gate.rs
+++ b/crates/core/tests/mesh_gate.rs
@@ -430,3 +430,53 @@
         "{soonest:?} {latest:?}"
     );
 }
+
+/// Guards against slow calls raising the level of the services above them, which then shed requests that could be served
+/// there. Twenty runs per second hold one of eight slots for a second each, and wait for a call nine tenths of that time.
+#[test]
+fn waiting_for_calls_is_no_load() {
+    struct Case {
+        level_without_waits: bool,
+        /// Whether runs have ended whose waits are known.
+        samples: bool,
+        is_overloaded: bool,
+    }
+    let case = |level_without_waits, samples, is_overloaded| Case {
+        level_without_waits,
+        samples,
+        is_overloaded,
+    };
+    let cases = [
+        case(true, true, false),
+        case(true, false, true),
+        case(false, true, true),
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let cfg = GateConfig {
+            slots: 8,
+            headroom: false,
+            level_without_waits: case.level_without_waits,
+            ..Default::default()
+        };
+        let mut gate = TargetGate::new(cfg, start);
+        for n in 0..80 {
+            let now = start + ms(50 * n);
+            let kind = request(2, false, now).kind;
+            let ticket = ticket(gate.admit(request(2, false, now), now));
+            gate.release(ticket, ms(1000), now);
+            if case.samples {
+                gate.record_work(kind, ms(100));
+            }
+            gate.update_level(now);
+        }
+        let level = gate.level();
+        assert_eq!(
+            level > 0.0,
+            case.is_overloaded,
+            "{} {}: {level}",
+            case.level_without_waits,
+            case.samples
+        );
+    }
+}
--- a/crates/core/tests/overload_replay/main.rs
+++ b/crates/core/tests/overload_replay/main.rs
@@ -1,5 +1,6 @@
 //! Overload tests: goodput under simulated load patterns, compared with the capacity of the slots.
 
+mod costs;
 mod rate_limits;
 mod replay;
 
--- a/crates/core/tests/overload_replay/replay/deployment.rs
+++ b/crates/core/tests/overload_replay/replay/deployment.rs
@@ -160,6 +160,29 @@
         }
     }
 
+    /// A short service that two routes of one rank use, with 0.10 s and 0.38 s of slot time per request, and a third
+    /// route of that rank that does not use it. Under calm load it uses 0.6 of its slots.
+    pub fn two_costs() -> Self {
+        let mut kinds = vec![
+            external_kind(0, 1, 20.0, (2000, 1000), 60.0),
+            external_kind(0, 1, 20.0, (2500, 1500), 32.0),
+            external_kind(0, 1, 50.0, (1000, 500), 60.0),
+            call_kind(1, 24.0, 700),
+            call_kind(1, 380.0, 1500),
+        ];
+        kinds[0].calls = vec![(3, 4)];
+        kinds[1].calls = vec![(4, 1)];
+        let service = |hosts, slots| ServiceSpec {
+            hosts,
+            slots,
+            saturation_slowdown: 1.0,
+        };
+        Self {
+            services: vec![service(4, 60), service(3, 10)],
+            kinds,
+        }
+    }
+
     /// Generates a chain of two to four services from a seed. The last one uses half of its slots under calm load.
     pub fn random(seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
--- a/crates/core/tests/overload_replay/replay/world.rs
+++ b/crates/core/tests/overload_replay/replay/world.rs
@@ -9,23 +9,38 @@
 use rand::{Rng, SeedableRng};
 use smol_str::SmolStr;
 
+use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{
-    Admission, Fleet, FleetConfig, GateConfig, Instance, InstanceKey, QueueTimeoutConfig,
-    QueueTimeoutRequest, RequestKind, SendOutcome, Shedder, ShedderConfig, SlotRequest, TargetGate,
-    Ticket,
+    Admission, CostShedder, Fleet, FleetConfig, GateConfig, Instance, InstanceKey,
+    QueueTimeoutConfig, QueueTimeoutRequest, RequestKind, SendOutcome, Shedder, ShedderConfig,
+    SlotRequest, TargetGate, Ticket,
 };
 
 use super::deployment::{Deployment, Pattern};
 use super::outcome::{Outcome, Second};
 
 /// Configuration of the production modules; the defaults are those of nodes.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Policy {
     pub gate: GateConfig,
     pub shedder: ShedderConfig,
     pub fleet: FleetConfig,
     /// Instances that a request is sent to after one whose host has refused it.
     pub further_instances: usize,
+    /// Whether requests are shed by the services that they use and by their cost there.
+    pub cost_admission: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            gate: GateConfig::default(),
+            shedder: ShedderConfig::default(),
+            fleet: FleetConfig::default(),
+            further_instances: 0,
+            cost_admission: true,
+        }
+    }
 }
 
 /// One-way network delay in seconds.
@@ -85,14 +100,27 @@
     started: f64,
     /// Calls made so far.
     called: u32,
-    /// Sum and number of the levels reported by each service below this run.
-    levels: HashMap<usize, (f64, u32)>,
+    /// Slot time without waiting for calls, in seconds.
+    work: f64,
+    /// What the replies to its calls report of each service below this run.
+    below: HashMap<usize, Calls>,
+}
+
+/// Calls at one service.
+#[derive(Clone, Copy, Default)]
+struct Calls {
+    count: u32,
+    /// Sum of the levels that they encountered.
+    levels: f64,
+    /// Sum of their slot times in seconds.
+    work: f64,
 }
 
 struct Node {
     service: usize,
     fleet: Fleet,
     shedder: Shedder,
+    cost_shedder: Option<CostShedder>,
     gate: TargetGate,
     waiting: HashMap<Ticket, usize>,
     running: u32,
@@ -160,12 +188,19 @@
             for other in 0..hosts.len() {
                 fleet.put(instance(other), start);
             }
-            let mut gate = TargetGate::new(policy.gate, start);
+            let gate = GateConfig {
+                level_without_waits: policy.cost_admission,
+                ..policy.gate
+            };
+            let mut gate = TargetGate::new(gate, start);
             gate.set_slots(deployment.services[hosts[host]].slots);
             Node {
                 service: hosts[host],
                 fleet,
                 shedder: Shedder::new(policy.shedder, seed + host as u64, start),
+                cost_shedder: policy
+                    .cost_admission
+                    .then(|| CostShedder::new(policy.shedder, start)),
                 gate,
                 waiting: HashMap::new(),
                 running: 0,
@@ -253,12 +288,18 @@
         let Request { kind, entry, .. } = self.requests[request];
         self.requests[request].attempts += 1;
         let spec = &self.deployment.kinds[kind];
-        let node = &self.nodes[entry];
+        let node = &mut self.nodes[entry];
         let path = &self.requests[request].path;
-        match node
-            .shedder
-            .admit(&route(kind), spec.shed_order, "h", path, now)
-        {
+        let (route, order) = (route(kind), spec.shed_order);
+        let by_cost = node
+            .cost_shedder
+            .as_mut()
+            .and_then(|shedder| shedder.share(&route, order, now));
+        let judged = match by_cost {
+            Some(share) => node.shedder.admit_share(share, "h", path, now),
+            None => node.shedder.admit(&route, order, "h", path, now),
+        };
+        match judged {
             Err(shed) => self.attempt_refused(request, shed.retry_after.as_secs_f64()),
             Ok(admitted) => {
                 let deadline = self.now + spec.timeout_ms as f64 / 1000.0;
@@ -332,7 +373,8 @@
             sent: self.now,
             started: 0.0,
             called: 0,
-            levels: HashMap::new(),
+            work: 0.0,
+            below: HashMap::new(),
         });
         self.schedule(NETWORK_DELAY, Event::Delivery(run));
         Some(run)
@@ -440,6 +482,7 @@
         // Log-normal with a mean of one.
         let normal: f64 = (0..12).map(|_| self.rng.random::<f64>()).sum::<f64>() - 6.0;
         work *= (0.6 * normal - 0.18).exp();
+        self.runs[run].work = work;
         self.schedule(work, Event::WorkDone(run));
         self.schedule(deadline - self.now, Event::DeadlineExpired(run));
     }
@@ -501,6 +544,13 @@
     /// Ends a run at its host and schedules the reply.
     fn end_run(&mut self, run: usize, succeeded: bool) {
         self.release_slot(run);
+        if succeeded {
+            let Run {
+                kind, host, work, ..
+            } = self.runs[run];
+            let gate = &mut self.nodes[host].gate;
+            gate.record_work(RequestKind(kind as u32), Duration::from_secs_f64(work));
+        }
         self.runs[run].state = RunState::Ended(succeeded);
         self.schedule(NETWORK_DELAY, Event::Reply(run));
     }
@@ -583,20 +633,26 @@
         self.nodes[entry]
             .fleet
             .request_ended(key, outcome, Some(busy), now);
-        let levels_below = std::mem::take(&mut self.runs[run].levels);
+        let below = std::mem::take(&mut self.runs[run].below);
+        let own = Calls {
+            count: 1,
+            levels: level,
+            work: self.runs[run].work,
+        };
+        self.learn_costs(run, succeeded, own, &below);
         let Some(parent) = parent else {
-            let means = levels_below
+            let means = below
                 .values()
-                .map(|(sum, count)| sum / f64::from(*count));
+                .map(|calls| calls.levels / f64::from(calls.count));
             let highest = means.fold(level, f64::max);
             self.nodes[entry].shedder.report(&route(kind), highest, now);
             return self.finish(request, succeeded);
         };
-        let own = [(service, (level, 1))];
-        for (service, (sum, count)) in own.into_iter().chain(levels_below) {
-            let levels = self.runs[parent].levels.entry(service).or_default();
-            levels.0 += sum;
-            levels.1 += count;
+        for (service, calls) in std::iter::once((service, own)).chain(below) {
+            let sum = self.runs[parent].below.entry(service).or_default();
+            sum.count += calls.count;
+            sum.levels += calls.levels;
+            sum.work += calls.work;
         }
         match succeeded {
             true => self.advance(parent),
@@ -605,6 +661,36 @@
         }
     }
 
+    /// Records the levels and slot times that a reply reports at the node that sent the run.
+    fn learn_costs(
+        &mut self,
+        run: usize,
+        succeeded: bool,
+        own: Calls,
+        below: &HashMap<usize, Calls>,
+    ) {
+        let now = self.instant(self.now);
+        let Run {
+            kind, entry, host, ..
+        } = self.runs[run];
+        let first = (self.nodes[host].service, own);
+        let Some(shedder) = &mut self.nodes[entry].cost_shedder else {
+            return;
+        };
+        let below = below.iter().map(|(service, calls)| (*service, *calls));
+        let used: Vec<(ServiceName, Calls)> = std::iter::once(first)
+            .chain(below)
+            .map(|(service, calls)| (format!("s{service}").as_str().into(), calls))
+            .collect();
+        for (service, calls) in &used {
+            shedder.report(service, calls.levels / f64::from(calls.count), now);
+        }
+        if succeeded {
+            let work = used.iter().map(|(service, calls)| (service, calls.work));
+            shedder.record_answered(&route(kind), work);
+        }
+    }
+
     /// Records the result of an external request.
     fn finish(&mut self, request: usize, succeeded: bool) {
         if std::mem::replace(&mut self.requests[request].done, true) {
--- a/crates/node/src/mesh/controller/admission.rs
+++ b/crates/node/src/mesh/controller/admission.rs
@@ -1,5 +1,6 @@
 //! Requests that enter the mesh at this node: admission, instance selection and retries.
 
+use std::iter;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,7 @@
     AdmissionRequest, AdmittedRequest, CompletedSend, Controller, Credential, Denial,
     InstanceGrant, InstanceRequest, RetryRequest, SendGuard,
 };
+use crate::mesh::call::Report;
 
 /// Retry delay announced by a node that has no configuration or no instances.
 pub(super) const RETRY_AFTER_NOT_READY: Duration = Duration::from_millis(500);
@@ -108,7 +110,7 @@
 
     /// Applies load shedding. Returns the share of similar requests that is currently admitted, or a denial.
     fn check_shedding(
-        &self,
+        &mut self,
         config: &Arc<MeshConfig>,
         key: RouteKey,
         rank: u8,
@@ -117,13 +119,25 @@
     ) -> Result<f64, Denial> {
         let route = config.route(key);
         let order = config.shed_order(rank);
-        let judged = self
-            .shedder
-            .admit(&route.name, order, &req.host, &req.path, now);
+        let by_cost = self
+            .cost_shedder
+            .as_mut()
+            .and_then(|shedder| shedder.share(&route.name, order, now));
+        let judged = match by_cost {
+            Some(share) => self.shedder.admit_share(share, &req.host, &req.path, now),
+            None => self
+                .shedder
+                .admit(&route.name, order, &req.host, &req.path, now),
+        };
         match judged {
             Ok(admitted) => Ok(admitted),
             Err(shed) => {
-                self.journal.shed(&req.id, route, rank, shed);
+                let shedder = self.cost_shedder.as_ref().filter(|_| by_cost.is_some());
+                let binding = shedder.and_then(|shedder| shedder.binding_service(&route.name));
+                self.journal.shed(&req.id, route, rank, shed, binding);
+                if shed.by_cost {
+                    self.metrics.shed_by_cost.inc();
+                }
                 Err(denial(Refusal::Shed, Some(shed.retry_after)))
             }
         }
@@ -238,6 +252,8 @@
                     .record(below.map(|below| (&below.service, below.count)));
             }
             self.shedder.report(&ended.route, report.max_level(), now);
+            let answered = matches!(outcome, SendOutcome::Answered { .. });
+            self.record_costs(&ended, report, answered, now);
             if report.stopping {
                 self.fleet.host_stopping(key, now);
             }
@@ -256,6 +272,31 @@
         }
     }
 
+    /// Records the levels that a reply reports and, if the request was answered, its slot time at each service. Services
+    /// that the configuration does not name are ignored.
+    fn record_costs(
+        &mut self,
+        ended: &CompletedSend,
+        report: &Report,
+        answered: bool,
+        now: Instant,
+    ) {
+        let (Some(shedder), Some(config)) = (&mut self.cost_shedder, &self.config) else {
+            return;
+        };
+        let below = report.downstream.iter();
+        let below = below.filter(|calls| config.has_service(&calls.service));
+        shedder.report(&ended.service, report.level, now);
+        for calls in below.clone() {
+            shedder.report(&calls.service, calls.level, now);
+        }
+        if answered {
+            let own = iter::once((&ended.service, report.held.as_secs_f64()));
+            let below = below.map(|calls| (&calls.service, calls.work));
+            shedder.record_answered(&ended.route, own.chain(below));
+        }
+    }
+
     /// Share of the saved retry budget that a retry of this rank has to leave to more urgent ones.
     fn retry_reserve(&self, rank: u8) -> f64 {
         let Some(config) = &self.config else {
--- a/crates/node/src/mesh/controller/publisher_updates.rs
+++ b/crates/node/src/mesh/controller/publisher_updates.rs
@@ -208,6 +208,12 @@
         self.splits.retain(|name, _| has_same_parts(name));
         self.route_stats.retain(|name, _| names.contains(name));
         self.shedder.retain(|name| names.contains(name));
+        if let Some(cost_shedder) = &mut self.cost_shedder {
+            cost_shedder.retain(
+                |name| names.contains(name),
+                |service| new.has_service(service),
+            );
+        }
     }
 
     fn apply_instance(&mut self, instance: Instance) {
--- a/crates/node/src/mesh/controller/state.rs
+++ b/crates/node/src/mesh/controller/state.rs
@@ -8,8 +8,8 @@
 use coltsfootport_core::collections::Map;
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{
-    CallerLimits, Drain, DrainConfig, Era, Fleet, FleetConfig, GateConfig, MeshConfig, RetryBudget,
-    RetryBudgetConfig, Shedder, ShedderConfig, TargetGate, Ticket, WeightedRoundRobin,
+    CallerLimits, CostShedder, Drain, DrainConfig, Era, Fleet, FleetConfig, GateConfig, MeshConfig,
+    RetryBudget, RetryBudgetConfig, Shedder, ShedderConfig, TargetGate, Ticket, WeightedRoundRobin,
 };
 use coltsfootport_core::quarantine::QuarantineConfig;
 use coltsfootport_core::workspace::{EntryQuotas, HomeQuotas, QuotaConfig, QuotaRouter};
@@ -43,6 +43,8 @@
     pub fleet: FleetConfig,
     /// Load shedding of external requests at the entry node.
     pub shedder: ShedderConfig,
+    /// Whether external requests are shed by the services that they use and by their cost there.
+    pub cost_admission: bool,
     /// Queueing and concurrency limits of the local target.
     pub gate: GateConfig,
     /// Admission while the node drains, between the stop signal and its exit.
@@ -66,6 +68,7 @@
             budget: RetryBudgetConfig::default(),
             fleet: FleetConfig::default(),
             shedder: ShedderConfig::default(),
+            cost_admission: true,
             gate: GateConfig::default(),
             drain: DrainConfig::default(),
             quotas: QuotaConfig::default(),
@@ -108,6 +111,8 @@
     pub(super) fleet: Fleet,
     pub(super) rejected_entries: RejectedEntries,
     pub(super) shedder: Shedder,
+    /// `None` if all routes of a rank are shed alike.
+    pub(super) cost_shedder: Option<CostShedder>,
     pub(super) budget: RetryBudget,
     pub(super) gate: TargetGate,
     pub(super) runs: Runs,
@@ -161,6 +166,9 @@
         } = channels;
         Self {
             shedder: Shedder::new(cfg.shedder, rng.random(), now),
+            cost_shedder: cfg
+                .cost_admission
+                .then(|| CostShedder::new(cfg.shedder, now)),
             config: None,
             splits: Map::default(),
             route_stats: Map::default(),
--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use coltsfootport_core::mesh::{Route, Shed};
+use coltsfootport_core::mesh::{BindingService, Route, Shed};
 use coltsfootport_core::quarantine::{CrashId, Evidence, Finding, Fingerprint};
 use coltsfootport_core::workspace::{OverQuota, Quota, Workspace};
 use slog::{Logger, info, warn};
@@ -96,11 +96,22 @@
         &self.log
     }
 
-    /// Logs a request that was shed on arrival because of overload.
-    pub fn shed(&self, id: &str, route: &Route, rank: u8, shed: Shed) {
+    /// Logs a request that was shed on arrival because of overload; `binding` is the service that determines the level
+    /// of its route, if it is known.
+    pub fn shed(
+        &self,
+        id: &str,
+        route: &Route,
+        rank: u8,
+        shed: Shed,
+        binding: Option<&BindingService>,
+    ) {
         if let Some(dropped) = self.admit_failure_line() {
+            let cost = binding.and_then(|binding| binding.cost);
             info!(self.log, "shed"; "request" => id, "route" => route.name.as_str(),
-                "rank" => rank, "level" => shed.level, "share" => shed.share,
+                "rank" => rank, "level" => shed.level, "share" => shed.share, "by_cost" => shed.by_cost,
+                "constrained" => binding.map(|binding| binding.service.as_str()),
+                "cost_ms" => cost.map(|cost| (cost * 1000.0) as u64),
                 "back_ms" => shed.retry_after.as_millis() as u64, "dropped" => dropped);
         }
     }
--- a/crates/node/src/mesh/metrics.rs
+++ b/crates/node/src/mesh/metrics.rs
@@ -32,6 +32,8 @@
     pub caller_connections: IntGauge,
     /// Requests identified as calls made by a request that is running on the local target.
     pub inner: IntCounter,
+    /// Requests shed because of their cost, which would be admitted if all routes of their rank were shed alike.
+    pub shed_by_cost: IntCounter,
     /// Requests that were running on the local target when its process crashed.
     pub ended_by_crash: IntCounter,
     /// Crashes of the local target's process.
@@ -117,6 +119,10 @@
             )?,
             caller_connections: gauge("caller_connections", "open connections of callers")?,
             inner: counter("inner_total", "requests of the own target's runs")?,
+            shed_by_cost: counter(
+                "shed_by_cost_total",
+                "requests shed for their cost at a constrained service",
+            )?,
             ended_by_crash: counter(
                 "ended_by_crash_total",
                 "requests at work at the own target when it crashed",
--- a/crates/node/src/mesh/policy.rs
+++ b/crates/node/src/mesh/policy.rs
@@ -22,6 +22,9 @@
     pub limits: TimeLimits,
     /// Queue timeout of external requests.
     pub queue_timeout: QueueTimeoutConfig,
+    /// Whether requests are shed by the services that they use and by their cost there, rather than alike for all
+    /// routes of a rank.
+    pub cost_admission: bool,
     /// Penalty added to the score of instances in another failure domain; 0 treats all instances alike.
     pub far_penalty: f64,
     /// Time for which the choice of requests to shed stays the same.
@@ -48,6 +51,7 @@
             headroom: GateConfig::default().headroom,
             limits: TimeLimits::default(),
             queue_timeout: QueueTimeoutConfig::default(),
+            cost_admission: true,
             far_penalty: FleetConfig::default().far_penalty,
             shed_epoch: shedder.epoch,
             min_retry_after: shedder.min_retry_after,
@@ -87,6 +91,7 @@
             start_share: section.number("start_share", 0.0..=1.0, default.start_share),
             headroom: section.choice("headroom", &ON_OFF, default.headroom),
             queue_timeout,
+            cost_admission: section.choice("cost_admission", &ON_OFF, default.cost_admission),
             far_penalty: section.number("far_penalty", 0.0..=100.0, default.far_penalty),
             shed_epoch: section.millis("shed_epoch_ms", 1..=600_000, default.shed_epoch),
             min_retry_after: section.millis("back_soonest_ms", 0..=60_000, default.min_retry_after),
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -285,10 +285,12 @@
             extra_retry_after: policy.extra_retry_after,
             ..Default::default()
         },
+        cost_admission: policy.cost_admission,
         gate: GateConfig {
             slots: settings.load.slots,
             start_share: policy.start_share,
             headroom: policy.headroom,
+            level_without_waits: policy.cost_admission,
             limits: policy.limits,
             level: LevelConfig {
                 target_load: policy.target_load,
--- a/crates/node/tests/mesh_settings.rs
+++ b/crates/node/tests/mesh_settings.rs
@@ -17,6 +17,16 @@
     assert_eq!(settings.load, Default::default());
 }
 
+/// Guards against a mechanism that can't be switched off, or is off where the settings don't mention it.
+#[test]
+fn cost_admission_is_on_unless_switched_off() {
+    let parse = |text: &str| MeshSettings::parse(text).expect("settings").0;
+    assert!(parse(MINIMAL).policy.cost_admission);
+    let to = "\"policy\": { \"cost_admission\": \"off\" }, \"publisher\"";
+    let off = parse(&MINIMAL.replace("\"publisher\"", to));
+    assert!(!off.policy.cost_admission);
+}
+
 #[test]
 fn faults_name_their_key() {
     struct Case {
