The soak counts only the running time of a process before it signals it

Cause: the soak waits 1 s from a node's start before it sends a signal, so that the node handles signals by then.

Change: the time for which a process was suspended is not counted. The check of how a stopped node ends is unchanged.

--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -52,14 +52,16 @@
     pub logs: PathBuf,
 }
 
-/// Time a process may need to install its signal handlers. An earlier signal would end the process
+/// Running time that a process may need to install its signal handlers. An earlier signal would end the process
 /// without testing anything.
 const SIGNAL_HANDLER_DELAY: Duration = Duration::from_millis(1000);
 
-/// A node process and the time it was started.
+/// A node process and its running time.
 struct NodeProcess {
     process: Process,
     started_at: Instant,
+    /// Time since its start for which it was suspended.
+    suspended: Duration,
 }
 
 impl NodeProcess {
@@ -67,12 +69,24 @@
         Ok(Self {
             process: machine.start()?,
             started_at: Instant::now(),
+            suspended: Duration::ZERO,
         })
     }
 
-    /// Waits until the signal handlers are installed.
+    /// Suspends the process for a time.
+    async fn suspend(&mut self, time: Duration) -> Result<(), RigError> {
+        let from = Instant::now();
+        self.process.signal(Signal::STOP)?;
+        sleep(time).await;
+        self.process.signal(Signal::CONT)?;
+        self.suspended += from.elapsed();
+        Ok(())
+    }
+
+    /// Waits until the signal handlers are installed. A suspended process does not get closer to that.
     async fn wait_for_signal_handlers(&self) {
-        sleep(SIGNAL_HANDLER_DELAY.saturating_sub(self.started_at.elapsed())).await;
+        let ran = self.started_at.elapsed().saturating_sub(self.suspended);
+        sleep(SIGNAL_HANDLER_DELAY.saturating_sub(ran)).await;
     }
 }
 
@@ -195,10 +209,8 @@
                 self.record_span(|e| &mut e.outages, Some(machine), from);
             }
             Fault::Pause { machine, ms } => {
-                let node = self.nodes[machine].lock().await;
-                node.process.signal(Signal::STOP)?;
-                sleep(time(ms)).await;
-                node.process.signal(Signal::CONT)?;
+                let mut node = self.nodes[machine].lock().await;
+                node.suspend(time(ms)).await?;
                 self.record_span(|e| &mut e.outages, Some(machine), from);
             }
             Fault::Stop { machine } => self.restart_gracefully(machine).await?,
