The soak stops nodes during long bodies and restarts a target with a lower start time

Cause: the soak had no body over 64 KiB and its entries named no start time, so it could not find bodies that nodes cut or completed, nor a target that is ignored after a backward step of its clock.

Change: two faults. Nodes stop while 24 uploads and downloads of 300 kB are sent slowly, at their entry or beside their target. A target crashes, is published with a start time that is a minute lower, and leaves later. Both also come after the random faults, where nothing else excuses what the checks find. Checks: a target runs an upload only if its caller finished it and with the same bytes, no download is cut by a planned stop within the grace period, and the leaving target gets no requests, by the existing check. The report counts long bodies.

--- a/crates/rig/src/soak/callers.rs
+++ b/crates/rig/src/soak/callers.rs
@@ -1,7 +1,7 @@
 //! Load of a soak test: callers that reuse a connection until it is closed.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,7 @@
 use rand::{Rng, SeedableRng};
 use tokio::time::sleep;
 
+use super::long_bodies::{DOWNLOAD_PREFIX, UPLOAD_PREFIX};
 use super::machine::CRASHING_MARK;
 use crate::soak::{Key, RequestKind, RequestRecord};
 
@@ -28,6 +29,8 @@
     pub version: AtomicU32,
     /// Tells the callers to stop.
     pub stopping: AtomicBool,
+    /// Number of long uploads and downloads begun.
+    pub long_bodies: AtomicUsize,
     /// Finished requests of all callers.
     pub records: Mutex<Vec<RequestRecord>>,
 }
@@ -138,8 +141,9 @@
     }
 }
 
-/// Formats a request with its key and a forged workspace header, which nodes must not pass on.
-fn request(kind: RequestKind, key: Key, id: &str) -> String {
+/// Formats a request with its key and a forged workspace header, which nodes must not pass on. Body and framing of an
+/// upload are missing.
+pub fn request(kind: RequestKind, key: Key, id: &str) -> String {
     let headers = format!("{}{}", key_header(&key.text()), workspace_header("forged"));
     let plain = match kind {
         RequestKind::Read => get(HOST, "/read/x", id, ""),
@@ -148,6 +152,10 @@
             get(HOST, &format!("/read/{CRASHING_MARK}{request}"), id, "")
         }
         RequestKind::Version(version) => get(HOST, &format!("/v{version}/x"), id, ""),
+        RequestKind::Upload { .. } => {
+            get(HOST, &format!("{UPLOAD_PREFIX}{id}"), id, "").replacen("GET", "POST", 1)
+        }
+        RequestKind::Download => get(HOST, &format!("{DOWNLOAD_PREFIX}{id}"), id, ""),
     };
     plain.replacen("\r\n", &format!("\r\n{headers}"), 1)
 }
--- a/crates/rig/src/soak/evidence.rs
+++ b/crates/rig/src/soak/evidence.rs
@@ -3,10 +3,11 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use coltsfootport_stand_ins::{Arrival, RequestOutcome};
+use coltsfootport_stand_ins::{Arrival, RequestOutcome, long_text};
 
 use super::leaving::find_requests_to_leaving;
 use super::limits::find_exceeded_limits;
+use super::long_bodies::{LONG_BODY, find_wrong_uploads, is_truncated_by_stop};
 use super::{Key, NamedLimit};
 
 /// Kind of a request.
@@ -20,6 +21,20 @@
     Crashing(u32),
     /// Request to a route added by this configuration version and kept by later ones.
     Version(u32),
+    /// Long request, which must run at most once.
+    Upload {
+        /// Whether the caller began to send the last part of the body.
+        finished: bool,
+    },
+    /// Idempotent request with a long response.
+    Download,
+}
+
+impl RequestKind {
+    /// Returns whether the request must run at most once.
+    fn is_at_most_once(self) -> bool {
+        matches!(self, Self::Bid | Self::Upload { .. })
+    }
 }
 
 /// A caller's request and its outcome.
@@ -118,6 +133,7 @@
     breaches.extend(find_late_arrivals(evidence));
     breaches.extend(find_exceeded_limits(evidence));
     breaches.extend(find_requests_to_leaving(evidence));
+    breaches.extend(find_wrong_uploads(evidence));
     breaches.extend(find_unblocked_requests(evidence));
     breaches.extend(find_wrongly_blocked_requests(evidence));
     breaches
@@ -223,7 +239,7 @@
 }
 
 fn find_breach(evidence: &Evidence, record: &RequestRecord, seen: TargetCounts) -> Option<String> {
-    let once = record.kind == RequestKind::Bid;
+    let once = record.kind.is_at_most_once();
     let TargetCounts { arrivals, runs } = seen;
     if once && runs > 1 {
         return Some(format!("ran {runs} times"));
@@ -240,9 +256,19 @@
                     answer.status
                 ));
             }
-            let own = format!("answer to {}", record.id);
+            if record.kind == RequestKind::Download
+                && !answer.whole
+                && is_truncated_by_stop(evidence, record)
+            {
+                return Some(String::from("was truncated by a planned stop"));
+            }
+            let own = match record.kind {
+                RequestKind::Download => long_text(&record.id, LONG_BODY),
+                _ => format!("answer to {}", record.id),
+            };
             let mixed = answer.status == 200 && answer.whole && answer.body != own;
-            mixed.then(|| format!("got the answer to another request: {}", answer.body))
+            let start = answer.body.get(..80).unwrap_or(&answer.body);
+            mixed.then(|| format!("got the answer to another request: {start}"))
         }
         RequestOutcome::Nothing => {
             let excused = overlaps(&evidence.outages, record.machine, record.sent, record.ended);
@@ -342,6 +368,6 @@
     of_machine.any(|span| span.overlaps(from, to))
 }
 
-fn any_overlaps(spans: &[Span], from: Instant, to: Instant) -> bool {
+pub(super) fn any_overlaps(spans: &[Span], from: Instant, to: Instant) -> bool {
     spans.iter().any(|span| span.overlaps(from, to))
 }
--- a/crates/rig/src/soak/machine.rs
+++ b/crates/rig/src/soak/machine.rs
@@ -7,6 +7,9 @@
 
 use coltsfootport_stand_ins::{Behavior, CrashTrigger, Store, Worker};
 
+use super::long_bodies::{
+    DOWNLOAD_PREFIX, LONG_BODY, SLOW_READ_PAUSE, SLOW_WRITE_PAUSE, UPLOAD_PREFIX,
+};
 use crate::error::RigError;
 use crate::fleet::Programs;
 use crate::process::{Output, Process, ProcessSpec, free_port};
@@ -67,6 +70,9 @@
 /// Service time of a target.
 const SERVICE_TIME: Duration = Duration::from_millis(8);
 
+/// Number of failure domains.
+pub const DOMAINS: usize = 3;
+
 /// Marks requests that crash targets.
 pub const CRASHING_MARK: &str = "crashing";
 
@@ -114,6 +120,11 @@
             after: SERVICE_TIME,
             downtime: CRASH_DOWNTIME,
         });
+        worker.set_for_prefix(UPLOAD_PREFIX, Behavior::SlowRead(SLOW_READ_PAUSE));
+        worker.set_for_prefix(
+            DOWNLOAD_PREFIX,
+            Behavior::SlowLong(LONG_BODY, SLOW_WRITE_PAUSE),
+        );
         let peers = address(&inner, peers_port)?;
         let links = vec![
             LinkPlan {
@@ -138,7 +149,7 @@
                 RigError::Settings(format!("proxy has no link {:?}", link_name(link)))
             })
         };
-        let domain = format!("domain-{}", at % 3);
+        let domain = format!("domain-{}", at % DOMAINS);
         let callers = address(&inner, free_port()?)?;
         let target = end(Link::Target)?;
         let text = settings_text(&NodeSettings {
--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -18,6 +18,16 @@
     Target,
 }
 
+/// What a node that stops is for the long bodies that pass through it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StopAt {
+    /// Uploads and downloads enter there, and at others.
+    Entry,
+    /// Downloads enter at another node only, and their target is beside this one.
+    Host,
+}
+
 /// A fault to inject; times are in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -145,6 +155,25 @@
         /// Index of the machine.
         machine: usize,
     },
+    /// Stops a node gracefully while long uploads and downloads pass through it, and restarts it.
+    StopInBodies {
+        /// Index of the machine.
+        machine: usize,
+        /// What the node is for the bodies.
+        at: StopAt,
+    },
+    /// Restarts a target's process with a lower start time in its entry, as after a backward step of its clock, and
+    /// publishes it as draining and as ready again later.
+    RestartEarlier {
+        /// Index of the machine.
+        machine: usize,
+        /// Time until the target is back.
+        down_ms: u64,
+        /// Time from then until it is draining.
+        serving_ms: u64,
+        /// Time for which it is draining.
+        draining_ms: u64,
+    },
     /// Makes a target's process stand still.
     StandStill {
         /// Index of the machine.
@@ -210,6 +239,7 @@
         add_store_rollbacks(&mut faults, seed, seconds);
         add_rate_limits(&mut faults, seed, seconds, machines);
         add_leaving_and_standstills(&mut faults, seed, seconds, machines);
+        add_long_bodies_and_earlier_start(&mut faults, seed, seconds, machines);
         Self {
             seed,
             seconds,
@@ -300,6 +330,48 @@
     faults.sort_by_key(|scheduled| scheduled.at_ms);
 }
 
+/// Time from the end of the random faults to a target's restart; most of them are over and noticed by then.
+const CALM_MS: u64 = 5000;
+
+/// Time for which the target that has restarted serves; longer than nodes need to catch up after a crash.
+const SERVING_MS: u64 = 5000;
+
+/// Time for which it is draining; longer than nodes may take to notice.
+const DRAINING_MS: u64 = 4500;
+
+/// Time for one stop during long bodies.
+const STOP_MS: u64 = 9000;
+
+/// Adds stops during long bodies among the other faults, and, after them, a target that restarts with a lower start
+/// time and two such stops. The checks excuse what other faults explain, so they need a time without them.
+fn add_long_bodies_and_earlier_start(
+    faults: &mut Vec<ScheduledFault>,
+    seed: u64,
+    seconds: u64,
+    machines: usize,
+) {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(8) ^ 4);
+    let mut stop = |at: StopAt| Fault::StopInBodies {
+        machine: rng.random_range(0..machines),
+        at,
+    };
+    let calm_from = seconds * 1000 + CALM_MS;
+    let down_ms = 300;
+    let stop_at = calm_from + down_ms + SERVING_MS + DRAINING_MS;
+    add_at(faults, seconds * 300, stop(StopAt::Entry));
+    add_at(faults, seconds * 600, stop(StopAt::Host));
+    add_at(faults, stop_at, stop(StopAt::Entry));
+    add_at(faults, stop_at + STOP_MS, stop(StopAt::Host));
+    let restart = Fault::RestartEarlier {
+        machine: rng.random_range(0..machines),
+        down_ms,
+        serving_ms: SERVING_MS,
+        draining_ms: DRAINING_MS,
+    };
+    add_at(faults, calm_from, restart);
+    faults.sort_by_key(|scheduled| scheduled.at_ms);
+}
+
 /// Adds a fault at the first millisecond from `at_ms` on that has none yet.
 fn add_at(faults: &mut Vec<ScheduledFault>, at_ms: u64, fault: Fault) {
     let is_occupied = |at_ms| faults.iter().any(|scheduled| scheduled.at_ms == at_ms);
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::path::PathBuf;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -16,13 +16,16 @@
 use tokio::time::{sleep, sleep_until};
 
 use super::callers::{ANSWER_TOLERANCE, CrashingRequest, LoadState, ROUTE_TIMEOUT, SoakCaller};
-use super::machine::{CRASH_DOWNTIME, Machine};
+use super::long_bodies::{
+    BODIES_PER_STOP, DOWNLOAD_PREFIX, LONG_TIMEOUT_S, LongBody, UPLOAD_PREFIX,
+};
+use super::machine::{CRASH_DOWNTIME, DOMAINS, Machine};
 use crate::error::RigError;
 use crate::process::{Process, Signal, free_port};
 use crate::proxy::{Cut, DirectionFaults, LinkFaults};
 use crate::soak::{
-    CHANGING_WORKSPACE, Evidence, Fault, Key, LASTING_WORKSPACE, Link, NamedLimit, SoakPlan, Span,
-    find_breaches,
+    CHANGING_WORKSPACE, Evidence, Fault, Key, LASTING_WORKSPACE, Link, LongBodyCounts, NamedLimit,
+    SoakPlan, Span, StopAt, find_breaches,
 };
 
 /// Number of callers per machine.
@@ -46,6 +49,8 @@
     /// Number of faults injected.
     #[serde(rename = "strikes")]
     pub faults: usize,
+    /// What became of the long uploads and downloads.
+    pub long_bodies: LongBodyCounts,
     /// Descriptions of violated guarantees.
     pub breaches: Vec<String>,
     /// Directory of the node logs, removed if no guarantee was violated.
@@ -90,9 +95,20 @@
     }
 }
 
+/// Start time that the entries of targets name at first, in milliseconds.
+const FIRST_START_MS: u64 = 1_700_000_000_000;
+
+/// By how much a target's clock steps back between two starts, in milliseconds.
+const CLOCK_STEP_MS: u64 = 60_000;
+
+/// Time from the start of long bodies to the stop of the node that they pass through.
+const IN_BODIES: Duration = Duration::from_millis(200);
+
 struct Soak {
     store: Store,
     machines: Vec<Machine>,
+    /// Start time of each target as published, in milliseconds.
+    start_times: Vec<AtomicU64>,
     nodes: Vec<AsyncMutex<NodeProcess>>,
     shared: Arc<LoadState>,
     evidence: Mutex<Evidence>,
@@ -132,6 +148,7 @@
             .filter(|record| served(&record.asked))
             .count(),
         faults: plan.faults.len(),
+        long_bodies: LongBodyCounts::of(&evidence),
         breaches,
         logs,
     })
@@ -149,6 +166,10 @@
         }
         let soak = Self {
             store,
+            start_times: machines
+                .iter()
+                .map(|_| AtomicU64::new(FIRST_START_MS))
+                .collect(),
             machines,
             nodes,
             shared: Arc::default(),
@@ -235,11 +256,45 @@
                     sleep(time(gap_ms)).await;
                 }
             }
-            Fault::Leave { machine, ms } => {
-                self.publish_entry(machine, "draining");
-                sleep(time(ms)).await;
-                self.record_span(|e| &mut e.drains, Some(machine), from);
+            Fault::Leave { machine, ms } => self.drain_target(machine, time(ms)).await,
+            Fault::RestartEarlier {
+                machine,
+                down_ms,
+                serving_ms,
+                draining_ms,
+            } => {
+                self.machines[machine].worker.crash(time(down_ms));
+                sleep(time(down_ms)).await;
+                self.record_span(|e| &mut e.impairments, None, from);
+                self.start_times[machine].fetch_sub(CLOCK_STEP_MS, Ordering::SeqCst);
                 self.publish_entry(machine, "ready");
+                sleep(time(serving_ms)).await;
+                self.drain_target(machine, time(draining_ms)).await;
+            }
+            Fault::StopInBodies { machine, at } => {
+                let mut open = JoinSet::new();
+                for number in 0..BODIES_PER_STOP {
+                    let entry = match (at, number % 2) {
+                        (StopAt::Entry, 0) => machine,
+                        (StopAt::Entry, _) => (machine + number) % self.machines.len(),
+                        // The only other one in its failure domain, whose target has too few slots for them.
+                        (StopAt::Host, _) => (machine + DOMAINS) % self.machines.len(),
+                    };
+                    let body = LongBody {
+                        machine: entry,
+                        address: self.machines[entry].callers,
+                        number: self.shared.long_bodies.fetch_add(1, Ordering::SeqCst),
+                    };
+                    if at == StopAt::Host && body.is_upload() {
+                        continue;
+                    }
+                    let shared = Arc::clone(&self.shared);
+                    open.spawn(async move { body.send(&shared).await });
+                }
+                sleep(IN_BODIES).await;
+                let stopped = self.restart_gracefully(machine).await;
+                while open.join_next().await.is_some() {}
+                stopped?;
             }
             Fault::Target {
                 machine,
@@ -352,6 +407,15 @@
         }
     }
 
+    /// Publishes a target as draining, and as ready again after a time.
+    async fn drain_target(&self, machine: usize, time: Duration) {
+        let from = Instant::now();
+        self.publish_entry(machine, "draining");
+        sleep(time).await;
+        self.record_span(|e| &mut e.drains, Some(machine), from);
+        self.publish_entry(machine, "ready");
+    }
+
     async fn set_store_mood(&self, mood: StoreMode, ms: u64, from: Instant) {
         self.store.set_mode(mood);
         sleep(Duration::from_millis(ms)).await;
@@ -399,9 +463,13 @@
 
     fn publish_config(&self) {
         let version = self.shared.version.load(Ordering::SeqCst);
-        let more: Vec<String> = (0..=version)
+        let mut more: Vec<String> = (0..=version)
             .map(|n| route(&format!("v{n}"), &format!("/v{n}/"), "idempotent", 1))
             .collect();
+        for (kind, prefix) in [("upload", UPLOAD_PREFIX), ("download", DOWNLOAD_PREFIX)] {
+            let timeout = format!("\"timeout_s\":{LONG_TIMEOUT_S}");
+            more.push(route(kind, prefix, kind, 1).replace("\"timeout_s\":3", &timeout));
+        }
         // High limits keep quotas from refusing requests; a model covers quotas under faults.
         let workspaces = [
             workspace(LASTING_WORKSPACE, &[&Key::Lasting.text()], 0, 1e6),
@@ -421,6 +489,8 @@
     fn publish_entry(&self, at: usize, state: &str) {
         let machine = &self.machines[at];
         let text = entry(machine.target, &machine.domain, state);
+        let started_at = self.start_times[at].load(Ordering::SeqCst);
+        let text = text.replacen('{', &format!("{{\"born\":{started_at},"), 1);
         self.store.put_entry(&machine.worker.id, &text);
     }
 
--- a/crates/rig/tests/soak.rs
+++ b/crates/rig/tests/soak.rs
@@ -3,11 +3,11 @@
 use std::time::{Duration, Instant};
 
 use coltsfootport_rig::soak::{
-    self, CHANGING_WORKSPACE, Evidence, Fault, Key, LASTING_WORKSPACE, NamedLimit, RequestKind,
-    RequestRecord, SoakPlan, Span, find_breaches,
+    self, CHANGING_WORKSPACE, Evidence, Fault, Key, LASTING_WORKSPACE, LONG_BODY, NamedLimit,
+    RequestKind, RequestRecord, SoakPlan, Span, StopAt, find_breaches,
 };
 use coltsfootport_stand_ins::{
-    Answer, Arrival, LEAVING_HEADER, RequestOutcome, key_header, workspace_header,
+    Answer, Arrival, LEAVING_HEADER, RequestOutcome, key_header, long_text, workspace_header,
 };
 
 /// Seeds that once failed, each with the cause.
@@ -62,6 +62,34 @@
     }
 }
 
+/// Guards against a plan in which other faults always excuse what the checks of long bodies and of a target with a lower
+/// start time find.
+#[test]
+fn a_plan_ends_with_a_calm_time() {
+    for seed in 0..100 {
+        let plan = SoakPlan::of_seed(seed, 10, 6);
+        let calm = plan.faults.iter().filter(|one| one.at_ms >= 10_000);
+        let calm: Vec<&Fault> = calm.map(|one| &one.fault).collect();
+        assert!(
+            matches!(
+                calm[..],
+                [
+                    Fault::RestartEarlier { .. },
+                    Fault::StopInBodies {
+                        at: StopAt::Entry,
+                        ..
+                    },
+                    Fault::StopInBodies {
+                        at: StopAt::Host,
+                        ..
+                    },
+                ]
+            ),
+            "seed {seed}: {calm:?}"
+        );
+    }
+}
+
 /// Builder for the evidence of a run; times are in milliseconds from its start.
 struct EvidenceBuilder {
     start: Instant,
@@ -130,6 +158,15 @@
         self
     }
 
+    /// An upload arrives at the target of machine 1 with this body and runs.
+    fn uploaded(self, body: String) -> Self {
+        let mut seen = self.arrived(1, 1050);
+        if let Some(arrival) = seen.evidence.arrivals[1].last_mut() {
+            arrival.body = body;
+        }
+        seen
+    }
+
     fn span(&self, machine: Option<usize>, from: u64, to: u64) -> Span {
         Span {
             machine,
@@ -204,6 +241,27 @@
     seen
 }
 
+/// A download is cut while machine 1 stops, from `from` on.
+fn cut_download(from: u64) -> EvidenceBuilder {
+    let cut = RequestOutcome::Answered(Answer {
+        status: 200,
+        head: String::new(),
+        body: String::from("r"),
+        whole: false,
+    });
+    let mut seen = EvidenceBuilder::new()
+        .asked(RequestKind::Download, cut)
+        .arrived(1, 1050);
+    seen.evidence
+        .stops
+        .push(seen.span(Some(1), from, from + 6400));
+    seen
+}
+
+fn upload(finished: bool) -> EvidenceBuilder {
+    EvidenceBuilder::new().asked(RequestKind::Upload { finished }, answer(200, "answer to r"))
+}
+
 #[test]
 fn each_broken_promise_is_found() {
     struct Case {
@@ -241,6 +299,63 @@
             },
             breaches: 0,
         },
+        Case {
+            name: "an upload runs",
+            seen: || upload(true).uploaded(long_text("r", LONG_BODY)),
+            breaches: 0,
+        },
+        Case {
+            name: "the first part of an upload runs",
+            seen: || upload(true).uploaded(long_text("r", LONG_BODY - 1)),
+            breaches: 1,
+        },
+        Case {
+            name: "an upload runs with the bytes of another one",
+            seen: || upload(true).uploaded(long_text("s", LONG_BODY)),
+            breaches: 1,
+        },
+        Case {
+            name: "an upload runs that its caller did not finish",
+            seen: || upload(false).uploaded(long_text("r", LONG_BODY)),
+            breaches: 1,
+        },
+        Case {
+            name: "an upload runs twice",
+            seen: || {
+                let seen = upload(true).uploaded(long_text("r", LONG_BODY));
+                seen.uploaded(long_text("r", LONG_BODY))
+            },
+            breaches: 1,
+        },
+        Case {
+            name: "a response is cut by a planned stop",
+            seen: || cut_download(500),
+            breaches: 1,
+        },
+        Case {
+            name: "a response is cut before a planned stop",
+            seen: || cut_download(1200),
+            breaches: 0,
+        },
+        Case {
+            name: "a response is cut by a planned stop and a link that fails",
+            seen: || {
+                let mut seen = cut_download(500);
+                let fault = seen.span(None, 1000, 1050);
+                seen.evidence.impairments.push(fault);
+                seen
+            },
+            breaches: 0,
+        },
+        Case {
+            name: "a download is whole",
+            seen: || {
+                let body = long_text("r", LONG_BODY);
+                let seen = EvidenceBuilder::new().asked(RequestKind::Download, answer(200, &body));
+                seen.arrived(1, 1050)
+            },
+            breaches: 0,
+        },
         Case {
             name: "served once",
             seen: || {
