A late write of a replaced start does not bring it back

Change: starts that were followed by another one under their id are remembered.

Result: three more orders of events in the table of the core.

--- a/crates/core/src/mesh.rs
+++ b/crates/core/src/mesh.rs
@@ -33,6 +33,7 @@
 mod rate_limit;
 mod readers;
 mod refusal;
+mod replaced_starts;
 mod reported_level;
 mod restored;
 mod retry_budget;
--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -12,6 +12,7 @@
 use super::announced_leaving::AnnouncedLeaving;
 use super::lapsed::LapsedInstances;
 use super::publisher_health::PublisherHealth;
+use super::replaced_starts::ReplacedStarts;
 use super::restored::RestoredEntries;
 use crate::collections::{FastHasher, Map, Set};
 use crate::id::{DomainName, ServiceName};
@@ -80,6 +81,7 @@
     publisher: PublisherHealth,
     lapsed: LapsedInstances,
     restored: RestoredEntries,
+    replaced_starts: ReplacedStarts,
     announced_leaving: AnnouncedLeaving,
 }
 
@@ -96,6 +98,7 @@
             publisher: PublisherHealth::Healthy,
             lapsed: LapsedInstances::default(),
             restored: RestoredEntries::default(),
+            replaced_starts: ReplacedStarts::default(),
             announced_leaving: AnnouncedLeaving::default(),
         }
     }
@@ -131,6 +134,13 @@
             return PutEffect::Unchanged;
         }
         if is_different_start(&instance, known) {
+            if self.replaced_starts.contains(&instance) {
+                // If it is a late write of an ended process, the running one writes its entry again within this time.
+                let until = now + self.cfg.outdated_entry_hold;
+                self.restored.ignore_until(instance, until);
+                return PutEffect::Unchanged;
+            }
+            self.replaced_starts.add(known);
             // Load, failure rate and warm-up of the previous process do not apply to the new one.
             self.remove(key);
             self.insert(instance, member_state, warm_up_until);
@@ -161,6 +171,7 @@
     /// Handles the removal of a published entry.
     pub fn entry_removed(&mut self, id: &str, now: Instant) -> RemoveEffect {
         self.restored.entry_removed(id);
+        self.replaced_starts.forget(id);
         let Some(key) = self.by_id.get(id).copied() else {
             self.restored.instance_ended(SmolStr::new(id), now);
             return RemoveEffect::Unknown;
@@ -339,6 +350,7 @@
             self.restored.instance_ended(id.clone(), now);
         }
         for instance in self.restored.tick(now) {
+            self.replaced_starts.remove(&instance);
             self.put(instance, now);
         }
         ended
--- a/crates/core/tests/mesh_fleet.rs
+++ b/crates/core/tests/mesh_fleet.rs
@@ -588,6 +588,26 @@
             read: vec![ready(1000, 2), leaving(1000, 5), ready(1000, 3)],
             expected: (1000, true),
         },
+        RestartCase {
+            name: "late write of the process before",
+            read: vec![ready(1000, 2), ready(2000, 3), leaving(1000, 4)],
+            expected: (2000, false),
+        },
+        RestartCase {
+            name: "late write of the process before, after the clock was set back",
+            read: vec![ready(3000, 2), ready(2000, 3), leaving(3000, 4)],
+            expected: (2000, false),
+        },
+        RestartCase {
+            name: "late write, then one of the running process",
+            read: vec![
+                ready(3000, 2),
+                ready(2000, 3),
+                ready(3000, 4),
+                leaving(2000, 5),
+            ],
+            expected: (2000, true),
+        },
         RestartCase {
             name: "clock set back and forward",
             read: vec![
