--- a/crates/node/src/mesh/controller/admission.rs
+++ b/crates/node/src/mesh/controller/admission.rs
@@ -228,8 +228,7 @@
     /// although other nodes send those calls. They use the rest of that budget to retry single calls.
     ///
     /// The calls are counted when they have been made. Counted in advance from successful requests, the deposits would
-    /// exceed the bound where most requests fail early: with targets that reject seven of ten requests, a service that
-    /// got 1217 requests in 10 s got 444 retries, of 290 that are allowed.
+    /// exceed the bound where most requests fail early.
     fn earn_downstream_budget(&mut self, report: Option<&Report>, now: Instant) {
         for calls in report.into_iter().flat_map(|report| &report.downstream) {
             let share = f64::from(calls.count) * (1.0 - INNER_BUDGET_SHARE);
