An outcome is compared once per completed send

Cause: the update of statistics matched the outcome twice for the same question. Change: one variable serves both; a comment fits the line. No behaviour changes.

--- a/crates/node/src/mesh/controller/admission.rs
+++ b/crates/node/src/mesh/controller/admission.rs
@@ -256,7 +256,8 @@
             if let Some(finding) = &report.finding {
                 self.quarantine.registry.merge(finding, now);
             }
-            if matches!(outcome, SendOutcome::Answered { .. }) {
+            let answered = matches!(outcome, SendOutcome::Answered { .. });
+            if answered {
                 let below = report.downstream.iter();
                 stats
                     .downstream
@@ -265,7 +266,6 @@
             self.shedder.report(&ended.route, report.max_level(), now);
             self.fleet
                 .service_time_reported(key, ended.kind, report.service_time, now);
-            let answered = matches!(outcome, SendOutcome::Answered { .. });
             self.record_costs(&ended, report, answered, now);
             if report.stopping {
                 self.fleet.host_stopping(key, now);
@@ -329,7 +329,8 @@
             return false;
         }
         let mut costs = vec![(req.service.clone(), 1.0)];
-        // A run in a second attempt counts as a repeat with all its calls, also if the first target rejected the request.
+        // A run in a second attempt counts as a repeat with all its calls, even if the first target rejected the
+        // request.
         if let Some(stats) = self.route_stats.get(&req.route) {
             for (service, count) in stats.downstream.iter() {
                 costs.push((service.clone(), count));
