A run goes on until its long answer has ended

Seen: calls that a target made while it was sending an answer over 64 KiB were refused with 503, as `unknown-run` where callers need keys and as `stopping` 2.4 s after SIGTERM of the node beside it. A stopping node, entry or host, also took downloads of 4 s 2.2 s after SIGTERM with a grace period of 6 s.

Change: the slot is given back as before, since a target's slots bound what it processes. The run stays known until the body has been passed on or dropped; a guard in the body's receiver reports it. The time until the end is kept by kind at the host and by route at the entry, and draining decides by it.

--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -97,6 +97,8 @@
     queue: Vec<Queued>,
     next_ticket: u64,
     service_times: ServiceTimes,
+    /// Times until the whole answer was passed on. A long answer gives its slot back when its head has arrived.
+    completion_times: ServiceTimes,
     /// Service times without the time during which runs wait for calls of their own.
     work_times: ServiceTimes,
     headroom: Headroom,
@@ -155,6 +157,7 @@
             queue: Vec::new(),
             next_ticket: 0,
             service_times: ServiceTimes::default(),
+            completion_times: ServiceTimes::default(),
             work_times: ServiceTimes::default(),
             headroom: Headroom::default(),
             level: LevelControl::new(cfg.level, now),
@@ -249,6 +252,18 @@
         self.record_end(ticket, held, now);
     }
 
+    /// Like [`TargetGate::release`], for a request whose answer the target is still sending. Its end is recorded by
+    /// [`TargetGate::record_completion`].
+    pub fn release_answering(&mut self, ticket: Ticket, held: Duration, now: Instant) {
+        self.silence.record_response(now);
+        self.record_service(ticket, held, now);
+    }
+
+    /// Records that the answer to a request of a kind has ended, `took` after the request was dispatched.
+    pub fn record_completion(&mut self, kind: RequestKind, took: Duration) {
+        self.completion_times.record(kind, took.as_secs_f64());
+    }
+
     /// Like [`TargetGate::release`], for a request without a response. `waited` is the time since it was sent, unless
     /// it was not sent completely.
     pub fn release_unanswered(
@@ -294,13 +309,24 @@
     }
 
     fn record_end(&mut self, ticket: Ticket, held: Duration, now: Instant) {
-        if let Some(Running { kind, nearly_full }) = self.running.remove(&ticket) {
-            let held = held.as_secs_f64();
-            self.service_times.record(kind, held);
-            self.headroom.record(kind, held, nearly_full, now);
+        if let Some(kind) = self.record_service(ticket, held, now) {
+            self.record_completion(kind, held);
         }
     }
 
+    fn record_service(
+        &mut self,
+        ticket: Ticket,
+        held: Duration,
+        now: Instant,
+    ) -> Option<RequestKind> {
+        let Running { kind, nearly_full } = self.running.remove(&ticket)?;
+        let held = held.as_secs_f64();
+        self.service_times.record(kind, held);
+        self.headroom.record(kind, held, nearly_full, now);
+        Some(kind)
+    }
+
     /// Releases the slot of a dispatched request that did not run, without recording a service time.
     pub fn release_unused(&mut self, ticket: Ticket) {
         self.running.remove(&ticket);
@@ -390,8 +416,8 @@
         self.queue.len()
     }
 
-    /// Expected time until a request that is admitted now has ended: its wait for a slot plus the mean service time of
-    /// its kind.
+    /// Expected time until the answer to a request that is admitted now has ended: its wait for a slot plus the mean
+    /// time of its kind.
     pub fn expected_completion(&self, request: &SlotRequest) -> Duration {
         let is_limited = self.rate.is_some_and(|rate| !rate.wait(0).is_zero());
         let may_start = !is_limited && self.silence.wait().is_zero();
@@ -400,7 +426,8 @@
             true => Duration::ZERO,
             false => self.expected_wait(request),
         };
-        let mean = self.service_times.mean(request.kind).unwrap_or_default();
+        let mean = self.completion_times.mean(request.kind);
+        let mean = mean.unwrap_or_default();
         wait + Duration::from_secs_f64(mean)
     }
 
--- a/crates/node/src/mesh/body_channel.rs
+++ b/crates/node/src/mesh/body_channel.rs
@@ -7,6 +7,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::SendError;
 
+use super::controller::AnswerGuard;
+
 /// Number of chunks of a streamed body that are queued between two tasks. With chunks of 16 KiB, a body occupies at
 /// most 64 KiB.
 const CAPACITY: usize = 4;
@@ -24,7 +26,12 @@
         tx,
         is_complete: Arc::clone(&is_complete),
     };
-    (sender, BodyReceiver { rx, is_complete })
+    let receiver = BodyReceiver {
+        rx,
+        is_complete,
+        guards: Vec::new(),
+    };
+    (sender, receiver)
 }
 
 /// Sending end. Unless [`BodySender::finish`] is called, the receiver sees a truncated body, however the sender is
@@ -70,9 +77,15 @@
 pub struct BodyReceiver {
     rx: mpsc::Receiver<Bytes>,
     is_complete: Arc<AtomicBool>,
+    guards: Vec<AnswerGuard>,
 }
 
 impl BodyReceiver {
+    /// Adds a guard that is finished at the end of the body, and dropped if the body ends early.
+    pub fn guard(&mut self, guard: AnswerGuard) {
+        self.guards.push(guard);
+    }
+
     /// Receives the next chunk; `None` at the end of the body.
     ///
     /// # Errors
@@ -81,7 +94,10 @@
     pub async fn recv(&mut self) -> Result<Option<Bytes>, BodyTruncated> {
         match self.rx.recv().await {
             Some(chunk) => Ok(Some(chunk)),
-            None if self.is_complete.load(Ordering::Acquire) => Ok(None),
+            None if self.is_complete.load(Ordering::Acquire) => {
+                self.guards.drain(..).for_each(AnswerGuard::finish);
+                Ok(None)
+            }
             None => Err(BodyTruncated),
         }
     }
--- a/crates/node/src/mesh/controller.rs
+++ b/crates/node/src/mesh/controller.rs
@@ -3,6 +3,8 @@
 
 mod admission;
 mod announcements;
+mod answer_guard;
+mod answers;
 mod authentication;
 mod dispatch;
 mod drain;
@@ -20,10 +22,11 @@
 mod state;
 mod task;
 
+pub use answer_guard::AnswerGuard;
 pub use event::{
-    AcquireSlotRequest, AdmissionRequest, AdmittedRequest, CompletedSend, ControllerEvent,
-    Credential, Denial, InstanceGrant, InstanceRequest, ParentRun, RetryRequest, RunOutcome,
-    SlotGrant, SlotRefusal, SlotRelease,
+    AcquireSlotRequest, AdmissionRequest, AdmittedRequest, AnswerOf, CompletedSend,
+    ControllerEvent, Credential, Denial, InstanceGrant, InstanceRequest, ParentRun, RetryRequest,
+    RunOutcome, SlotGrant, SlotRefusal, SlotRelease,
 };
 pub use guards::{SendGuard, SlotGuard};
 pub use handle::ControllerHandle;
--- /dev/null
+++ b/crates/node/src/mesh/controller/answer_guard.rs
@@ -0,0 +1,43 @@
+//! Guard that reports the end of a long answer.
+
+use std::time::Instant;
+
+use tokio::sync::mpsc;
+
+use super::{AnswerOf, ControllerEvent};
+use crate::clock::SharedClock;
+
+/// Reports the end of a long answer to the controller, also if the task that passes it on is cancelled.
+///
+/// A run goes on while its answer is passed on, long after its slot was released: the target may still make calls on its
+/// behalf, and a stopping node must wait for it.
+pub struct AnswerGuard {
+    pub(super) of: AnswerOf,
+    pub(super) since: Instant,
+    pub(super) clock: SharedClock,
+    pub(super) tx: mpsc::UnboundedSender<ControllerEvent>,
+    pub(super) is_complete: bool,
+}
+
+impl AnswerGuard {
+    /// Reports that the answer was passed on completely.
+    pub fn finish(mut self) {
+        self.is_complete = true;
+    }
+}
+
+impl Drop for AnswerGuard {
+    fn drop(&mut self) {
+        let took = self.clock.now().saturating_duration_since(self.since);
+        let took = self.is_complete.then_some(took);
+        let ended = ControllerEvent::AnswerEnded(self.of.clone(), took);
+        // The controller runs until the process exits, so a failed send can be ignored.
+        let _ = self.tx.send(ended);
+    }
+}
+
+impl std::fmt::Debug for AnswerGuard {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("AnswerGuard").field("of", &self.of).finish()
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/controller/answers.rs
@@ -0,0 +1,30 @@
+//! Ends of long answers.
+
+use std::time::Duration;
+
+use coltsfootport_core::mesh::Ticket;
+
+use super::{AnswerOf, Controller};
+
+impl Controller {
+    /// Records that a long answer has ended; `took` is the time from the request to its end if it is complete.
+    pub(super) fn end_answer(&mut self, of: AnswerOf, took: Option<Duration>) {
+        match of {
+            AnswerOf::Run(ticket) => self.end_answering_run(ticket, took),
+            AnswerOf::Route(name) => {
+                if let (Some(stats), Some(took)) = (self.route_stats.get_mut(&name), took) {
+                    stats.long_answers.record(took);
+                }
+            }
+        }
+    }
+
+    fn end_answering_run(&mut self, ticket: Ticket, took: Option<Duration>) {
+        let now = self.clock.now();
+        if let (Some(run), Some(took)) = (self.runs.remove(ticket), took) {
+            self.gate.record_completion(run.kind, took);
+        }
+        self.end_isolation(ticket, now);
+        self.start_queued(now);
+    }
+}
--- a/crates/node/src/mesh/controller/dispatch.rs
+++ b/crates/node/src/mesh/controller/dispatch.rs
@@ -90,12 +90,17 @@
         let now = self.clock.now();
         self.release_in_gate(ticket, &release, now);
         let standing = self.record_run_end(ticket, release.end, now);
-        let run = self.runs.remove(ticket);
+        let run = match release.answering {
+            true => self.runs.get(ticket).cloned(),
+            false => self.runs.remove(ticket),
+        };
         let work = run.as_ref().map(|run| self.record_work(run, &release, now));
         if let (Some(run), Some(announced)) = (&run, release.announcement) {
             self.apply_announcement(&run.instance, announced, now);
         }
-        self.end_isolation(ticket, now);
+        if !release.answering {
+            self.end_isolation(ticket, now);
+        }
         self.start_queued(now);
         let Some(reply) = reply else {
             return;
@@ -122,6 +127,7 @@
     fn release_in_gate(&mut self, ticket: Ticket, release: &SlotRelease, now: Instant) {
         let SlotRelease { held, waited, .. } = *release;
         match release.end {
+            _ if release.answering => self.gate.release_answering(ticket, held, now),
             RunEnd::Unanswered => self.gate.release_unanswered(ticket, held, waited, now),
             RunEnd::Answered | RunEnd::Other | RunEnd::Crashed(_) => {
                 self.gate.release(ticket, held, now)
--- a/crates/node/src/mesh/controller/drain.rs
+++ b/crates/node/src/mesh/controller/drain.rs
@@ -4,6 +4,7 @@
 
 use coltsfootport_core::mesh::{Drain, Route, SlotRequest};
 
+use super::route_stats::RouteStats;
 use super::{AdmissionRequest, Controller};
 
 impl Controller {
@@ -23,7 +24,7 @@
             return true;
         };
         let stats = self.route_stats.get(&route.name);
-        let expected = stats.map_or(Duration::ZERO, |stats| stats.latency.usual());
+        let expected = stats.map_or(Duration::ZERO, RouteStats::expected_completion);
         let left = req
             .time_left
             .map_or(route.timeout, |left| left.min(route.timeout));
--- a/crates/node/src/mesh/controller/event.rs
+++ b/crates/node/src/mesh/controller/event.rs
@@ -41,6 +41,8 @@
     ),
     /// A slot of the local target was released; the optional reply carries the outcome of the run.
     SlotReleased(Ticket, SlotRelease, Option<oneshot::Sender<RunOutcome>>),
+    /// A long answer has ended. The time from the request to its end is given if it is complete.
+    AnswerEnded(AnswerOf, Option<Duration>),
     /// Incremental updates from the publisher, in order.
     PublisherUpdates(UpdateBatch),
     /// A full listing: everything published at one point in time.
@@ -81,6 +83,15 @@
     HostedRequests(oneshot::Sender<usize>),
 }
 
+/// What a long answer belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AnswerOf {
+    /// A run at the local target.
+    Run(Ticket),
+    /// A request of a caller on the route with this name.
+    Route(SmolStr),
+}
+
 /// How long a slot was held, and how the run in it ended.
 #[derive(Clone, Copy, Debug)]
 pub struct SlotRelease {
@@ -92,6 +103,8 @@
     pub end: RunEnd,
     /// What the target announced in its response, if there was one.
     pub announcement: Option<Announcement>,
+    /// Whether the target is still sending its answer. The run goes on until [`ControllerEvent::AnswerEnded`].
+    pub answering: bool,
 }
 
 /// The outcome of a run, as the controller sees it after the slot was released.
--- a/crates/node/src/mesh/controller/guards.rs
+++ b/crates/node/src/mesh/controller/guards.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, oneshot};
 
-use super::{CompletedSend, ControllerEvent, RunOutcome, SlotRelease};
+use super::{AnswerGuard, AnswerOf, CompletedSend, ControllerEvent, RunOutcome, SlotRelease};
 use crate::clock::SharedClock;
 use crate::mesh::call::{Report, RunEnd};
 
@@ -43,6 +43,17 @@
         self.target_leaving = true;
     }
 
+    /// Returns a guard that reports when the answer has been passed on to the caller.
+    pub fn answer_guard(&self) -> AnswerGuard {
+        AnswerGuard {
+            of: AnswerOf::Route(self.route.clone()),
+            since: self.since,
+            clock: self.clock.clone(),
+            tx: self.tx.clone(),
+            is_complete: false,
+        }
+    }
+
     /// Reports the outcome of the request to the controller.
     pub fn end(mut self, outcome: SendOutcome, report: Option<Report>) {
         self.report_end(outcome, report);
@@ -103,14 +114,35 @@
     /// Releases the slot and returns the outcome of the run.
     pub async fn release(mut self, end: RunEnd, announcement: Option<Announcement>) -> RunOutcome {
         let (tx, rx) = oneshot::channel();
-        self.report_release(end, announcement, Some(tx));
+        self.report_release(end, announcement, false, Some(tx));
         rx.await.unwrap_or_default()
     }
 
+    /// Releases the slot while the target is still sending its answer. The run goes on until the returned guard is
+    /// dropped.
+    pub async fn release_answering(
+        mut self,
+        end: RunEnd,
+        announcement: Option<Announcement>,
+    ) -> (RunOutcome, AnswerGuard) {
+        // Created first: without it, the run would never end if this future is dropped.
+        let guard = AnswerGuard {
+            of: AnswerOf::Run(self.ticket),
+            since: self.since,
+            clock: self.clock.clone(),
+            tx: self.tx.clone(),
+            is_complete: false,
+        };
+        let (tx, rx) = oneshot::channel();
+        self.report_release(end, announcement, true, Some(tx));
+        (rx.await.unwrap_or_default(), guard)
+    }
+
     fn report_release(
         &mut self,
         end: RunEnd,
         announcement: Option<Announcement>,
+        answering: bool,
         reply: Option<oneshot::Sender<RunOutcome>>,
     ) {
         self.released = true;
@@ -120,6 +152,7 @@
             waited: self.sent_at.map(|at| now.saturating_duration_since(at)),
             end,
             announcement,
+            answering,
         };
         let _ = self
             .tx
@@ -130,7 +163,7 @@
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         if !self.released {
-            self.report_release(RunEnd::Unanswered, None, None);
+            self.report_release(RunEnd::Unanswered, None, false, None);
         }
     }
 }
--- a/crates/node/src/mesh/controller/task.rs
+++ b/crates/node/src/mesh/controller/task.rs
@@ -43,6 +43,7 @@
             ControllerEvent::SlotReleased(ticket, release, tx) => {
                 self.release_slot(ticket, release, tx)
             }
+            ControllerEvent::AnswerEnded(of, took) => self.end_answer(of, took),
             ControllerEvent::PublisherUpdates(batch) => self.apply_changes(batch),
             ControllerEvent::PublisherSnapshot(batch) => self.apply_listing(batch),
             ControllerEvent::PublisherAnswered => self.note_publisher_answer(),
--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -222,7 +222,10 @@
                 guard.end(SendOutcome::Failed, Some(report));
                 self.retry_after_failure(Ok(answer), true).await
             }
-            Ok(answer) => {
+            Ok(mut answer) => {
+                if let Body::Stream { rx, .. } = &mut answer.body {
+                    rx.guard(guard.answer_guard());
+                }
                 let outcome = SendOutcome::Answered {
                     relative_latency: 1.0,
                 };
--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -134,7 +134,17 @@
             end,
             announcement,
         } = self.run_at_target(req, conn, grace).await;
-        let outcome = slot.release(end, announcement).await;
+        let outcome = match &mut result {
+            Ok(TargetAnswer {
+                body: Body::Stream { rx, .. },
+                ..
+            }) => {
+                let (outcome, guard) = slot.release_answering(end, announcement).await;
+                rx.guard(guard);
+                outcome
+            }
+            _ => slot.release(end, announcement).await,
+        };
         // The refusal tells the caller not to retry: a retry would crash the next target.
         if outcome.standing == SuspicionLevel::Refused && matches!(end, RunEnd::Crashed(_)) {
             result = Err(Refused::from(Refusal::CrashesTargets));
