A long answer ends soon after its deadline, however it trickles

Seen: an answer whose target goes on after its deadline, 16 KiB each 100 ms, had no end half a second after the time limit of its route (CONFIG), with the target beside the entry and beside another node.

Cause: gave each chunk 200 ms after the deadline, so every chunk restarted the wait.

Change: one limit for the whole body, 200 ms after the deadline.

--- a/crates/node/src/mesh/callers/writer.rs
+++ b/crates/node/src/mesh/callers/writer.rs
@@ -19,9 +19,10 @@
 use crate::mesh::call::{Body, CallerAnswer};
 use crate::mesh::journal::Journal;
 
-/// Longest wait for the next chunk of a response after the deadline of its request. Leaves room for a response that a
-/// target is still sending; nothing more comes from a host that has failed without closing its connections.
-const LATE_CHUNK_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time after the deadline of a request until which further chunks of its response are awaited. Leaves room for the end
+/// of a response that is on its way. A target that ignores its deadline may go on for longer, and nothing more comes
+/// from a host that has failed without closing its connections.
+const LATE_CHUNKS: Duration = Duration::from_millis(200);
 
 /// Writes responses in request order.
 pub struct Writer {
@@ -138,35 +139,51 @@
                 }
                 self.write.write_all(&buf).await?;
             }
-            Body::Stream { mut rx, .. } => {
+            Body::Stream { rx, .. } => {
                 self.write.write_all(&buf).await?;
-                // A truncated body closes the connection before its end, so that the caller detects it.
-                while let Some(chunk) = self
-                    .next_chunk(&mut rx, &answer.id, answer.deadline)
-                    .await?
-                {
-                    self.write_chunk(chunk, framing).await?;
-                }
-                if framing == Framing::Chunked {
-                    self.write.write_all(LAST_CHUNK).await?;
-                }
+                self.write_stream(rx, framing, &answer.id, answer.deadline)
+                    .await?;
             }
         }
         Ok(())
     }
 
-    /// Waits for the next chunk until the deadline of the request, or for [`LATE_CHUNK_TIMEOUT`] if that is later.
+    /// Writes a streamed body. A truncated one closes the connection before its end, so that the caller detects it.
+    ///
+    /// Chunks are awaited until [`LATE_CHUNKS`] after the deadline of the request. The time that the caller takes to read
+    /// this response, and those before it, is not held against it.
+    async fn write_stream(
+        &mut self,
+        mut rx: BodyReceiver,
+        framing: Framing,
+        id: &str,
+        deadline: Option<Instant>,
+    ) -> Result<(), WriteError> {
+        let begun_at = self.clock.now();
+        let mut latest = deadline.map(|deadline| deadline.max(begun_at) + LATE_CHUNKS);
+        while let Some(chunk) = self.next_chunk(&mut rx, id, latest).await? {
+            let received_at = self.clock.now();
+            self.write_chunk(chunk, framing).await?;
+            let writing = self.clock.now().saturating_duration_since(received_at);
+            latest = latest.map(|latest| latest + writing);
+        }
+        if framing == Framing::Chunked {
+            self.write.write_all(LAST_CHUNK).await?;
+        }
+        Ok(())
+    }
+
     async fn next_chunk(
         &self,
         rx: &mut BodyReceiver,
         id: &str,
-        deadline: Option<Instant>,
+        latest: Option<Instant>,
     ) -> Result<Option<Bytes>, BodyTruncated> {
-        let Some(deadline) = deadline else {
+        let Some(latest) = latest else {
             return rx.recv().await;
         };
-        let left = deadline.saturating_duration_since(self.clock.now());
-        match timeout(left.max(LATE_CHUNK_TIMEOUT), rx.recv()).await {
+        let left = latest.saturating_duration_since(self.clock.now());
+        match timeout(left, rx.recv()).await {
             Ok(received) => received,
             Err(_) => {
                 self.journal.response_stalled(id);
