A return to a former id is a new start of the target

Seen (by a property of the entries, without a run of the platform): i-1 runs at an address and crashes, i-2 starts there and crashes, i-1 starts there again while both entries stand. Its entry was ignored, whatever it said, until it was written again after the other had lapsed: requests went to i-2 and were rejected by the target, and the target itself went unused.

Which of two instances at an address is newer was read from the revision at which their keys were first written; a key that is still there keeps it over a restart. And an entry that lost this comparison was dropped, although running targets write again only when something changes.

Change: where both entries name a start, the one written last belongs to the running process, unless its process is known to have been replaced (a late write). Entries that lose are kept, and used once the other's entry is gone. Entries without a start time are ordered as before, since each of their ids has one process.

--- a/crates/core/src/mesh.rs
+++ b/crates/core/src/mesh.rs
@@ -46,6 +46,7 @@
 mod service_times;
 mod shedder;
 mod slowness_change;
+mod superseded;
 mod target_gate;
 mod target_silence;
 mod time_limits;
--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -15,6 +15,7 @@
 use super::publisher_health::PublisherHealth;
 use super::replaced_starts::ReplacedStarts;
 use super::restored::RestoredEntries;
+use super::superseded::SupersededEntries;
 use crate::collections::{Map, Set};
 use crate::id::{DomainName, ServiceName};
 use crate::mesh::{
@@ -73,6 +74,7 @@
     lapsed: LapsedInstances,
     restored: RestoredEntries,
     replaced_starts: ReplacedStarts,
+    superseded: SupersededEntries,
     announced_leaving: AnnouncedLeaving,
 }
 
@@ -90,6 +92,7 @@
             lapsed: LapsedInstances::default(),
             restored: RestoredEntries::default(),
             replaced_starts: ReplacedStarts::default(),
+            superseded: SupersededEntries::default(),
             announced_leaving: AnnouncedLeaving::default(),
         }
     }
@@ -100,49 +103,54 @@
     /// An address belongs to one process at a time, so the older of two instances at an address has ended and is
     /// removed. Its entry remains published until its lease expires; without this rule, most requests after a power
     /// failure of all machines would be sent to ended instances for several seconds and rejected by their successors.
+    /// If the entry outlasts that of its successor, the instance is used again.
     pub fn put(&mut self, mut instance: Instance, now: Instant) -> PutEffect {
         instance.leaving |= self.announced_leaving.contains(&instance);
-        let member_state = match instance.leaving {
-            true => MemberState::Draining,
-            false => MemberState::Ready,
-        };
-        let warm_up_until = now + instance.warm_up;
         if self.is_superseded(&instance) {
+            self.superseded.add(instance);
             return PutEffect::Unchanged;
         }
         self.restored.entry_written(&instance.id);
-        let Some(key) = self.by_id.get(&instance.id).copied() else {
-            let older = self.by_address.get(&instance.address).copied();
-            let ended = older.and_then(|key| self.remove(key));
-            if let Some(id) = &ended {
-                self.restored.instance_ended(id.clone(), now);
-            }
-            self.insert(instance, member_state, warm_up_until);
-            return ended.map_or(PutEffect::Changed, PutEffect::Superseded);
-        };
+        match self.by_id.get(&instance.id).copied() {
+            Some(key) => self.update(key, instance, now),
+            None => self.add(instance, now),
+        }
+    }
+
+    fn add(&mut self, instance: Instance, now: Instant) -> PutEffect {
+        let ended = self.supersede(instance.address, now);
+        self.superseded.remove(&instance.id);
+        self.insert_published(instance, now);
+        ended.map_or(PutEffect::Changed, PutEffect::Superseded)
+    }
+
+    fn update(&mut self, key: InstanceKey, instance: Instance, now: Instant) -> PutEffect {
         let known = &self.members[key].instance;
         if instance.written < known.written {
             return PutEffect::Unchanged;
         }
-        if is_different_start(&instance, known) {
-            if self.replaced_starts.contains(&instance) {
-                // If it is a late write of an ended process, the running one writes its entry again within this time.
-                let until = now + self.cfg.outdated_entry_hold;
-                self.restored.ignore_until(instance, until);
-                return PutEffect::Unchanged;
-            }
-            self.replaced_starts.add(known);
+        let is_different_start = is_different_start(&instance, known);
+        let is_moved = known.service != instance.service || known.address != instance.address;
+        if is_different_start && self.replaced_starts.contains(&instance) {
+            // If it is a late write of an ended process, the running one writes its entry again within this time.
+            let until = now + self.cfg.outdated_entry_hold;
+            self.restored.ignore_until(instance, until);
+            return PutEffect::Unchanged;
+        }
+        if is_different_start {
+            self.replaced_starts.add(&self.members[key].instance);
             // Load, failure rate and warm-up of the previous process do not apply to the new one.
             self.remove(key);
-            self.insert(instance, member_state, warm_up_until);
+            self.insert_published(instance, now);
             return PutEffect::Restarted;
         }
-        if known.service != instance.service || known.address != instance.address {
+        if is_moved {
             self.remove(key);
-            self.insert(instance, member_state, warm_up_until);
+            self.insert_published(instance, now);
             return PutEffect::Changed;
         }
         let member = &mut self.members[key];
+        let member_state = published_state(&instance);
         let changed = member.member_state != member_state;
         member.instance = instance;
         member.member_state = member_state;
@@ -163,6 +171,7 @@
     pub fn entry_removed(&mut self, id: &str, now: Instant) -> RemoveEffect {
         self.restored.entry_removed(id);
         self.replaced_starts.forget(id);
+        self.superseded.remove(id);
         let Some(key) = self.by_id.get(id).copied() else {
             self.restored.instance_ended(SmolStr::new(id), now);
             return RemoveEffect::Unknown;
@@ -178,10 +187,9 @@
             member.member_state = MemberState::Missing { until };
             return RemoveEffect::Held;
         }
-        let instance = member.instance.clone();
-        self.remove(key);
-        self.restored.instance_ended(SmolStr::new(id), now);
-        if was_active {
+        if let Some(instance) = self.remove_ended(key, now)
+            && was_active
+        {
             self.lapsed.add(instance, now);
         }
         RemoveEffect::Removed
@@ -243,6 +251,7 @@
         let ids: Set<SmolStr> = listed.iter().map(|instance| instance.id.clone()).collect();
         let mut ended = Vec::new();
         self.restored.retain_listed(&ids);
+        self.superseded.retain_listed(&ids);
         for instance in listed {
             if self.restored.is_ignored(&instance) {
                 continue;
@@ -333,13 +342,10 @@
             .filter(|(_, member)| over(member))
             .map(|(key, _)| key)
             .collect();
-        let ended: Vec<SmolStr> = keys
+        let ended = keys
             .into_iter()
-            .filter_map(|key| self.remove(key))
+            .filter_map(|key| Some(self.remove_ended(key, now)?.id))
             .collect();
-        for id in &ended {
-            self.restored.instance_ended(id.clone(), now);
-        }
         for instance in self.restored.tick(now) {
             self.replaced_starts.remove(&instance);
             self.put(instance, now);
@@ -396,9 +402,43 @@
     }
 
     /// Whether a newer instance is known at the same address.
+    ///
+    /// An id whose starts can be told apart may belong to a newer process than its first entry, so the entry that was
+    /// written last counts, unless its process is known to have been replaced.
     fn is_superseded(&self, instance: &Instance) -> bool {
-        self.at_address(instance.address)
-            .is_some_and(|other| other.id != instance.id && other.created > instance.created)
+        let Some(other) = self.at_address(instance.address) else {
+            return false;
+        };
+        if other.id == instance.id {
+            return false;
+        }
+        match (instance.started_at_ms, other.started_at_ms) {
+            (Some(_), Some(_)) => {
+                other.written > instance.written || self.replaced_starts.contains(instance)
+            }
+            _ => other.created > instance.created,
+        }
+    }
+
+    /// Removes the instance at an address of which a newer one was published, and returns its id.
+    fn supersede(&mut self, address: SocketAddr, now: Instant) -> Option<SmolStr> {
+        let key = self.by_address.get(&address).copied()?;
+        let older = self.remove(key)?;
+        let id = older.id.clone();
+        self.restored.instance_ended(id.clone(), now);
+        self.replaced_starts.add(&older);
+        self.superseded.add(older);
+        Some(id)
+    }
+
+    /// Removes an instance whose entry is no longer published. If another entry names its address, that one is used.
+    fn remove_ended(&mut self, key: InstanceKey, now: Instant) -> Option<Instance> {
+        let instance = self.remove(key)?;
+        self.restored.instance_ended(instance.id.clone(), now);
+        if let Some(other) = self.superseded.take_at(instance.address) {
+            self.put(other, now);
+        }
+        Some(instance)
     }
 
     /// Returns the state of an instance, or `None` if it is unknown.
@@ -465,6 +505,12 @@
         self.members.is_empty()
     }
 
+    fn insert_published(&mut self, instance: Instance, now: Instant) {
+        let member_state = published_state(&instance);
+        let warm_up_until = now + instance.warm_up;
+        self.insert(instance, member_state, warm_up_until);
+    }
+
     fn insert(&mut self, instance: Instance, member_state: MemberState, warm_up_until: Instant) {
         let id = instance.id.clone();
         let service = instance.service.clone();
@@ -481,7 +527,7 @@
         self.by_service.entry(service).or_default().push(key);
     }
 
-    fn remove(&mut self, key: InstanceKey) -> Option<SmolStr> {
+    fn remove(&mut self, key: InstanceKey) -> Option<Instance> {
         let member = self.members.remove(key)?;
         self.by_id.remove(&member.instance.id);
         if self.by_address.get(&member.instance.address) == Some(&key) {
@@ -496,7 +542,14 @@
                 self.speeds.remove(&member.instance.service);
             }
         }
-        Some(member.instance.id)
+        Some(member.instance)
+    }
+}
+
+fn published_state(instance: &Instance) -> MemberState {
+    match instance.leaving {
+        true => MemberState::Draining,
+        false => MemberState::Ready,
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/mesh_starts.rs
@@ -0,0 +1,197 @@
+//! Tests of the order of entries that different starts of targets have published.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use coltsfootport_core::mesh::{Fleet, FleetConfig, Instance};
+
+/// What an entry says of a target at the common address.
+#[derive(Clone, Copy)]
+struct Entry {
+    id: &'static str,
+    started_at_ms: Option<u64>,
+    created: u64,
+    written: u64,
+    leaving: bool,
+}
+
+const fn entry(id: &'static str, started_at_ms: u64, created: u64, written: u64) -> Entry {
+    Entry {
+        id,
+        started_at_ms: Some(started_at_ms),
+        created,
+        written,
+        leaving: false,
+    }
+}
+
+const fn leaving(entry: Entry) -> Entry {
+    Entry {
+        leaving: true,
+        ..entry
+    }
+}
+
+impl Entry {
+    fn instance(self) -> Instance {
+        Instance {
+            id: self.id.into(),
+            started_at_ms: self.started_at_ms,
+            service: "svc".into(),
+            address: SocketAddr::from(([10, 0, 0, 1], 8000)),
+            domain: "a".into(),
+            slots: 4,
+            leaving: self.leaving,
+            created: self.created.into(),
+            written: self.written.into(),
+            warm_up: Duration::ZERO,
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Event {
+    Written(Entry),
+    Removed(&'static str),
+    Listed(&'static [Entry]),
+}
+
+fn play(events: &[Event]) -> Fleet {
+    let now = Instant::now();
+    let mut fleet = Fleet::new(FleetConfig::default());
+    for event in events {
+        match event {
+            Event::Written(entry) => drop(fleet.put(entry.instance(), now)),
+            Event::Removed(id) => drop(fleet.entry_removed(id, now)),
+            Event::Listed(entries) => {
+                let listed = entries.iter().map(|entry| entry.instance());
+                fleet.replace_all(listed.collect(), now);
+            }
+        }
+    }
+    fleet
+}
+
+/// Ids of the instances that are used for new requests.
+fn used(fleet: &Fleet) -> Vec<String> {
+    let ready = fleet.iter().filter(|(_, state)| state.accepts_requests());
+    ready.map(|(instance, _)| instance.id.to_string()).collect()
+}
+
+/// A target that started again under its former id, after another id had its address, was not used: the revision at
+/// which its key was first written was taken for its start.
+#[test]
+fn a_return_to_a_former_id_is_a_new_start() {
+    use Event::{Listed, Removed, Written};
+    struct Case {
+        name: &'static str,
+        events: &'static [Event],
+        used: &'static [&'static str],
+    }
+    const FIRST: Entry = entry("i-1", 100, 2, 2);
+    const SECOND: Entry = entry("i-2", 200, 3, 3);
+    const THIRD: Entry = entry("i-1", 300, 2, 4);
+    /// The time of day was set back before it started.
+    const THIRD_SET_BACK: Entry = entry("i-1", 50, 2, 4);
+    const THIRD_LEAVES: Entry = leaving(entry("i-1", 300, 2, 5));
+    const LATE_WRITE: Entry = entry("i-1", 100, 2, 4);
+    const WITHOUT_START: Entry = Entry {
+        started_at_ms: None,
+        ..entry("i-2", 0, 3, 3)
+    };
+    let cases = [
+        Case {
+            name: "back under the former id",
+            events: &[Written(FIRST), Written(SECOND), Written(THIRD)],
+            used: &["i-1"],
+        },
+        Case {
+            name: "back after the clock was set back",
+            events: &[Written(FIRST), Written(SECOND), Written(THIRD_SET_BACK)],
+            used: &["i-1"],
+        },
+        Case {
+            name: "back and leaving",
+            events: &[
+                Written(FIRST),
+                Written(SECOND),
+                Written(THIRD),
+                Written(THIRD_LEAVES),
+            ],
+            used: &[],
+        },
+        Case {
+            name: "late write of the ended process",
+            events: &[Written(FIRST), Written(SECOND), Written(LATE_WRITE)],
+            used: &["i-2"],
+        },
+        Case {
+            name: "listed, oldest first",
+            events: &[Listed(&[SECOND, THIRD])],
+            used: &["i-1"],
+        },
+        Case {
+            name: "listed, newest first",
+            events: &[Listed(&[THIRD, SECOND])],
+            used: &["i-1"],
+        },
+        Case {
+            name: "listed again",
+            events: &[
+                Written(FIRST),
+                Written(SECOND),
+                Written(THIRD),
+                Listed(&[SECOND, THIRD]),
+            ],
+            used: &["i-1"],
+        },
+        Case {
+            name: "listed with a late write of the ended process",
+            events: &[Listed(&[SECOND, THIRD]), Removed("i-1")],
+            used: &["i-2"],
+        },
+        Case {
+            name: "the entry of the other id lapses",
+            events: &[
+                Written(FIRST),
+                Written(SECOND),
+                Written(LATE_WRITE),
+                Removed("i-2"),
+            ],
+            used: &["i-1"],
+        },
+        Case {
+            name: "both entries lapse",
+            events: &[
+                Written(FIRST),
+                Written(SECOND),
+                Removed("i-1"),
+                Removed("i-2"),
+            ],
+            used: &[],
+        },
+        Case {
+            name: "the ended one is not listed when the other lapses",
+            events: &[
+                Written(FIRST),
+                Written(SECOND),
+                Listed(&[SECOND]),
+                Listed(&[]),
+            ],
+            used: &[],
+        },
+        Case {
+            name: "without start times an id has one start",
+            events: &[
+                Written(FIRST),
+                Written(WITHOUT_START),
+                Written(THIRD),
+                Removed("i-2"),
+            ],
+            used: &["i-1"],
+        },
+    ];
+    for case in cases {
+        assert_eq!(used(&play(case.events)), case.used, "{}", case.name);
+    }
+}
