An announced end is believed within a second, whoever wrote it

Seen (replay of entries): a target whose start time equals that of an earlier start under its id, or whose entry has an earlier start time than the known one when a publisher is back from an older copy, announced that it leaves and got requests for up to 8 s more, or until its entry was gone. A stale read of an older entry also ended the wait, so that the announcement was never believed.

Such entries are taken for late writes or old copies and held with all that they say, for longer than the 2 s within which a leaving target must be left alone.

Change: an entry that says that its instance is leaving is held for 1 s only. If the running process turns out to be another one, it is used again as soon as it writes its entry, one heartbeat later; that is the price of a late write that is believed. An entry held back is forgotten only for one that was written later.

The cases of late writes in mesh_fleet.rs and entries.rs are unchanged.

--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -110,7 +110,7 @@
             self.superseded.add(instance);
             return PutEffect::Unchanged;
         }
-        self.restored.entry_written(&instance.id);
+        self.restored.entry_written(&instance);
         match self.by_id.get(&instance.id).copied() {
             Some(key) => self.update(key, instance, now),
             None => self.add(instance, now),
@@ -133,7 +133,7 @@
         let is_moved = known.service != instance.service || known.address != instance.address;
         if is_different_start && self.replaced_starts.contains(&instance) {
             // If it is a late write of an ended process, the running one writes its entry again within this time.
-            let until = now + self.cfg.outdated_entry_hold;
+            let until = now + self.cfg.hold_of(&instance);
             self.restored.ignore_until(instance, until);
             return PutEffect::Unchanged;
         }
@@ -287,8 +287,8 @@
         });
         let listed = leaving.chain(current).collect();
         let ended = self.replace_all(listed, now);
-        let until = now + self.cfg.outdated_entry_hold;
         for instance in outdated {
+            let until = now + self.cfg.hold_of(&instance);
             self.restored.ignore_until(instance, until);
         }
         ended
@@ -347,12 +347,28 @@
             .filter_map(|key| Some(self.remove_ended(key, now)?.id))
             .collect();
         for instance in self.restored.tick(now) {
-            self.replaced_starts.remove(&instance);
-            self.put(instance, now);
+            self.accept_held(instance, now);
         }
         ended
     }
 
+    /// Applies an entry that was ignored for a while because it contradicts the known state of its instance.
+    fn accept_held(&mut self, instance: Instance, now: Instant) {
+        let key = self.by_id.get(&instance.id);
+        let known = key.and_then(|key| self.members.get_mut(*key));
+        match known {
+            // The known process is used again as soon as it writes its entry.
+            Some(known) if instance.leaving && is_different_start(&instance, &known.instance) => {
+                known.instance.leaving = true;
+                known.member_state = MemberState::Draining;
+            }
+            _ => {
+                self.replaced_starts.remove(&instance);
+                self.put(instance, now);
+            }
+        }
+    }
+
     /// Records that a request was sent to an instance.
     pub fn request_sent(&mut self, key: InstanceKey, now: Instant) {
         if let Some(member) = self.members.get_mut(key) {
--- a/crates/core/src/mesh/restored.rs
+++ b/crates/core/src/mesh/restored.rs
@@ -59,9 +59,13 @@
         self.outdated.remove(id);
     }
 
-    /// Handles the writing of an entry: neither the recorded end nor the outdated entry applies any longer.
-    pub(super) fn entry_written(&mut self, id: &str) {
-        self.outdated.remove(id);
+    /// Handles the writing of an entry: neither the recorded end nor an outdated entry written before applies any longer.
+    pub(super) fn entry_written(&mut self, written: &Instance) {
+        let id = &written.id;
+        let outdated = self.outdated.get(id);
+        if outdated.is_some_and(|(outdated, _)| outdated.written <= written.written) {
+            self.outdated.remove(id);
+        }
         self.ended.remove(id);
     }
 
--- a/crates/core/tests/mesh_starts.rs
+++ b/crates/core/tests/mesh_starts.rs
@@ -3,7 +3,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use coltsfootport_core::mesh::{Fleet, FleetConfig, Instance};
+use coltsfootport_core::mesh::{Era, Fleet, FleetConfig, Instance, Position};
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
 
 /// What an entry says of a target at the common address.
 #[derive(Clone, Copy)]
@@ -54,10 +58,12 @@
     Written(Entry),
     Removed(&'static str),
     Listed(&'static [Entry]),
+    /// The given number of milliseconds passes.
+    Pass(u64),
 }
 
 fn play(events: &[Event]) -> Fleet {
-    let now = Instant::now();
+    let mut now = Instant::now();
     let mut fleet = Fleet::new(FleetConfig::default());
     for event in events {
         match event {
@@ -67,6 +73,10 @@
                 let listed = entries.iter().map(|entry| entry.instance());
                 fleet.replace_all(listed.collect(), now);
             }
+            Event::Pass(passed) => {
+                now += ms(*passed);
+                fleet.tick(now);
+            }
         }
     }
     fleet
@@ -195,3 +205,60 @@
         assert_eq!(used(&play(case.events)), case.used, "{}", case.name);
     }
 }
+
+/// A target whose start time equals that of an earlier start under its id got requests for seconds after it had
+/// announced that it leaves: its entries were held as late writes of the earlier process.
+#[test]
+fn an_announced_end_is_believed_within_seconds_whoever_wrote_it() {
+    use Event::{Pass, Written};
+    /// Shorter than the time within which leaving targets must get no more requests.
+    const BELIEVED_WITHIN: u64 = 1500;
+    let first = entry("i-1", 100, 2, 2);
+    let second = entry("i-1", 200, 2, 3);
+    let same_start_as_first = entry("i-1", 100, 2, 4);
+    let restarts = [
+        Written(first),
+        Written(second),
+        Written(same_start_as_first),
+    ];
+    let leaves = Written(leaving(entry("i-1", 100, 2, 5)));
+    for held in [0, 3000] {
+        let mut events = restarts.to_vec();
+        events.extend([Pass(held), leaves, Pass(BELIEVED_WITHIN)]);
+        assert!(used(&play(&events)).is_empty(), "after {held} ms");
+    }
+    // A read of an entry that was written before changes nothing.
+    let mut events = restarts.to_vec();
+    events.extend([leaves, Written(second), Pass(BELIEVED_WITHIN)]);
+    assert!(used(&play(&events)).is_empty(), "stale read");
+    // The running process writes its entry again, in time or later.
+    let mut events = restarts.to_vec();
+    events.extend([leaves, Written(entry("i-1", 200, 2, 6)), Pass(10_000)]);
+    assert_eq!(used(&play(&events)), ["i-1"], "late write");
+    let mut events = restarts.to_vec();
+    let rewritten = Written(entry("i-1", 200, 2, 6));
+    events.extend([leaves, Pass(BELIEVED_WITHIN), rewritten]);
+    assert_eq!(
+        used(&play(&events)),
+        ["i-1"],
+        "late write, believed for a while"
+    );
+}
+
+/// Guards against a target of a restored publisher that gets requests for seconds after it announced that it leaves: an
+/// entry with an earlier start time was held as one of the older copy.
+#[test]
+fn an_end_announced_after_a_restore_is_believed_within_seconds() {
+    let mut now = Instant::now();
+    let mut fleet = Fleet::new(FleetConfig::default());
+    fleet.put(entry("i-1", 200, 2, 9).instance(), now);
+    let listed = Instance {
+        written: Position::new(Era(1), 5),
+        ..leaving(entry("i-1", 100, 2, 5)).instance()
+    };
+    fleet.restore(vec![listed], now);
+    assert_eq!(used(&fleet), ["i-1"]);
+    now += ms(1500);
+    fleet.tick(now);
+    assert!(used(&fleet).is_empty());
+}
