A process that has announced its end does not become ready again

Seen (replay of entries): after a target's entry said that it leaves, or was removed after that, a delayed write of the same process that says ready brought it back, and it got requests until its lease ended.

Cause: only announcements in responses were remembered for a process; the one in its entry was overwritten by whatever was written later.

Change: the announcement in an entry is remembered like that in a response, for the id and the start. Without a start time nothing is remembered, since the id may belong to another process.

--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -120,6 +120,7 @@
     fn add(&mut self, instance: Instance, now: Instant) -> PutEffect {
         let ended = self.supersede(instance.address, now);
         self.superseded.remove(&instance.id);
+        self.remember_leaving(&instance);
         self.insert_published(instance, now);
         ended.map_or(PutEffect::Changed, PutEffect::Superseded)
     }
@@ -137,6 +138,7 @@
             self.restored.ignore_until(instance, until);
             return PutEffect::Unchanged;
         }
+        self.remember_leaving(&instance);
         if is_different_start {
             self.replaced_starts.add(&self.members[key].instance);
             // Load, failure rate and warm-up of the previous process do not apply to the new one.
@@ -160,6 +162,15 @@
         }
     }
 
+    /// Remembers a process that announced its end in its entry, since a write from before may arrive later. Without a
+    /// start time, its id may belong to another process by then.
+    fn remember_leaving(&mut self, instance: &Instance) {
+        if instance.leaving && instance.started_at_ms.is_some() {
+            self.announced_leaving
+                .add(&instance.id, instance.started_at_ms);
+        }
+    }
+
     /// Removes the instance whose entry was overwritten with an invalid one; a running instance writes its entry again.
     /// Returns whether the instance was known.
     pub fn remove_invalid(&mut self, id: &str) -> bool {
--- a/crates/core/tests/mesh_starts.rs
+++ b/crates/core/tests/mesh_starts.rs
@@ -262,3 +262,31 @@
     fleet.tick(now);
     assert!(used(&fleet).is_empty());
 }
+
+/// A leaving target got requests again: a write that was delayed until after the announcement or the end of its entry
+/// said that it is ready.
+#[test]
+fn a_process_that_leaves_does_not_become_ready_again() {
+    use Event::{Listed, Removed, Written};
+    const LEAVES: Entry = leaving(entry("i-1", 100, 2, 3));
+    const LATE: Entry = entry("i-1", 100, 2, 4);
+    const LATE_AFTER_END: Entry = entry("i-1", 100, 5, 5);
+    const NEXT_START: Entry = entry("i-1", 90, 6, 6);
+    let before = [Written(entry("i-1", 100, 2, 2)), Written(LEAVES)];
+    let sequences: [&[Event]; 4] = [
+        &[Written(LATE)],
+        &[Listed(&[LATE])],
+        &[Removed("i-1"), Written(LATE_AFTER_END)],
+        &[Listed(&[]), Listed(&[LATE_AFTER_END])],
+    ];
+    for (index, events) in sequences.into_iter().enumerate() {
+        let mut events = [&before[..], events].concat();
+        assert!(used(&play(&events)).is_empty(), "sequence {index}");
+        events.push(Written(NEXT_START));
+        assert_eq!(
+            used(&play(&events)),
+            ["i-1"],
+            "sequence {index}, next start"
+        );
+    }
+}
