Replaced starts are forgotten one by one

Seen (replay of entries): after 3,000 targets had started again, late writes of all their ended processes were believed.

Cause: the memory of replaced starts was cleared as a whole at 2,048 ids.

Change: one queue of 4,096 starts; the oldest is forgotten for the latest.

Result: the_latest_replaced_starts_are_remembered failed on (3,000 of 3,000 returned) and passes.

--- a/crates/core/src/mesh/replaced_starts.rs
+++ b/crates/core/src/mesh/replaced_starts.rs
@@ -1,17 +1,13 @@
-//! Starts of targets that were followed by another start under the same id.
+//! Starts of targets that were followed by another start.
 
 use std::collections::VecDeque;
 
 use smol_str::SmolStr;
 
-use crate::collections::Map;
 use crate::mesh::Instance;
 
-/// Number of replaced starts remembered for each id.
-const MAX_PER_ID: usize = 4;
-
-/// Number of ids remembered; bounds memory when a whole fleet restarts.
-const MAX_IDS: usize = 2048;
+/// Number of starts remembered; bounds memory when whole fleets restart.
+const MAX_STARTS: usize = 4096;
 
 /// Remembers which starts have been replaced, by id and start time.
 ///
@@ -19,7 +15,8 @@
 /// and neither its revision nor, after the clock was set back, its start time tells that it is older.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ReplacedStarts {
-    by_id: Map<SmolStr, VecDeque<u64>>,
+    /// Id and start time of each, the latest last.
+    starts: VecDeque<(SmolStr, u64)>,
 }
 
 impl ReplacedStarts {
@@ -28,32 +25,28 @@
         let Some(started_at_ms) = instance.started_at_ms else {
             return;
         };
-        if self.by_id.len() >= MAX_IDS && !self.by_id.contains_key(&instance.id) {
-            self.by_id.clear();
-        }
-        let starts = self.by_id.entry(instance.id.clone()).or_default();
-        if starts.len() >= MAX_PER_ID {
-            starts.pop_front();
+        if self.starts.len() >= MAX_STARTS {
+            self.starts.pop_front();
         }
-        starts.push_back(started_at_ms);
+        self.starts.push_back((instance.id.clone(), started_at_ms));
     }
 
     /// Whether the start of this instance has been replaced.
     pub(super) fn contains(&self, instance: &Instance) -> bool {
-        let starts = self.by_id.get(&instance.id);
-        let start = instance.started_at_ms;
-        starts.is_some_and(|starts| starts.iter().any(|replaced| Some(*replaced) == start))
+        self.starts.iter().any(|start| is_start_of(start, instance))
     }
 
     /// Forgets that the start of this instance has been replaced.
     pub(super) fn remove(&mut self, instance: &Instance) {
-        if let Some(starts) = self.by_id.get_mut(&instance.id) {
-            starts.retain(|replaced| Some(*replaced) != instance.started_at_ms);
-        }
+        self.starts.retain(|start| !is_start_of(start, instance));
     }
 
     /// Forgets an id whose entry was removed.
     pub(super) fn forget(&mut self, id: &str) {
-        self.by_id.remove(id);
+        self.starts.retain(|(known, _)| known != id);
     }
 }
+
+fn is_start_of((id, started_at_ms): &(SmolStr, u64), instance: &Instance) -> bool {
+    instance.started_at_ms == Some(*started_at_ms) && instance.id == *id
+}
--- a/crates/core/tests/mesh_starts.rs
+++ b/crates/core/tests/mesh_starts.rs
@@ -290,3 +290,29 @@
         );
     }
 }
+/// After the restart of a large fleet, a late write brought an ended process back: all replaced starts had been
+/// forgotten at once.
+#[test]
+fn the_latest_replaced_starts_are_remembered() {
+    const TARGETS: u64 = 3000;
+    let now = Instant::now();
+    let mut fleet = Fleet::new(FleetConfig::default());
+    let entry_of = |n: u64, started_at_ms: u64, written: u64| Instance {
+        id: format!("i-{n}").into(),
+        address: SocketAddr::from(([10, 1, (n / 250) as u8, (n % 250) as u8], 8000)),
+        ..entry("", started_at_ms, 1, written).instance()
+    };
+    for n in 0..TARGETS {
+        fleet.put(entry_of(n, 100, 1), now);
+    }
+    for n in 0..TARGETS {
+        fleet.put(entry_of(n, 50, 2), now);
+    }
+    for n in 0..TARGETS {
+        fleet.put(entry_of(n, 100, 3), now);
+    }
+    let returned = fleet
+        .iter()
+        .filter(|(instance, _)| instance.started_at_ms == Some(100));
+    assert_eq!(returned.count(), 0);
+}
