A ready entry of a process that left is held, not refused for good

A publisher that takes an announcement back would have lost that target until its next start.

Starts that left are remembered beside those that were replaced, so that a key that is removed and written again is held too. ReplacedStarts is EndedStarts now.

--- a/crates/core/src/mesh/announced_leaving.rs
+++ b/crates/core/src/mesh/announced_leaving.rs
@@ -1,4 +1,4 @@
-//! Instances that have announced that they are leaving.
+//! Instances that have announced in a response that they are leaving.
 
 use std::collections::VecDeque;
 
@@ -9,8 +9,8 @@
 /// Number of instances that are remembered; the oldest ones have ended long before.
 const MAX_REMEMBERED: usize = 256;
 
-/// Remembers instances that have announced in a response or in their entry that they are leaving. Their published entries
-/// may say otherwise for as long as the publisher is unreachable, and may be removed and written again.
+/// Remembers instances that are leaving. Their published entries may say otherwise for as long as the publisher is
+/// unreachable, and may be removed and written again.
 #[derive(Clone, Debug, Default)]
 pub struct AnnouncedLeaving {
     /// Id and start of each instance, oldest first.
--- a/crates/core/src/mesh/replaced_starts.rs
+++ b/crates/core/src/mesh/ended_starts.rs
@@ -1,4 +1,4 @@
-//! Starts of targets that were followed by another start.
+//! Starts of targets that have ended.
 
 use std::collections::VecDeque;
 
@@ -9,18 +9,18 @@
 /// Number of starts remembered; bounds memory when whole fleets restart.
 const MAX_STARTS: usize = 4096;
 
-/// Remembers which starts have been replaced, by id and start time.
+/// Remembers which starts have been followed by another one or have left, by id and start time.
 ///
 /// A process that has ended may still have a write on its way to the publisher. It arrives after those of its successor,
 /// and neither its revision nor, after the clock was set back, its start time tells that it is older.
 #[derive(Clone, Debug, Default)]
-pub(super) struct ReplacedStarts {
+pub(super) struct EndedStarts {
     /// Id and start time of each, the latest last.
     starts: VecDeque<(SmolStr, u64)>,
 }
 
-impl ReplacedStarts {
-    /// Records that the start of this instance was followed by another one.
+impl EndedStarts {
+    /// Records that the start of this instance has ended.
     pub(super) fn add(&mut self, instance: &Instance) {
         let Some(started_at_ms) = instance.started_at_ms else {
             return;
@@ -31,12 +31,12 @@
         self.starts.push_back((instance.id.clone(), started_at_ms));
     }
 
-    /// Whether the start of this instance has been replaced.
+    /// Whether the start of this instance has ended.
     pub(super) fn contains(&self, instance: &Instance) -> bool {
         self.starts.iter().any(|start| is_start_of(start, instance))
     }
 
-    /// Forgets that the start of this instance has been replaced.
+    /// Forgets that the start of this instance has ended.
     pub(super) fn remove(&mut self, instance: &Instance) {
         self.starts.retain(|start| !is_start_of(start, instance));
     }
--- a/crates/core/src/mesh/fleet.rs
+++ b/crates/core/src/mesh/fleet.rs
@@ -11,9 +11,9 @@
 use smol_str::SmolStr;
 
 use super::announced_leaving::AnnouncedLeaving;
+use super::ended_starts::EndedStarts;
 use super::lapsed::LapsedInstances;
 use super::publisher_health::PublisherHealth;
-use super::replaced_starts::ReplacedStarts;
 use super::restored::RestoredEntries;
 use super::superseded::SupersededEntries;
 use crate::collections::{Map, Set};
@@ -73,7 +73,7 @@
     publisher: PublisherHealth,
     lapsed: LapsedInstances,
     restored: RestoredEntries,
-    replaced_starts: ReplacedStarts,
+    ended_starts: EndedStarts,
     superseded: SupersededEntries,
     announced_leaving: AnnouncedLeaving,
 }
@@ -91,7 +91,7 @@
             publisher: PublisherHealth::Healthy,
             lapsed: LapsedInstances::default(),
             restored: RestoredEntries::default(),
-            replaced_starts: ReplacedStarts::default(),
+            ended_starts: EndedStarts::default(),
             superseded: SupersededEntries::default(),
             announced_leaving: AnnouncedLeaving::default(),
         }
@@ -118,9 +118,11 @@
     }
 
     fn add(&mut self, instance: Instance, now: Instant) -> PutEffect {
+        if !instance.leaving && self.ended_starts.contains(&instance) {
+            return self.hold(instance, now);
+        }
         let ended = self.supersede(instance.address, now);
         self.superseded.remove(&instance.id);
-        self.remember_leaving(&instance);
         self.insert_published(instance, now);
         ended.map_or(PutEffect::Changed, PutEffect::Superseded)
     }
@@ -132,15 +134,15 @@
         }
         let is_different_start = is_different_start(&instance, known);
         let is_moved = known.service != instance.service || known.address != instance.address;
-        if is_different_start && self.replaced_starts.contains(&instance) {
-            // If it is a late write of an ended process, the running one writes its entry again within this time.
-            let until = now + self.cfg.hold_of(&instance);
-            self.restored.ignore_until(instance, until);
-            return PutEffect::Unchanged;
+        let is_late = match is_different_start {
+            true => self.ended_starts.contains(&instance),
+            false => instance.started_at_ms.is_some() && known.leaving && !instance.leaving,
+        };
+        if is_late {
+            return self.hold(instance, now);
         }
-        self.remember_leaving(&instance);
         if is_different_start {
-            self.replaced_starts.add(&self.members[key].instance);
+            self.ended_starts.add(&self.members[key].instance);
             // Load, failure rate and warm-up of the previous process do not apply to the new one.
             self.remove(key);
             self.insert_published(instance, now);
@@ -162,13 +164,12 @@
         }
     }
 
-    /// Remembers a process that announced its end in its entry, since a write from before may arrive later. Without a
-    /// start time, its id may belong to another process by then.
-    fn remember_leaving(&mut self, instance: &Instance) {
-        if instance.leaving && instance.started_at_ms.is_some() {
-            self.announced_leaving
-                .add(&instance.id, instance.started_at_ms);
-        }
+    /// Ignores an entry for a while that is likely to be a late write: by a process that has been replaced, or from before
+    /// its process announced its end. The running process writes its entry again within this time.
+    fn hold(&mut self, instance: Instance, now: Instant) -> PutEffect {
+        let until = now + self.cfg.hold_of(&instance);
+        self.restored.ignore_until(instance, until);
+        PutEffect::Unchanged
     }
 
     /// Removes the instance whose entry was overwritten with an invalid one; a running instance writes its entry again.
@@ -181,7 +182,7 @@
     /// Handles the removal of a published entry.
     pub fn entry_removed(&mut self, id: &str, now: Instant) -> RemoveEffect {
         self.restored.entry_removed(id);
-        self.replaced_starts.forget(id);
+        self.ended_starts.forget(id);
         self.superseded.remove(id);
         let Some(key) = self.by_id.get(id).copied() else {
             self.restored.instance_ended(SmolStr::new(id), now);
@@ -366,18 +367,16 @@
     /// Applies an entry that was ignored for a while because it contradicts the known state of its instance.
     fn accept_held(&mut self, instance: Instance, now: Instant) {
         let key = self.by_id.get(&instance.id);
-        let known = key.and_then(|key| self.members.get_mut(*key));
-        match known {
-            // The known process is used again as soon as it writes its entry.
-            Some(known) if instance.leaving && is_different_start(&instance, &known.instance) => {
-                known.instance.leaving = true;
+        if let Some(known) = key.and_then(|key| self.members.get_mut(*key)) {
+            if instance.leaving && is_different_start(&instance, &known.instance) {
+                // The known process is used again as soon as it writes its entry.
                 known.member_state = MemberState::Draining;
+                return;
             }
-            _ => {
-                self.replaced_starts.remove(&instance);
-                self.put(instance, now);
-            }
+            known.instance.leaving = false;
         }
+        self.ended_starts.remove(&instance);
+        self.put(instance, now);
     }
 
     /// Records that a request was sent to an instance.
@@ -441,7 +440,7 @@
         }
         match (instance.started_at_ms, other.started_at_ms) {
             (Some(_), Some(_)) => {
-                other.written > instance.written || self.replaced_starts.contains(instance)
+                other.written > instance.written || self.ended_starts.contains(instance)
             }
             _ => other.created > instance.created,
         }
@@ -453,7 +452,7 @@
         let older = self.remove(key)?;
         let id = older.id.clone();
         self.restored.instance_ended(id.clone(), now);
-        self.replaced_starts.add(&older);
+        self.ended_starts.add(&older);
         self.superseded.add(older);
         Some(id)
     }
@@ -462,7 +461,11 @@
     fn remove_ended(&mut self, key: InstanceKey, now: Instant) -> Option<Instance> {
         let instance = self.remove(key)?;
         self.restored.instance_ended(instance.id.clone(), now);
+        if instance.leaving {
+            self.ended_starts.add(&instance);
+        }
         if let Some(other) = self.superseded.take_at(instance.address) {
+            self.ended_starts.remove(&other);
             self.put(other, now);
         }
         Some(instance)
