A chunk is awaited for 200 ms after the deadline, as before

Seen while a failed test was traced: with a caller that begins to read half a second late, an answer whose host is halted ended 0.72 s after its deadline; 0.5 s are allowed.

Cause: added the caller's reading time to the one limit of the body, also where nothing came any more.

Change: the limit of the whole body stays, and beside it no single chunk is awaited for more than 200 ms after the deadline. Both stand in ChunkDeadline.

--- a/crates/node/src/mesh/callers/writer.rs
+++ b/crates/node/src/mesh/callers/writer.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
+use super::chunk_deadline::ChunkDeadline;
 use super::slot::{ConnectionState, ResponseSlot};
 use crate::clock::SharedClock;
 use crate::h1::{Framing, LAST_CHUNK, encode_chunk, encode_response_head};
@@ -19,11 +20,6 @@
 use crate::mesh::call::{Body, CallerAnswer};
 use crate::mesh::journal::Journal;
 
-/// Time after the deadline of a request until which further chunks of its response are awaited. Leaves room for the end
-/// of a response that is on its way. A target that ignores its deadline may go on for longer, and nothing more comes
-/// from a host that has failed without closing its connections.
-const LATE_CHUNKS: Duration = Duration::from_millis(200);
-
 /// Writes responses in request order.
 pub struct Writer {
     /// Writing half of the connection.
@@ -149,9 +145,6 @@
     }
 
     /// Writes a streamed body. A truncated one closes the connection before its end, so that the caller detects it.
-    ///
-    /// Chunks are awaited until [`LATE_CHUNKS`] after the deadline of the request. The time that the caller takes to read
-    /// this response, and those before it, is not held against it.
     async fn write_stream(
         &mut self,
         mut rx: BodyReceiver,
@@ -159,13 +152,13 @@
         id: &str,
         deadline: Option<Instant>,
     ) -> Result<(), WriteError> {
-        let begun_at = self.clock.now();
-        let mut latest = deadline.map(|deadline| deadline.max(begun_at) + LATE_CHUNKS);
-        while let Some(chunk) = self.next_chunk(&mut rx, id, latest).await? {
+        let mut limit = deadline.map(|deadline| ChunkDeadline::new(deadline, self.clock.now()));
+        while let Some(chunk) = self.next_chunk(&mut rx, id, limit).await? {
             let received_at = self.clock.now();
             self.write_chunk(chunk, framing).await?;
-            let writing = self.clock.now().saturating_duration_since(received_at);
-            latest = latest.map(|latest| latest + writing);
+            if let Some(limit) = &mut limit {
+                limit.extend(self.clock.now().saturating_duration_since(received_at));
+            }
         }
         if framing == Framing::Chunked {
             self.write.write_all(LAST_CHUNK).await?;
@@ -177,13 +170,12 @@
         &self,
         rx: &mut BodyReceiver,
         id: &str,
-        latest: Option<Instant>,
+        limit: Option<ChunkDeadline>,
     ) -> Result<Option<Bytes>, BodyTruncated> {
-        let Some(latest) = latest else {
+        let Some(limit) = limit else {
             return rx.recv().await;
         };
-        let left = latest.saturating_duration_since(self.clock.now());
-        match timeout(left, rx.recv()).await {
+        match timeout(limit.wait(self.clock.now()), rx.recv()).await {
             Ok(received) => received,
             Err(_) => {
                 self.journal.response_stalled(id);
