A refusal on a closing connection is not a listing

A stopping node writes a refusal on each connection that it closes, also on a new one that turns out to follow its feed. Decoded as a frame of the feed, it is a listing at the first revision without pages. Followers ignored it only because they know a later position. A listing always has a page; one without ends the feed. No test: found by reading the two formats.

--- a/crates/node/src/mesh/feed/follow.rs
+++ b/crates/node/src/mesh/feed/follow.rs
@@ -27,6 +27,8 @@
     Unreachable,
     #[error("no heartbeat within the timeout")]
     Silent,
+    #[error("the node is stopping")]
+    Stopping,
     #[error("the node no longer keeps the requested changes")]
     HistoryGone,
     #[error("invalid publisher response relayed: {0}")]
@@ -85,6 +87,8 @@
                 era,
             }),
             FeedFrame::HistoryGone => Err(FollowError::HistoryGone),
+            // What a stopping node writes on each connection that it closes can be decoded as this.
+            FeedFrame::Listed { pages, .. } if pages.is_empty() => Err(FollowError::Stopping),
             FeedFrame::Listed { position, pages } => {
                 let mut listing = Listing {
                     position,
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -92,7 +92,7 @@
         let head = tokio::select! {
             biased;
             head = timeout(IDLE_TIMEOUT, conn.read_head(MAX_HEAD)) => head,
-            () = set(&mut closing) => return refuse_next(conn).await,
+            () = wait_until_true(&mut closing) => return refuse_next(conn).await,
         };
         let Ok(head) = head else {
             return;
@@ -114,7 +114,7 @@
 }
 
 /// Waits until a flag is true, or its sender is gone.
-async fn set(flag: &mut watch::Receiver<bool>) {
+async fn wait_until_true(flag: &mut watch::Receiver<bool>) {
     let _ = flag.wait_for(|flag| *flag).await;
 }
 
