Soak: the target that restarts is not the one that announces its leaving

A new start has announced nothing, so the request to it is allowed (design/target-announcements.md).

The plan restarts the next machine in that case; other plans stay as they are, and the check is unchanged.

--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -362,8 +362,17 @@
     add_at(faults, seconds * 600, stop(StopAt::Host));
     add_at(faults, stop_at, stop(StopAt::Entry));
     add_at(faults, stop_at + STOP_MS, stop(StopAt::Host));
+    let restarted = rng.random_range(0..machines);
+    // A new start has not announced that it is leaving, but the stand-in goes on announcing it.
+    let announces = |scheduled: &ScheduledFault| {
+        let leaving = Fault::AnnounceLeaving { machine: restarted };
+        scheduled.fault == leaving
+    };
     let restart = Fault::RestartEarlier {
-        machine: rng.random_range(0..machines),
+        machine: match faults.iter().any(announces) {
+            true => (restarted + 1) % machines,
+            false => restarted,
+        },
         down_ms,
         serving_ms: SERVING_MS,
         draining_ms: DRAINING_MS,
