--- a/crates/core/src/mesh/rate_limit.rs
+++ b/crates/core/src/mesh/rate_limit.rs
@@ -38,11 +38,6 @@
         self.per_second == other.per_second
     }
 
-    /// Limit in requests per second.
-    pub fn per_second(&self) -> f64 {
-        self.per_second
-    }
-
     /// Adds the starts earned since the last call.
     pub fn refill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.refilled_at);
--- a/crates/core/src/mesh/service_times.rs
+++ b/crates/core/src/mesh/service_times.rs
@@ -38,11 +38,6 @@
         *mean += SAMPLE_WEIGHT * (held - *mean);
     }
 
-    /// Mean service time over all kinds in seconds, or `None` without samples.
-    pub fn overall(&self) -> Option<f64> {
-        self.overall
-    }
-
     /// Expected service time of a kind in seconds: its own mean, the mean over all kinds, or a default.
     pub fn expected(&self, kind: RequestKind) -> f64 {
         let mean = self.by_kind.get(&kind).copied();
--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -375,7 +375,7 @@
             true => self.headroom.limit(self.slots, now),
             false => self.slots,
         };
-        let slots = self.slots_within_limit();
+        let slots = f64::from(self.usable);
         self.level.update(slots, &self.backlog(slots), now);
     }
 
@@ -431,24 +431,6 @@
         wait + Duration::from_secs_f64(mean)
     }
 
-    /// Number of slots that the target can use, for the overload level.
-    ///
-    /// A rate limit counts while requests queue: without a queue, other instances have room for what the target does not
-    /// take, and shedding would refuse requests that they can serve.
-    fn slots_within_limit(&self) -> f64 {
-        let slots = f64::from(self.usable);
-        let times = match self.cfg.level_without_waits {
-            true => &self.work_times,
-            false => &self.service_times,
-        };
-        match (self.rate, times.overall()) {
-            (Some(rate), Some(mean)) if !self.queue.is_empty() => {
-                slots.min(rate.per_second() * mean)
-            }
-            _ => slots,
-        }
-    }
-
     fn has_free_slot(&self) -> bool {
         self.running() < self.usable
     }
