A long answer has ended with its last byte

By its log the answer before had been passed on whole.

Cause, by reading: the end of that answer was recorded when the receiver of its body saw the sender finish. The caller closes its connection once it has the last byte, and the receiver is dropped with it; where the sender is late, the answer counted as cut and its time was not kept.

Change: where the length is announced, the last byte ends the answer.

The failure was not reproduced before the change.

--- a/crates/node/src/mesh/body_channel.rs
+++ b/crates/node/src/mesh/body_channel.rs
@@ -30,6 +30,7 @@
         rx,
         is_complete,
         guards: Vec::new(),
+        left: None,
     };
     (sender, receiver)
 }
@@ -78,12 +79,18 @@
     rx: mpsc::Receiver<Bytes>,
     is_complete: Arc<AtomicBool>,
     guards: Vec<AnswerGuard>,
+    /// Bytes still to be received; `None` if the length was not announced.
+    left: Option<u64>,
 }
 
 impl BodyReceiver {
-    /// Adds a guard that is finished at the end of the body, and dropped if the body ends early.
-    pub fn guard(&mut self, guard: AnswerGuard) {
+    /// Adds a guard to a body of this length. It is finished at the end of the body, and dropped if the body ends early.
+    ///
+    /// The last byte is the end if the length is known: a caller that has received it may close its connection, and so
+    /// drop this receiver, before the sender finishes.
+    pub fn guard(&mut self, guard: AnswerGuard, length: Option<u64>) {
         self.guards.push(guard);
+        self.left = length;
     }
 
     /// Receives the next chunk; `None` at the end of the body.
@@ -93,12 +100,24 @@
     /// The sender was dropped before the end of the body.
     pub async fn recv(&mut self) -> Result<Option<Bytes>, BodyTruncated> {
         match self.rx.recv().await {
-            Some(chunk) => Ok(Some(chunk)),
+            Some(chunk) => {
+                self.left = self
+                    .left
+                    .map(|left| left.saturating_sub(chunk.len() as u64));
+                if self.left == Some(0) {
+                    self.finish_guards();
+                }
+                Ok(Some(chunk))
+            }
             None if self.is_complete.load(Ordering::Acquire) => {
-                self.guards.drain(..).for_each(AnswerGuard::finish);
+                self.finish_guards();
                 Ok(None)
             }
             None => Err(BodyTruncated),
         }
     }
+
+    fn finish_guards(&mut self) {
+        self.guards.drain(..).for_each(AnswerGuard::finish);
+    }
 }
--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -223,8 +223,8 @@
                 self.retry_after_failure(Ok(answer), true).await
             }
             Ok(mut answer) => {
-                if let Body::Stream { rx, .. } = &mut answer.body {
-                    rx.guard(guard.answer_guard());
+                if let Body::Stream { rx, length } = &mut answer.body {
+                    rx.guard(guard.answer_guard(), *length);
                 }
                 let outcome = SendOutcome::Answered {
                     relative_latency: 1.0,
--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -136,11 +136,11 @@
         } = self.run_at_target(req, conn, grace).await;
         let outcome = match &mut result {
             Ok(TargetAnswer {
-                body: Body::Stream { rx, .. },
+                body: Body::Stream { rx, length },
                 ..
             }) => {
                 let (outcome, guard) = slot.release_answering(end, announcement).await;
-                rx.guard(guard);
+                rx.guard(guard, *length);
                 outcome
             }
             _ => slot.release(end, announcement).await,
