Logs tell where a request without a response was

New metrics: mesh_response_wait_seconds, mesh_lost_responses_total{reason}, mesh_queue_wait_seconds. The end of a connection has a type that says why. No decision has changed.

--- a/crates/node/src/mesh/callers.rs
+++ b/crates/node/src/mesh/callers.rs
@@ -2,11 +2,15 @@
 
 mod chunk_deadline;
 mod connection;
+mod connection_end;
 mod listener;
+mod open_response;
 mod reader;
 mod registry;
 mod slot;
 mod writer;
 
+pub use connection_end::ConnectionEnd;
 pub use listener::{CallersConfig, listen};
+pub use open_response::OpenResponse;
 pub use registry::ConnectionRegistry;
--- a/crates/node/src/mesh/callers/connection.rs
+++ b/crates/node/src/mesh/callers/connection.rs
@@ -29,20 +29,24 @@
         write,
         shared: Arc::clone(&shared),
         stopping: cfg.stopping.clone(),
+        grace_over: cfg.grace_over.clone(),
         clock: Arc::clone(&clock),
         journal: journal.clone(),
     };
     let mut reader = Reader::new(read, Arc::clone(&shared), cfg);
-    tokio::select! {
-        () = reader.run(slots, &mut tasks) => {
+    let end = tokio::select! {
+        end = reader.run(slots, &mut tasks) => {
             if let Some(oldest) = shared.oldest() {
                 let age = clock.now().saturating_duration_since(oldest);
                 journal.caller_disconnected(shared.pending(), age);
             }
+            end
         }
-        () = writer.run(waiting) => {
+        end = writer.run(waiting) => {
             tasks.abort_all();
             reader.linger().await;
+            end
         }
-    }
+    };
+    journal.responses_lost(&shared.unanswered(), end, clock.now());
 }
--- /dev/null
+++ b/crates/node/src/mesh/callers/connection_end.rs
@@ -0,0 +1,38 @@
+//! Why a caller connection has ended.
+
+/// Reason for the end of a caller connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// All requests that were read have been answered.
+    Complete,
+    /// The caller closed the connection, or the connection failed.
+    CallerLeft,
+    /// No request came within the idle time.
+    Idle,
+    /// The body of a request could not be decoded or exceeded its size limit.
+    InvalidBody,
+    /// The body of a request stopped coming.
+    BodyTimeout,
+    /// A response ended before its body was complete.
+    ResponseTruncated,
+    /// A response could not be written.
+    WriteFailed,
+    /// The task of a request ended without a response.
+    TaskFailed,
+}
+
+impl ConnectionEnd {
+    /// Name used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::CallerLeft => "caller-left",
+            Self::Idle => "idle",
+            Self::InvalidBody => "invalid-body",
+            Self::BodyTimeout => "body-timeout",
+            Self::ResponseTruncated => "response-truncated",
+            Self::WriteFailed => "write-failed",
+            Self::TaskFailed => "task-failed",
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/mesh/callers/open_response.rs
@@ -0,0 +1,89 @@
+//! Requests of a caller connection whose responses have not been written.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+
+/// Number of a request on its connection, from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ResponseSeq(u64);
+
+/// A request without a complete response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenResponse {
+    /// Request id; empty if the caller sent none.
+    pub id: SmolStr,
+    /// When the head of the request was read.
+    pub read_at: Instant,
+    /// Number of unanswered requests on the connection when it was read.
+    pub ahead: usize,
+    /// When its response was ready to be written.
+    pub ready_at: Option<Instant>,
+}
+
+impl OpenResponse {
+    /// Time for which the response has been ready.
+    pub fn waited(&self, now: Instant) -> Duration {
+        self.ready_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+}
+
+/// The requests without a complete response on one connection, oldest first.
+#[derive(Debug, Default)]
+pub struct OpenResponses {
+    open: VecDeque<OpenResponse>,
+    /// Number of the oldest one.
+    first: u64,
+}
+
+impl OpenResponses {
+    /// Adds a request.
+    pub fn push(&mut self, id: SmolStr, now: Instant) -> ResponseSeq {
+        let ahead = self.open.len();
+        self.open.push_back(OpenResponse {
+            id,
+            read_at: now,
+            ahead,
+            ready_at: None,
+        });
+        ResponseSeq(self.first + ahead as u64)
+    }
+
+    /// Records that a response is ready.
+    pub fn set_ready(&mut self, seq: ResponseSeq, now: Instant) {
+        let index = seq.0.checked_sub(self.first);
+        let index = index.and_then(|index| usize::try_from(index).ok());
+        if let Some(open) = index.and_then(|index| self.open.get_mut(index)) {
+            open.ready_at = Some(now);
+        }
+    }
+
+    /// Removes the oldest request.
+    pub fn pop(&mut self) -> Option<OpenResponse> {
+        let oldest = self.open.pop_front()?;
+        self.first += 1;
+        Some(oldest)
+    }
+
+    /// The oldest request.
+    pub fn front(&self) -> Option<&OpenResponse> {
+        self.open.front()
+    }
+
+    /// Number of requests.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// Returns all requests.
+    pub fn to_vec(&self) -> Vec<OpenResponse> {
+        self.open.iter().cloned().collect()
+    }
+}
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 use coltsfootport_core::mesh::{CallerLimits, Refusal};
 use coltsfootport_core::quarantine::BodyDigest;
+use smol_str::SmolStr;
 use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::OwnedReadHalf;
@@ -15,13 +16,16 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use super::connection_end::ConnectionEnd;
 use super::listener::CallersConfig;
+use super::open_response::ResponseSeq;
 use super::slot::{ConnectionState, ResponseSlot};
 use crate::h1::{
     BodyDecoder, Decoded, Framing, H1Error, RequestHead, parse_request, request_framing,
 };
 use crate::mesh::body_channel::{BodySender, body_channel};
 use crate::mesh::call::{Body, CallerAnswer, CallerRequest, MAX_BODY_CHUNK, MAX_BUFFERED_BODY};
+use crate::mesh::entry::text_header;
 use crate::mesh::open_request::OpenRequestGuard;
 
 /// Read size in bytes while a long body is received.
@@ -50,14 +54,24 @@
 
 /// Why no further request is read.
 enum ReadEnd {
-    /// The caller disconnected, timed out or sent an invalid body.
-    Disconnected,
+    /// The connection ends at once.
+    Ended(ConnectionEnd),
     /// The connection is closing; a request read since must not run.
     Closing,
     /// The request is answered with a refusal, after which the connection is closed.
     Refused(Refusal),
 }
 
+/// Passes the response to a request on to the writer.
+struct ResponseSender {
+    answer: oneshot::Sender<CallerAnswer>,
+    seq: ResponseSeq,
+}
+
+const fn caller_left() -> ReadEnd {
+    ReadEnd::Ended(ConnectionEnd::CallerLeft)
+}
+
 impl Reader {
     /// Creates the reader of a new connection.
     pub fn new(read: OwnedReadHalf, shared: Arc<ConnectionState>, cfg: CallersConfig) -> Self {
@@ -70,9 +84,13 @@
         }
     }
 
-    /// Reads requests until the caller disconnects. After the last request it keeps reading and discards the input, to
+    /// Reads requests until the connection ends. After the last request it keeps reading and discards the input, to
     /// detect a caller that disconnects before its response.
-    pub async fn run(&mut self, slots: mpsc::Sender<ResponseSlot>, tasks: &mut JoinSet<()>) {
+    pub async fn run(
+        &mut self,
+        slots: mpsc::Sender<ResponseSlot>,
+        tasks: &mut JoinSet<()>,
+    ) -> ConnectionEnd {
         loop {
             // Finished tasks hold memory until they are joined.
             while tasks.try_join_next().is_some() {}
@@ -80,11 +98,14 @@
             match self.read_request(&limits, &slots, tasks).await {
                 Ok(()) if self.shared.is_closing() => return self.drain().await,
                 Ok(()) => {}
-                Err(ReadEnd::Disconnected) => return,
+                Err(ReadEnd::Ended(end)) => return end,
                 Err(ReadEnd::Closing) => return self.drain().await,
                 Err(ReadEnd::Refused(refusal)) => {
                     let now = self.cfg.entry.clock.now();
-                    self.shared.record_request(now);
+                    let seq = self.shared.record_request(SmolStr::default(), now);
+                    if let Some(seq) = seq {
+                        self.shared.record_ready(seq, now);
+                    }
                     self.shared.close();
                     self.refuse(refusal, &slots).await;
                     return self.drain().await;
@@ -101,11 +122,11 @@
     }
 
     /// Discards input until the caller closes the connection.
-    async fn drain(&mut self) {
+    async fn drain(&mut self) -> ConnectionEnd {
         loop {
             self.buf.clear();
             if self.fill().await.is_err() {
-                return;
+                return ConnectionEnd::CallerLeft;
             }
         }
     }
@@ -123,14 +144,15 @@
         if matches!(framing, Framing::Length(length) if length > limits.body_bytes) {
             return Err(ReadEnd::Refused(Refusal::BodyTooLarge));
         }
-        if !self.shared.record_request(arrived) {
-            return Err(ReadEnd::Closing);
-        }
+        let id = text_header(&head.headers, self.cfg.entry.dialect.request_id);
+        let seq = self.shared.record_request(id, arrived);
+        let seq = seq.ok_or(ReadEnd::Closing)?;
         let keep_alive = head.keep_alive;
         if !keep_alive {
             self.shared.close();
         }
-        let (tx, rx) = oneshot::channel();
+        let (answer, rx) = oneshot::channel();
+        let tx = ResponseSender { answer, seq };
         let slot = ResponseSlot {
             answer: rx,
             keep_alive,
@@ -140,7 +162,7 @@
         };
         // Blocks while the maximum number of pipelined requests is pending.
         let permit = self.while_connected(pin!(slots.reserve())).await?;
-        permit.map_err(|_| ReadEnd::Disconnected)?.send(slot);
+        permit.map_err(|_| caller_left())?.send(slot);
         self.read_body(head, framing, arrived, limits, tx, tasks)
             .await
     }
@@ -173,7 +195,7 @@
                 () = shared.evicted() => {
                     self.read_available()?;
                     match self.buf.is_empty() {
-                        true => return Err(ReadEnd::Disconnected),
+                        true => return Err(ReadEnd::Ended(ConnectionEnd::Idle)),
                         false => continue,
                     }
                 }
@@ -185,7 +207,7 @@
                 }
                 // A caller that waits for a response is not idle.
                 Err(_) if self.shared.pending() > 0 => {}
-                Err(_) => return Err(ReadEnd::Disconnected),
+                Err(_) => return Err(ReadEnd::Ended(ConnectionEnd::Idle)),
             }
         }
     }
@@ -198,7 +220,7 @@
         framing: Framing,
         arrived: Instant,
         limits: &CallerLimits,
-        tx: oneshot::Sender<CallerAnswer>,
+        tx: ResponseSender,
         tasks: &mut JoinSet<()>,
     ) -> Result<(), ReadEnd> {
         let mut decoder = BodyDecoder::new(framing);
@@ -243,12 +265,12 @@
         loop {
             let limit = MAX_BUFFERED_BODY.saturating_sub(buffered.len());
             let decoded = decoder.decode_up_to(&mut self.buf, limit);
-            match decoded.map_err(|_| ReadEnd::Disconnected)? {
+            match decoded.map_err(|_| ReadEnd::Ended(ConnectionEnd::InvalidBody))? {
                 Decoded::End => return Ok(true),
                 Decoded::Data(data) => {
                     buffered.extend_from_slice(&data);
                     if buffered.len() as u64 > limits.body_bytes {
-                        return Err(ReadEnd::Disconnected);
+                        return Err(ReadEnd::Ended(ConnectionEnd::InvalidBody));
                     }
                     if buffered.len() >= MAX_BUFFERED_BODY && !decoder.is_done() {
                         return Ok(false);
@@ -268,12 +290,12 @@
     ) -> Result<(), ReadEnd> {
         loop {
             let decoded = decoder.decode_up_to(&mut self.buf, MAX_BODY_CHUNK);
-            match decoded.map_err(|_| ReadEnd::Disconnected)? {
+            match decoded.map_err(|_| ReadEnd::Ended(ConnectionEnd::InvalidBody))? {
                 Decoded::End => return Ok(()),
                 Decoded::Data(data) => {
                     *total += data.len() as u64;
                     if *total > limits.body_bytes {
-                        return Err(ReadEnd::Disconnected);
+                        return Err(ReadEnd::Ended(ConnectionEnd::InvalidBody));
                     }
                     // The channel is closed if the response came before the end of the body. The rest is then
                     // discarded, so that the connection stays usable.
@@ -286,17 +308,14 @@
         }
     }
 
-    fn spawn_request(
-        &self,
-        req: CallerRequest,
-        tx: oneshot::Sender<CallerAnswer>,
-        tasks: &mut JoinSet<()>,
-    ) {
+    fn spawn_request(&self, req: CallerRequest, tx: ResponseSender, tasks: &mut JoinSet<()>) {
         let entry = self.cfg.entry.clone();
+        let shared = Arc::clone(&self.shared);
         tasks.spawn(async move {
             let answer = entry.serve(req).await;
+            shared.record_ready(tx.seq, entry.clock.now());
             // Fails if the caller has disconnected and the writer has stopped.
-            let _ = tx.send(answer);
+            let _ = tx.answer.send(answer);
         });
     }
 
@@ -336,10 +355,10 @@
         while self.buf.len() < MAX_READ_AHEAD {
             let read = (&*SockRef::from(self.read.as_ref())).read(&mut chunk);
             match read {
-                Ok(0) => return Err(ReadEnd::Disconnected),
+                Ok(0) => return Err(caller_left()),
                 Ok(read) => self.buf.extend_from_slice(&chunk[..read]),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
-                Err(_) => return Err(ReadEnd::Disconnected),
+                Err(_) => return Err(caller_left()),
             }
         }
         Ok(())
@@ -348,7 +367,7 @@
     async fn fill_with_timeout(&mut self, limits: &CallerLimits) -> Result<(), ReadEnd> {
         match timeout(limits.idle_timeout, self.fill()).await {
             Ok(read) => read,
-            Err(_) => Err(ReadEnd::Disconnected),
+            Err(_) => Err(ReadEnd::Ended(ConnectionEnd::BodyTimeout)),
         }
     }
 
@@ -356,7 +375,7 @@
         self.buf.reserve(self.next_read);
         let read = match self.read.read_buf(&mut self.buf).await {
             Ok(read) if read > 0 => read,
-            _ => return Err(ReadEnd::Disconnected),
+            _ => return Err(caller_left()),
         };
         self.next_read = match read >= self.next_read {
             true => LARGE_READ,
--- a/crates/node/src/mesh/callers/slot.rs
+++ b/crates/node/src/mesh/callers/slot.rs
@@ -1,12 +1,13 @@
 //! Response slots and the state shared by the two halves of a caller connection.
 
-use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
+use super::open_response::{OpenResponse, OpenResponses, ResponseSeq};
 use super::registry::Registration;
 use crate::mesh::call::CallerAnswer;
 use crate::mesh::open_request::OpenRequestGuard;
@@ -29,8 +30,7 @@
 /// State shared by the reading and writing halves of a connection.
 #[derive(Debug)]
 pub struct ConnectionState {
-    /// When each request without a complete response was read, oldest first.
-    open: Mutex<VecDeque<Instant>>,
+    open: Mutex<OpenResponses>,
     closing: AtomicBool,
     registration: Registration,
 }
@@ -45,25 +45,36 @@
         }
     }
 
-    /// Records that a request was read. Returns `false` if the connection is closing; the request must not run then.
-    pub fn record_request(&self, now: Instant) -> bool {
+    /// Records that a request was read. Returns `None` if the connection is closing; the request must not run then.
+    pub fn record_request(&self, id: SmolStr, now: Instant) -> Option<ResponseSeq> {
         if self.closing.load(Ordering::SeqCst) {
-            return false;
+            return None;
         }
         let mut open = self.open();
         if open.is_empty() {
             self.registration.set_busy();
         }
-        open.push_back(now);
-        true
+        Some(open.push(id, now))
+    }
+
+    /// Records that a response may be written as soon as those before it have been.
+    pub fn record_ready(&self, seq: ResponseSeq, now: Instant) {
+        self.open().set_ready(seq, now);
     }
 
-    /// Records that a response was written.
-    pub fn record_response(&self) {
+    /// Records that a response was written, and returns it.
+    pub fn record_response(&self) -> Option<OpenResponse> {
         let mut open = self.open();
-        if open.pop_front().is_some() && open.is_empty() {
+        let written = open.pop()?;
+        if open.is_empty() {
             self.registration.set_idle();
         }
+        Some(written)
+    }
+
+    /// Returns the requests that were read and have no complete response yet, oldest first.
+    pub fn unanswered(&self) -> Vec<OpenResponse> {
+        self.open().to_vec()
     }
 
     /// Whether the connection should be closed after its next response to make room for others.
@@ -83,7 +94,7 @@
 
     /// When the oldest request without a complete response was read.
     pub fn oldest(&self) -> Option<Instant> {
-        self.open().front().copied()
+        self.open().front().map(|oldest| oldest.read_at)
     }
 
     /// Marks the connection as closing after the next response, unless further requests have been read. Callers resend
@@ -106,7 +117,7 @@
         self.closing.load(Ordering::SeqCst)
     }
 
-    fn open(&self) -> MutexGuard<'_, VecDeque<Instant>> {
+    fn open(&self) -> MutexGuard<'_, OpenResponses> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/node/src/mesh/callers/writer.rs
+++ b/crates/node/src/mesh/callers/writer.rs
@@ -9,10 +9,12 @@
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::oneshot::error::RecvError;
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
 use super::chunk_deadline::ChunkDeadline;
+use super::connection_end::ConnectionEnd;
 use super::slot::{ConnectionState, ResponseSlot};
 use crate::clock::SharedClock;
 use crate::h1::{Framing, LAST_CHUNK, encode_chunk, encode_response_head};
@@ -28,6 +30,8 @@
     pub shared: Arc<ConnectionState>,
     /// Becomes true when the node starts to shut down.
     pub stopping: watch::Receiver<bool>,
+    /// Becomes true when the grace period of a stopping node is nearly over.
+    pub grace_over: watch::Receiver<bool>,
     /// Clock.
     pub clock: SharedClock,
     /// Journal in which stalled responses are logged.
@@ -54,7 +58,7 @@
 
 impl Writer {
     /// Writes responses until the connection's last one, or until one can't be written completely.
-    pub async fn run(mut self, mut slots: mpsc::Receiver<ResponseSlot>) {
+    pub async fn run(mut self, mut slots: mpsc::Receiver<ResponseSlot>) -> ConnectionEnd {
         while let Some(slot) = slots.recv().await {
             let ResponseSlot {
                 answer,
@@ -64,8 +68,8 @@
                 open,
             } = slot;
             // A request task ends without a response only when the whole connection is being torn down.
-            let Ok(answer) = answer.await else {
-                return;
+            let Ok(answer) = self.wait_for(answer).await else {
+                return ConnectionEnd::TaskFailed;
             };
             let last =
                 !keep_alive || answer.close || self.closes_for_shutdown() || self.closes_for_room();
@@ -76,22 +80,45 @@
             let last = last || framing == Framing::UntilClose;
             match self.write_answer(answer, framing, last, head_only).await {
                 Ok(()) => {
-                    self.shared.record_response();
+                    if let Some(written) = self.shared.record_response() {
+                        self.journal.response_written(&written, self.clock.now());
+                    }
                     drop(open);
                 }
                 Err(WriteError::BodyTruncated) if framing == Framing::UntilClose => {
-                    return self.reset();
+                    self.reset();
+                    return ConnectionEnd::ResponseTruncated;
                 }
-                Err(WriteError::Io | WriteError::BodyTruncated) => return,
+                Err(WriteError::BodyTruncated) => return ConnectionEnd::ResponseTruncated,
+                Err(WriteError::Io) => return ConnectionEnd::WriteFailed,
             }
             if last {
                 // The reading half stays open for a while; see Reader::linger.
                 let _ = self.write.shutdown().await;
-                return;
+                return ConnectionEnd::Complete;
             }
         }
         // All requests that were read have been answered.
         let _ = self.write.shutdown().await;
+        ConnectionEnd::Complete
+    }
+
+    /// Waits for a response. Logs the responses that are ready behind it when the grace period is nearly over.
+    async fn wait_for(
+        &mut self,
+        mut answer: oneshot::Receiver<CallerAnswer>,
+    ) -> Result<CallerAnswer, RecvError> {
+        tokio::select! {
+            biased;
+            answer = &mut answer => return answer,
+            _ = self.grace_over.wait_for(|is_over| *is_over) => {}
+        }
+        for open in self.shared.unanswered() {
+            if open.ready_at.is_some() {
+                self.journal.held_back(&open, self.clock.now());
+            }
+        }
+        answer.await
     }
 
     /// Aborts the connection with a TCP reset. Without chunked coding a close marks the end of the body, so that after
--- a/crates/node/src/mesh/controller/admission.rs
+++ b/crates/node/src/mesh/controller/admission.rs
@@ -55,6 +55,9 @@
         if parent.is_none() && !self.drain_admits_caller(route, req, now) {
             return Err(denial(Refusal::Stopping, Some(RETRY_AFTER_NOT_READY)));
         }
+        if parent.is_some() {
+            self.log_call_while_draining(route, req);
+        }
         let (rank, workspace, admitted_share) = match &parent {
             // Not subject to quotas or shedding: refusing it would waste the work already done by its parent run and by
             // the runs above that one.
--- a/crates/node/src/mesh/controller/dispatch.rs
+++ b/crates/node/src/mesh/controller/dispatch.rs
@@ -37,13 +37,14 @@
             drop(reply.send(Err(self.slot_refusal(Refusal::ExpiredUnsent, None))));
             return;
         }
-        self.enter_by_suspicion(Waiter { req, reply }, now);
+        let since = now;
+        self.enter_by_suspicion(Waiter { req, reply, since }, now);
     }
 
     /// Grants a request a slot, queues it or refuses it, without regard to its suspicion level. Returns its ticket
     /// unless it was refused.
     pub(super) fn enter_gate(&mut self, waiter: Waiter, now: Instant) -> Option<Ticket> {
-        let Waiter { req, reply } = waiter;
+        let Waiter { req, reply, since } = waiter;
         let waiting = coltsfootport_core::mesh::SlotRequest {
             rank: req.rank,
             shed_order: self.shed_order(req.rank),
@@ -60,11 +61,11 @@
         }
         match self.gate.admit(waiting, now) {
             Admission::Dispatched(ticket) => {
-                self.grant(ticket, Waiter { req, reply }, now);
+                self.grant(ticket, Waiter { req, reply, since }, now);
                 Some(ticket)
             }
             Admission::Queued(ticket) => {
-                self.waiting.insert(ticket, Waiter { req, reply });
+                self.waiting.insert(ticket, Waiter { req, reply, since });
                 Some(ticket)
             }
             Admission::Refused { retry_after } => {
@@ -151,10 +152,13 @@
 
     /// Removes queued requests that no one waits for any more.
     pub(super) fn remove_abandoned_waiters(&mut self) {
-        let gate = &mut self.gate;
+        let now = self.clock.now();
+        let Self { gate, journal, .. } = self;
         self.waiting.retain(|ticket, waiter| {
             let abandoned = waiter.reply.is_closed();
             if abandoned {
+                let wait = now.saturating_duration_since(waiter.since);
+                journal.left_queue(&waiter.req.id, "sender-left", wait);
                 gate.cancel(*ticket);
             }
             !abandoned
@@ -195,6 +199,7 @@
     }
 
     fn grant(&mut self, ticket: Ticket, waiter: Waiter, now: Instant) {
+        self.log_left_queue(&waiter, "granted", now);
         let run = Run {
             id: waiter.req.id,
             fingerprint: waiter.req.fingerprint,
@@ -231,8 +236,14 @@
         config.map_or(0, |config| config.shed_order(rank))
     }
 
+    fn log_left_queue(&self, waiter: &Waiter, outcome: &str, now: Instant) {
+        let wait = now.saturating_duration_since(waiter.since);
+        self.journal.left_queue(&waiter.req.id, outcome, wait);
+    }
+
     fn refuse_waiter(&mut self, ticket: Ticket, refusal: Refusal) {
         if let Some(waiter) = self.waiting.remove(&ticket) {
+            self.log_left_queue(&waiter, refusal.as_str(), self.clock.now());
             let refused = self.slot_refusal(refusal, None);
             drop(waiter.reply.send(Err(refused)));
         }
--- a/crates/node/src/mesh/controller/drain.rs
+++ b/crates/node/src/mesh/controller/drain.rs
@@ -31,6 +31,16 @@
         drain.admits_caller(expected, left, now)
     }
 
+    /// Logs a call of a run that is admitted while the node drains.
+    pub(super) fn log_call_while_draining(&self, route: &Route, req: &AdmissionRequest) {
+        if self.drain.is_some() {
+            let stats = self.route_stats.get(&route.name);
+            let expected = stats.map_or(Duration::ZERO, RouteStats::expected_completion);
+            let left = req.time_left.unwrap_or(route.timeout);
+            self.journal.call_while_draining(&req.id, expected, left);
+        }
+    }
+
     /// Whether draining, if it has started, still allows a request from another node.
     pub(super) fn drain_admits_peer(&self, req: &SlotRequest, now: Instant) -> bool {
         let Some(drain) = &self.drain else {
--- a/crates/node/src/mesh/controller/state.rs
+++ b/crates/node/src/mesh/controller/state.rs
@@ -84,6 +84,8 @@
 pub(super) struct Waiter {
     pub req: AcquireSlotRequest,
     pub reply: oneshot::Sender<Result<SlotGrant, SlotRefusal>>,
+    /// When it arrived.
+    pub since: Instant,
 }
 
 /// Channels on which a controller notifies other tasks.
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -199,7 +199,8 @@
     credential
 }
 
-fn text_header(headers: &HeaderMap, name: &str) -> SmolStr {
+/// Value of a header as text; empty if it is missing or not text.
+pub fn text_header(headers: &HeaderMap, name: &str) -> SmolStr {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
     SmolStr::new(value.unwrap_or_default())
 }
--- a/crates/node/src/mesh/metrics.rs
+++ b/crates/node/src/mesh/metrics.rs
@@ -22,6 +22,12 @@
     answers: IntCounterVec,
     /// Time from the arrival of a request to its response.
     latency: Histogram,
+    /// Time for which responses waited for earlier ones on their connection.
+    pub response_wait: Histogram,
+    /// Time that requests spent in the queue of the local target.
+    pub queue_wait: Histogram,
+    /// Requests without a response when their connection ended, by reason.
+    lost_responses: IntCounterVec,
     /// Failed requests, by retry decision.
     retries: IntCounterVec,
     /// Decisions about workspace quotas, by basis and outcome.
@@ -101,18 +107,32 @@
             "reported slowness of the own target, 1 for the median of its service",
         ))?;
         registry.register(Box::new(slowness.clone()))?;
-        let latency = HistogramOpts::new("answer_seconds", "time from a request to its answer")
-            .namespace(NAMESPACE)
-            .buckets(LATENCY_BUCKETS.to_vec());
-        let latency = Histogram::with_opts(latency)?;
-        registry.register(Box::new(latency.clone()))?;
+        let histogram = |name: &str, help: &str| -> Result<Histogram, Error> {
+            let opts = HistogramOpts::new(name, help).namespace(NAMESPACE);
+            let histogram = Histogram::with_opts(opts.buckets(LATENCY_BUCKETS.to_vec()))?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
         Ok(Self {
             answers: counter_vec(
                 "answers_total",
                 "answers to callers",
                 &["status", "refusal"],
             )?,
-            latency,
+            latency: histogram("answer_seconds", "time from a request to its answer")?,
+            response_wait: histogram(
+                "response_wait_seconds",
+                "time for which a response waited for those before it on its connection",
+            )?,
+            queue_wait: histogram(
+                "queue_wait_seconds",
+                "time that a request spent in the queue of the own target",
+            )?,
+            lost_responses: counter_vec(
+                "lost_responses_total",
+                "requests without an answer when their connection ended",
+                &["reason"],
+            )?,
             retries: counter_vec("repeats_total", "requests that failed", &["decision"])?,
             quota_decisions: counter_vec(
                 "quota_decisions_total",
@@ -205,6 +225,11 @@
         self.accept_failures.with_label_values(&[listener]).inc();
     }
 
+    /// Records a request without a response at the end of its connection.
+    pub fn response_lost(&self, reason: &str) {
+        self.lost_responses.with_label_values(&[reason]).inc();
+    }
+
     /// Records a read of the publisher.
     pub fn read(&self, outcome: &str) {
         self.reads.with_label_values(&[outcome]).inc();
