Calls of runs at a stopping node have to end in time

What callers saw: a run at the target of a stopping node made a call through that node, and the connection of the call closed without a response when the supervisor killed the node. The call had been passed on to a target.

Cause: the admission rule of a draining node held for external requests only. Calls of runs were admitted until the node's end.

Change: a call is admitted if the time since the stop signal plus twice its usual response time, at most the time left to it and to its run, ends half a second before the grace period does. No caller window applies, since runs make calls until they end. A call of a kind whose usual time is not known is not started in the last sixth of the grace period. Other calls get 503 `stopping`, which says that they have not run.

The cases of draining_node_starts_calls_that_end_in_time pass.

--- a/crates/core/src/mesh/drain.rs
+++ b/crates/core/src/mesh/drain.rs
@@ -28,6 +28,19 @@
     }
 }
 
+impl DrainConfig {
+    /// Time after the stop signal at which the last sixth of the grace period begins. From then on, no request waits for
+    /// a slot: its refusal has to reach the caller before the forced end.
+    pub fn waiting_end(&self) -> Duration {
+        self.grace_period - self.grace_period / 6
+    }
+
+    /// Time after the stop signal by which requests should have finished.
+    fn latest_end(&self) -> Duration {
+        self.grace_period.saturating_sub(self.margin)
+    }
+}
+
 /// The draining of a node that has received the stop signal. Later signals and changed settings don't move its end.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Drain {
@@ -46,16 +59,28 @@
     ///
     /// A request refused here has not run and can be retried; one that is cut off at the end may have run.
     pub fn admits_caller(&self, expected: Duration, left: Duration, now: Instant) -> bool {
-        let latest = self.cfg.grace_period.saturating_sub(self.cfg.margin);
-        self.elapsed(now) < self.cfg.caller_window
-            && self.expected_end(expected, left, now) <= latest
+        self.elapsed(now) < self.cfg.caller_window && self.ends_in_time(expected, left, now)
     }
 
     /// Whether to admit a request of another node: only if it is not expected to delay the end of this node beyond the
     /// time when its own callers have left. The other node can choose another host immediately.
     pub fn admits_peer(&self, expected: Duration, left: Duration, now: Instant) -> bool {
-        let latest = self.cfg.grace_period.saturating_sub(self.cfg.margin);
-        self.expected_end(expected, left, now) <= latest.min(self.cfg.caller_window)
+        let latest = self.cfg.latest_end().min(self.cfg.caller_window);
+        self.expected_end(expected, left, now) <= latest
+    }
+
+    /// Whether to start a call of a run, or another attempt to serve a request: only if it is expected to finish before
+    /// the forced end of the node. Runs make calls until they end, so no caller window applies. If nothing is known about
+    /// its kind, it does not start in the last sixth of the grace period.
+    pub fn lets_start(&self, expected: Duration, left: Duration, now: Instant) -> bool {
+        let is_known = !expected.is_zero();
+        (is_known || self.elapsed(now) < self.cfg.waiting_end())
+            && self.ends_in_time(expected, left, now)
+    }
+
+    /// Whether a request that starts now is expected to finish before the forced end of the node.
+    fn ends_in_time(&self, expected: Duration, left: Duration, now: Instant) -> bool {
+        self.expected_end(expected, left, now) <= self.cfg.latest_end()
     }
 
     /// Time from the stop signal to the expected end of a request that is admitted now.
--- a/crates/core/tests/mesh_drain.rs
+++ b/crates/core/tests/mesh_drain.rs
@@ -116,3 +116,87 @@
     assert!(!drain.admits_caller(ms(10), ms(5000), now));
     assert!(!drain.admits_peer(ms(10), ms(5000), now));
 }
+
+/// Guards against calls of runs that are sent until the forced end of the node: they end without a response.
+#[test]
+fn draining_node_starts_calls_that_end_in_time() {
+    struct Case {
+        name: &'static str,
+        elapsed: u64,
+        expected: u64,
+        left: u64,
+        starts: bool,
+    }
+    let cases = [
+        Case {
+            name: "unknown kind, after the caller window",
+            elapsed: 4900,
+            expected: 0,
+            left: 9000,
+            starts: true,
+        },
+        Case {
+            name: "unknown kind, last sixth of the grace period",
+            elapsed: 5000,
+            expected: 0,
+            left: 9000,
+            starts: false,
+        },
+        Case {
+            name: "short, last sixth of the grace period",
+            elapsed: 5000,
+            expected: 200,
+            left: 9000,
+            starts: true,
+        },
+        Case {
+            name: "short, within the margin",
+            elapsed: 5400,
+            expected: 51,
+            left: 9000,
+            starts: false,
+        },
+        Case {
+            name: "long, while it can still end",
+            elapsed: 2500,
+            expected: 1500,
+            left: 9000,
+            starts: true,
+        },
+        Case {
+            name: "long, when it can't end any more",
+            elapsed: 2501,
+            expected: 1500,
+            left: 9000,
+            starts: false,
+        },
+        Case {
+            name: "long, but bounded by its deadline",
+            elapsed: 4500,
+            expected: 1500,
+            left: 1000,
+            starts: true,
+        },
+        Case {
+            name: "after the grace period",
+            elapsed: 7000,
+            expected: 0,
+            left: 0,
+            starts: false,
+        },
+    ];
+    let now = Instant::now();
+    let cfg = DrainConfig {
+        grace_period: ms(6000),
+        caller_window: ms(2400),
+        margin: ms(500),
+        tail_factor: 2.0,
+    };
+    let drain = Drain::new(cfg, now);
+    for case in cases {
+        let (expected, left) = (ms(case.expected), ms(case.left));
+        let at = now + ms(case.elapsed);
+        let starts = drain.lets_start(expected, left, at);
+        assert_eq!(starts, case.starts, "{}, start", case.name);
+    }
+}
--- a/crates/node/src/mesh/controller/admission.rs
+++ b/crates/node/src/mesh/controller/admission.rs
@@ -52,12 +52,13 @@
         let Some((key, route)) = config.find(&req.host, &req.path) else {
             return Err(self.route_not_found(now));
         };
-        if parent.is_none() && !self.drain_admits_caller(route, req, now) {
+        let drain_admits = match &parent {
+            Some(parent) => self.drain_admits_call(route, req, parent, now),
+            None => self.drain_admits_caller(route, req, now),
+        };
+        if !drain_admits {
             return Err(denial(Refusal::Stopping, Some(RETRY_AFTER_NOT_READY)));
         }
-        if parent.is_some() {
-            self.log_call_while_draining(route, req);
-        }
         let (rank, workspace, admitted_share) = match &parent {
             // Not subject to quotas or shedding: refusing it would waste the work already done by its parent run and by
             // the runs above that one.
--- a/crates/node/src/mesh/controller/drain.rs
+++ b/crates/node/src/mesh/controller/drain.rs
@@ -5,7 +5,7 @@
 use coltsfootport_core::mesh::{Drain, Route, SlotRequest};
 
 use super::route_stats::RouteStats;
-use super::{AdmissionRequest, Controller};
+use super::{AdmissionRequest, Controller, ParentRun};
 
 impl Controller {
     /// Starts draining after a stop signal.
@@ -23,22 +23,35 @@
         let Some(drain) = &self.drain else {
             return true;
         };
-        let stats = self.route_stats.get(&route.name);
-        let expected = stats.map_or(Duration::ZERO, RouteStats::expected_completion);
-        let left = req
-            .time_left
-            .map_or(route.timeout, |left| left.min(route.timeout));
-        drain.admits_caller(expected, left, now)
+        let expected = self.expected_completion(&route.name);
+        drain.admits_caller(expected, time_left(route, req), now)
     }
 
-    /// Logs a call of a run that is admitted while the node drains.
-    pub(super) fn log_call_while_draining(&self, route: &Route, req: &AdmissionRequest) {
-        if self.drain.is_some() {
-            let stats = self.route_stats.get(&route.name);
-            let expected = stats.map_or(Duration::ZERO, RouteStats::expected_completion);
-            let left = req.time_left.unwrap_or(route.timeout);
+    /// Whether draining, if it has started, still allows a call of a run. Logs a call that it allows.
+    pub(super) fn drain_admits_call(
+        &self,
+        route: &Route,
+        req: &AdmissionRequest,
+        parent: &ParentRun,
+        now: Instant,
+    ) -> bool {
+        let Some(drain) = &self.drain else {
+            return true;
+        };
+        let expected = self.expected_completion(&route.name);
+        let parent_left = parent.deadline.saturating_duration_since(now);
+        let left = time_left(route, req).min(parent_left);
+        let admits = drain.lets_start(expected, left, now);
+        if admits {
             self.journal.call_while_draining(&req.id, expected, left);
         }
+        admits
+    }
+
+    /// Expected time until the whole answer of a route has been passed on; zero if it is not known.
+    fn expected_completion(&self, route: &str) -> Duration {
+        let stats = self.route_stats.get(route);
+        stats.map_or(Duration::ZERO, RouteStats::expected_completion)
     }
 
     /// Whether draining, if it has started, still allows a request from another node.
@@ -63,3 +76,9 @@
         }
     }
 }
+
+/// Time until the caller gives up or the route's timeout expires.
+fn time_left(route: &Route, req: &AdmissionRequest) -> Duration {
+    req.time_left
+        .map_or(route.timeout, |left| left.min(route.timeout))
+}
