A stopping host refuses what waits too long for its target

What callers saw: a request waited in the queue of a host that was stopping. When the supervisor killed the host, a bid got 502, so that nobody could tell whether it had run, although another host had room. Where the host was also the node that had taken the request, its connection closed without a response.

Cause: draining was considered only as a request arrived at the host. Once queued, it could wait until its own deadline.

Change: Drain::lets_wait says how long requests may wait: until the last sixth of the grace period, and not when a run that starts now is expected to outlast the node. Waiting requests, isolated ones too, are refused as `stopping` from then on, before any of them is dispatched, so that their entries send them elsewhere. refuse_waiting takes the place of a loop in refuse_waiters_of_stopped.

--- a/crates/core/src/mesh/drain.rs
+++ b/crates/core/src/mesh/drain.rs
@@ -78,6 +78,11 @@
             && self.ends_in_time(expected, left, now)
     }
 
+    /// Whether a request that waits for a slot may go on waiting.
+    pub fn lets_wait(&self, expected: Duration, left: Duration, now: Instant) -> bool {
+        self.elapsed(now) < self.cfg.waiting_end() && self.ends_in_time(expected, left, now)
+    }
+
     /// Whether a request that starts now is expected to finish before the forced end of the node.
     fn ends_in_time(&self, expected: Duration, left: Duration, now: Instant) -> bool {
         self.expected_end(expected, left, now) <= self.cfg.latest_end()
--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -426,9 +426,13 @@
             true => Duration::ZERO,
             false => self.expected_wait(request),
         };
-        let mean = self.completion_times.mean(request.kind);
-        let mean = mean.unwrap_or_default();
-        wait + Duration::from_secs_f64(mean)
+        wait + self.mean_completion(request.kind)
+    }
+
+    /// Mean time from the dispatch of requests of a kind to the end of their answers; zero without samples.
+    pub fn mean_completion(&self, kind: RequestKind) -> Duration {
+        let mean = self.completion_times.mean(kind);
+        mean.map_or(Duration::ZERO, Duration::from_secs_f64)
     }
 
     fn has_free_slot(&self) -> bool {
--- a/crates/core/tests/mesh_drain.rs
+++ b/crates/core/tests/mesh_drain.rs
@@ -117,14 +117,16 @@
     assert!(!drain.admits_peer(ms(10), ms(5000), now));
 }
 
-/// Guards against calls of runs that are sent until the forced end of the node: they end without a response.
+/// Guards against requests that wait, and calls of runs that are sent, until the forced end of the node: they end without a
+/// response.
 #[test]
-fn draining_node_starts_calls_that_end_in_time() {
+fn draining_node_ends_waits_and_starts_in_time() {
     struct Case {
         name: &'static str,
         elapsed: u64,
         expected: u64,
         left: u64,
+        waits: bool,
         starts: bool,
     }
     let cases = [
@@ -133,6 +135,7 @@
             elapsed: 4900,
             expected: 0,
             left: 9000,
+            waits: true,
             starts: true,
         },
         Case {
@@ -140,6 +143,7 @@
             elapsed: 5000,
             expected: 0,
             left: 9000,
+            waits: false,
             starts: false,
         },
         Case {
@@ -147,6 +151,7 @@
             elapsed: 5000,
             expected: 200,
             left: 9000,
+            waits: false,
             starts: true,
         },
         Case {
@@ -154,6 +159,7 @@
             elapsed: 5400,
             expected: 51,
             left: 9000,
+            waits: false,
             starts: false,
         },
         Case {
@@ -161,6 +167,7 @@
             elapsed: 2500,
             expected: 1500,
             left: 9000,
+            waits: true,
             starts: true,
         },
         Case {
@@ -168,6 +175,7 @@
             elapsed: 2501,
             expected: 1500,
             left: 9000,
+            waits: false,
             starts: false,
         },
         Case {
@@ -175,6 +183,7 @@
             elapsed: 4500,
             expected: 1500,
             left: 1000,
+            waits: true,
             starts: true,
         },
         Case {
@@ -182,6 +191,7 @@
             elapsed: 7000,
             expected: 0,
             left: 0,
+            waits: false,
             starts: false,
         },
     ];
@@ -192,11 +202,30 @@
         margin: ms(500),
         tail_factor: 2.0,
     };
+    assert_eq!(cfg.waiting_end(), ms(5000));
     let drain = Drain::new(cfg, now);
     for case in cases {
         let (expected, left) = (ms(case.expected), ms(case.left));
         let at = now + ms(case.elapsed);
+        let waits = drain.lets_wait(expected, left, at);
+        assert_eq!(waits, case.waits, "{}, waiting", case.name);
         let starts = drain.lets_start(expected, left, at);
         assert_eq!(starts, case.starts, "{}, start", case.name);
     }
 }
+
+/// Guards against a node that queues a request of another node after it has refused those that wait.
+#[test]
+fn nothing_is_queued_after_waits_have_ended() {
+    let now = Instant::now();
+    for grace_ms in [200, 400, 1000, 2000, 2900, 3000, 6000, 30_000] {
+        let cfg = DrainConfig {
+            grace_period: ms(grace_ms),
+            ..Default::default()
+        };
+        let drain = Drain::new(cfg, now);
+        let end = now + cfg.waiting_end();
+        assert!(!drain.admits_peer(ms(1), ms(5000), end), "{grace_ms} ms");
+        assert!(!drain.lets_wait(ms(0), ms(5000), end), "{grace_ms} ms");
+    }
+}
--- a/crates/node/src/mesh/controller.rs
+++ b/crates/node/src/mesh/controller.rs
@@ -21,6 +21,7 @@
 mod silence;
 mod state;
 mod task;
+mod withdrawal;
 
 pub use answer_guard::AnswerGuard;
 pub use event::{
--- a/crates/node/src/mesh/controller/dispatch.rs
+++ b/crates/node/src/mesh/controller/dispatch.rs
@@ -137,8 +137,9 @@
         self.follow_silence();
     }
 
-    /// Expires queued requests whose deadline cannot be met, and starts queued requests in free slots.
+    /// Expires queued requests that cannot end in time, and starts queued requests in free slots.
     pub(super) fn start_queued(&mut self, now: Instant) {
+        self.refuse_late_waiters(now);
         for ticket in self.gate.expire(now) {
             self.refuse_waiter(ticket, Refusal::ExpiredUnsent);
         }
@@ -168,16 +169,7 @@
 
     /// Refuses queued requests for instances that are draining or removed. Their entry nodes select another instance.
     pub(super) fn refuse_waiters_of_stopped(&mut self) {
-        let tickets: Vec<Ticket> = self
-            .waiting
-            .iter()
-            .filter(|(_, waiter)| self.is_draining_or_removed(&waiter.req.instance))
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        for ticket in tickets {
-            self.gate.cancel(ticket);
-            self.refuse_waiter(ticket, Refusal::Stopping);
-        }
+        self.refuse_waiting(|controller, req| controller.is_draining_or_removed(&req.instance));
         self.recheck_isolated(self.clock.now());
     }
 
@@ -241,7 +233,7 @@
         self.journal.left_queue(&waiter.req.id, outcome, wait);
     }
 
-    fn refuse_waiter(&mut self, ticket: Ticket, refusal: Refusal) {
+    pub(super) fn refuse_waiter(&mut self, ticket: Ticket, refusal: Refusal) {
         if let Some(waiter) = self.waiting.remove(&ticket) {
             self.log_left_queue(&waiter, refusal.as_str(), self.clock.now());
             let refused = self.slot_refusal(refusal, None);
--- a/crates/node/src/mesh/controller/drain.rs
+++ b/crates/node/src/mesh/controller/drain.rs
@@ -5,7 +5,7 @@
 use coltsfootport_core::mesh::{Drain, Route, SlotRequest};
 
 use super::route_stats::RouteStats;
-use super::{AdmissionRequest, Controller, ParentRun};
+use super::{AcquireSlotRequest, AdmissionRequest, Controller, ParentRun};
 
 impl Controller {
     /// Starts draining after a stop signal.
@@ -63,6 +63,20 @@
         drain.admits_peer(self.gate.expected_completion(req), left, now)
     }
 
+    /// Refuses waiting requests that would not end before the forced end of this node. Their entry nodes send them
+    /// elsewhere.
+    pub(super) fn refuse_late_waiters(&mut self, now: Instant) {
+        let Some(drain) = self.drain else {
+            return;
+        };
+        let is_late = |controller: &Self, req: &AcquireSlotRequest| {
+            let left = req.deadline.saturating_duration_since(now);
+            let expected = controller.gate.mean_completion(req.kind);
+            !drain.lets_wait(expected, left, now)
+        };
+        self.refuse_waiting(is_late);
+    }
+
     /// Logs the requests that still run or wait on this node at the end of the grace period.
     pub(super) fn log_unfinished(&self) {
         let now = self.clock.now();
--- a/crates/node/src/mesh/controller/quarantine.rs
+++ b/crates/node/src/mesh/controller/quarantine.rs
@@ -12,8 +12,8 @@
 use rand::seq::IndexedRandom;
 use slog::{info, warn};
 
-use super::Controller;
 use super::state::Waiter;
+use super::{AcquireSlotRequest, Controller};
 use crate::mesh::call::RunEnd;
 use crate::mesh::findings::FindingsMessage;
 use crate::mesh::link::MAX_FINDINGS;
@@ -127,6 +127,25 @@
         }
     }
 
+    /// Refuses all waiting isolated requests for which `is_refused` holds, and returns their number.
+    pub(super) fn refuse_isolated<F>(&mut self, is_refused: F) -> usize
+    where
+        F: Fn(&Self, &AcquireSlotRequest) -> bool,
+    {
+        let waiting = std::mem::take(&mut self.quarantine.waiting);
+        let before = waiting.len();
+        for waiter in waiting {
+            match is_refused(self, &waiter.req) {
+                true => {
+                    let refused = self.slot_refusal(Refusal::Stopping, None);
+                    drop(waiter.reply.send(Err(refused)));
+                }
+                false => self.quarantine.waiting.push_back(waiter),
+            }
+        }
+        before - self.quarantine.waiting.len()
+    }
+
     /// Removes waiting requests whose callers have disconnected.
     pub(super) fn prune_isolated(&mut self) {
         let waiting = &mut self.quarantine.waiting;
--- /dev/null
+++ b/crates/node/src/mesh/controller/withdrawal.rs
@@ -0,0 +1,26 @@
+//! Refusal of requests that wait for the local target and are to be served elsewhere.
+
+use coltsfootport_core::mesh::{Refusal, Ticket};
+
+use super::{AcquireSlotRequest, Controller};
+
+impl Controller {
+    /// Refuses all waiting requests for which `is_refused` holds, so that their entry nodes select another instance.
+    /// Returns their number.
+    pub(super) fn refuse_waiting<F>(&mut self, is_refused: F) -> usize
+    where
+        F: Fn(&Self, &AcquireSlotRequest) -> bool,
+    {
+        let tickets: Vec<Ticket> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiter)| is_refused(self, &waiter.req))
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in &tickets {
+            self.gate.cancel(*ticket);
+            self.refuse_waiter(*ticket, Refusal::Stopping);
+        }
+        tickets.len() + self.refuse_isolated(is_refused)
+    }
+}
