A stop uses the grace period of the settings file

Callers saw nothing of this yet; what they would see is a connection closed without an answer: a node whose grace period was shortened in its settings file just before SIGTERM drained by the old one, so it admitted requests that cannot end before the supervisor kills it, also up to 2.4 s after the signal.

Cause: the file was read by a task of its own, once a second and after a SIGHUP. A SIGHUP and a SIGTERM that arrive together are taken in any order, the stop did not wait for that task, and the change reached the controller by a further task, behind the stop.

Now the task that handles the signals owns the file. It reads it once more when the shutdown starts, and the stop carries the grace period to the controller. The node's own exit follows the longer one of the old and the new grace period: the file may also change between the signal and its handling, and exiting too early loses requests.

--- a/crates/node/src/mesh/controller/drain.rs
+++ b/crates/node/src/mesh/controller/drain.rs
@@ -2,15 +2,19 @@
 
 use std::time::{Duration, Instant};
 
-use coltsfootport_core::mesh::{Drain, Route, SlotRequest};
+use coltsfootport_core::mesh::{Drain, DrainConfig, Route, SlotRequest};
 
 use super::route_stats::RouteStats;
 use super::{AdmissionRequest, Controller};
 
 impl Controller {
     /// Starts draining after a stop signal.
-    pub(super) fn start_drain(&mut self) {
-        self.drain = Some(Drain::new(self.cfg.drain, self.clock.now()));
+    pub(super) fn start_drain(&mut self, grace_period: Duration) {
+        let cfg = DrainConfig {
+            grace_period,
+            ..self.cfg.drain
+        };
+        self.drain = Some(Drain::new(cfg, self.clock.now()));
     }
 
     /// Whether draining, if it has started, still allows a request from an external caller.
--- a/crates/node/src/mesh/controller/event.rs
+++ b/crates/node/src/mesh/controller/event.rs
@@ -52,7 +52,10 @@
     /// The publisher did not answer, or its response was invalid.
     PublisherFailed,
     /// The node begins to shut down: its target receives no new work.
-    Stop,
+    Stop {
+        /// Time until the supervisor kills the process.
+        grace: Duration,
+    },
     /// The settings were reloaded.
     SettingsChanged(Box<ControllerConfig>),
     /// Asks for the result of the readiness check.
--- a/crates/node/src/mesh/controller/task.rs
+++ b/crates/node/src/mesh/controller/task.rs
@@ -48,7 +48,7 @@
             ControllerEvent::PublisherSnapshot(batch) => self.apply_listing(batch),
             ControllerEvent::PublisherAnswered => self.note_publisher_answer(),
             ControllerEvent::PublisherFailed => self.note_publisher_failure(),
-            ControllerEvent::Stop => self.start_drain(),
+            ControllerEvent::Stop { grace } => self.start_drain(grace),
             ControllerEvent::LogUnfinished => self.log_unfinished(),
             ControllerEvent::SettingsChanged(cfg) => self.apply_settings(*cfg),
             ControllerEvent::Readiness(tx) => drop(tx.send(self.is_ready())),
--- a/crates/node/src/mesh/lifecycle.rs
+++ b/crates/node/src/mesh/lifecycle.rs
@@ -12,7 +12,7 @@
 use crate::clock::SharedClock;
 use crate::mesh::controller::{ControllerEvent, ControllerHandle};
 use crate::mesh::link::CLOSE_LINGER;
-use crate::mesh::settings::MeshSettings;
+use crate::mesh::settings_file::SettingsFile;
 
 /// Minimum time from the stop signal to the exit. Some callers keep sending until the readiness check has shown them
 /// that the node is stopping.
@@ -69,12 +69,10 @@
     /// Set to true after [`MIN_DRAIN_TIME`]. No request of another node is accepted any more, and the connections from
     /// other nodes are closed as soon as their replies have been written.
     pub closing: watch::Sender<bool>,
-    /// Number of SIGHUPs received; each increment makes the settings file be read again.
-    pub reloads: watch::Sender<u64>,
     /// Number of open requests from callers and peers; see `OpenRequestGuard`.
     pub open: Arc<AtomicUsize>,
-    /// Settings in force, for the grace period.
-    pub settings: watch::Receiver<MeshSettings>,
+    /// Settings file, read again on SIGHUP, when it has changed, and when the shutdown starts.
+    pub settings: SettingsFile,
     /// Clock.
     pub clock: SharedClock,
     /// Logger.
@@ -87,7 +85,8 @@
         loop {
             tokio::select! {
                 _ = stop_signal(&mut self.signals.terminate, &mut self.signals.interrupt) => break,
-                () = received(&mut self.signals.hangup) => self.reloads.send_modify(|count| *count += 1),
+                () = received(&mut self.signals.hangup) => self.settings.reload(true),
+                () = self.settings.poll() => {}
             }
         }
         self.shut_down().await;
@@ -97,10 +96,15 @@
     /// abort running requests that may still finish before the supervisor kills the process.
     async fn shut_down(&mut self) {
         let signalled_at = self.clock.now();
-        let grace = self.settings.borrow().grace;
+        // The file may have changed just before the signal, and signals that arrive together come in any order.
+        let previous = self.settings.grace();
+        self.settings.reload(false);
+        let grace = self.settings.grace();
+        // Exiting too early loses requests, exiting too late does not.
+        let exit_after = grace.max(previous) + EXIT_MARGIN;
         info!(self.log, "stopping"; "open" => self.open.load(Ordering::SeqCst), "grace_ms" => grace.as_millis() as u64);
         self.stopping.send_replace(true);
-        self.controller.notify(ControllerEvent::Stop);
+        self.controller.notify(ControllerEvent::Stop { grace });
         let mut signals = 1;
         let mut last_signal_at = signalled_at;
         let mut idle_since = None;
@@ -112,7 +116,11 @@
                     last_signal_at = self.clock.now();
                     self.log_signal(name, signals, signalled_at);
                 }
-                () = received(&mut self.signals.hangup) => self.log_signal("SIGHUP", signals, signalled_at),
+                () = received(&mut self.signals.hangup) => {
+                    self.log_signal("SIGHUP", signals, signalled_at);
+                    self.settings.reload(true);
+                }
+                () = self.settings.poll() => {}
             }
             let now = self.clock.now();
             let elapsed = now.saturating_duration_since(signalled_at);
@@ -124,7 +132,7 @@
             if grace.saturating_sub(elapsed) <= KILL_MARGIN && !*self.grace_over.borrow() {
                 self.prepare_for_kill(open, hosted);
             }
-            if now.saturating_duration_since(last_signal_at) >= grace + EXIT_MARGIN {
+            if now.saturating_duration_since(last_signal_at) >= exit_after {
                 warn!(self.log, "grace period over"; "open" => open, "hosted" => hosted);
                 return;
             }
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -191,29 +191,16 @@
     }
     tokio::spawn(callers::listen(callers_listener, callers_config));
     tokio::spawn(prune_idle_connections(host.pool.clone()));
-    let (reloads_tx, reloads) = watch::channel(0);
     let (settings_tx, settings_rx) = watch::channel(settings);
-    let settings_file = SettingsFile {
-        path,
-        text,
-        tx: settings_tx,
-        log: log.clone(),
-    };
-    tokio::spawn(settings_file.run(reloads));
-    tokio::spawn(apply_settings(
-        settings_rx.clone(),
-        service_tx,
-        controller.clone(),
-    ));
+    tokio::spawn(apply_settings(settings_rx, service_tx, controller.clone()));
     let lifecycle = Lifecycle {
         signals,
         controller,
         stopping: stopping_tx,
         grace_over: grace_over_tx,
         closing: closing_tx,
-        reloads: reloads_tx,
         open,
-        settings: settings_rx,
+        settings: SettingsFile::new(path, text, settings_tx, log.clone()),
         clock,
         log,
     };
--- a/crates/node/src/mesh/settings_file.rs
+++ b/crates/node/src/mesh/settings_file.rs
@@ -5,7 +5,7 @@
 
 use slog::{Logger, error, info, warn};
 use tokio::sync::watch;
-use tokio::time::interval;
+use tokio::time::{Interval, interval};
 
 use crate::mesh::settings::MeshSettings;
 
@@ -14,36 +14,42 @@
 
 /// Reloads the settings file and publishes valid settings.
 pub struct SettingsFile {
-    /// Path of the file.
-    pub path: PathBuf,
+    path: PathBuf,
     /// Content of the file when it was last read.
-    pub text: String,
-    /// Publishes the settings in force.
-    pub tx: watch::Sender<MeshSettings>,
-    /// Logger.
-    pub log: Logger,
+    text: String,
+    tx: watch::Sender<MeshSettings>,
+    polls: Interval,
+    log: Logger,
 }
 
 impl SettingsFile {
-    /// Reloads the file until the sender of `reloads` is dropped. `reloads` changes with each SIGHUP.
-    pub async fn run(mut self, mut reloads: watch::Receiver<u64>) {
-        let mut poll = interval(POLL_INTERVAL);
-        loop {
-            tokio::select! {
-                _ = poll.tick() => self.reload(false),
-                changed = reloads.changed() => match changed {
-                    Ok(()) => self.reload(true),
-                    Err(_) => return,
-                },
-            }
+    /// Creates the reloader of the file at `path`, whose content was `text`; `tx` publishes the settings in force.
+    pub fn new(path: PathBuf, text: String, tx: watch::Sender<MeshSettings>, log: Logger) -> Self {
+        Self {
+            path,
+            text,
+            tx,
+            polls: interval(POLL_INTERVAL),
+            log,
         }
     }
 
+    /// Grace period of the settings in force.
+    pub fn grace(&self) -> Duration {
+        self.tx.borrow().grace
+    }
+
+    /// Waits until the next check is due, and reloads the file. Cancel safe.
+    pub async fn poll(&mut self) {
+        self.polls.tick().await;
+        self.reload(false);
+    }
+
     /// Reads the file and applies its settings if the content has changed. Invalid settings are rejected as a whole,
     /// and the settings in force stay.
     ///
     /// With `on_signal`, an unreadable or unchanged file is logged too.
-    fn reload(&mut self, on_signal: bool) {
+    pub fn reload(&mut self, on_signal: bool) {
         let text = match std::fs::read_to_string(&self.path) {
             Ok(text) => text,
             Err(e) if on_signal => {
