A stopping entry takes back requests that wait at a host

What callers saw: a request was read by a stopping node and waited in the queue of another host, or among the isolated requests there. The connection closed without a response when the supervisor killed the node that had read it. No target ever got the request.

Cause: nothing bounds a wait but the request's own deadline, which may be later than the end of its entry, and the host doesn't know that the entry ends.

The host refuses a request that still waits as `stopping` and ignores one that runs, so the entry goes on waiting for the reply in either case. A withdrawal that overtakes its request, or is lost, is repeated every 100 ms and delays nothing. A closing host accepts no requests but still reads withdrawals. Attempts that begin later have a queue timeout of zero, and none begins that isn't expected to end in time: a withdrawn request of a known kind is served by a host with room, all others get 503. A host of an older version closes the connection, and the wait goes on as before.

--- a/crates/node/src/mesh/controller/admission.rs
+++ b/crates/node/src/mesh/controller/admission.rs
@@ -165,6 +165,9 @@
         req: InstanceRequest,
     ) -> Result<InstanceGrant, Refusal> {
         let now = self.clock.now();
+        if !self.drain_allows_attempt(&req, now) {
+            return Err(Refusal::Stopping);
+        }
         if !req.tried.is_empty() && !self.is_key_valid(req.key.as_ref()) {
             return Err(Refusal::NoInstance);
         }
--- a/crates/node/src/mesh/controller/drain.rs
+++ b/crates/node/src/mesh/controller/drain.rs
@@ -5,7 +5,7 @@
 use coltsfootport_core::mesh::{Drain, Route, SlotRequest};
 
 use super::route_stats::RouteStats;
-use super::{AcquireSlotRequest, AdmissionRequest, Controller, ParentRun};
+use super::{AcquireSlotRequest, AdmissionRequest, Controller, InstanceRequest, ParentRun};
 
 impl Controller {
     /// Starts draining after a stop signal.
@@ -48,6 +48,15 @@
         admits
     }
 
+    /// Whether draining, if it has started, still allows an attempt to serve a request that has been admitted.
+    pub(super) fn drain_allows_attempt(&self, req: &InstanceRequest, now: Instant) -> bool {
+        let Some(drain) = &self.drain else {
+            return true;
+        };
+        let left = req.deadline.saturating_duration_since(now);
+        drain.lets_start(self.expected_completion(&req.route), left, now)
+    }
+
     /// Expected time until the whole answer of a route has been passed on; zero if it is not known.
     fn expected_completion(&self, route: &str) -> Duration {
         let stats = self.route_stats.get(route);
--- a/crates/node/src/mesh/controller/event.rs
+++ b/crates/node/src/mesh/controller/event.rs
@@ -14,7 +14,7 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
-use super::{ControllerConfig, SendGuard, SlotGuard};
+use super::{ControllerConfig, SendGuard, SlotGuard, Withdrawal};
 use crate::mesh::call::{Report, RunEnd};
 
 /// An event for the controller. Events that need a reply carry the channel for it.
@@ -39,6 +39,8 @@
         AcquireSlotRequest,
         oneshot::Sender<Result<SlotGrant, SlotRefusal>>,
     ),
+    /// An entry node takes back a request that may wait here; replies whether it waited or runs here.
+    Withdraw(Withdrawal, oneshot::Sender<bool>),
     /// A slot of the local target was released; the optional reply carries the outcome of the run.
     SlotReleased(Ticket, SlotRelease, Option<oneshot::Sender<RunOutcome>>),
     /// A long answer has ended. The time from the request to its end is given if it is complete.
@@ -206,6 +208,8 @@
     pub parent: Option<SmolStr>,
     /// Instances that the request was already sent to.
     pub tried: Vec<InstanceKey>,
+    /// Deadline of the request.
+    pub deadline: Instant,
     /// The key by which the request was admitted; `None` if none was required.
     pub key: Option<HeaderValue>,
 }
--- a/crates/node/src/mesh/controller/handle.rs
+++ b/crates/node/src/mesh/controller/handle.rs
@@ -8,7 +8,7 @@
 
 use super::{
     AcquireSlotRequest, AdmissionRequest, AdmittedRequest, ControllerEvent, Denial, InstanceGrant,
-    InstanceRequest, RetryRequest, SlotGrant, SlotRefusal,
+    InstanceRequest, RetryRequest, SlotGrant, SlotRefusal, Withdrawal,
 };
 use crate::mesh::call::Report;
 
@@ -90,6 +90,13 @@
             .unwrap_or(Err(stopping))
     }
 
+    /// Takes back a request that may wait for a slot at the local target. Returns whether it waited or runs there.
+    pub async fn withdraw(&self, withdrawal: Withdrawal) -> bool {
+        self.request(|tx| ControllerEvent::Withdraw(withdrawal, tx))
+            .await
+            .unwrap_or(false)
+    }
+
     /// Whether the node is ready to serve requests.
     pub async fn is_ready(&self) -> bool {
         self.request(ControllerEvent::Readiness)
--- a/crates/node/src/mesh/controller/quarantine.rs
+++ b/crates/node/src/mesh/controller/quarantine.rs
@@ -88,7 +88,10 @@
             SuspicionLevel::Isolated if self.quarantine.isolated.is_none() => {
                 self.quarantine.isolated = self.enter_gate(waiter, now);
             }
-            SuspicionLevel::Isolated if self.quarantine.waiting.len() < MAX_ISOLATED_WAITING => {
+            SuspicionLevel::Isolated
+                if self.quarantine.waiting.len() < MAX_ISOLATED_WAITING
+                    && !waiter.req.queue_timeout.is_zero() =>
+            {
                 self.metrics.isolated.inc();
                 self.quarantine.waiting.push_back(waiter);
             }
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -48,6 +48,8 @@
     pub service: watch::Receiver<ServiceName>,
     /// Becomes true when the grace period of a stopping node is nearly over.
     pub grace_over: watch::Receiver<bool>,
+    /// Becomes true when the requests of a stopping node no longer wait for slots.
+    pub waiting_over: watch::Receiver<bool>,
     /// Limits on the time that requests wait in the queue of a target.
     pub queue_timeout: QueueTimeoutConfig,
     /// Safety margins subtracted from the time limits of requests.
--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -1,6 +1,7 @@
 //! The attempts to serve one request: it is sent to a host, then rerouted or retried until one answers.
 
-use std::net::{IpAddr, SocketAddr};
+mod exchange;
+
 use std::time::{Duration, Instant};
 
 use coltsfootport_core::mesh::{
@@ -19,7 +20,7 @@
     AdmittedRequest, ControllerEvent, InstanceGrant, InstanceRequest, RetryRequest, SendGuard,
 };
 use crate::mesh::journal::RequestSummary;
-use crate::mesh::link::{self, LinkError};
+use crate::mesh::link::LinkError;
 use crate::mesh::target::announces_leaving;
 
 /// Maximum number of reroutes of a request after hosts refused it without involving their targets. Each one costs a
@@ -165,6 +166,7 @@
                 .as_ref()
                 .map(|parent| parent.id.clone()),
             tried: self.tried.clone(),
+            deadline: self.deadline,
             key: self.admitted.key.clone(),
         };
         self.entry.controller.select_instance(req).await
@@ -179,11 +181,7 @@
 
     async fn attempt(&mut self, to: InstanceGrant, body: Body) -> Step {
         let req = self.hosted_request(&to, body);
-        let reply = match to.is_local {
-            true => Ok(self.entry.host.run(req).await),
-            false => self.send_to_peer(to.chosen.address.ip(), req).await,
-        };
-        match reply {
+        match self.exchange(&to, req).await {
             Ok(reply) => self.handle_reply(reply, to.guard).await,
             Err(LinkError::NotSent) => {
                 to.guard.end(SendOutcome::HostUnreachable, None);
@@ -202,11 +200,6 @@
         }
     }
 
-    async fn send_to_peer(&self, ip: IpAddr, req: HostedRequest) -> Result<HostReply, LinkError> {
-        let peer = SocketAddr::new(ip, self.entry.peers_port);
-        link::send(&self.entry.links, peer, req).await
-    }
-
     async fn handle_reply(&mut self, reply: HostReply, mut guard: SendGuard) -> Step {
         let HostReply { result, report } = reply;
         if matches!(&result, Ok(answer) if answer.completed_normally(self.entry.dialect.not_run)) {
@@ -320,8 +313,11 @@
         }
     }
 
-    /// Longest expected queueing time at which a host still enqueues the request.
+    /// Longest expected queueing time at which a host still enqueues the request; zero if it must start at once.
     fn queue_timeout(&self) -> Duration {
+        if *self.entry.waiting_over.borrow() {
+            return Duration::ZERO;
+        }
         let route = self.admitted.config.route(self.admitted.route);
         let req = QueueTimeoutRequest {
             inner: self.admitted.parent.is_some(),
--- /dev/null
+++ b/crates/node/src/mesh/entry/attempts/exchange.rs
@@ -0,0 +1,85 @@
+//! The exchange of one attempt with the host of its instance.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::Attempts;
+use crate::mesh::call::{HostReply, HostedRequest};
+use crate::mesh::controller::{InstanceGrant, Withdrawal};
+use crate::mesh::entry::Entry;
+use crate::mesh::link::{self, LinkError};
+
+/// Interval at which a request is taken back from a host that has not found it.
+const WITHDRAWAL_INTERVAL: Duration = Duration::from_millis(100);
+
+impl Attempts<'_> {
+    /// Sends the request to its host and waits for the reply. If it may no longer wait there, it is taken back, but its
+    /// reply is awaited in any case: the host ignores a withdrawal once the target has the request.
+    pub(super) async fn exchange(
+        &self,
+        to: &InstanceGrant,
+        req: HostedRequest,
+    ) -> Result<HostReply, LinkError> {
+        let may_wait = !req.queue_timeout.is_zero();
+        let mut reply = pin!(self.send(to, req));
+        if may_wait {
+            tokio::select! {
+                biased;
+                reply = &mut reply => return reply,
+                () = self.withdraw_when_waiting_is_over(to) => {}
+            }
+        }
+        reply.await
+    }
+
+    async fn send(&self, to: &InstanceGrant, req: HostedRequest) -> Result<HostReply, LinkError> {
+        match to.is_local {
+            true => Ok(self.entry.host.run(req).await),
+            false => link::send(&self.entry.links, self.peer(to), req).await,
+        }
+    }
+
+    fn peer(&self, to: &InstanceGrant) -> SocketAddr {
+        SocketAddr::new(to.chosen.address.ip(), self.entry.peers_port)
+    }
+
+    /// Takes the request back from its host when the requests of this stopping node may no longer wait. Returns when the
+    /// host has found it.
+    async fn withdraw_when_waiting_is_over(&self, to: &InstanceGrant) {
+        let mut waiting_over = self.entry.waiting_over.clone();
+        if waiting_over.wait_for(|is_over| *is_over).await.is_err() {
+            return;
+        }
+        // The withdrawal may overtake the request.
+        while !self.withdraw(to).await {
+            sleep(WITHDRAWAL_INTERVAL).await;
+        }
+    }
+
+    /// Takes the request back from its host. Returns whether the host has found it.
+    async fn withdraw(&self, to: &InstanceGrant) -> bool {
+        let Entry {
+            links,
+            controller,
+            journal,
+            ..
+        } = self.entry;
+        let withdrawal = Withdrawal {
+            id: self.id.clone(),
+            fingerprint: self.fingerprint,
+        };
+        if to.is_local {
+            return controller.withdraw(withdrawal).await;
+        }
+        match link::withdraw(links, self.peer(to), withdrawal).await {
+            Ok(is_known) => is_known,
+            Err(e) => {
+                journal.withdrawal_failed(&self.id, &to.chosen.id, &e.to_string());
+                false
+            }
+        }
+    }
+}
--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -174,6 +174,14 @@
         }
     }
 
+    /// Logs that the host of an instance has not acknowledged the withdrawal of a request.
+    pub fn withdrawal_failed(&self, id: &str, instance: &str, reason: &str) {
+        if let Some(dropped) = self.admit_failure_line() {
+            info!(self.log, "withdrawal failed"; "request" => id, "instance" => instance,
+                "reason" => reason, "dropped" => dropped);
+        }
+    }
+
     /// Logs that the local target returned no usable response.
     pub fn target_failed(
         &self,
--- a/crates/node/src/mesh/lifecycle.rs
+++ b/crates/node/src/mesh/lifecycle.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use coltsfootport_core::mesh::DrainConfig;
 use slog::{Logger, info, warn};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -64,6 +65,8 @@
     pub controller: ControllerHandle,
     /// Set to true when the shutdown starts.
     pub stopping: watch::Sender<bool>,
+    /// Set to true when requests no longer wait for slots; see [`DrainConfig::waiting_end`].
+    pub waiting_over: watch::Sender<bool>,
     /// Set to true shortly before the grace period ends.
     pub grace_over: watch::Sender<bool>,
     /// Set to true after [`MIN_DRAIN_TIME`]. No request of another node is accepted any more, and the connections from
@@ -98,6 +101,10 @@
     async fn shut_down(&mut self) {
         let signalled_at = self.clock.now();
         let grace = self.settings.borrow().grace;
+        let drain = DrainConfig {
+            grace_period: grace,
+            ..Default::default()
+        };
         info!(self.log, "stopping"; "open" => self.open.load(Ordering::SeqCst), "grace_ms" => grace.as_millis() as u64);
         self.stopping.send_replace(true);
         self.controller.notify(ControllerEvent::Stop);
@@ -121,6 +128,9 @@
             if elapsed >= MIN_DRAIN_TIME {
                 self.closing.send_replace(true);
             }
+            if elapsed >= drain.waiting_end() {
+                self.waiting_over.send_replace(true);
+            }
             if grace.saturating_sub(elapsed) <= KILL_MARGIN && !*self.grace_over.borrow() {
                 self.prepare_for_kill(open, hosted);
             }
--- a/crates/node/src/mesh/link.rs
+++ b/crates/node/src/mesh/link.rs
@@ -14,6 +14,7 @@
 mod reply_extension;
 mod rpc;
 mod server;
+mod withdrawal;
 
 pub use client::{LinkError, send};
 pub use conn::PeerConn;
@@ -24,3 +25,4 @@
 pub use pool::PeerPool;
 pub use quotas::{send_claims, send_notices};
 pub use server::{CLOSE_LINGER, ServerContext, serve};
+pub use withdrawal::withdraw;
--- a/crates/node/src/mesh/link/conn.rs
+++ b/crates/node/src/mesh/link/conn.rs
@@ -8,7 +8,6 @@
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
 
 use crate::mesh::conn_reuse::is_reusable;
 use crate::wire::FrameError;
@@ -165,19 +164,22 @@
         }
     }
 
-    /// Closes the connection after what was written, and discards input for up to `linger`: closing with unread input
-    /// would reset the connection and lose what the peer has not read yet.
-    pub async fn close(mut self, linger: Duration) {
-        if self.stream.shutdown().await.is_err() {
-            return;
+    /// Ends the connection after what was written. The peer can still send.
+    ///
+    /// # Errors
+    ///
+    /// The connection is lost.
+    pub async fn finish_writing(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await
+    }
+
+    /// Discards input until the peer closes the connection: closing with unread input would reset the connection and
+    /// lose what the peer has not read yet.
+    pub async fn discard_input(&mut self) {
+        self.buf.clear();
+        while matches!(self.stream.read_buf(&mut self.buf).await, Ok(read) if read > 0) {
+            self.buf.clear();
         }
-        let discarded = async {
-            while matches!(self.stream.read_buf(&mut self.buf).await, Ok(read) if read > 0) {
-                self.buf.clear();
-            }
-        };
-        // The connection is closed in either case.
-        let _ = timeout(linger, discarded).await;
     }
 
     /// Reads until the buffer holds at least `needed` bytes.
--- a/crates/node/src/mesh/link/frames.rs
+++ b/crates/node/src/mesh/link/frames.rs
@@ -12,6 +12,7 @@
 use super::finding_frames::FindingFrame;
 use super::quota_frames::{ClaimFrame, NoticeFrame};
 use super::reply_extension::{ReplyExtension, Trailing};
+use super::withdrawal::WithdrawalFrame;
 use crate::h1::RequestHead;
 use crate::mesh::call::{
     Body, DownstreamCalls, HostReply, HostedRequest, Refused, Report, TargetAnswer,
@@ -37,6 +38,8 @@
     Findings(Vec<FindingFrame>),
     /// Asks for the receiver's findings, unless they match this digest of the sender's findings.
     FindingsPull(u64),
+    /// Takes back a request that the sender has sent on another connection; acknowledged.
+    Withdraw(WithdrawalFrame),
 }
 
 /// First frame of each connection, sent by the accepting node.
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -18,6 +18,7 @@
 use super::frames::{HelloFrame, MAX_HEAD, ReplyFrame, RequestFrame, StreamHead};
 use super::pool::{self, configure_socket};
 use super::quota_frames::{VerdictFrame, VerdictsFrame};
+use super::withdrawal::WithdrawalAck;
 use crate::mesh::body_channel::body_channel;
 use crate::mesh::call::{Body, HostReply, MAX_BUFFERED_BODY, Refused, Report};
 use crate::mesh::controller::ControllerEvent;
@@ -86,13 +87,13 @@
         return debug!(ctx.log, "peer disconnected before hello"; "reason" => e.to_string());
     }
     if is_closing {
-        return conn.close(CLOSE_LINGER).await;
+        return close(conn, &ctx).await;
     }
     loop {
         let head = tokio::select! {
             biased;
             head = timeout(IDLE_TIMEOUT, conn.read_head(MAX_HEAD)) => head,
-            () = wait_until_true(&mut closing) => return refuse_next(conn).await,
+            () = wait_until_true(&mut closing) => return refuse_next(conn, &ctx).await,
         };
         let Ok(head) = head else {
             return;
@@ -120,13 +121,29 @@
 
 /// Closes a connection on which no request has been read, and answers the one that may be on its way: it does not run.
 /// Without this answer its sender could not tell, and would not send a request elsewhere that may run at most once.
-async fn refuse_next(mut conn: PeerConn) {
+async fn refuse_next(mut conn: PeerConn, ctx: &ServerContext) {
     // The peer may have closed the connection as well.
     if conn.write(&stopping_reply(), &[]).await.is_ok() {
-        conn.close(CLOSE_LINGER).await;
+        close(conn, ctx).await;
     }
 }
 
+/// Closes a connection after what was written. Requests that wait here may still be taken back on it; all other input
+/// is discarded.
+async fn close(mut conn: PeerConn, ctx: &ServerContext) {
+    if conn.finish_writing().await.is_err() {
+        return;
+    }
+    let rest = async {
+        if let Ok(StreamHead::Withdraw(frame)) = conn.read_head(MAX_HEAD).await {
+            ctx.host.controller.withdraw(frame.into()).await;
+        }
+        conn.discard_input().await;
+    };
+    // The connection is closed in either case.
+    let _ = timeout(CLOSE_LINGER, rest).await;
+}
+
 fn stopping_reply() -> ReplyFrame {
     ReplyFrame::from(&HostReply {
         result: Err(Refused::from(Refusal::Stopping)),
@@ -172,6 +189,11 @@
             conn.write(&FindingsFrame(frames), &[]).await?;
             Ok(true)
         }
+        StreamHead::Withdraw(frame) => {
+            let known = ctx.host.controller.withdraw(frame.into()).await;
+            conn.write(&WithdrawalAck(known), &[]).await?;
+            Ok(true)
+        }
         StreamHead::QuotaNotices(notices) => {
             let notices = notices.into_iter().map(QuotaNotice::from).collect();
             let event = ControllerEvent::QuotaNoticesReceived(notices);
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -97,6 +97,7 @@
         journal: journal.clone(),
     };
     let (grace_over_tx, grace_over) = watch::channel(false);
+    let (waiting_over_tx, waiting_over) = watch::channel(false);
     let (service_tx, service) = watch::channel(settings.node.service.clone());
     let links = PeerPool::new(Arc::clone(&clock));
     let entry = Entry {
@@ -108,6 +109,7 @@
         journal: journal.clone(),
         service,
         grace_over: grace_over.clone(),
+        waiting_over,
         queue_timeout: settings.policy.queue_timeout,
         limits: settings.policy.limits,
         peers_port: settings.node.peers.port(),
@@ -209,6 +211,7 @@
         signals,
         controller,
         stopping: stopping_tx,
+        waiting_over: waiting_over_tx,
         grace_over: grace_over_tx,
         closing: closing_tx,
         reloads: reloads_tx,
