An unreadable request takes no response with it

Callers saw: a read that worked for 1.2 s, and an upload with an invalid chunk behind it on the same connection. The connection was closed at the invalid chunk, and the read, which its target ran to the end, got no response. The upload got none either.

Cause: the end of reading was the end of the connection.

Change: only a caller that left, or an idle connection, ends the reader at once. An unusable body is refused in its turn like an unusable head: 400 (can't be decoded), 413 (too long), 408 (stopped coming). A long one that was being passed on is abandoned as before, so that its target sees a truncated body and the host is not taken for unreachable, and gets 400 or 413; 408 would promise that no target has seen it. Then the reader gives up its end of the queue of responses, and the connection closes after the last one that is due, which says `Connection: close`. Whether a response is the last one is decided under one lock. The reasons invalid-body and body-timeout of lost responses no longer exist.

--- a/crates/core/src/mesh/refusal.rs
+++ b/crates/core/src/mesh/refusal.rs
@@ -53,6 +53,8 @@
     Isolated,
     /// The request body ended before it was complete.
     CallerGone,
+    /// The body stopped coming, and no part of it was passed on.
+    BodyTimeout,
 }
 
 /// How a refusal is reported to the caller.
@@ -68,7 +70,7 @@
 
 impl Refusal {
     /// All refusals, for tests and printed tables.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 24] = [
         Self::BadRequest,
         Self::HeaderTooLarge,
         Self::BodyTooLarge,
@@ -92,6 +94,7 @@
         Self::CrashesTargets,
         Self::Isolated,
         Self::CallerGone,
+        Self::BodyTimeout,
     ];
 
     /// How this refusal is reported to the caller.
@@ -101,7 +104,7 @@
             Self::BadRequest => row(400, NotRun, false),
             Self::HeaderTooLarge => row(431, NotRun, false),
             Self::BodyTooLarge => row(413, NotRun, false),
-            Self::HeaderTimeout => row(408, NotRun, false),
+            Self::HeaderTimeout | Self::BodyTimeout => row(408, NotRun, false),
             Self::NoRoute => row(404, NotRun, false),
             Self::UnknownKey => row(401, NotRun, false),
             Self::OverQuota => row(429, NotRun, true),
@@ -145,6 +148,7 @@
             Self::CrashesTargets => "crashes-targets",
             Self::Isolated => "isolated",
             Self::CallerGone => "caller-gone",
+            Self::BodyTimeout => "body-timeout",
         }
     }
 
--- a/crates/node/src/mesh/callers/connection_end.rs
+++ b/crates/node/src/mesh/callers/connection_end.rs
@@ -9,10 +9,6 @@
     CallerLeft,
     /// No request came within the idle time.
     Idle,
-    /// The body of a request could not be decoded or exceeded its size limit.
-    InvalidBody,
-    /// The body of a request stopped coming.
-    BodyTimeout,
     /// A response ended before its body was complete.
     ResponseTruncated,
     /// A response could not be written.
@@ -28,8 +24,6 @@
             Self::Complete => "complete",
             Self::CallerLeft => "caller-left",
             Self::Idle => "idle",
-            Self::InvalidBody => "invalid-body",
-            Self::BodyTimeout => "body-timeout",
             Self::ResponseTruncated => "response-truncated",
             Self::WriteFailed => "write-failed",
             Self::TaskFailed => "task-failed",
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -1,5 +1,6 @@
 //! Reading half of a caller connection.
 
+use std::future::pending;
 use std::io::{ErrorKind, Read};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
@@ -19,7 +20,7 @@
 use super::connection_end::ConnectionEnd;
 use super::listener::CallersConfig;
 use super::open_response::ResponseSeq;
-use super::slot::{ConnectionState, ResponseSlot};
+use super::slot::{ConnectionState, ResponseForm, ResponseSlot};
 use crate::h1::{
     BodyDecoder, Decoded, Framing, H1Error, RequestHead, parse_request, request_framing,
 };
@@ -56,9 +57,9 @@
 enum ReadEnd {
     /// The connection ends at once.
     Ended(ConnectionEnd),
-    /// The connection is closing; a request read since must not run.
+    /// The connection closes after the last response that is due; a request read since must not run.
     Closing,
-    /// The request is answered with a refusal, after which the connection is closed.
+    /// The request is unusable. The refusal is its response and the last one of the connection.
     Refused(Refusal),
 }
 
@@ -66,6 +67,8 @@
 struct ResponseSender {
     answer: oneshot::Sender<CallerAnswer>,
     seq: ResponseSeq,
+    /// Id of the request; empty if the caller sent none.
+    id: SmolStr,
 }
 
 const fn caller_left() -> ReadEnd {
@@ -91,25 +94,36 @@
         slots: mpsc::Sender<ResponseSlot>,
         tasks: &mut JoinSet<()>,
     ) -> ConnectionEnd {
+        if let ReadEnd::Ended(end) = self.read_requests(&slots, tasks).await {
+            return end;
+        }
+        // The writer closes the connection after the last response that is due.
+        drop(slots);
+        self.drain().await
+    }
+
+    async fn read_requests(
+        &mut self,
+        slots: &mpsc::Sender<ResponseSlot>,
+        tasks: &mut JoinSet<()>,
+    ) -> ReadEnd {
         loop {
             // Finished tasks hold memory until they are joined.
             while tasks.try_join_next().is_some() {}
             let limits = *self.cfg.limits.borrow();
-            match self.read_request(&limits, &slots, tasks).await {
-                Ok(()) if self.shared.is_closing() => return self.drain().await,
+            match self.read_request(&limits, slots, tasks).await {
+                Ok(()) if self.shared.is_closing() => return ReadEnd::Closing,
                 Ok(()) => {}
-                Err(ReadEnd::Ended(end)) => return end,
-                Err(ReadEnd::Closing) => return self.drain().await,
                 Err(ReadEnd::Refused(refusal)) => {
                     let now = self.cfg.entry.clock.now();
-                    let seq = self.shared.record_request(SmolStr::default(), now);
-                    if let Some(seq) = seq {
-                        self.shared.record_ready(seq, now);
-                    }
-                    self.shared.close();
-                    self.refuse(refusal, &slots).await;
-                    return self.drain().await;
+                    let form = ResponseForm::WITHOUT_HEAD;
+                    let queued = self.queue_slot(SmolStr::default(), form, now, slots);
+                    return match queued.await {
+                        Ok(tx) => self.refuse(refusal, tx),
+                        Err(end) => end,
+                    };
                 }
+                Err(end) => return end,
             }
         }
     }
@@ -145,26 +159,34 @@
             return Err(ReadEnd::Refused(Refusal::BodyTooLarge));
         }
         let id = text_header(&head.headers, self.cfg.entry.dialect.request_id);
-        let seq = self.shared.record_request(id, arrived);
-        let seq = seq.ok_or(ReadEnd::Closing)?;
-        let keep_alive = head.keep_alive;
-        if !keep_alive {
+        let form = ResponseForm::from(&head);
+        let tx = self.queue_slot(id, form, arrived, slots).await?;
+        if !form.keep_alive {
             self.shared.close();
         }
+        self.read_body(head, framing, arrived, limits, tx, tasks)
+            .await
+    }
+
+    /// Queues the place of a response. Blocks while the maximum number of pipelined requests is pending.
+    async fn queue_slot(
+        &mut self,
+        id: SmolStr,
+        form: ResponseForm,
+        now: Instant,
+        slots: &mpsc::Sender<ResponseSlot>,
+    ) -> Result<ResponseSender, ReadEnd> {
+        let seq = self.shared.record_request(id.clone(), now);
+        let seq = seq.ok_or(ReadEnd::Closing)?;
         let (answer, rx) = oneshot::channel();
-        let tx = ResponseSender { answer, seq };
         let slot = ResponseSlot {
             answer: rx,
-            keep_alive,
-            takes_chunks: head.takes_chunks,
-            head_only: head.method == http::Method::HEAD,
+            form,
             open: OpenRequestGuard::new(&self.cfg.open_requests),
         };
-        // Blocks while the maximum number of pipelined requests is pending.
         let permit = self.while_connected(pin!(slots.reserve())).await?;
         permit.map_err(|_| caller_left())?.send(slot);
-        self.read_body(head, framing, arrived, limits, tx, tasks)
-            .await
+        Ok(ResponseSender { answer, seq, id })
     }
 
     async fn read_head(&mut self, limits: &CallerLimits) -> Result<RequestHead, ReadEnd> {
@@ -225,9 +247,10 @@
     ) -> Result<(), ReadEnd> {
         let mut decoder = BodyDecoder::new(framing);
         let mut buffered = BytesMut::new();
-        let is_complete = self
-            .buffer_body(&mut decoder, &mut buffered, limits)
-            .await?;
+        let is_complete = match self.buffer_body(&mut decoder, &mut buffered, limits).await {
+            Err(ReadEnd::Refused(refusal)) => return Err(self.refuse(refusal, tx)),
+            buffered => buffered?,
+        };
         let digest = BodyDigest::of(&buffered);
         let req = |body| CallerRequest {
             head,
@@ -237,7 +260,7 @@
         };
         self.read_available()?;
         if is_complete {
-            self.spawn_request(req(Body::Whole(buffered.freeze())), tx, tasks);
+            self.spawn_request(req(Body::Whole(buffered.freeze())), tx, pending(), tasks);
             return Ok(());
         }
         let length = match framing {
@@ -248,11 +271,26 @@
         let mut total = buffered.len() as u64;
         // Never blocks: the channel is empty and has capacity for several chunks.
         let _ = tx_body.send(buffered.freeze()).await;
-        self.spawn_request(req(Body::Stream { length, rx }), tx, tasks);
+        let (refusal_tx, refusal) = oneshot::channel();
+        let refused = async {
+            match refusal.await {
+                Ok(refusal) => refusal,
+                Err(_) => pending().await,
+            }
+        };
+        self.spawn_request(req(Body::Stream { length, rx }), tx, refused, tasks);
         // Boxed, since most connections carry short bodies only and would hold the memory for it all the same.
         let streaming = self.stream_body(&mut decoder, &mut total, limits, &tx_body);
-        Box::pin(streaming).await?;
-        tx_body.finish();
+        match Box::pin(streaming).await {
+            Ok(()) => tx_body.finish(),
+            Err(ReadEnd::Refused(refusal)) => {
+                self.shared.close();
+                // Fails if the request has been answered before the end of its body.
+                let _ = refusal_tx.send(refusal);
+                return Err(ReadEnd::Closing);
+            }
+            Err(end) => return Err(end),
+        }
         Ok(())
     }
 
@@ -265,18 +303,18 @@
         loop {
             let limit = MAX_BUFFERED_BODY.saturating_sub(buffered.len());
             let decoded = decoder.decode_up_to(&mut self.buf, limit);
-            match decoded.map_err(|_| ReadEnd::Ended(ConnectionEnd::InvalidBody))? {
+            match decoded.map_err(|_| ReadEnd::Refused(Refusal::BadRequest))? {
                 Decoded::End => return Ok(true),
                 Decoded::Data(data) => {
                     buffered.extend_from_slice(&data);
                     if buffered.len() as u64 > limits.body_bytes {
-                        return Err(ReadEnd::Ended(ConnectionEnd::InvalidBody));
+                        return Err(ReadEnd::Refused(Refusal::BodyTooLarge));
                     }
                     if buffered.len() >= MAX_BUFFERED_BODY && !decoder.is_done() {
                         return Ok(false);
                     }
                 }
-                Decoded::More => self.fill_with_timeout(limits).await?,
+                Decoded::More => self.fill_with_timeout(limits, Refusal::BodyTimeout).await?,
             }
         }
     }
@@ -290,12 +328,12 @@
     ) -> Result<(), ReadEnd> {
         loop {
             let decoded = decoder.decode_up_to(&mut self.buf, MAX_BODY_CHUNK);
-            match decoded.map_err(|_| ReadEnd::Ended(ConnectionEnd::InvalidBody))? {
+            match decoded.map_err(|_| ReadEnd::Refused(Refusal::BadRequest))? {
                 Decoded::End => return Ok(()),
                 Decoded::Data(data) => {
                     *total += data.len() as u64;
                     if *total > limits.body_bytes {
-                        return Err(ReadEnd::Ended(ConnectionEnd::InvalidBody));
+                        return Err(ReadEnd::Refused(Refusal::BodyTooLarge));
                     }
                     // The channel is closed if the response came before the end of the body. The rest is then
                     // discarded, so that the connection stays usable.
@@ -303,34 +341,45 @@
                         permit.send(data);
                     }
                 }
-                Decoded::More => self.fill_with_timeout(limits).await?,
+                // 408 would promise that the request has not run, but its target has received a part of it.
+                Decoded::More => self.fill_with_timeout(limits, Refusal::CallerGone).await?,
             }
         }
     }
 
-    fn spawn_request(&self, req: CallerRequest, tx: ResponseSender, tasks: &mut JoinSet<()>) {
+    /// Starts a request. It is abandoned and refused when `refused` resolves, because its body is unusable.
+    fn spawn_request<F>(
+        &self,
+        req: CallerRequest,
+        tx: ResponseSender,
+        refused: F,
+        tasks: &mut JoinSet<()>,
+    ) where
+        F: Future<Output = Refusal> + Send + 'static,
+    {
         let entry = self.cfg.entry.clone();
         let shared = Arc::clone(&self.shared);
         tasks.spawn(async move {
-            let answer = entry.serve(req).await;
+            let answer = tokio::select! {
+                biased;
+                refusal = refused => entry.refuse(refusal.into(), &tx.id, None),
+                answer = entry.serve(req) => answer,
+            };
             shared.record_ready(tx.seq, entry.clock.now());
             // Fails if the caller has disconnected and the writer has stopped.
             let _ = tx.answer.send(answer);
         });
     }
 
-    async fn refuse(&self, refusal: Refusal, slots: &mpsc::Sender<ResponseSlot>) {
-        let answer = self.cfg.entry.refuse(refusal.into(), "", None);
-        let (tx, rx) = oneshot::channel();
-        let _ = tx.send(answer);
-        let slot = ResponseSlot {
-            answer: rx,
-            keep_alive: false,
-            takes_chunks: true,
-            head_only: false,
-            open: OpenRequestGuard::new(&self.cfg.open_requests),
-        };
-        let _ = slots.send(slot).await;
+    /// Refuses a request that has not been started; nothing is read behind it.
+    fn refuse(&self, refusal: Refusal, tx: ResponseSender) -> ReadEnd {
+        let answer = self.cfg.entry.refuse(refusal.into(), &tx.id, None);
+        self.shared.close();
+        let now = self.cfg.entry.clock.now();
+        self.shared.record_ready(tx.seq, now);
+        // Fails if the writer has stopped.
+        let _ = tx.answer.send(answer);
+        ReadEnd::Closing
     }
 
     /// Waits for `ready` and reads ahead meanwhile, so that a caller that disconnects is noticed.
@@ -364,10 +413,15 @@
         Ok(())
     }
 
-    async fn fill_with_timeout(&mut self, limits: &CallerLimits) -> Result<(), ReadEnd> {
+    /// Reads a part of a body. `refusal` is the response to a request whose body stops coming.
+    async fn fill_with_timeout(
+        &mut self,
+        limits: &CallerLimits,
+        refusal: Refusal,
+    ) -> Result<(), ReadEnd> {
         match timeout(limits.idle_timeout, self.fill()).await {
             Ok(read) => read,
-            Err(_) => Err(ReadEnd::Ended(ConnectionEnd::BodyTimeout)),
+            Err(_) => Err(ReadEnd::Refused(refusal)),
         }
     }
 
--- a/crates/node/src/mesh/callers/slot.rs
+++ b/crates/node/src/mesh/callers/slot.rs
@@ -1,14 +1,15 @@
 //! Response slots and the state shared by the two halves of a caller connection.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use http::Method;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
 use super::open_response::{OpenResponse, OpenResponses, ResponseSeq};
 use super::registry::Registration;
+use crate::h1::RequestHead;
 use crate::mesh::call::CallerAnswer;
 use crate::mesh::open_request::OpenRequestGuard;
 
@@ -17,56 +18,97 @@
 pub struct ResponseSlot {
     /// Receives the response when the request's task has finished.
     pub answer: oneshot::Receiver<CallerAnswer>,
+    /// How the response is written.
+    pub form: ResponseForm,
+    /// Keeps the request counted as open until its response is written.
+    pub open: OpenRequestGuard,
+}
+
+/// How a response is written; depends on the head of its request.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseForm {
     /// Whether the connection may stay open after this response.
     pub keep_alive: bool,
     /// Whether the caller accepts chunked transfer coding.
     pub takes_chunks: bool,
     /// Whether the response has no body because it answers a `HEAD` request.
     pub head_only: bool,
-    /// Keeps the request counted as open until its response is written.
-    pub open: OpenRequestGuard,
+}
+
+impl ResponseForm {
+    /// Form of the response to a request without a usable head.
+    pub const WITHOUT_HEAD: Self = Self {
+        keep_alive: false,
+        takes_chunks: true,
+        head_only: false,
+    };
+}
+
+impl From<&RequestHead> for ResponseForm {
+    fn from(head: &RequestHead) -> Self {
+        Self {
+            keep_alive: head.keep_alive,
+            takes_chunks: head.takes_chunks,
+            head_only: head.method == Method::HEAD,
+        }
+    }
 }
 
 /// State shared by the reading and writing halves of a connection.
 #[derive(Debug)]
 pub struct ConnectionState {
-    open: Mutex<OpenResponses>,
-    closing: AtomicBool,
+    progress: Mutex<Progress>,
     registration: Registration,
 }
 
+#[derive(Debug, Default)]
+struct Progress {
+    open: OpenResponses,
+    /// Whether no further request may be started.
+    closing: bool,
+}
+
 impl ConnectionState {
     /// Creates the state of a new connection.
     pub fn new(registration: Registration) -> Self {
         Self {
-            open: Mutex::default(),
-            closing: AtomicBool::new(false),
+            progress: Mutex::default(),
             registration,
         }
     }
 
     /// Records that a request was read. Returns `None` if the connection is closing; the request must not run then.
     pub fn record_request(&self, id: SmolStr, now: Instant) -> Option<ResponseSeq> {
-        if self.closing.load(Ordering::SeqCst) {
+        let mut progress = self.progress();
+        if progress.closing {
             return None;
         }
-        let mut open = self.open();
-        if open.is_empty() {
+        if progress.open.is_empty() {
             self.registration.set_busy();
         }
-        Some(open.push(id, now))
+        Some(progress.open.push(id, now))
     }
 
     /// Records that a response may be written as soon as those before it have been.
     pub fn record_ready(&self, seq: ResponseSeq, now: Instant) {
-        self.open().set_ready(seq, now);
+        self.progress().open.set_ready(seq, now);
+    }
+
+    /// Decides whether the connection closes after the response that is about to be written, which is the oldest one.
+    /// It closes regardless of other requests if it `must_close`, and after the last response that is due if it
+    /// `may_close` or is closing already.
+    pub fn begin_response(&self, must_close: bool, may_close: bool) -> bool {
+        let mut progress = self.progress();
+        let is_last_due = progress.open.len() <= 1;
+        progress.closing |= must_close || (may_close && is_last_due);
+        must_close || (progress.closing && is_last_due)
     }
 
     /// Records that a response was written, and returns it.
     pub fn record_response(&self) -> Option<OpenResponse> {
-        let mut open = self.open();
-        let written = open.pop()?;
-        if open.is_empty() {
+        let mut progress = self.progress();
+        let written = progress.open.pop()?;
+        if progress.open.is_empty() {
             self.registration.set_idle();
         }
         Some(written)
@@ -74,7 +116,7 @@
 
     /// Returns the requests that were read and have no complete response yet, oldest first.
     pub fn unanswered(&self) -> Vec<OpenResponse> {
-        self.open().to_vec()
+        self.progress().open.to_vec()
     }
 
     /// Whether the connection should be closed after its next response to make room for others.
@@ -89,35 +131,25 @@
 
     /// Number of requests that were read and have no complete response yet.
     pub fn pending(&self) -> usize {
-        self.open().len()
+        self.progress().open.len()
     }
 
     /// When the oldest request without a complete response was read.
     pub fn oldest(&self) -> Option<Instant> {
-        self.open().front().map(|oldest| oldest.read_at)
-    }
-
-    /// Marks the connection as closing after the next response, unless further requests have been read. Callers resend
-    /// requests pipelined behind a closing response, so the result of one that already runs would be discarded.
-    pub fn try_close_after_next(&self) -> bool {
-        if self.pending() > 1 {
-            return false;
-        }
-        self.closing.store(true, Ordering::SeqCst);
-        true
+        self.progress().open.front().map(|oldest| oldest.read_at)
     }
 
-    /// Marks the connection as closing, regardless of pending requests.
+    /// Closes the connection after the last response that is due. No further request is started.
     pub fn close(&self) {
-        self.closing.store(true, Ordering::SeqCst);
+        self.progress().closing = true;
     }
 
     /// Whether no further request may be started.
     pub fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::SeqCst)
+        self.progress().closing
     }
 
-    fn open(&self) -> MutexGuard<'_, OpenResponses> {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    fn progress(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/node/src/mesh/callers/writer.rs
+++ b/crates/node/src/mesh/callers/writer.rs
@@ -60,25 +60,19 @@
     /// Writes responses until the connection's last one, or until one can't be written completely.
     pub async fn run(mut self, mut slots: mpsc::Receiver<ResponseSlot>) -> ConnectionEnd {
         while let Some(slot) = slots.recv().await {
-            let ResponseSlot {
-                answer,
-                keep_alive,
-                takes_chunks,
-                head_only,
-                open,
-            } = slot;
+            let ResponseSlot { answer, form, open } = slot;
             // A request task ends without a response only when the whole connection is being torn down.
             let Ok(answer) = self.wait_for(answer).await else {
                 return ConnectionEnd::TaskFailed;
             };
-            let last =
-                !keep_alive || answer.close || self.closes_for_shutdown() || self.closes_for_room();
-            if last && (answer.close || !keep_alive) {
-                self.shared.close();
-            }
-            let framing = framing(&answer.body, takes_chunks);
-            let last = last || framing == Framing::UntilClose;
-            match self.write_answer(answer, framing, last, head_only).await {
+            let framing = framing(&answer.body, form.takes_chunks);
+            let must_close = !form.keep_alive || answer.close || framing == Framing::UntilClose;
+            let may_close = *self.stopping.borrow() || self.shared.is_crowded();
+            let last = self.shared.begin_response(must_close, may_close);
+            match self
+                .write_answer(answer, framing, last, form.head_only)
+                .await
+            {
                 Ok(()) => {
                     if let Some(written) = self.shared.record_response() {
                         self.journal.response_written(&written, self.clock.now());
@@ -98,7 +92,7 @@
                 return ConnectionEnd::Complete;
             }
         }
-        // All requests that were read have been answered.
+        // No further request is read, and all those that were have been answered.
         let _ = self.write.shutdown().await;
         ConnectionEnd::Complete
     }
@@ -131,17 +125,6 @@
         self.write.forget();
     }
 
-    /// Whether to close the connection after this response because the node is shutting down and no further request has
-    /// been read.
-    fn closes_for_shutdown(&self) -> bool {
-        *self.stopping.borrow() && self.shared.try_close_after_next()
-    }
-
-    /// Whether to close the connection after this response because callers keep too many open.
-    fn closes_for_room(&self) -> bool {
-        self.shared.is_crowded() && self.shared.try_close_after_next()
-    }
-
     async fn write_answer(
         &mut self,
         mut answer: CallerAnswer,
