A stopping entry gives up what a ready response waits for

Callers saw: two pipelined reads; the first worked for 8 s, the second ended at once. SIGTERM to the entry, SIGKILL 6 s later: neither got a response, though the second one's had been there for 6 s.

Change: half a second before the end of the grace period, a request without a response is given up if a response behind it on its connection is ready, or as soon as one is: 502 if a target may be working on it, else 503. Those with nothing ready behind them are awaited until the process is killed, as before. A response whose body has begun can't be given up. The moment is counted from the first signal, as that of the `grace period nearly over` line.

Test: a_ready_response_is_written_before_the_node_is_killed failed before with "ready before the signal: left: (None, None), right: (Some(502), Some(200))". It passes for a response that is ready before the signal and for one that becomes ready 0.2 s after that moment. a_request_with_nothing_ready_behind_it_is_awaited passed before; since its first run, its third request ends 0.25 s after the second, because at the same time the order of the two was open.

--- a/crates/node/src/mesh/callers/open_response.rs
+++ b/crates/node/src/mesh/callers/open_response.rs
@@ -60,6 +60,14 @@
         }
     }
 
+    /// Whether a response is ready behind the one with this number.
+    pub fn is_ready_behind(&self, seq: ResponseSeq) -> bool {
+        let behind = (seq.0 + 1).saturating_sub(self.first);
+        let behind = usize::try_from(behind).unwrap_or(usize::MAX);
+        let mut behind = self.open.iter().skip(behind);
+        behind.any(|open| open.ready_at.is_some())
+    }
+
     /// Removes the oldest request.
     pub fn pop(&mut self) -> Option<OpenResponse> {
         let oldest = self.open.pop_front()?;
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -364,7 +364,7 @@
             let answer = tokio::select! {
                 biased;
                 refusal = refused => entry.refuse(refusal.into(), &tx.id, None),
-                answer = entry.serve(req) => answer,
+                answer = entry.serve(req, shared.ready_behind(tx.seq)) => answer,
             };
             shared.record_ready(tx.seq, entry.clock.now());
             // Fails if the caller has disconnected and the writer has stopped.
--- a/crates/node/src/mesh/callers/slot.rs
+++ b/crates/node/src/mesh/callers/slot.rs
@@ -1,11 +1,12 @@
 //! Response slots and the state shared by the two halves of a caller connection.
 
+use std::pin::pin;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 use http::Method;
 use smol_str::SmolStr;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use super::open_response::{OpenResponse, OpenResponses, ResponseSeq};
 use super::registry::Registration;
@@ -58,6 +59,8 @@
 #[derive(Debug)]
 pub struct ConnectionState {
     progress: Mutex<Progress>,
+    /// Notified when a response is ready.
+    ready: Notify,
     registration: Registration,
 }
 
@@ -75,6 +78,7 @@
     pub fn new(registration: Registration) -> Self {
         Self {
             progress: Mutex::default(),
+            ready: Notify::new(),
             registration,
         }
     }
@@ -98,6 +102,20 @@
     /// Records that a response may be written as soon as those before it have been.
     pub fn record_ready(&self, seq: ResponseSeq, now: Instant) {
         self.progress().open.set_ready(seq, now);
+        self.ready.notify_waiters();
+    }
+
+    /// Resolves when a response is ready behind the one with this number.
+    pub async fn ready_behind(&self, seq: ResponseSeq) {
+        loop {
+            let mut notified = pin!(self.ready.notified());
+            // Registers for notifications before the check, so that none is missed.
+            notified.as_mut().enable();
+            if self.progress().open.is_ready_behind(seq) {
+                return;
+            }
+            notified.await;
+        }
     }
 
     /// Decides whether the connection closes after the response that is about to be written, which is the oldest one.
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -59,8 +59,12 @@
 }
 
 impl Entry {
-    /// Serves a caller's request.
-    pub async fn serve(&self, mut req: CallerRequest) -> CallerAnswer {
+    /// Serves a caller's request. `holds_back` resolves when a response is ready that can't be written before this one;
+    /// the request is then given up if the grace period of a stopping node is nearly over.
+    pub async fn serve<F>(&self, mut req: CallerRequest, holds_back: F) -> CallerAnswer
+    where
+        F: Future<Output = ()>,
+    {
         let credential = take_credential(&mut req.head.headers, &self.dialect);
         let id = text_header(&req.head.headers, self.dialect.request_id);
         let time_left_ms = number_header(&req.head.headers, self.dialect.time_left_ms);
@@ -91,11 +95,16 @@
         let (id, deadline) = (attempts.id.clone(), attempts.deadline);
         let result = {
             let served = pin!(timeout(limit, attempts.run()));
-            self.log_if_unfinished(&id, deadline, served).await
+            tokio::select! {
+                biased;
+                result = self.log_if_unfinished(&id, deadline, served) => Some(result),
+                () = self.wait_until_given_up(holds_back) => None,
+            }
         };
         let result = match result {
-            Ok(result) => result,
-            Err(_) => Err(attempts.expired()),
+            Some(Ok(result)) => result,
+            Some(Err(_)) => Err(attempts.expired()),
+            None => Err(attempts.given_up()),
         };
         attempts.log(&result);
         attempts.refund_quota(&result);
@@ -133,6 +142,19 @@
         served.await
     }
 
+    /// Resolves when the grace period is nearly over and `holds_back` has resolved.
+    async fn wait_until_given_up<F>(&self, holds_back: F)
+    where
+        F: Future<Output = ()>,
+    {
+        holds_back.await;
+        let mut grace_over = self.grace_over.clone();
+        if grace_over.wait_for(|is_over| *is_over).await.is_err() {
+            // The sender is dropped only as the process exits.
+            std::future::pending().await
+        }
+    }
+
     /// Builds the response by which the node itself refuses a request.
     pub fn refuse(&self, refused: Refused, id: &str, time_left: Option<Duration>) -> CallerAnswer {
         let rule = refused.refusal.rule();
--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -336,12 +336,24 @@
 
     /// Refusal returned to the caller when the deadline has passed.
     pub(super) fn expired(&self) -> Refused {
-        match self.attempt_in_progress || may_have_run(&self.result_so_far) {
+        match self.may_be_running() {
             true => Refused::from(Refusal::Expired),
             false => Refused::from(Refusal::ExpiredUnsent),
         }
     }
 
+    /// Refusal returned to the caller when the node stops before the request has ended.
+    pub(super) fn given_up(&self) -> Refused {
+        match self.may_be_running() {
+            true => Refused::from(Refusal::Lost),
+            false => Refused::from(Refusal::Stopping),
+        }
+    }
+
+    fn may_be_running(&self) -> bool {
+        self.attempt_in_progress || may_have_run(&self.result_so_far)
+    }
+
     /// Remaining time until the caller gives up, if the caller sent it.
     pub(super) fn time_left(&self) -> Option<Duration> {
         let now = self.entry.clock.now();
