A connection is idle from its last response on

Callers saw: a connection closed under a request that was sent within four fifths of the idle time after an answer. Nothing had been passed on, so callers that know it send again; a bid in that place is in doubt for callers that don't.

Cause: Reader::read_head counted the idle time from the reading of the request before, so a run of 1.5 s left 0.5 s of 2 s, and it kept the idle timeout of that moment when a configuration raised it.

Change: the idle time begins when the latest response has been written, and the longer one of the timeout of that moment and the current one holds.

--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -192,6 +192,7 @@
 
     async fn read_head(&mut self, limits: &CallerLimits) -> Result<RequestHead, ReadEnd> {
         let mut started: Option<Instant> = None;
+        let waiting_since = self.cfg.entry.clock.now();
         loop {
             match parse_request(&mut self.buf, limits.header_bytes) {
                 Ok(Some(head)) => return Ok(head),
@@ -209,7 +210,7 @@
                 Some(started) => limits
                     .header_timeout
                     .saturating_sub(now.saturating_duration_since(started)),
-                None => limits.idle_timeout,
+                None => self.idle_time_left(limits, waiting_since),
             };
             let shared = Arc::clone(&self.shared);
             let filled = tokio::select! {
@@ -230,11 +231,26 @@
                 }
                 // A caller that waits for a response is not idle.
                 Err(_) if self.shared.pending() > 0 => {}
+                Err(_) if !self.idle_time_left(limits, waiting_since).is_zero() => {}
                 Err(_) => return Err(ReadEnd::Ended(ConnectionEnd::Idle)),
             }
         }
     }
 
+    /// Time until the connection has been idle for too long, by the longer one of the idle timeouts that its caller may
+    /// know.
+    fn idle_time_left(&self, limits: &CallerLimits, waiting_since: Instant) -> Duration {
+        let current = self.cfg.limits.borrow().idle_timeout;
+        let idle_timeout = limits.idle_timeout.max(current);
+        if self.shared.pending() > 0 {
+            return idle_timeout;
+        }
+        let written_at = self.shared.written_at().unwrap_or(waiting_since);
+        let idle_since = written_at.max(waiting_since);
+        let now = self.cfg.entry.clock.now();
+        idle_timeout.saturating_sub(now.saturating_duration_since(idle_since))
+    }
+
     /// Reads the body and starts the request. A short body is buffered first, so that the request can be retried; a
     /// long one is streamed to the running request.
     async fn read_body(
--- a/crates/node/src/mesh/callers/slot.rs
+++ b/crates/node/src/mesh/callers/slot.rs
@@ -71,6 +71,8 @@
     closing: bool,
     /// Whether the response being written has announced that the connection stays open after it.
     stays_open: bool,
+    /// When the latest response was written.
+    written_at: Option<Instant>,
 }
 
 impl ConnectionState {
@@ -131,9 +133,10 @@
     }
 
     /// Records that a response was written, and returns it.
-    pub fn record_response(&self) -> Option<OpenResponse> {
+    pub fn record_response(&self, now: Instant) -> Option<OpenResponse> {
         let mut progress = self.progress();
         progress.stays_open = false;
+        progress.written_at = Some(now);
         let written = progress.open.pop()?;
         if progress.open.is_empty() {
             self.registration.set_idle();
@@ -156,6 +159,11 @@
         self.registration.evicted().await;
     }
 
+    /// When the latest response was written, if there was one.
+    pub fn written_at(&self) -> Option<Instant> {
+        self.progress().written_at
+    }
+
     /// Number of requests that were read and have no complete response yet.
     pub fn pending(&self) -> usize {
         self.progress().open.len()
--- a/crates/node/src/mesh/callers/writer.rs
+++ b/crates/node/src/mesh/callers/writer.rs
@@ -74,8 +74,9 @@
                 .await
             {
                 Ok(()) => {
-                    if let Some(written) = self.shared.record_response() {
-                        self.journal.response_written(&written, self.clock.now());
+                    let now = self.clock.now();
+                    if let Some(written) = self.shared.record_response(now) {
+                        self.journal.response_written(&written, now);
                     }
                     drop(open);
                 }
