A stopping entry gives a run up for a target's response only

Callers would see a run ended with 502 half a second before the end of the grace period because a refusal of the node itself stood behind it on its connection.

Cause: any response that was ready counted. A refusal is worth less than a run that may still end in time, and a caller that loses it sends its request again.

Change: only a response that a target gave counts.

Test: a_request_with_only_a_refusal_behind_it_is_awaited failed before (left: 502, right: 200) and passes now; the other six of pipelined_callers pass.

--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -233,3 +233,10 @@
     /// Whether to close the connection after this response, because the next request on it could not be delimited.
     pub close: bool,
 }
+
+impl CallerAnswer {
+    /// Whether a target gave the response.
+    pub fn is_from_target(&self) -> bool {
+        self.deadline.is_some()
+    }
+}
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -382,7 +382,7 @@
                 refusal = refused => entry.refuse(refusal.into(), &tx.id, None),
                 answer = entry.serve(req, shared.ready_behind(tx.seq)) => answer,
             };
-            shared.record_ready(tx.seq, entry.clock.now());
+            shared.record_ready(tx.seq, answer.is_from_target(), entry.clock.now());
             // Fails if the caller has disconnected and the writer has stopped.
             let _ = tx.answer.send(answer);
         });
@@ -393,7 +393,7 @@
         let answer = self.cfg.entry.refuse(refusal.into(), &tx.id, None);
         self.shared.close();
         let now = self.cfg.entry.clock.now();
-        self.shared.record_ready(tx.seq, now);
+        self.shared.record_ready(tx.seq, false, now);
         // Fails if the writer has stopped.
         let _ = tx.answer.send(answer);
         ReadEnd::Closing
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -61,7 +61,7 @@
 }
 
 impl Entry {
-    /// Serves a caller's request. `holds_back` resolves when a response is ready that can't be written before this one;
+    /// Serves a caller's request. `holds_back` resolves when a target's response is ready that has to wait for this one;
     /// the request is then given up if the grace period of a stopping node is nearly over.
     pub async fn serve<F>(&self, mut req: CallerRequest, holds_back: F) -> CallerAnswer
     where
