Soak of planned work alone finds lost requests

Callers saw: requests that a stopping entry had read ended without an answer. The soak could not show it: no caller pipelined beside a stop, no target had a queue when its entry stopped, and most random faults excuse a closed connection.

Nodes get SIGTERM, sometimes once more while they stop, and SIGKILL at the end of the grace period. Four callers per machine pipeline two to four idempotent requests on kept connections; one series in 25 begins with a slow one, up to 8 s. Crowds of more long requests than the fleet has slots queue while their entry, another node or both stop. One such caller per machine runs beside the mixed faults too, whose plans are unchanged.

The check of lost requests also looks at the requests of the other callers, with one report per request. A status of 500 or more after an aborted run counts as broken off if the entry was stopping and the host was not at the end of its own grace period. Nodes answer up to 15 ms before a time limit, so that counts as reached. Runs that begin after the end of the connection do not count: the kill of the entry lets hosts pass on what was queued.

The report counts for each kind how often it struck requests at work, queued (not at a target yet), and ready behind another, and names the kinds that never did.

--- a/crates/rig/src/cli/soak.rs
+++ b/crates/rig/src/cli/soak.rs
@@ -21,6 +21,8 @@
     /// Number of runs, with consecutive seeds from --seed
     #[bpaf(argument("N"), fallback(1))]
     runs: u64,
+    /// Planned work alone: signals, reloads, configurations, targets that leave
+    planned: bool,
     /// Print the plan without running it
     plan: bool,
 }
@@ -29,7 +31,10 @@
 pub async fn run(options: SoakOptions) -> Result<(), RigError> {
     let mut failed_seeds = Vec::new();
     for seed in options.seed..options.seed + options.runs {
-        let plan = SoakPlan::of_seed(seed, options.seconds, options.machines);
+        let plan = match options.planned {
+            true => SoakPlan::planned_of_seed(seed, options.seconds, options.machines),
+            false => SoakPlan::of_seed(seed, options.seconds, options.machines),
+        };
         if options.plan {
             println!("{}", serde_json::to_string_pretty(&plan)?);
             continue;
--- a/crates/rig/src/soak/callers.rs
+++ b/crates/rig/src/soak/callers.rs
@@ -1,7 +1,7 @@
 //! Load of a soak test: callers that reuse a connection until it is closed.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,7 @@
 
 use super::long_bodies::{DOWNLOAD_PREFIX, UPLOAD_PREFIX};
 use super::machine::CRASHING_MARK;
-use crate::soak::{Key, RequestKind, RequestRecord};
+use crate::soak::{KeptRequest, Key, RequestKind, RequestRecord};
 
 /// Timeout of every route.
 pub const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -29,10 +29,18 @@
     pub version: AtomicU32,
     /// Tells the callers to stop.
     pub stopping: AtomicBool,
+    /// Number of crowds begun.
+    pub crowds: AtomicUsize,
     /// Number of long uploads and downloads begun.
     pub long_bodies: AtomicUsize,
+    /// Timeout of the route of pipelining callers in seconds.
+    pub work_timeout_s: AtomicU64,
+    /// Idle time of callers' connections in seconds.
+    pub idle_s: AtomicU64,
     /// Finished requests of all callers.
     pub records: Mutex<Vec<RequestRecord>>,
+    /// Finished requests of the callers that pipeline.
+    pub kept: Mutex<Vec<KeptRequest>>,
 }
 
 /// A caller that sends requests to one machine.
@@ -160,6 +168,7 @@
     plain.replacen("\r\n", &format!("\r\n{headers}"), 1)
 }
 
-fn has_connection_close(head: &str) -> bool {
+/// Returns whether the node announces the end of the connection.
+pub fn has_connection_close(head: &str) -> bool {
     head.to_ascii_lowercase().contains("connection: close")
 }
--- a/crates/rig/src/soak/evidence.rs
+++ b/crates/rig/src/soak/evidence.rs
@@ -8,7 +8,10 @@
 use super::leaving::find_requests_to_leaving;
 use super::limits::find_exceeded_limits;
 use super::long_bodies::{LONG_BODY, find_wrong_uploads, is_truncated_by_stop};
-use super::{Key, NamedLimit};
+use super::lost::{find_loss_of_record, find_lost};
+use super::pipelined::find_mixed_answers;
+use super::runs::Runs;
+use super::{KeptRequest, Key, NamedLimit, Strike, WorkLimit};
 
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +75,8 @@
 pub struct Evidence {
     /// The requests of all callers.
     pub records: Vec<RequestRecord>,
+    /// The requests of callers that pipeline.
+    pub kept: Vec<KeptRequest>,
     /// Requests that arrived at each machine's target.
     pub arrivals: Vec<Vec<Arrival>>,
     /// Times at which a node was suspended or down.
@@ -82,6 +87,10 @@
     pub drains: Vec<Span>,
     /// Rate limits that targets named.
     pub limits: Vec<NamedLimit>,
+    /// Time limits of the route of pipelining callers, in the order of their publication.
+    pub work_limits: Vec<WorkLimit>,
+    /// Moments at which faults and planned work struck.
+    pub strikes: Vec<Strike>,
     /// Machine of the target that announced its leaving in its responses, if there was one.
     pub leaving: Option<usize>,
     /// Times at which some node could not reach the store or be reached, or a target failed by itself.
@@ -120,10 +129,12 @@
             seen.runs += usize::from(arrival.ran);
         }
     }
+    let runs = Runs::of(evidence);
     let mut breaches = Vec::new();
     for record in &evidence.records {
         let seen = target_counts.get(record.id.as_str());
-        let found = find_breach(evidence, record, seen.copied().unwrap_or_default());
+        let found = find_breach(evidence, record, seen.copied().unwrap_or_default())
+            .or_else(|| find_loss_of_record(evidence, &runs, record));
         breaches.extend(
             found.map(|what| format!("{} at machine {}: {what}", record.id, record.machine)),
         );
@@ -134,6 +145,8 @@
     breaches.extend(find_exceeded_limits(evidence));
     breaches.extend(find_requests_to_leaving(evidence));
     breaches.extend(find_wrong_uploads(evidence));
+    breaches.extend(find_lost(evidence, &runs));
+    breaches.extend(find_mixed_answers(evidence));
     breaches.extend(find_unblocked_requests(evidence));
     breaches.extend(find_wrongly_blocked_requests(evidence));
     breaches
--- a/crates/rig/src/soak/long_bodies.rs
+++ b/crates/rig/src/soak/long_bodies.rs
@@ -12,6 +12,7 @@
 
 use super::callers::{ANSWER_TOLERANCE, LoadState, request};
 use super::evidence::any_overlaps;
+use super::lost::GRACE;
 use super::{Evidence, Key, RequestKind, RequestRecord};
 
 /// Prefix of the paths of uploads.
@@ -48,9 +49,6 @@
 /// Number of parts after which a caller that does not finish its upload stops sending.
 const UNFINISHED_PARTS: usize = 10;
 
-/// Grace period of nodes.
-const GRACE: Duration = Duration::from_secs(6);
-
 /// A long upload or download, sent to one machine. Its number decides on the kind: a half are downloads. Of the uploads
 /// a half is chunked, a third is left unfinished on an open connection, and a third ends with its connection.
 #[derive(Clone, Copy, Debug)]
--- a/crates/rig/src/soak/machine.rs
+++ b/crates/rig/src/soak/machine.rs
@@ -10,6 +10,7 @@
 use super::long_bodies::{
     DOWNLOAD_PREFIX, LONG_BODY, SLOW_READ_PAUSE, SLOW_WRITE_PAUSE, UPLOAD_PREFIX,
 };
+use super::pipelined::{WORK_MS, work_path};
 use crate::error::RigError;
 use crate::fleet::Programs;
 use crate::process::{Output, Process, ProcessSpec, free_port};
@@ -125,6 +126,9 @@
             DOWNLOAD_PREFIX,
             Behavior::SlowLong(LONG_BODY, SLOW_WRITE_PAUSE),
         );
+        for ms in WORK_MS {
+            worker.set_for_prefix(&work_path(ms), Behavior::Work(Duration::from_millis(ms)));
+        }
         let peers = address(&inner, peers_port)?;
         let links = vec![
             LinkPlan {
--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -6,6 +6,8 @@
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
 
+use super::planned::planned_work;
+
 /// Proxied link of one machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -181,6 +183,30 @@
         /// Duration.
         ms: u64,
     },
+    /// Stops a node as a supervisor does, which kills it at the end of the grace period, and restarts it. A node that
+    /// stops already gets a further signal.
+    Roll {
+        /// Index of the machine.
+        machine: usize,
+    },
+    /// Sends long requests on connections kept open, more than targets have slots.
+    Crowd {
+        /// Index of the machine that receives them.
+        machine: usize,
+        /// Number of requests.
+        count: usize,
+        /// Service time of each.
+        work_ms: u64,
+        /// Time over which they are sent.
+        over_ms: u64,
+    },
+    /// Publishes a configuration with other time limits.
+    WorkLimits {
+        /// Timeout of the route of pipelining callers in seconds.
+        timeout_s: u64,
+        /// Idle time of callers' connections in seconds.
+        idle_s: u64,
+    },
     /// Repeats a request that crashes every target that runs it, at each machine in turn.
     Crashing {
         /// Number of the crashing request within the run.
@@ -202,6 +228,16 @@
     pub fault: Fault,
 }
 
+/// What a plan consists of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Work {
+    /// Faults of all kinds and planned work.
+    Mixed,
+    /// Planned work alone, which excuses nothing.
+    Planned,
+}
+
 /// Complete schedule of a soak test.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct SoakPlan {
@@ -211,6 +247,8 @@
     pub seconds: u64,
     /// Number of machines.
     pub machines: usize,
+    /// What the plan consists of.
+    pub work: Work,
     /// Whether only a few nodes read the store and pass updates on, as in a large fleet.
     pub shares_reading: bool,
     /// Faults in the order of their times.
@@ -244,10 +282,23 @@
             seed,
             seconds,
             machines,
+            work: Work::Mixed,
             shares_reading: seed.is_multiple_of(SHARED_READS_SEED_INTERVAL),
             faults,
         }
     }
+
+    /// Generates the plan of planned work alone for a seed.
+    pub fn planned_of_seed(seed: u64, seconds: u64, machines: usize) -> Self {
+        Self {
+            seed,
+            seconds,
+            machines,
+            work: Work::Planned,
+            shares_reading: seed.is_multiple_of(SHARED_READS_SEED_INTERVAL),
+            faults: planned_work(seed, seconds, machines),
+        }
+    }
 }
 
 /// Adds target crashes. A separate generator keeps the other faults of a seed unchanged.
@@ -382,7 +433,7 @@
 }
 
 /// Adds a fault at the first millisecond from `at_ms` on that has none yet.
-fn add_at(faults: &mut Vec<ScheduledFault>, at_ms: u64, fault: Fault) {
+pub(super) fn add_at(faults: &mut Vec<ScheduledFault>, at_ms: u64, fault: Fault) {
     let is_occupied = |at_ms| faults.iter().any(|scheduled| scheduled.at_ms == at_ms);
     let free = (at_ms..).find(|at_ms| !is_occupied(*at_ms));
     faults.push(ScheduledFault {
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -1,6 +1,6 @@
 //! Runs a soak test: starts machines and load, injects faults and checks the outcome.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -20,12 +20,15 @@
     BODIES_PER_STOP, DOWNLOAD_PREFIX, LONG_TIMEOUT_S, LongBody, UPLOAD_PREFIX,
 };
 use super::machine::{CRASH_DOWNTIME, DOMAINS, Machine};
+use super::pipelined::{MAX_PIPELINING, PipeliningCaller, WORK_PREFIX};
+use super::rolls::{FIRST_IDLE_S, KILL_AFTER_GRACE};
+use super::strikes::never_struck;
 use crate::error::RigError;
 use crate::process::{Process, Signal, free_port};
 use crate::proxy::{Cut, DirectionFaults, LinkFaults};
 use crate::soak::{
     CHANGING_WORKSPACE, Evidence, Fault, Key, LASTING_WORKSPACE, Link, LongBodyCounts, NamedLimit,
-    SoakPlan, Span, StopAt, find_breaches,
+    SoakPlan, Span, StopAt, StrikeCounts, count_strikes, find_breaches,
 };
 
 /// Number of callers per machine.
@@ -49,6 +52,14 @@
     /// Number of faults injected.
     #[serde(rename = "strikes")]
     pub faults: usize,
+    /// Number of requests sent by callers that pipeline, and of those how many got a complete answer.
+    pub kept: (usize, usize),
+    /// How many nodes were killed at the end of their grace period.
+    pub killed: usize,
+    /// How often each kind of fault and planned work struck requests in each state.
+    pub struck: BTreeMap<String, StrikeCounts>,
+    /// Kinds that never struck a request in some state.
+    pub never_struck: Vec<String>,
     /// What became of the long uploads and downloads.
     pub long_bodies: LongBodyCounts,
     /// Descriptions of violated guarantees.
@@ -62,19 +73,22 @@
 const SIGNAL_HANDLER_DELAY: Duration = Duration::from_millis(1000);
 
 /// A node process and its running time.
-struct NodeProcess {
-    process: Process,
+pub(super) struct NodeProcess {
+    pub(super) process: Process,
     started_at: Instant,
     /// Time since its start for which it was suspended.
     suspended: Duration,
+    /// Whether a supervisor waits for its end.
+    pub(super) stopping: bool,
 }
 
 impl NodeProcess {
-    fn start(machine: &Machine) -> Result<Self, RigError> {
+    pub(super) fn start(machine: &Machine) -> Result<Self, RigError> {
         Ok(Self {
             process: machine.start()?,
             started_at: Instant::now(),
             suspended: Duration::ZERO,
+            stopping: false,
         })
     }
 
@@ -89,7 +103,7 @@
     }
 
     /// Waits until the signal handlers are installed. A suspended process does not get closer to that.
-    async fn wait_for_signal_handlers(&self) {
+    pub(super) async fn wait_for_signal_handlers(&self) {
         let ran = self.started_at.elapsed().saturating_sub(self.suspended);
         sleep(SIGNAL_HANDLER_DELAY.saturating_sub(ran)).await;
     }
@@ -104,14 +118,14 @@
 /// Time from the start of long bodies to the stop of the node that they pass through.
 const IN_BODIES: Duration = Duration::from_millis(200);
 
-struct Soak {
+pub(super) struct Soak {
     store: Store,
-    machines: Vec<Machine>,
+    pub(super) machines: Vec<Machine>,
     /// Start time of each target as published, in milliseconds.
     start_times: Vec<AtomicU64>,
-    nodes: Vec<AsyncMutex<NodeProcess>>,
-    shared: Arc<LoadState>,
-    evidence: Mutex<Evidence>,
+    pub(super) nodes: Vec<AsyncMutex<NodeProcess>>,
+    pub(super) shared: Arc<LoadState>,
+    pub(super) evidence: Mutex<Evidence>,
 }
 
 /// Runs a plan and checks every guarantee.
@@ -138,6 +152,7 @@
     if breaches.is_empty() {
         std::fs::remove_dir_all(&logs)?;
     }
+    let struck = count_strikes(&evidence);
     let served = |asked: &RequestOutcome| matches!(asked, RequestOutcome::Answered(answer) if answer.status == 200);
     Ok(SoakReport {
         seed: plan.seed,
@@ -148,6 +163,13 @@
             .filter(|record| served(&record.asked))
             .count(),
         faults: plan.faults.len(),
+        kept: (
+            evidence.kept.len(),
+            evidence.kept.iter().filter(|one| one.is_answered()).count(),
+        ),
+        killed: struck.get(KILL_AFTER_GRACE).map_or(0, |one| one.times),
+        never_struck: never_struck(&struck),
+        struck,
         long_bodies: LongBodyCounts::of(&evidence),
         breaches,
         logs,
@@ -175,7 +197,7 @@
             shared: Arc::default(),
             evidence: Mutex::default(),
         };
-        soak.publish_config();
+        soak.publish_work_limits(plan.work.first_timeout_s(), FIRST_IDLE_S);
         for at in 0..soak.machines.len() {
             soak.publish_entry(at, "ready");
         }
@@ -198,6 +220,16 @@
                 };
                 load.spawn(caller.run());
             }
+            for caller in 0..plan.work.pipelining_callers() {
+                let caller = PipeliningCaller {
+                    machine,
+                    address: of.callers,
+                    name: format!("p{}m{machine}c{caller}", plan.seed),
+                    seed: plan.seed ^ ((machine * MAX_PIPELINING + caller) as u64 + 1) << 40,
+                    shared: Arc::clone(&self.shared),
+                };
+                load.spawn(caller.run());
+            }
         }
         load
     }
@@ -221,6 +253,9 @@
     async fn inject(&self, fault: Fault) -> Result<(), RigError> {
         let from = Instant::now();
         let time = Duration::from_millis;
+        if !fault.is_signal() {
+            self.record_strike(&fault.name(), fault.machine());
+        }
         match fault {
             Fault::Kill { machine, down_ms } => {
                 let mut node = self.nodes[machine].lock().await;
@@ -239,6 +274,18 @@
                 let node = self.nodes[machine].lock().await;
                 node.wait_for_signal_handlers().await;
                 node.process.signal(Signal::HUP)?;
+                self.record_strike(&fault.name(), Some(machine));
+            }
+            Fault::Roll { machine } => self.roll(machine).await?,
+            Fault::Crowd {
+                machine,
+                count,
+                work_ms,
+                over_ms,
+            } => self.send_crowd(machine, count, work_ms, over_ms).await,
+            Fault::WorkLimits { timeout_s, idle_s } => {
+                self.shared.version.fetch_add(1, Ordering::SeqCst);
+                self.publish_work_limits(timeout_s, idle_s);
             }
             Fault::Store { silent, ms } => {
                 let mood = if silent {
@@ -395,6 +442,7 @@
         let mut node = self.nodes[machine].lock().await;
         node.wait_for_signal_handlers().await;
         let from = Instant::now();
+        self.record_strike("stop", Some(machine));
         let stopped = node.process.stop(STOP_LIMIT).await;
         self.record_span(|e| &mut e.stops, Some(machine), from);
         *node = NodeProcess::start(&self.machines[machine])?;
@@ -438,7 +486,7 @@
     }
 
     /// Records a time span from `from` until now.
-    fn record_span<F>(&self, which: F, machine: Option<usize>, from: Instant)
+    pub(super) fn record_span<F>(&self, which: F, machine: Option<usize>, from: Instant)
     where
         F: FnOnce(&mut Evidence) -> &mut Vec<Span>,
     {
@@ -461,7 +509,7 @@
         });
     }
 
-    fn publish_config(&self) {
+    pub(super) fn publish_config(&self) {
         let version = self.shared.version.load(Ordering::SeqCst);
         let mut more: Vec<String> = (0..=version)
             .map(|n| route(&format!("v{n}"), &format!("/v{n}/"), "idempotent", 1))
@@ -470,6 +518,9 @@
             let timeout = format!("\"timeout_s\":{LONG_TIMEOUT_S}");
             more.push(route(kind, prefix, kind, 1).replace("\"timeout_s\":3", &timeout));
         }
+        let timeout_s = self.shared.work_timeout_s.load(Ordering::SeqCst);
+        let work = route("work", WORK_PREFIX, "idempotent", 1);
+        more.push(work.replace("\"timeout_s\":3", &format!("\"timeout_s\":{timeout_s}")));
         // High limits keep quotas from refusing requests; a model covers quotas under faults.
         let workspaces = [
             workspace(LASTING_WORKSPACE, &[&Key::Lasting.text()], 0, 1e6),
@@ -482,8 +533,11 @@
         ];
         let config = config_with_workspaces(version + 1, &workspaces);
         let routes = format!("\"routes\":[{},", more.join(","));
+        let config = config.replacen("\"routes\":[", &routes, 1);
+        let idle = self.shared.idle_s.load(Ordering::SeqCst);
+        let idle = format!("\"idle_timeout_s\":{idle}");
         self.store
-            .put_config(&config.replacen("\"routes\":[", &routes, 1));
+            .put_config(&config.replace("\"idle_timeout_s\":8", &idle));
     }
 
     fn publish_entry(&self, at: usize, state: &str) {
@@ -536,6 +590,7 @@
     fn collect_evidence(&self) -> Evidence {
         let spans = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
         let records = self.shared.records.lock();
+        let kept = self.shared.kept.lock();
         let workers = self.machines.iter().map(|machine| &machine.worker);
         let crashes = workers
             .flat_map(|worker| worker.crash_times())
@@ -548,6 +603,7 @@
         Evidence {
             impairments,
             records: records.unwrap_or_else(PoisonError::into_inner).clone(),
+            kept: kept.unwrap_or_else(PoisonError::into_inner).clone(),
             arrivals: self
                 .machines
                 .iter()
