The last response of a connection is sent before the connection closes

Callers saw: a part of an answer that a target had given, around a SIGTERM of the entry, where they read slowly and had sent a request behind it.

Cause: the last response counted as written once the kernel had it. Input was then discarded for half a second and the connection closed, or the stopping node exited, with up to a socket's buffer unsent. A request that arrives at a closed socket is answered by a reset, and the kernel drops the rest.

Change: after its last response the writer waits until the socket holds nothing unsent (TCP_NOTSENT_LOWAT and poll, every 20 ms), for at most the idle timeout of callers.

--- a/crates/node/src/mesh/callers.rs
+++ b/crates/node/src/mesh/callers.rs
@@ -7,6 +7,7 @@
 mod open_response;
 mod reader;
 mod registry;
+mod sent;
 mod slot;
 mod writer;
 
--- a/crates/node/src/mesh/callers/connection.rs
+++ b/crates/node/src/mesh/callers/connection.rs
@@ -28,6 +28,7 @@
     let writer = Writer {
         write,
         shared: Arc::clone(&shared),
+        limits: cfg.limits.clone(),
         stopping: cfg.stopping.clone(),
         grace_over: cfg.grace_over.clone(),
         clock: Arc::clone(&clock),
--- a/crates/node/src/mesh/callers/writer.rs
+++ b/crates/node/src/mesh/callers/writer.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use coltsfootport_core::mesh::CallerLimits;
 use http::header::{CONNECTION, HeaderValue};
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
@@ -15,6 +16,7 @@
 
 use super::chunk_deadline::ChunkDeadline;
 use super::connection_end::ConnectionEnd;
+use super::sent::wait_until_sent;
 use super::slot::{ConnectionState, ResponseSlot};
 use crate::clock::SharedClock;
 use crate::h1::{Framing, LAST_CHUNK, encode_chunk, encode_response_head};
@@ -28,6 +30,8 @@
     pub write: OwnedWriteHalf,
     /// State shared with the reading half.
     pub shared: Arc<ConnectionState>,
+    /// Limits on what callers may send and how long they may take.
+    pub limits: watch::Receiver<CallerLimits>,
     /// Becomes true when the node starts to shut down.
     pub stopping: watch::Receiver<bool>,
     /// Becomes true when the grace period of a stopping node is nearly over.
@@ -74,6 +78,9 @@
                 .await
             {
                 Ok(()) => {
+                    if last {
+                        self.finish_sending().await;
+                    }
                     let now = self.clock.now();
                     if let Some(written) = self.shared.record_response(now) {
                         self.journal.response_written(&written, now);
@@ -116,6 +123,13 @@
         answer.await
     }
 
+    /// Waits until the last response has been sent, for at most the idle timeout of callers.
+    async fn finish_sending(&self) {
+        let limit = self.limits.borrow().idle_timeout;
+        // The connection is closed in either case.
+        let _ = timeout(limit, wait_until_sent(self.write.as_ref())).await;
+    }
+
     /// Aborts the connection with a TCP reset. Without chunked coding a close marks the end of the body, so that after
     /// an orderly close a truncated response would look complete.
     fn reset(self) {
