--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -240,7 +240,7 @@
         }
     }
 
-    /// Logs a response that waited for others on its connection for longer than [`MIN_LOGGED_WAIT`].
+    /// Logs a response that waited for others on its connection for longer than `MIN_LOGGED_WAIT`.
     pub fn response_written(&self, written: &OpenResponse, now: Instant) {
         let wait = written.waited(now);
         self.metrics.response_wait.observe(wait.as_secs_f64());
@@ -273,7 +273,7 @@
         }
     }
 
-    /// Logs a request that has left the queue of the local target after a wait of more than [`MIN_LOGGED_WAIT`];
+    /// Logs a request that has left the queue of the local target after a wait of more than `MIN_LOGGED_WAIT`;
     /// `outcome` is how it left the queue.
     pub fn left_queue(&self, id: &str, outcome: &str, wait: Duration) {
         self.metrics.queue_wait.observe(wait.as_secs_f64());
