--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -1,6 +1,7 @@
 //! Reading half of a caller connection.
 
-use std::future::pending;
+mod body;
+
 use std::io::{ErrorKind, Read};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
@@ -8,7 +9,6 @@
 
 use bytes::BytesMut;
 use coltsfootport_core::mesh::{CallerLimits, Refusal};
-use coltsfootport_core::quarantine::BodyDigest;
 use smol_str::SmolStr;
 use socket2::SockRef;
 use tokio::io::AsyncReadExt;
@@ -21,11 +21,8 @@
 use super::listener::CallersConfig;
 use super::open_response::ResponseSeq;
 use super::slot::{ConnectionState, ResponseForm, ResponseSlot};
-use crate::h1::{
-    BodyDecoder, Decoded, Framing, H1Error, RequestHead, parse_request, request_framing,
-};
-use crate::mesh::body_channel::{BodySender, body_channel};
-use crate::mesh::call::{Body, CallerAnswer, CallerRequest, MAX_BODY_CHUNK, MAX_BUFFERED_BODY};
+use crate::h1::{Framing, H1Error, RequestHead, parse_request, request_framing};
+use crate::mesh::call::{CallerAnswer, CallerRequest};
 use crate::mesh::entry::text_header;
 use crate::mesh::open_request::OpenRequestGuard;
 
@@ -251,119 +248,6 @@
         idle_timeout.saturating_sub(now.saturating_duration_since(idle_since))
     }
 
-    /// Reads the body and starts the request. A short body is buffered first, so that the request can be retried; a
-    /// long one is streamed to the running request.
-    async fn read_body(
-        &mut self,
-        head: RequestHead,
-        framing: Framing,
-        arrived: Instant,
-        limits: &CallerLimits,
-        tx: ResponseSender,
-        tasks: &mut JoinSet<()>,
-    ) -> Result<(), ReadEnd> {
-        let mut decoder = BodyDecoder::new(framing);
-        let mut buffered = BytesMut::new();
-        let is_complete = match self.buffer_body(&mut decoder, &mut buffered, limits).await {
-            Err(ReadEnd::Refused(refusal)) => return Err(self.refuse(refusal, tx)),
-            buffered => buffered?,
-        };
-        let digest = BodyDigest::of(&buffered);
-        let req = |body| CallerRequest {
-            head,
-            body,
-            digest,
-            arrived,
-        };
-        self.read_available()?;
-        if is_complete {
-            self.spawn_request(req(Body::Whole(buffered.freeze())), tx, pending(), tasks);
-            return Ok(());
-        }
-        let length = match framing {
-            Framing::Length(length) => Some(length),
-            _ => None,
-        };
-        let (tx_body, rx) = body_channel();
-        let mut total = buffered.len() as u64;
-        // Never blocks: the channel is empty and has capacity for several chunks.
-        let _ = tx_body.send(buffered.freeze()).await;
-        let (refusal_tx, refusal) = oneshot::channel();
-        let refused = async {
-            match refusal.await {
-                Ok(refusal) => refusal,
-                Err(_) => pending().await,
-            }
-        };
-        self.spawn_request(req(Body::Stream { length, rx }), tx, refused, tasks);
-        // Boxed, since most connections carry short bodies only and would hold the memory for it all the same.
-        let streaming = self.stream_body(&mut decoder, &mut total, limits, &tx_body);
-        match Box::pin(streaming).await {
-            Ok(()) => tx_body.finish(),
-            Err(ReadEnd::Refused(refusal)) => {
-                self.shared.close();
-                // Fails if the request has been answered before the end of its body.
-                let _ = refusal_tx.send(refusal);
-                return Err(ReadEnd::Closing);
-            }
-            Err(end) => return Err(end),
-        }
-        Ok(())
-    }
-
-    async fn buffer_body(
-        &mut self,
-        decoder: &mut BodyDecoder,
-        buffered: &mut BytesMut,
-        limits: &CallerLimits,
-    ) -> Result<bool, ReadEnd> {
-        loop {
-            let limit = MAX_BUFFERED_BODY.saturating_sub(buffered.len());
-            let decoded = decoder.decode_up_to(&mut self.buf, limit);
-            match decoded.map_err(|_| ReadEnd::Refused(Refusal::BadRequest))? {
-                Decoded::End => return Ok(true),
-                Decoded::Data(data) => {
-                    buffered.extend_from_slice(&data);
-                    if buffered.len() as u64 > limits.body_bytes {
-                        return Err(ReadEnd::Refused(Refusal::BodyTooLarge));
-                    }
-                    if buffered.len() >= MAX_BUFFERED_BODY && !decoder.is_done() {
-                        return Ok(false);
-                    }
-                }
-                Decoded::More => self.fill_with_timeout(limits, Refusal::BodyTimeout).await?,
-            }
-        }
-    }
-
-    async fn stream_body(
-        &mut self,
-        decoder: &mut BodyDecoder,
-        total: &mut u64,
-        limits: &CallerLimits,
-        tx_body: &BodySender,
-    ) -> Result<(), ReadEnd> {
-        loop {
-            let decoded = decoder.decode_up_to(&mut self.buf, MAX_BODY_CHUNK);
-            match decoded.map_err(|_| ReadEnd::Refused(Refusal::BadRequest))? {
-                Decoded::End => return Ok(()),
-                Decoded::Data(data) => {
-                    *total += data.len() as u64;
-                    if *total > limits.body_bytes {
-                        return Err(ReadEnd::Refused(Refusal::BodyTooLarge));
-                    }
-                    // The channel is closed if the response came before the end of the body. The rest is then
-                    // discarded, so that the connection stays usable.
-                    if let Ok(permit) = self.while_connected(pin!(tx_body.reserve())).await? {
-                        permit.send(data);
-                    }
-                }
-                // 408 would promise that the request has not run, but its target has received a part of it.
-                Decoded::More => self.fill_with_timeout(limits, Refusal::CallerGone).await?,
-            }
-        }
-    }
-
     /// Starts a request. It is abandoned and refused when `refused` resolves, because its body is unusable.
     fn spawn_request<F>(
         &self,
@@ -430,18 +314,6 @@
         Ok(())
     }
 
-    /// Reads a part of a body. `refusal` is the response to a request whose body stops coming.
-    async fn fill_with_timeout(
-        &mut self,
-        limits: &CallerLimits,
-        refusal: Refusal,
-    ) -> Result<(), ReadEnd> {
-        match timeout(limits.idle_timeout, self.fill()).await {
-            Ok(read) => read,
-            Err(_) => Err(ReadEnd::Refused(refusal)),
-        }
-    }
-
     async fn fill(&mut self) -> Result<(), ReadEnd> {
         self.buf.reserve(self.next_read);
         let read = match self.read.read_buf(&mut self.buf).await {
