A run is given up by the longer one of two grace periods

Cause: the settings file changed between the signal and its handling, so the stop took the shorter grace period and gave the run up half a second before its end, though the supervisor goes by the longer one. The exit already follows the longer one; the moment of giving up did not.

--- a/crates/node/src/mesh/lifecycle.rs
+++ b/crates/node/src/mesh/lifecycle.rs
@@ -103,8 +103,8 @@
         let previous = self.settings.grace();
         self.settings.reload(false);
         let grace = self.settings.grace();
-        // Exiting too early loses requests, exiting too late does not.
-        let exit_after = grace.max(previous) + EXIT_MARGIN;
+        // Exiting or giving requests up too early loses them, too late does not.
+        let latest_end = grace.max(previous);
         let drain = DrainConfig {
             grace_period: grace,
             ..Default::default()
@@ -139,10 +139,10 @@
             if elapsed >= drain.waiting_end() {
                 self.waiting_over.send_replace(true);
             }
-            if grace.saturating_sub(elapsed) <= KILL_MARGIN && !*self.grace_over.borrow() {
+            if latest_end.saturating_sub(elapsed) <= KILL_MARGIN && !*self.grace_over.borrow() {
                 self.prepare_for_kill(open, hosted);
             }
-            if now.saturating_duration_since(last_signal_at) >= exit_after {
+            if now.saturating_duration_since(last_signal_at) >= latest_end + EXIT_MARGIN {
                 warn!(self.log, "grace period over"; "open" => open, "hosted" => hosted);
                 return;
             }
