A connection is kept while its caller reads a response

Callers saw: a part of a written answer, when a node exited or closed the connection at the end of its idle time while the caller was still reading, and had sent a request behind it. The wait for unsent data held for responses that announce the end of their connection only.

--- a/crates/node/src/mesh/callers/connection.rs
+++ b/crates/node/src/mesh/callers/connection.rs
@@ -1,13 +1,11 @@
 //! Serves a single caller connection.
 
-use std::pin::pin;
 use std::sync::Arc;
 
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
-use super::connection_end::ConnectionEnd;
 use super::listener::CallersConfig;
 use super::reader::Reader;
 use super::slot::{ConnectionState, ResponseSlot};
@@ -38,19 +36,15 @@
         journal: journal.clone(),
     };
     let mut reader = Reader::new(read, Arc::clone(&shared), cfg);
-    let mut writing = pin!(writer.run(waiting));
     let end = tokio::select! {
         end = reader.run(slots, &mut tasks) => {
             if let Some(oldest) = shared.oldest() {
                 let age = clock.now().saturating_duration_since(oldest);
                 journal.caller_disconnected(shared.pending(), age);
             }
-            if end == ConnectionEnd::Idle {
-                reader.finish_sending().await;
-            }
             end
         }
-        end = &mut writing => {
+        end = writer.run(waiting) => {
             tasks.abort_all();
             reader.linger().await;
             end
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -20,7 +20,7 @@
 use super::connection_end::ConnectionEnd;
 use super::listener::CallersConfig;
 use super::open_response::ResponseSeq;
-use super::sent::wait_until_sent;
+use super::sent::has_unsent;
 use super::slot::{ConnectionState, ResponseForm, ResponseSlot};
 use crate::h1::{Framing, H1Error, RequestHead, parse_request, request_framing};
 use crate::mesh::call::{CallerAnswer, CallerRequest};
@@ -37,6 +37,9 @@
 /// Bytes that are read ahead of the requests in progress, to see whether the caller has disconnected behind them.
 const MAX_READ_AHEAD: usize = 64 * 1024;
 
+/// Interval between checks whether the caller is still reading a response when the idle time is over.
+const UNSENT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Longest time for which input is read and discarded after the last response. Closing a socket with unread input
 /// resets the connection, and the caller may lose the response that it has not read yet.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -133,14 +136,6 @@
         let _ = timeout(LINGER_TIMEOUT, self.drain()).await;
     }
 
-    /// Waits until all responses on an idle connection have been sent, for at most the idle timeout. What the caller
-    /// sends meanwhile stays unread.
-    pub async fn finish_sending(&self) {
-        let limit = self.cfg.limits.borrow().idle_timeout;
-        // The connection is closed in either case.
-        let _ = timeout(limit, wait_until_sent(self.read.as_ref())).await;
-    }
-
     /// Discards input until the caller closes the connection.
     async fn drain(&mut self) -> ConnectionEnd {
         loop {
@@ -216,7 +211,9 @@
                 Some(started) => limits
                     .header_timeout
                     .saturating_sub(now.saturating_duration_since(started)),
-                None => self.idle_time_left(limits, waiting_since),
+                None => self
+                    .idle_time_left(limits, waiting_since)
+                    .max(UNSENT_CHECK_INTERVAL),
             };
             let shared = Arc::clone(&self.shared);
             let filled = tokio::select! {
@@ -238,6 +235,7 @@
                 // A caller that waits for a response is not idle.
                 Err(_) if self.shared.pending() > 0 => {}
                 Err(_) if !self.idle_time_left(limits, waiting_since).is_zero() => {}
+                Err(_) if self.is_response_read(limits, waiting_since) => {}
                 Err(_) => return Err(ReadEnd::Ended(ConnectionEnd::Idle)),
             }
         }
@@ -246,15 +244,30 @@
     /// Time until the connection has been idle for too long, by the longer one of the idle timeouts that its caller may
     /// know.
     fn idle_time_left(&self, limits: &CallerLimits, waiting_since: Instant) -> Duration {
-        let current = self.cfg.limits.borrow().idle_timeout;
-        let idle_timeout = limits.idle_timeout.max(current);
+        let idle_timeout = self.idle_timeout(limits);
         if self.shared.pending() > 0 {
             return idle_timeout;
         }
+        idle_timeout.saturating_sub(self.idle_time(waiting_since))
+    }
+
+    /// Whether the caller may still be reading the last response. It has another idle timeout for that.
+    fn is_response_read(&self, limits: &CallerLimits, waiting_since: Instant) -> bool {
+        let is_within_limit = self.idle_time(waiting_since) < self.idle_timeout(limits) * 2;
+        is_within_limit && has_unsent(self.read.as_ref())
+    }
+
+    fn idle_timeout(&self, limits: &CallerLimits) -> Duration {
+        limits
+            .idle_timeout
+            .max(self.cfg.limits.borrow().idle_timeout)
+    }
+
+    /// Time since the last response was written.
+    fn idle_time(&self, waiting_since: Instant) -> Duration {
         let written_at = self.shared.written_at().unwrap_or(waiting_since);
-        let idle_since = written_at.max(waiting_since);
         let now = self.cfg.entry.clock.now();
-        idle_timeout.saturating_sub(now.saturating_duration_since(idle_since))
+        now.saturating_duration_since(written_at.max(waiting_since))
     }
 
     /// Starts a request. It is abandoned and refused when `refused` resolves, because its body is unusable.
