Soak: callers that pipeline are the same type as the others

Both had the same five fields and the same start. Names: ready_behind and is_reading_response for what read like something else.

--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -235,7 +235,7 @@
                 // A caller that waits for a response is not idle.
                 Err(_) if self.shared.pending() > 0 => {}
                 Err(_) if !self.idle_time_left(limits, waiting_since).is_zero() => {}
-                Err(_) if self.is_response_read(limits, waiting_since) => {}
+                Err(_) if self.is_reading_response(limits, waiting_since) => {}
                 Err(_) => return Err(ReadEnd::Ended(ConnectionEnd::Idle)),
             }
         }
@@ -252,7 +252,7 @@
     }
 
     /// Whether the caller may still be reading the last response. It has another idle timeout for that.
-    fn is_response_read(&self, limits: &CallerLimits, waiting_since: Instant) -> bool {
+    fn is_reading_response(&self, limits: &CallerLimits, waiting_since: Instant) -> bool {
         let is_within_limit = self.idle_time(waiting_since) < self.idle_timeout(limits) * 2;
         is_within_limit && has_unsent(self.read.as_ref())
     }
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -61,9 +61,9 @@
 }
 
 impl Entry {
-    /// Serves a caller's request. `holds_back` resolves when a response is ready that has to wait for this one;
+    /// Serves a caller's request. `ready_behind` resolves when a response is ready that has to wait for this one;
     /// the request is then given up if the grace period of a stopping node is nearly over.
-    pub async fn serve<F>(&self, mut req: CallerRequest, holds_back: F) -> CallerAnswer
+    pub async fn serve<F>(&self, mut req: CallerRequest, ready_behind: F) -> CallerAnswer
     where
         F: Future<Output = ()>,
     {
@@ -100,7 +100,7 @@
             tokio::select! {
                 biased;
                 result = self.log_if_unfinished(&id, deadline, served) => Some(result),
-                () = self.wait_until_given_up(holds_back) => None,
+                () = self.wait_until_given_up(ready_behind) => None,
             }
         };
         let result = match result {
@@ -149,12 +149,12 @@
         served.await
     }
 
-    /// Resolves when the grace period is nearly over and `holds_back` has resolved.
-    async fn wait_until_given_up<F>(&self, holds_back: F)
+    /// Resolves when the grace period is nearly over and `ready_behind` has resolved.
+    async fn wait_until_given_up<F>(&self, ready_behind: F)
     where
         F: Future<Output = ()>,
     {
-        holds_back.await;
+        ready_behind.await;
         let mut grace_over = self.grace_over.clone();
         if grace_over.wait_for(|is_over| *is_over).await.is_err() {
             // The sender is dropped only as the process exits.
--- a/crates/rig/src/soak/pipelined.rs
+++ b/crates/rig/src/soak/pipelined.rs
@@ -12,7 +12,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::time::{sleep, sleep_until};
 
-use super::callers::{LoadState, has_connection_close};
+use super::callers::{LoadState, SoakCaller, has_connection_close};
 use super::plan::Work;
 use super::{Evidence, Key};
 
@@ -196,23 +196,9 @@
     }
 }
 
-/// A caller that pipelines requests to one machine.
-pub struct PipeliningCaller {
-    /// Index of the machine.
-    pub machine: usize,
-    /// Caller address of the machine's node.
-    pub address: SocketAddr,
-    /// Prefix of request ids, which makes them unique.
-    pub name: String,
-    /// Seed of the caller's random numbers.
-    pub seed: u64,
-    /// State shared by all callers.
-    pub shared: Arc<LoadState>,
-}
-
-impl PipeliningCaller {
-    /// Sends series of requests until the callers are told to stop.
-    pub async fn run(self) {
+impl SoakCaller {
+    /// Sends series of pipelined requests until the callers are told to stop.
+    pub async fn run_pipelined(self) {
         let mut rng = SmallRng::seed_from_u64(self.seed);
         let mut open = None;
         let mut count = 0;
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -20,7 +20,7 @@
     BODIES_PER_STOP, DOWNLOAD_PREFIX, LONG_TIMEOUT_S, LongBody, UPLOAD_PREFIX,
 };
 use super::machine::{CRASH_DOWNTIME, DOMAINS, Machine};
-use super::pipelined::{MAX_PIPELINING, PipeliningCaller, WORK_PREFIX};
+use super::pipelined::{MAX_PIPELINING, WORK_PREFIX};
 use super::rolls::{FIRST_IDLE_S, KILL_AFTER_GRACE};
 use super::strikes::never_struck;
 use crate::error::RigError;
@@ -221,14 +221,14 @@
                 load.spawn(caller.run());
             }
             for caller in 0..plan.work.pipelining_callers() {
-                let caller = PipeliningCaller {
+                let caller = SoakCaller {
                     machine,
                     address: of.callers,
                     name: format!("p{}m{machine}c{caller}", plan.seed),
                     seed: plan.seed ^ ((machine * MAX_PIPELINING + caller) as u64 + 1) << 40,
                     shared: Arc::clone(&self.shared),
                 };
-                load.spawn(caller.run());
+                load.spawn(caller.run_pipelined());
             }
         }
         load
