--- a/crates/core/src/mesh/drain.rs
+++ b/crates/core/src/mesh/drain.rs
@@ -71,10 +71,10 @@
 
     /// Whether to start a call of a run, or another attempt to serve a request: only if it is expected to finish before
     /// the forced end of the node. Runs make calls until they end, so no caller window applies. If nothing is known about
-    /// its kind, it does not start after the caller window.
+    /// its kind, it does not start in the last sixth of the grace period.
     pub fn lets_start(&self, expected: Duration, left: Duration, now: Instant) -> bool {
         let is_known = !expected.is_zero();
-        (is_known || self.elapsed(now) < self.cfg.caller_window)
+        (is_known || self.elapsed(now) < self.cfg.waiting_end())
             && self.ends_in_time(expected, left, now)
     }
 
