A withdrawal names the attempt, not the request

Callers see 503 for a request that waits at a host because the stopping entry of another caller takes its own request back: a withdrawal named a request by id and fingerprint, which two entries share where callers send no ids or reuse them.

Each attempt carries a random number now, in a field behind those of the frame's first format; hosts of earlier versions ignore it. The withdrawal is that number, so the types that named a request fall away.

--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -7,6 +7,7 @@
 use coltsfootport_core::mesh::{Idempotency, Refusal, RequestKind};
 use coltsfootport_core::quarantine::{BodyDigest, CrashId, Finding, Fingerprint};
 use http::{HeaderMap, StatusCode};
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use super::body_channel::BodyReceiver;
@@ -65,6 +66,18 @@
     pub arrived: Instant,
 }
 
+/// Random number that tells an attempt to serve a request from the attempts of all other nodes; zero if it was sent by a
+/// node of a version without these numbers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptToken(u64);
+
+impl AttemptToken {
+    /// Draws a new token.
+    pub fn random() -> Self {
+        Self(rand::random())
+    }
+}
+
 /// A request to be run by the target of a particular host.
 #[derive(Debug)]
 pub struct HostedRequest {
@@ -76,6 +89,8 @@
     pub id: SmolStr,
     /// Fingerprint of the request, the same for all its retries.
     pub fingerprint: Fingerprint,
+    /// Identifies this attempt.
+    pub attempt: AttemptToken,
     /// Id of the only instance that may run the request.
     pub instance: SmolStr,
     /// Rank of the originating external request.
--- a/crates/node/src/mesh/controller.rs
+++ b/crates/node/src/mesh/controller.rs
@@ -33,4 +33,3 @@
 pub use handle::ControllerHandle;
 pub use state::{Controller, ControllerChannels, ControllerConfig};
 pub use task::run_controller;
-pub use withdrawal::Withdrawal;
--- a/crates/node/src/mesh/controller/dispatch.rs
+++ b/crates/node/src/mesh/controller/dispatch.rs
@@ -195,6 +195,7 @@
         let run = Run {
             id: waiter.req.id,
             fingerprint: waiter.req.fingerprint,
+            attempt: waiter.req.attempt,
             instance: waiter.req.instance,
             rank: waiter.req.rank,
             workspace: waiter.req.workspace,
--- a/crates/node/src/mesh/controller/event.rs
+++ b/crates/node/src/mesh/controller/event.rs
@@ -14,8 +14,8 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
-use super::{ControllerConfig, SendGuard, SlotGuard, Withdrawal};
-use crate::mesh::call::{Report, RunEnd};
+use super::{ControllerConfig, SendGuard, SlotGuard};
+use crate::mesh::call::{AttemptToken, Report, RunEnd};
 
 /// An event for the controller. Events that need a reply carry the channel for it.
 #[derive(Debug)]
@@ -40,7 +40,7 @@
         oneshot::Sender<Result<SlotGrant, SlotRefusal>>,
     ),
     /// An entry node takes back a request that may wait here; replies whether it waited or runs here.
-    Withdraw(Withdrawal, oneshot::Sender<bool>),
+    Withdraw(AttemptToken, oneshot::Sender<bool>),
     /// A slot of the local target was released; the optional reply carries the outcome of the run.
     SlotReleased(Ticket, SlotRelease, Option<oneshot::Sender<RunOutcome>>),
     /// A long answer has ended. The time from the request to its end is given if it is complete.
@@ -279,6 +279,8 @@
     pub id: SmolStr,
     /// Fingerprint of the request, the same for all its retries.
     pub fingerprint: Fingerprint,
+    /// Identifies the attempt of the entry node.
+    pub attempt: AttemptToken,
     /// Rank of the originating external request.
     pub rank: u8,
     /// Workspace of the originating request.
--- a/crates/node/src/mesh/controller/handle.rs
+++ b/crates/node/src/mesh/controller/handle.rs
@@ -8,9 +8,9 @@
 
 use super::{
     AcquireSlotRequest, AdmissionRequest, AdmittedRequest, ControllerEvent, Denial, InstanceGrant,
-    InstanceRequest, RetryRequest, SlotGrant, SlotRefusal, Withdrawal,
+    InstanceRequest, RetryRequest, SlotGrant, SlotRefusal,
 };
-use crate::mesh::call::Report;
+use crate::mesh::call::{AttemptToken, Report};
 
 /// Sends events to the controller and waits for the replies.
 #[derive(Clone, Debug)]
@@ -91,8 +91,8 @@
     }
 
     /// Takes back a request that may wait for a slot at the local target. Returns whether it waited or runs there.
-    pub async fn withdraw(&self, withdrawal: Withdrawal) -> bool {
-        self.request(|tx| ControllerEvent::Withdraw(withdrawal, tx))
+    pub async fn withdraw(&self, attempt: AttemptToken) -> bool {
+        self.request(|tx| ControllerEvent::Withdraw(attempt, tx))
             .await
             .unwrap_or(false)
     }
--- a/crates/node/src/mesh/controller/runs.rs
+++ b/crates/node/src/mesh/controller/runs.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 
 use super::ParentRun;
-use crate::mesh::call::{DownstreamCalls, Report};
+use crate::mesh::call::{AttemptToken, DownstreamCalls, Report};
 
 /// A request running at this node's target.
 #[derive(Clone, Debug)]
@@ -18,6 +18,8 @@
     pub id: SmolStr,
     /// Fingerprint, which stays the same when the request is retried.
     pub fingerprint: Fingerprint,
+    /// Identifies the attempt of the entry node.
+    pub attempt: AttemptToken,
     /// Id of the instance that runs the request.
     pub instance: SmolStr,
     /// Rank of the originating external request.
--- a/crates/node/src/mesh/controller/task.rs
+++ b/crates/node/src/mesh/controller/task.rs
@@ -40,7 +40,7 @@
             ControllerEvent::SendCompleted(key, ended) => self.complete_send(key, ended),
             ControllerEvent::Retry(req, tx) => drop(tx.send(self.allow_retry(&req))),
             ControllerEvent::AcquireSlot(req, tx) => self.acquire_slot(req, tx),
-            ControllerEvent::Withdraw(withdrawal, tx) => drop(tx.send(self.withdraw(&withdrawal))),
+            ControllerEvent::Withdraw(attempt, tx) => drop(tx.send(self.withdraw(attempt))),
             ControllerEvent::SlotReleased(ticket, release, tx) => {
                 self.release_slot(ticket, release, tx)
             }
--- a/crates/node/src/mesh/controller/withdrawal.rs
+++ b/crates/node/src/mesh/controller/withdrawal.rs
@@ -1,33 +1,16 @@
 //! Refusal of requests that wait for the local target and are to be served elsewhere.
 
 use coltsfootport_core::mesh::{Refusal, Ticket};
-use coltsfootport_core::quarantine::Fingerprint;
-use smol_str::SmolStr;
 
 use super::{AcquireSlotRequest, Controller};
-
-/// Names a request that its stopping entry node takes back from a host.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Withdrawal {
-    /// Request id; empty if the caller sent none.
-    pub id: SmolStr,
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
-}
-
-impl Withdrawal {
-    /// Whether it names the request with this id and fingerprint.
-    pub fn names(&self, id: &str, fingerprint: Fingerprint) -> bool {
-        self.id == id && self.fingerprint == fingerprint
-    }
-}
+use crate::mesh::call::AttemptToken;
 
 impl Controller {
-    /// Refuses a request that its entry node takes back, unless it has started. Returns whether it waited or runs here.
-    pub(super) fn withdraw(&mut self, withdrawal: &Withdrawal) -> bool {
-        let refused = self.refuse_waiting(|_, req| withdrawal.names(&req.id, req.fingerprint));
-        let mut runs = self.runs.iter();
-        refused > 0 || runs.any(|run| withdrawal.names(&run.id, run.fingerprint))
+    /// Refuses a request that its stopping entry node takes back, unless it has started. Returns whether it waited or runs
+    /// here.
+    pub(super) fn withdraw(&mut self, attempt: AttemptToken) -> bool {
+        let refused = self.refuse_waiting(|_, req| req.attempt == attempt);
+        refused > 0 || self.runs.iter().any(|run| run.attempt == attempt)
     }
 
     /// Refuses all waiting requests for which `is_refused` holds, so that their entry nodes select another instance.
--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -14,7 +14,7 @@
 use super::{Entry, text_header};
 use crate::h1::{RequestHead, strip_hop_by_hop};
 use crate::mesh::call::{
-    Body, CallerRequest, HostReply, HostedRequest, Refused, Report, TargetAnswer,
+    AttemptToken, Body, CallerRequest, HostReply, HostedRequest, Refused, Report, TargetAnswer,
 };
 use crate::mesh::controller::{
     AdmittedRequest, ControllerEvent, InstanceGrant, InstanceRequest, RetryRequest, SendGuard,
@@ -298,6 +298,7 @@
             body,
             id: self.id.clone(),
             fingerprint: self.fingerprint,
+            attempt: AttemptToken::random(),
             instance: to.chosen.id.clone(),
             rank: self.admitted.rank,
             workspace: self.admitted.workspace.clone(),
--- a/crates/node/src/mesh/entry/attempts/exchange.rs
+++ b/crates/node/src/mesh/entry/attempts/exchange.rs
@@ -7,8 +7,8 @@
 use tokio::time::sleep;
 
 use super::Attempts;
-use crate::mesh::call::{HostReply, HostedRequest};
-use crate::mesh::controller::{InstanceGrant, Withdrawal};
+use crate::mesh::call::{AttemptToken, HostReply, HostedRequest};
+use crate::mesh::controller::InstanceGrant;
 use crate::mesh::entry::Entry;
 use crate::mesh::link::{self, LinkError};
 
@@ -24,12 +24,13 @@
         req: HostedRequest,
     ) -> Result<HostReply, LinkError> {
         let may_wait = !req.queue_timeout.is_zero();
+        let attempt = req.attempt;
         let mut reply = pin!(self.send(to, req));
         if may_wait {
             tokio::select! {
                 biased;
                 reply = &mut reply => return reply,
-                () = self.withdraw_when_waiting_is_over(to) => {}
+                () = self.withdraw_when_waiting_is_over(to, attempt) => {}
             }
         }
         reply.await
@@ -48,33 +49,29 @@
 
     /// Takes the request back from its host when the requests of this stopping node may no longer wait. Returns when the
     /// host has found it.
-    async fn withdraw_when_waiting_is_over(&self, to: &InstanceGrant) {
+    async fn withdraw_when_waiting_is_over(&self, to: &InstanceGrant, attempt: AttemptToken) {
         let mut waiting_over = self.entry.waiting_over.clone();
         if waiting_over.wait_for(|is_over| *is_over).await.is_err() {
             return;
         }
         // The withdrawal may overtake the request.
-        while !self.withdraw(to).await {
+        while !self.withdraw(to, attempt).await {
             sleep(WITHDRAWAL_INTERVAL).await;
         }
     }
 
     /// Takes the request back from its host. Returns whether the host has found it.
-    async fn withdraw(&self, to: &InstanceGrant) -> bool {
+    async fn withdraw(&self, to: &InstanceGrant, attempt: AttemptToken) -> bool {
         let Entry {
             links,
             controller,
             journal,
             ..
         } = self.entry;
-        let withdrawal = Withdrawal {
-            id: self.id.clone(),
-            fingerprint: self.fingerprint,
-        };
         if to.is_local {
-            return controller.withdraw(withdrawal).await;
+            return controller.withdraw(attempt).await;
         }
-        match link::withdraw(links, self.peer(to), withdrawal).await {
+        match link::withdraw(links, self.peer(to), attempt).await {
             Ok(is_known) => is_known,
             Err(e) => {
                 journal.withdrawal_failed(&self.id, &to.chosen.id, &e.to_string());
--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -70,6 +70,7 @@
             instance: req.instance.clone(),
             id: req.id.clone(),
             fingerprint: req.fingerprint,
+            attempt: req.attempt,
             rank: req.rank,
             workspace: req.workspace.clone(),
             admitted_share: req.admitted_share,
--- a/crates/node/src/mesh/link.rs
+++ b/crates/node/src/mesh/link.rs
@@ -14,6 +14,7 @@
 mod reply_extension;
 mod rpc;
 mod server;
+mod trailing;
 mod withdrawal;
 
 pub use client::{LinkError, send};
--- a/crates/node/src/mesh/link/frames.rs
+++ b/crates/node/src/mesh/link/frames.rs
@@ -11,11 +11,11 @@
 
 use super::finding_frames::FindingFrame;
 use super::quota_frames::{ClaimFrame, NoticeFrame};
-use super::reply_extension::{ReplyExtension, Trailing};
-use super::withdrawal::WithdrawalFrame;
+use super::reply_extension::ReplyExtension;
+use super::trailing::Trailing;
 use crate::h1::RequestHead;
 use crate::mesh::call::{
-    Body, DownstreamCalls, HostReply, HostedRequest, Refused, Report, TargetAnswer,
+    AttemptToken, Body, DownstreamCalls, HostReply, HostedRequest, Refused, Report, TargetAnswer,
 };
 use crate::mesh::feed::FollowFrame;
 use crate::wire::{FrameError, HeaderFrame};
@@ -39,7 +39,7 @@
     /// Asks for the receiver's findings, unless they match this digest of the sender's findings.
     FindingsPull(u64),
     /// Takes back a request that the sender has sent on another connection; acknowledged.
-    Withdraw(WithdrawalFrame),
+    Withdraw(AttemptToken),
 }
 
 /// First frame of each connection, sent by the accepting node.
@@ -76,6 +76,7 @@
     pub length: Option<u64>,
     /// Whether the body follows in chunks.
     is_streamed: bool,
+    attempt: Trailing<AttemptToken>,
 }
 
 /// Head of a reply.
@@ -165,6 +166,7 @@
             headers: HeaderFrame::from_map(&req.head.headers),
             length: length(&req.body),
             is_streamed: matches!(req.body, Body::Stream { .. }),
+            attempt: Trailing(req.attempt),
         }
     }
 
@@ -192,6 +194,7 @@
             body,
             id: self.id,
             fingerprint: self.fingerprint,
+            attempt: self.attempt.0,
             instance: self.instance,
             rank: self.rank,
             workspace: self.workspace,
--- a/crates/node/src/mesh/link/reply_extension.rs
+++ b/crates/node/src/mesh/link/reply_extension.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::{Deserialize, Serialize};
 
 use crate::mesh::call::Report;
 
@@ -39,23 +39,6 @@
     }
 }
 
-/// The last field of a frame, which is missing in frames of an earlier format; it has its default then.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
-#[serde(transparent)]
-pub struct Trailing<T>(pub T);
-
-impl<'de, T> Deserialize<'de> for Trailing<T>
-where
-    T: Deserialize<'de> + Default,
-{
-    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
-    where
-        D: Deserializer<'de>,
-    {
-        Ok(Self(T::deserialize(deserializer).unwrap_or_default()))
-    }
-}
-
 fn to_micros(duration: Duration) -> u32 {
     u32::try_from(duration.as_micros()).unwrap_or(u32::MAX)
 }
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -135,8 +135,8 @@
         return;
     }
     let rest = async {
-        if let Ok(StreamHead::Withdraw(frame)) = conn.read_head(MAX_HEAD).await {
-            ctx.host.controller.withdraw(frame.into()).await;
+        if let Ok(StreamHead::Withdraw(attempt)) = conn.read_head(MAX_HEAD).await {
+            ctx.host.controller.withdraw(attempt).await;
         }
         conn.discard_input().await;
     };
@@ -189,8 +189,8 @@
             conn.write(&FindingsFrame(frames), &[]).await?;
             Ok(true)
         }
-        StreamHead::Withdraw(frame) => {
-            let known = ctx.host.controller.withdraw(frame.into()).await;
+        StreamHead::Withdraw(attempt) => {
+            let known = ctx.host.controller.withdraw(attempt).await;
             conn.write(&WithdrawalAck(known), &[]).await?;
             Ok(true)
         }
--- a/crates/node/src/mesh/link/withdrawal.rs
+++ b/crates/node/src/mesh/link/withdrawal.rs
@@ -2,41 +2,14 @@
 
 use std::net::SocketAddr;
 
-use coltsfootport_core::quarantine::Fingerprint;
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
 
 use super::PeerPool;
 use super::frames::StreamHead;
 use super::rpc::call;
-use crate::mesh::controller::Withdrawal;
+use crate::mesh::call::AttemptToken;
 use crate::wire::FrameError;
 
-/// Names a request that its sender takes back.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WithdrawalFrame {
-    id: SmolStr,
-    fingerprint: Fingerprint,
-}
-
-impl From<Withdrawal> for WithdrawalFrame {
-    fn from(withdrawal: Withdrawal) -> Self {
-        Self {
-            id: withdrawal.id,
-            fingerprint: withdrawal.fingerprint,
-        }
-    }
-}
-
-impl From<WithdrawalFrame> for Withdrawal {
-    fn from(frame: WithdrawalFrame) -> Self {
-        Self {
-            id: frame.id,
-            fingerprint: frame.fingerprint,
-        }
-    }
-}
-
 /// Acknowledges a withdrawal; true if the request waited or runs at the host. The refusal that a closing host sends in
 /// place of any reply reads as false.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,9 +24,9 @@
 pub async fn withdraw(
     links: &PeerPool,
     host: SocketAddr,
-    withdrawal: Withdrawal,
+    attempt: AttemptToken,
 ) -> Result<bool, FrameError> {
-    let head = StreamHead::Withdraw(withdrawal.into());
+    let head = StreamHead::Withdraw(attempt);
     let WithdrawalAck(known) = call(links, host, &head).await?;
     Ok(known)
 }
