Late calls of runs get an answer before a stopping node is killed

A call that a run makes late in a stop, of a kind that its node has not seen, is passed on until the last sixth of the grace period. If it takes longer than the rest of it, its connection ends without an answer, and the run can't tell whether the call may have run.

They are started as before, and given up half a second before the end of the grace period if they came after the node had closed its links, with 502: the call may have run.

--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -46,6 +46,8 @@
     pub journal: Journal,
     /// Service of the local target, taken from the settings.
     pub service: watch::Receiver<ServiceName>,
+    /// Becomes true when a stopping node gets requests from its own target only.
+    pub closing: watch::Receiver<bool>,
     /// Becomes true when the grace period of a stopping node is nearly over.
     pub grace_over: watch::Receiver<bool>,
     /// Becomes true when the requests of a stopping node no longer wait for slots.
@@ -61,8 +63,10 @@
 }
 
 impl Entry {
-    /// Serves a caller's request. `ready_behind` resolves when a response is ready that has to wait for this one;
-    /// the request is then given up if the grace period of a stopping node is nearly over.
+    /// Serves a caller's request. `ready_behind` resolves when a response is ready that has to wait for this one.
+    ///
+    /// When the grace period of a stopping node is nearly over, a request with a response behind it is given up, and so is
+    /// a call that a run of its target made late, so that the run learns that the call may have run.
     pub async fn serve<F>(&self, mut req: CallerRequest, ready_behind: F) -> CallerAnswer
     where
         F: Future<Output = ()>,
@@ -79,6 +83,7 @@
             credential,
         };
         let arrived = req.arrived;
+        let is_late_call = *self.closing.borrow();
         let admitted = match self.controller.admit(admission).await {
             Ok(admitted) => admitted,
             Err(denial) => {
@@ -100,7 +105,7 @@
             tokio::select! {
                 biased;
                 result = self.log_if_unfinished(&id, deadline, served) => Some(result),
-                () = self.wait_until_given_up(ready_behind) => None,
+                () = self.wait_until_given_up(ready_behind, is_late_call) => None,
             }
         };
         let result = match result {
@@ -149,12 +154,14 @@
         served.await
     }
 
-    /// Resolves when the grace period is nearly over and `ready_behind` has resolved.
-    async fn wait_until_given_up<F>(&self, ready_behind: F)
+    /// Resolves when the grace period is nearly over and the request is a late call or `ready_behind` has resolved.
+    async fn wait_until_given_up<F>(&self, ready_behind: F, is_late_call: bool)
     where
         F: Future<Output = ()>,
     {
-        ready_behind.await;
+        if !is_late_call {
+            ready_behind.await;
+        }
         let mut grace_over = self.grace_over.clone();
         if grace_over.wait_for(|is_over| *is_over).await.is_err() {
             // The sender is dropped only as the process exits.
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -96,6 +96,7 @@
         clock: Arc::clone(&clock),
         journal: journal.clone(),
     };
+    let (closing_tx, closing) = watch::channel(false);
     let (grace_over_tx, grace_over) = watch::channel(false);
     let (waiting_over_tx, waiting_over) = watch::channel(false);
     let (service_tx, service) = watch::channel(settings.node.service.clone());
@@ -108,6 +109,7 @@
         clock: Arc::clone(&clock),
         journal: journal.clone(),
         service,
+        closing: closing.clone(),
         grace_over: grace_over.clone(),
         waiting_over,
         queue_timeout: settings.policy.queue_timeout,
@@ -167,7 +169,6 @@
         peers_port: settings.node.peers.port(),
         log: log.clone(),
     };
-    let (closing_tx, closing) = watch::channel(false);
     let server_context = ServerContext {
         host: host.clone(),
         sharing,
