A grace period that was just shortened cuts off no requests

Callers get 502 half a second after the stop for requests that would have ended, and none for others, when the grace period of the settings file is shortened beside the stop. The stop kept the longer one of the periods before and after it reads the file, but the signals and the polls of the file are received in any order: a SIGHUP or a poll that goes first makes both periods the new one.

What counts for giving requests up and for the exit is the longest grace period of the last second now, by SettingsFile. Admission goes by the new one as before.

--- a/crates/node/src/mesh/lifecycle.rs
+++ b/crates/node/src/mesh/lifecycle.rs
@@ -100,11 +100,10 @@
     async fn shut_down(&mut self) {
         let signalled_at = self.clock.now();
         // The file may have changed just before the signal, and signals that arrive together come in any order.
-        let previous = self.settings.grace();
         self.settings.reload(false);
         let grace = self.settings.grace();
         // Exiting or giving requests up too early loses them, too late does not.
-        let latest_end = grace.max(previous);
+        let latest_end = self.settings.recent_grace();
         let drain = DrainConfig {
             grace_period: grace,
             ..Default::default()
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -204,7 +204,7 @@
         grace_over: grace_over_tx,
         closing: closing_tx,
         open,
-        settings: SettingsFile::new(path, text, settings_tx, log.clone()),
+        settings: SettingsFile::new(path, text, settings_tx, Arc::clone(&clock), log.clone()),
         clock,
         log,
     };
--- a/crates/node/src/mesh/settings_file.rs
+++ b/crates/node/src/mesh/settings_file.rs
@@ -1,12 +1,13 @@
 //! Reloads the settings file on SIGHUP and when it has changed.
 
 use std::path::PathBuf;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use slog::{Logger, error, info, warn};
 use tokio::sync::watch;
 use tokio::time::{Interval, interval};
 
+use crate::clock::SharedClock;
 use crate::mesh::settings::MeshSettings;
 
 /// Interval at which the file is checked for changes, since it may change without a SIGHUP.
@@ -17,19 +18,30 @@
     path: PathBuf,
     /// Content of the file when it was last read.
     text: String,
+    /// Grace period before the latest change of the settings, and the time of that change.
+    previous_grace: Option<(Duration, Instant)>,
     tx: watch::Sender<MeshSettings>,
     polls: Interval,
+    clock: SharedClock,
     log: Logger,
 }
 
 impl SettingsFile {
     /// Creates the reloader of the file at `path`, whose content was `text`; `tx` publishes the settings in force.
-    pub fn new(path: PathBuf, text: String, tx: watch::Sender<MeshSettings>, log: Logger) -> Self {
+    pub fn new(
+        path: PathBuf,
+        text: String,
+        tx: watch::Sender<MeshSettings>,
+        clock: SharedClock,
+        log: Logger,
+    ) -> Self {
         Self {
             path,
             text,
+            previous_grace: None,
             tx,
             polls: interval(POLL_INTERVAL),
+            clock,
             log,
         }
     }
@@ -39,6 +51,16 @@
         self.tx.borrow().grace
     }
 
+    /// Longest grace period that was in force within the last [`POLL_INTERVAL`]. A change that was made after a signal may
+    /// be read before the signal is received.
+    pub fn recent_grace(&self) -> Duration {
+        let now = self.clock.now();
+        let recent = self
+            .previous_grace
+            .filter(|(_, changed)| now.saturating_duration_since(*changed) < POLL_INTERVAL);
+        recent.map_or(self.grace(), |(previous, _)| previous.max(self.grace()))
+    }
+
     /// Waits until the next check is due, and reloads the file. Cancel safe.
     pub async fn poll(&mut self) {
         self.polls.tick().await;
@@ -71,6 +93,7 @@
                 }
                 let deferred = self.tx.borrow().at_next_start(&settings).join(" ");
                 info!(self.log, "settings reloaded"; "changed" => true, "at_next_start" => deferred);
+                self.previous_grace = Some((self.grace(), self.clock.now()));
                 self.tx.send_replace(settings);
             }
             Err(faults) => {
