--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -56,6 +56,8 @@
 /// A request as received from a caller.
 #[derive(Debug)]
 pub struct CallerRequest {
+    /// Request id; empty if the caller sent none.
+    pub id: SmolStr,
     /// Head as sent by the caller.
     pub head: RequestHead,
     /// Body.
--- a/crates/node/src/mesh/callers/reader/body.rs
+++ b/crates/node/src/mesh/callers/reader/body.rs
@@ -35,7 +35,9 @@
             buffered => buffered?,
         };
         let digest = BodyDigest::of(&buffered);
+        let id = tx.id.clone();
         let req = |body| CallerRequest {
+            id,
             head,
             body,
             digest,
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -72,17 +72,15 @@
         F: Future<Output = ()>,
     {
         let credential = take_credential(&mut req.head.headers, &self.dialect);
-        let id = text_header(&req.head.headers, self.dialect.request_id);
         let time_left_ms = number_header(&req.head.headers, self.dialect.time_left_ms);
         let time_left = time_left_ms.map(Duration::from_millis);
         let admission = AdmissionRequest {
             host: text_header(&req.head.headers, HOST.as_str()),
             path: SmolStr::new(req.head.path()),
-            id: id.clone(),
+            id: req.id.clone(),
             time_left,
             credential,
         };
-        let arrived = req.arrived;
         let is_late_call = *self.closing.borrow();
         let admitted = match self.controller.admit(admission).await {
             Ok(admitted) => admitted,
@@ -91,11 +89,11 @@
                     refusal: denial.refusal,
                     retry_after: denial.retry_after,
                 };
-                self.log_denial(&id, denial, arrived, time_left);
-                return self.refuse(refused, &id, time_left);
+                self.log_denial(&req.id, denial, req.arrived, time_left);
+                return self.refuse(refused, &req.id, time_left);
             }
         };
-        let mut attempts = Attempts::new(self, req, id, admitted, time_left);
+        let mut attempts = Attempts::new(self, req, admitted, time_left);
         let limit = attempts
             .deadline
             .saturating_duration_since(self.clock.now());
--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -64,7 +64,6 @@
     pub(super) fn new(
         entry: &'e Entry,
         req: CallerRequest,
-        id: SmolStr,
         admitted: AdmittedRequest,
         time_left: Option<Duration>,
     ) -> Self {
@@ -81,7 +80,7 @@
         strip_hop_by_hop(&mut head.headers);
         // The host sets these headers itself, so they are not sent between nodes.
         head.headers.remove(entry.dialect.time_left_ms);
-        if !id.is_empty() {
+        if !req.id.is_empty() {
             head.headers.remove(entry.dialect.request_id);
         }
         Self {
@@ -89,7 +88,7 @@
             admitted,
             head,
             body: Some(req.body),
-            id,
+            id: req.id,
             fingerprint,
             arrived: req.arrived,
             deadline,
