The end of waiting needs no whole drain configuration

The shutdown built one from defaults only to ask it. The computation is a function of the grace period now, which the drain uses as well.

--- a/crates/core/src/mesh.rs
+++ b/crates/core/src/mesh.rs
@@ -63,7 +63,7 @@
 pub use cost_shedder::{BindingService, CostShedder};
 pub use dialect::Dialect;
 pub use downstream::Downstream;
-pub use drain::{Drain, DrainConfig};
+pub use drain::{Drain, DrainConfig, waiting_end};
 pub use entry_effect::{PutEffect, RemoveEffect};
 pub use entry_fault::EntryFault;
 pub use fleet::{Fleet, InstanceKey, SelectedInstance};
--- a/crates/core/src/mesh/drain.rs
+++ b/crates/core/src/mesh/drain.rs
@@ -28,11 +28,16 @@
     }
 }
 
+/// Time after the stop signal at which the last sixth of a grace period begins. From then on, no request waits for a
+/// slot: its refusal has to reach the caller before the forced end.
+pub fn waiting_end(grace_period: Duration) -> Duration {
+    grace_period - grace_period / 6
+}
+
 impl DrainConfig {
-    /// Time after the stop signal at which the last sixth of the grace period begins. From then on, no request waits for
-    /// a slot: its refusal has to reach the caller before the forced end.
+    /// See [`waiting_end`].
     pub fn waiting_end(&self) -> Duration {
-        self.grace_period - self.grace_period / 6
+        waiting_end(self.grace_period)
     }
 
     /// Time after the stop signal by which requests should have finished.
--- a/crates/node/src/mesh/lifecycle.rs
+++ b/crates/node/src/mesh/lifecycle.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use coltsfootport_core::mesh::DrainConfig;
+use coltsfootport_core::mesh::waiting_end;
 use slog::{Logger, info, warn};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -65,7 +65,7 @@
     pub controller: ControllerHandle,
     /// Set to true when the shutdown starts.
     pub stopping: watch::Sender<bool>,
-    /// Set to true when requests no longer wait for slots; see [`DrainConfig::waiting_end`].
+    /// Set to true when requests no longer wait for slots; see [`waiting_end`].
     pub waiting_over: watch::Sender<bool>,
     /// Set to true shortly before the grace period ends.
     pub grace_over: watch::Sender<bool>,
@@ -104,10 +104,6 @@
         let grace = self.settings.grace();
         // Exiting or giving requests up too early loses them, too late does not.
         let latest_end = self.settings.recent_grace();
-        let drain = DrainConfig {
-            grace_period: grace,
-            ..Default::default()
-        };
         info!(self.log, "stopping"; "open" => self.open.load(Ordering::SeqCst), "grace_ms" => grace.as_millis() as u64);
         self.stopping.send_replace(true);
         self.controller.notify(ControllerEvent::Stop { grace });
@@ -135,7 +131,7 @@
             if elapsed >= MIN_DRAIN_TIME {
                 self.closing.send_replace(true);
             }
-            if elapsed >= drain.waiting_end() {
+            if elapsed >= waiting_end(grace) {
                 self.waiting_over.send_replace(true);
             }
             if latest_end.saturating_sub(elapsed) <= KILL_MARGIN && !*self.grace_over.borrow() {
