A response no longer carries a close flag that nothing sets

Both places that build a response set it to false, and nothing changed it later. The writer decides from the request and the framing.

--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -249,6 +249,4 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Body,
-    /// Whether to close the connection after this response, because the next request on it could not be delimited.
-    pub close: bool,
 }
--- a/crates/node/src/mesh/callers/writer.rs
+++ b/crates/node/src/mesh/callers/writer.rs
@@ -74,7 +74,7 @@
                 return ConnectionEnd::TaskFailed;
             };
             let framing = framing(&answer.body, form.takes_chunks);
-            let must_close = !form.keep_alive || answer.close || framing == Framing::UntilClose;
+            let must_close = !form.keep_alive || framing == Framing::UntilClose;
             let may_close = *self.stopping.borrow() || self.shared.is_crowded();
             let last = self.shared.begin_response(must_close, may_close);
             match self
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -122,7 +122,6 @@
                 status: answer.status,
                 headers: answer.headers,
                 body: answer.body,
-                close: false,
             },
             Err(refused) => CallerAnswer {
                 passed_on,
@@ -191,7 +190,6 @@
             status: StatusCode::from_u16(rule.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE),
             headers,
             body: Body::empty(),
-            close: false,
         }
     }
 
