A refused isolated request is logged as having left its queue

refuse_waiting logged 'left queue' for the requests in the gate's queue, and refuse_isolated did not for those that wait behind an isolated one. Both use one function now, and so does the re-check of isolated requests when it refuses one. Their waits count in the queue wait metric as well.

The refusal of waiting requests stood with withdrawals, though the drain and the dispatch use it: waiters have a file of their own.

--- a/crates/node/src/mesh/controller.rs
+++ b/crates/node/src/mesh/controller.rs
@@ -21,7 +21,7 @@
 mod silence;
 mod state;
 mod task;
-mod withdrawal;
+mod waiters;
 
 pub use answer_guard::AnswerGuard;
 pub use event::{
--- a/crates/node/src/mesh/controller/dispatch.rs
+++ b/crates/node/src/mesh/controller/dispatch.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::runs::Run;
-use super::state::Waiter;
+use super::waiters::Waiter;
 use super::{
     AcquireSlotRequest, Controller, RunOutcome, SlotGrant, SlotGuard, SlotRefusal, SlotRelease,
 };
@@ -141,7 +141,7 @@
     pub(super) fn start_queued(&mut self, now: Instant) {
         self.refuse_late_waiters(now);
         for ticket in self.gate.expire(now) {
-            self.refuse_waiter(ticket, Refusal::ExpiredUnsent);
+            self.refuse_queued(ticket, Refusal::ExpiredUnsent);
         }
         while let Some(ticket) = self.gate.dispatch_next() {
             match self.waiting.remove(&ticket) {
@@ -151,28 +151,6 @@
         }
     }
 
-    /// Removes queued requests that no one waits for any more.
-    pub(super) fn remove_abandoned_waiters(&mut self) {
-        let now = self.clock.now();
-        let Self { gate, journal, .. } = self;
-        self.waiting.retain(|ticket, waiter| {
-            let abandoned = waiter.reply.is_closed();
-            if abandoned {
-                let wait = now.saturating_duration_since(waiter.since);
-                journal.left_queue(&waiter.req.id, "sender-left", wait);
-                gate.cancel(*ticket);
-            }
-            !abandoned
-        });
-        self.prune_isolated();
-    }
-
-    /// Refuses queued requests for instances that are draining or removed. Their entry nodes select another instance.
-    pub(super) fn refuse_waiters_of_stopped(&mut self) {
-        self.refuse_waiting(|controller, req| controller.is_draining_or_removed(&req.instance));
-        self.recheck_isolated(self.clock.now());
-    }
-
     /// Remembers the id of a removed instance.
     pub(super) fn remember_removed(&mut self, id: SmolStr) {
         if self.removed_instances.len() >= MAX_REMOVED_INSTANCES {
@@ -229,19 +207,6 @@
         config.map_or(0, |config| config.shed_order(rank))
     }
 
-    fn log_left_queue(&self, waiter: &Waiter, outcome: &str, now: Instant) {
-        let wait = now.saturating_duration_since(waiter.since);
-        self.journal.left_queue(&waiter.req.id, outcome, wait);
-    }
-
-    pub(super) fn refuse_waiter(&mut self, ticket: Ticket, refusal: Refusal) {
-        if let Some(waiter) = self.waiting.remove(&ticket) {
-            self.log_left_queue(&waiter, refusal.as_str(), self.clock.now());
-            let refused = self.slot_refusal(refusal, None);
-            drop(waiter.reply.send(Err(refused)));
-        }
-    }
-
     pub(super) fn slot_refusal(
         &self,
         refusal: Refusal,
--- a/crates/node/src/mesh/controller/quarantine.rs
+++ b/crates/node/src/mesh/controller/quarantine.rs
@@ -12,7 +12,7 @@
 use rand::seq::IndexedRandom;
 use slog::{info, warn};
 
-use super::state::Waiter;
+use super::waiters::Waiter;
 use super::{AcquireSlotRequest, Controller};
 use crate::mesh::call::RunEnd;
 use crate::mesh::findings::FindingsMessage;
@@ -126,7 +126,7 @@
                     continue;
                 }
             };
-            drop(waiter.reply.send(Err(self.slot_refusal(refusal, None))));
+            self.refuse_waiter(waiter, refusal);
         }
     }
 
@@ -139,10 +139,7 @@
         let before = waiting.len();
         for waiter in waiting {
             match is_refused(self, &waiter.req) {
-                true => {
-                    let refused = self.slot_refusal(Refusal::Stopping, None);
-                    drop(waiter.reply.send(Err(refused)));
-                }
+                true => self.refuse_waiter(waiter, Refusal::Stopping),
                 false => self.quarantine.waiting.push_back(waiter),
             }
         }
--- a/crates/node/src/mesh/controller/state.rs
+++ b/crates/node/src/mesh/controller/state.rs
@@ -16,14 +16,15 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use smol_str::SmolStr;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
+use super::ControllerEvent;
 use super::entries::RejectedEntries;
 use super::quarantine::Quarantine;
 use super::route_stats::RouteStats;
 use super::runs::Runs;
-use super::{AcquireSlotRequest, ControllerEvent, SlotGrant, SlotRefusal};
+use super::waiters::Waiter;
 use crate::clock::SharedClock;
 use crate::mesh::findings::FindingsMessage;
 use crate::mesh::journal::Journal;
@@ -79,15 +80,6 @@
     }
 }
 
-/// A request that waits for a slot, and the channel for its reply.
-#[derive(Debug)]
-pub(super) struct Waiter {
-    pub req: AcquireSlotRequest,
-    pub reply: oneshot::Sender<Result<SlotGrant, SlotRefusal>>,
-    /// When it arrived.
-    pub since: Instant,
-}
-
 /// Channels on which a controller notifies other tasks.
 pub struct ControllerChannels {
     /// The controller's own events, sent by the guards that it hands out.
