Named forms of two flags: may a request wait, was it found

A queue timeout of zero meant 'may not wait' in the exchange and in the quarantine; both ask may_wait. The acknowledgement of a withdrawal is an enum instead of a bool. Its encoding stays the same, a 0 or 1, so that the refusal of a closing host, whose first field is zero, is still decoded as 'not found'.

--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -111,7 +111,8 @@
     pub repeat: Idempotency,
     /// Deadline, after which no one waits for the response.
     pub deadline: Instant,
-    /// Longest acceptable queueing time. If the expected time is longer, the request is refused at once.
+    /// Longest acceptable queueing time. If the expected time is longer, the request is refused at once. Zero if it may
+    /// not wait.
     pub queue_timeout: Duration,
     /// Service of the entry node that sent the request.
     pub origin: ServiceName,
@@ -119,6 +120,13 @@
     pub cut_off: Option<SmolStr>,
 }
 
+impl HostedRequest {
+    /// Whether the host may enqueue the request, instead of refusing it if it can't start at once.
+    pub fn may_wait(&self) -> bool {
+        !self.queue_timeout.is_zero()
+    }
+}
+
 /// A target's response, verified to belong to the request.
 #[derive(Debug)]
 pub struct TargetAnswer {
--- a/crates/node/src/mesh/controller/event.rs
+++ b/crates/node/src/mesh/controller/event.rs
@@ -295,12 +295,19 @@
     pub began: Instant,
     /// Deadline of the request.
     pub deadline: Instant,
-    /// Longest expected queueing time at which the request is still enqueued.
+    /// Longest expected queueing time at which the request is still enqueued. Zero if it may not wait.
     pub queue_timeout: Duration,
     /// Id of the local instance of the sending node, if that node is cut off from the publisher.
     pub cut_off: Option<SmolStr>,
 }
 
+impl AcquireSlotRequest {
+    /// Whether the request may be enqueued, instead of being refused if it can't start at once.
+    pub fn may_wait(&self) -> bool {
+        !self.queue_timeout.is_zero()
+    }
+}
+
 /// A granted slot.
 #[derive(Debug)]
 pub struct SlotGrant {
--- a/crates/node/src/mesh/controller/quarantine.rs
+++ b/crates/node/src/mesh/controller/quarantine.rs
@@ -90,7 +90,7 @@
             }
             SuspicionLevel::Isolated
                 if self.quarantine.waiting.len() < MAX_ISOLATED_WAITING
-                    && !waiter.req.queue_timeout.is_zero() =>
+                    && waiter.req.may_wait() =>
             {
                 self.metrics.isolated.inc();
                 self.quarantine.waiting.push_back(waiter);
--- a/crates/node/src/mesh/entry/attempts/exchange.rs
+++ b/crates/node/src/mesh/entry/attempts/exchange.rs
@@ -23,7 +23,7 @@
         to: &InstanceGrant,
         req: HostedRequest,
     ) -> Result<HostReply, LinkError> {
-        let may_wait = !req.queue_timeout.is_zero();
+        let may_wait = req.may_wait();
         let attempt = req.attempt;
         let mut reply = pin!(self.send(to, req));
         if may_wait {
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -190,8 +190,8 @@
             Ok(true)
         }
         StreamHead::Withdraw(attempt) => {
-            let known = ctx.host.controller.withdraw(attempt).await;
-            conn.write(&WithdrawalAck(known), &[]).await?;
+            let is_found = ctx.host.controller.withdraw(attempt).await;
+            conn.write(&WithdrawalAck::new(is_found), &[]).await?;
             Ok(true)
         }
         StreamHead::QuotaNotices(notices) => {
--- a/crates/node/src/mesh/link/withdrawal.rs
+++ b/crates/node/src/mesh/link/withdrawal.rs
@@ -10,10 +10,25 @@
 use crate::mesh::call::AttemptToken;
 use crate::wire::FrameError;
 
-/// Acknowledges a withdrawal; true if the request waited or runs at the host. The refusal that a closing host sends in
-/// place of any reply reads as false.
+/// Acknowledges a withdrawal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WithdrawalAck(pub bool);
+pub enum WithdrawalAck {
+    /// The host does not know the request. This must stay the first variant: the refusal that a closing host sends in
+    /// place of any reply is decoded as it.
+    NotFound,
+    /// The request waited or runs at the host.
+    Found,
+}
+
+impl WithdrawalAck {
+    /// Creates the acknowledgement of a request that was found, or not.
+    pub fn new(is_found: bool) -> Self {
+        match is_found {
+            true => Self::Found,
+            false => Self::NotFound,
+        }
+    }
+}
 
 /// Takes a request back from its host, which refuses it unless it runs already. Returns false if the host does not know
 /// the request, which may still be on its way.
@@ -27,6 +42,6 @@
     attempt: AttemptToken,
 ) -> Result<bool, FrameError> {
     let head = StreamHead::Withdraw(attempt);
-    let WithdrawalAck(known) = call(links, host, &head).await?;
-    Ok(known)
+    let ack: WithdrawalAck = call(links, host, &head).await?;
+    Ok(ack == WithdrawalAck::Found)
 }
