The moments of a shutdown come through one watch

Four watches, stopping, closing, waiting_over and grace_over, were made in the startup and passed one by one to the entry, the callers, the peers, the readiness check and the lifecycle, and each place had its own loop that waited for true. They are one pair of types with named methods now.

When the sender is dropped, as the process exits, all waits go on for ever; two of them used to end instead, and one gave up a withdrawal.

--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -21,6 +21,7 @@
 mod run;
 mod settings;
 mod settings_file;
+mod shutdown;
 mod target;
 
 pub use metrics::MeshMetrics;
--- a/crates/node/src/mesh/callers/listener.rs
+++ b/crates/node/src/mesh/callers/listener.rs
@@ -11,6 +11,7 @@
 use super::connection::serve_connection;
 use super::registry::ConnectionRegistry;
 use crate::mesh::entry::Entry;
+use crate::mesh::shutdown::ShutdownWatch;
 
 /// Configuration and shared state of the caller-facing server.
 #[derive(Clone)]
@@ -21,10 +22,8 @@
     pub limits: watch::Receiver<CallerLimits>,
     /// Bound on the queue of pending responses per connection; reading pauses while it is full.
     pub pipelined: usize,
-    /// Becomes `true` when the grace period of a stopping node is nearly over.
-    pub grace_over: watch::Receiver<bool>,
-    /// Becomes `true` when the node begins to shut down.
-    pub stopping: watch::Receiver<bool>,
+    /// Progress of the node's shutdown.
+    pub shutdown: ShutdownWatch,
     /// Open requests; see `OpenRequestGuard`.
     pub open_requests: Arc<AtomicUsize>,
     /// All open connections.
@@ -37,11 +36,10 @@
 /// Accepts callers until the grace period of a stopping node is nearly over. Later requests are never read, so callers
 /// can safely resend them.
 pub async fn listen(listener: TcpListener, cfg: CallersConfig) {
-    let mut grace_over = cfg.grace_over.clone();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = grace_over.wait_for(|is_over| *is_over) => return,
+            () = cfg.shutdown.grace_over() => return,
         };
         match accepted {
             Ok((stream, _)) => {
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -177,7 +177,7 @@
         now: Instant,
         slots: &mpsc::Sender<ResponseSlot>,
     ) -> Result<ResponseSender, ReadEnd> {
-        let stopping = *self.cfg.stopping.borrow();
+        let stopping = self.cfg.shutdown.is_stopping();
         let seq = self.shared.record_request(id.clone(), now, stopping);
         let seq = seq.ok_or(ReadEnd::Closing)?;
         let (answer, rx) = oneshot::channel();
--- a/crates/node/src/mesh/callers/writer.rs
+++ b/crates/node/src/mesh/callers/writer.rs
@@ -25,6 +25,7 @@
 use crate::mesh::call::{Body, CallerAnswer};
 use crate::mesh::journal::Journal;
 use crate::mesh::open_request::OpenRequestGuard;
+use crate::mesh::shutdown::ShutdownWatch;
 
 /// Writes responses in request order.
 pub struct Writer {
@@ -34,10 +35,8 @@
     pub shared: Arc<ConnectionState>,
     /// Limits on what callers may send and how long they may take.
     pub limits: watch::Receiver<CallerLimits>,
-    /// Becomes true when the node starts to shut down.
-    pub stopping: watch::Receiver<bool>,
-    /// Becomes true when the grace period of a stopping node is nearly over.
-    pub grace_over: watch::Receiver<bool>,
+    /// Progress of the node's shutdown.
+    pub shutdown: ShutdownWatch,
     /// Number of open requests; see [`OpenRequestGuard`].
     pub open_requests: Arc<AtomicUsize>,
     /// Clock.
@@ -75,7 +74,7 @@
             };
             let framing = framing(&answer.body, form.takes_chunks);
             let must_close = !form.keep_alive || framing == Framing::UntilClose;
-            let may_close = *self.stopping.borrow() || self.shared.is_crowded();
+            let may_close = self.shutdown.is_stopping() || self.shared.is_crowded();
             let last = self.shared.begin_response(must_close, may_close);
             match self
                 .write_answer(answer, framing, last, form.head_only)
@@ -112,13 +111,13 @@
 
     /// Waits for a response. Logs the responses that are ready behind it when the grace period is nearly over.
     async fn wait_for(
-        &mut self,
+        &self,
         mut answer: oneshot::Receiver<CallerAnswer>,
     ) -> Result<CallerAnswer, RecvError> {
         tokio::select! {
             biased;
             answer = &mut answer => return answer,
-            _ = self.grace_over.wait_for(|is_over| *is_over) => {}
+            () = self.shutdown.grace_over() => {}
         }
         for open in self.shared.unanswered() {
             if open.ready_at.is_some() {
@@ -131,11 +130,10 @@
     /// Waits for the next response that is due. A stopping node counts the connection as open until what was written on
     /// it before has been sent.
     async fn next_slot(&self, slots: &mut mpsc::Receiver<ResponseSlot>) -> Option<ResponseSlot> {
-        let mut stopping = self.stopping.clone();
         tokio::select! {
             biased;
             slot = slots.recv() => return slot,
-            _ = stopping.wait_for(|is_stopping| *is_stopping) => {}
+            () = self.shutdown.stopping() => {}
         }
         let open = OpenRequestGuard::new(&self.open_requests);
         tokio::select! {
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -22,6 +22,7 @@
 use crate::mesh::host::Host;
 use crate::mesh::journal::{Journal, RequestSummary};
 use crate::mesh::link::PeerPool;
+use crate::mesh::shutdown::ShutdownWatch;
 
 /// Retry delay that is announced to callers if no better estimate is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -46,12 +47,8 @@
     pub journal: Journal,
     /// Service of the local target, taken from the settings.
     pub service: watch::Receiver<ServiceName>,
-    /// Becomes true when a stopping node gets requests from its own target only.
-    pub closing: watch::Receiver<bool>,
-    /// Becomes true when the grace period of a stopping node is nearly over.
-    pub grace_over: watch::Receiver<bool>,
-    /// Becomes true when the requests of a stopping node no longer wait for slots.
-    pub waiting_over: watch::Receiver<bool>,
+    /// Progress of the node's shutdown.
+    pub shutdown: ShutdownWatch,
     /// Limits on the time that requests wait in the queue of a target.
     pub queue_timeout: QueueTimeoutConfig,
     /// Safety margins subtracted from the time limits of requests.
@@ -81,7 +78,7 @@
             time_left,
             credential,
         };
-        let is_late_call = *self.closing.borrow();
+        let is_late_call = self.shutdown.is_closing();
         let admitted = match self.controller.admit(admission).await {
             Ok(admitted) => admitted,
             Err(denial) => {
@@ -140,11 +137,10 @@
     where
         F: Future,
     {
-        let mut grace_over = self.grace_over.clone();
         tokio::select! {
             biased;
             done = &mut served => return done,
-            _ = grace_over.wait_for(|is_over| *is_over) => {}
+            () = self.shutdown.grace_over() => {}
         }
         let left = deadline.saturating_duration_since(self.clock.now());
         self.journal.unfinished(id, "entry", left);
@@ -159,11 +155,7 @@
         if !is_late_call {
             ready_behind.await;
         }
-        let mut grace_over = self.grace_over.clone();
-        if grace_over.wait_for(|is_over| *is_over).await.is_err() {
-            // The sender is dropped only as the process exits.
-            std::future::pending().await
-        }
+        self.shutdown.grace_over().await;
     }
 
     /// Builds the response by which the node itself refuses a request.
--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -315,7 +315,7 @@
 
     /// Longest expected queueing time at which a host still enqueues the request; zero if it must start at once.
     fn queue_timeout(&self) -> Duration {
-        if *self.entry.waiting_over.borrow() {
+        if self.entry.shutdown.is_waiting_over() {
             return Duration::ZERO;
         }
         let route = self.admitted.config.route(self.admitted.route);
--- a/crates/node/src/mesh/entry/attempts/exchange.rs
+++ b/crates/node/src/mesh/entry/attempts/exchange.rs
@@ -50,10 +50,7 @@
     /// Takes the request back from its host when the requests of this stopping node may no longer wait. Returns when the
     /// host has found it.
     async fn withdraw_when_waiting_is_over(&self, to: &InstanceGrant, attempt: AttemptToken) {
-        let mut waiting_over = self.entry.waiting_over.clone();
-        if waiting_over.wait_for(|is_over| *is_over).await.is_err() {
-            return;
-        }
+        self.entry.shutdown.waiting_over().await;
         // The withdrawal may overtake the request.
         while !self.withdraw(to, attempt).await {
             sleep(WITHDRAWAL_INTERVAL).await;
--- a/crates/node/src/mesh/lifecycle.rs
+++ b/crates/node/src/mesh/lifecycle.rs
@@ -7,13 +7,13 @@
 use coltsfootport_core::mesh::waiting_end;
 use slog::{Logger, info, warn};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::clock::SharedClock;
 use crate::mesh::controller::{ControllerEvent, ControllerHandle};
 use crate::mesh::link::CLOSE_LINGER;
 use crate::mesh::settings_file::SettingsFile;
+use crate::mesh::shutdown::ShutdownSender;
 
 /// Minimum time from the stop signal to the exit. Some callers keep sending until the readiness check has shown them
 /// that the node is stopping.
@@ -63,15 +63,8 @@
     pub signals: Signals,
     /// Controller, which refuses new requests for the local target while the node is stopping.
     pub controller: ControllerHandle,
-    /// Set to true when the shutdown starts.
-    pub stopping: watch::Sender<bool>,
-    /// Set to true when requests no longer wait for slots; see [`waiting_end`].
-    pub waiting_over: watch::Sender<bool>,
-    /// Set to true shortly before the grace period ends.
-    pub grace_over: watch::Sender<bool>,
-    /// Set to true after [`MIN_DRAIN_TIME`]. No request of another node is accepted any more, and the connections from
-    /// other nodes are closed as soon as their replies have been written.
-    pub closing: watch::Sender<bool>,
+    /// Announces the progress of the shutdown.
+    pub shutdown: ShutdownSender,
     /// Number of open requests from callers and peers; see `OpenRequestGuard`.
     pub open: Arc<AtomicUsize>,
     /// Settings file, read again on SIGHUP, when it has changed, and when the shutdown starts.
@@ -105,7 +98,7 @@
         // Exiting or giving requests up too early loses them, too late does not.
         let latest_end = self.settings.recent_grace();
         info!(self.log, "stopping"; "open" => self.open.load(Ordering::SeqCst), "grace_ms" => grace.as_millis() as u64);
-        self.stopping.send_replace(true);
+        self.shutdown.start();
         self.controller.notify(ControllerEvent::Stop { grace });
         let mut signals = 1;
         let mut last_signal_at = signalled_at;
@@ -129,13 +122,13 @@
             let hosted = self.controller.hosted_requests().await;
             let open = self.open.load(Ordering::SeqCst);
             if elapsed >= MIN_DRAIN_TIME {
-                self.closing.send_replace(true);
+                self.shutdown.close();
             }
             if elapsed >= waiting_end(grace) {
-                self.waiting_over.send_replace(true);
+                self.shutdown.end_waiting();
             }
-            if latest_end.saturating_sub(elapsed) <= KILL_MARGIN && !*self.grace_over.borrow() {
-                self.prepare_for_kill(open, hosted);
+            if latest_end.saturating_sub(elapsed) <= KILL_MARGIN && self.shutdown.end_grace() {
+                self.log_unfinished(open, hosted);
             }
             if now.saturating_duration_since(last_signal_at) >= latest_end + EXIT_MARGIN {
                 warn!(self.log, "grace period over"; "open" => open, "hosted" => hosted);
@@ -154,10 +147,8 @@
         }
     }
 
-    /// Stops accepting callers and logs unfinished requests, shortly before the supervisor is expected to kill the
-    /// process.
-    fn prepare_for_kill(&self, open: usize, hosted: usize) {
-        self.grace_over.send_replace(true);
+    /// Logs unfinished requests, shortly before the supervisor is expected to kill the process.
+    fn log_unfinished(&self, open: usize, hosted: usize) {
         warn!(self.log, "grace period nearly over"; "open" => open, "hosted" => hosted);
         self.controller.notify(ControllerEvent::LogUnfinished);
     }
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -9,7 +9,6 @@
 use coltsfootport_core::workspace::{QuotaNotice, QuotaUsage};
 use slog::{Logger, debug};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 use super::body_stream;
@@ -25,6 +24,7 @@
 use crate::mesh::feed::{FeedServer, serve_feed};
 use crate::mesh::host::Host;
 use crate::mesh::open_request::OpenRequestGuard;
+use crate::mesh::shutdown::ShutdownWatch;
 use crate::wire::FrameError;
 
 /// How long an idle connection is kept. Senders close theirs sooner; this limit applies to peers that failed without
@@ -47,8 +47,8 @@
     pub sharing: FeedServer,
     /// Number of open requests, for the shutdown; see [`OpenRequestGuard`].
     pub open_requests: Arc<AtomicUsize>,
-    /// Becomes true when a stopping node accepts no further requests from peers.
-    pub closing: watch::Receiver<bool>,
+    /// Progress of the node's shutdown.
+    pub shutdown: ShutdownWatch,
     /// Random number drawn when the node's process starts.
     pub boot: u64,
     /// Logger for connection failures.
@@ -76,8 +76,7 @@
     }
     let mut conn = PeerConn::new(stream);
     let hello = HelloFrame { boot: ctx.boot };
-    let mut closing = ctx.closing.clone();
-    let is_closing = *closing.borrow();
+    let is_closing = ctx.shutdown.is_closing();
     let greeted = match is_closing {
         // In one write, since the process may exit between two.
         true => conn.write_pair(&hello, &stopping_reply()).await,
@@ -93,7 +92,7 @@
         let head = tokio::select! {
             biased;
             head = timeout(IDLE_TIMEOUT, conn.read_head(MAX_HEAD)) => head,
-            () = wait_until_true(&mut closing) => return refuse_next(conn, &ctx).await,
+            () = ctx.shutdown.closing() => return refuse_next(conn, &ctx).await,
         };
         let Ok(head) = head else {
             return;
@@ -114,11 +113,6 @@
     }
 }
 
-/// Waits until a flag is true, or its sender is gone.
-async fn wait_until_true(flag: &mut watch::Receiver<bool>) {
-    let _ = flag.wait_for(|flag| *flag).await;
-}
-
 /// Closes a connection on which no request has been read, and answers the one that may be on its way: it does not run.
 /// Without this answer its sender could not tell, and would not send a request elsewhere that may run at most once.
 async fn refuse_next(mut conn: PeerConn, ctx: &ServerContext) {
--- a/crates/node/src/mesh/ready.rs
+++ b/crates/node/src/mesh/ready.rs
@@ -12,10 +12,10 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 use crate::mesh::controller::ControllerHandle;
 use crate::mesh::metrics::MeshMetrics;
+use crate::mesh::shutdown::ShutdownWatch;
 
 /// Path at which metrics are served.
 const METRICS_PATH: &str = "/metrics";
@@ -29,8 +29,8 @@
     pub dialect: Arc<Dialect>,
     /// Metrics to serve.
     pub metrics: MeshMetrics,
-    /// Set to true when the node starts to shut down; the readiness check fails from then on.
-    pub stopping: watch::Receiver<bool>,
+    /// Progress of the node's shutdown; the readiness check fails from its start on.
+    pub shutdown: ShutdownWatch,
 }
 
 /// Accepts connections until the process exits.
@@ -67,7 +67,7 @@
     }
 
     async fn readiness(&self) -> StatusCode {
-        match !*self.stopping.borrow() && self.controller.is_ready().await {
+        match !self.shutdown.is_stopping() && self.controller.is_ready().await {
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -34,6 +34,7 @@
 use super::ready::{self, StatusServer};
 use super::settings::{LoadSettings, MeshSettings, PublisherKind};
 use super::settings_file::SettingsFile;
+use super::shutdown::shutdown;
 use super::target::TargetPool;
 use crate::clock::SharedClock;
 
@@ -96,9 +97,7 @@
         clock: Arc::clone(&clock),
         journal: journal.clone(),
     };
-    let (closing_tx, closing) = watch::channel(false);
-    let (grace_over_tx, grace_over) = watch::channel(false);
-    let (waiting_over_tx, waiting_over) = watch::channel(false);
+    let (shutdown_tx, shutdown) = shutdown();
     let (service_tx, service) = watch::channel(settings.node.service.clone());
     let links = PeerPool::new(Arc::clone(&clock));
     let entry = Entry {
@@ -109,22 +108,18 @@
         clock: Arc::clone(&clock),
         journal: journal.clone(),
         service,
-        closing: closing.clone(),
-        grace_over: grace_over.clone(),
-        waiting_over,
+        shutdown: shutdown.clone(),
         queue_timeout: settings.policy.queue_timeout,
         limits: settings.policy.limits,
         peers_port: settings.node.peers.port(),
         fingerprinter: Fingerprinter::new(&settings.quarantine.key),
     };
-    let (stopping_tx, stopping) = watch::channel(false);
     let open = Arc::new(AtomicUsize::new(0));
     let callers_config = CallersConfig {
         entry,
         limits,
-        grace_over,
+        shutdown: shutdown.clone(),
         pipelined: settings.load.pipelined as usize,
-        stopping: stopping.clone(),
         open_requests: Arc::clone(&open),
         connections: ConnectionRegistry::new(
             CallerConnectionsConfig {
@@ -138,7 +133,7 @@
         controller: controller.clone(),
         dialect,
         metrics: metrics.clone(),
-        stopping,
+        shutdown: shutdown.clone(),
     };
     let (change_log_tx, change_log) = watch::channel(ChangeLog::default());
     let sharing = FeedServer {
@@ -173,7 +168,7 @@
         host: host.clone(),
         sharing,
         open_requests: Arc::clone(&open),
-        closing,
+        shutdown,
         boot: rand::random(),
         log: log.clone(),
     };
@@ -199,10 +194,7 @@
     let lifecycle = Lifecycle {
         signals,
         controller,
-        stopping: stopping_tx,
-        waiting_over: waiting_over_tx,
-        grace_over: grace_over_tx,
-        closing: closing_tx,
+        shutdown: shutdown_tx,
         open,
         settings: SettingsFile::new(path, text, settings_tx, Arc::clone(&clock), log.clone()),
         clock,
