--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -1,45 +1,31 @@
 //! Reading half of a caller connection.
 
 mod body;
+mod head;
+mod input;
 
-use std::io::{ErrorKind, Read};
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use coltsfootport_core::mesh::{CallerLimits, Refusal};
 use smol_str::SmolStr;
-use socket2::SockRef;
-use tokio::io::AsyncReadExt;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use self::input::SMALL_READ;
 use super::connection_end::ConnectionEnd;
 use super::listener::CallersConfig;
 use super::open_response::ResponseSeq;
-use super::sent::has_unsent;
 use super::slot::{ConnectionState, ResponseForm, ResponseSlot};
-use crate::h1::{Framing, H1Error, RequestHead, parse_request, request_framing};
+use crate::h1::{Framing, request_framing};
 use crate::mesh::call::{CallerAnswer, CallerRequest};
 use crate::mesh::entry::text_header;
 use crate::mesh::open_request::OpenRequestGuard;
 
-/// Read size in bytes while a long body is received.
-const LARGE_READ: usize = 16 * 1024;
-
-/// Default read size in bytes, enough for typical heads. Every waiting connection holds a buffer of this size, and
-/// there are hundreds of them under surge load.
-const SMALL_READ: usize = 1024;
-
-/// Bytes that are read ahead of the requests in progress, to see whether the caller has disconnected behind them.
-const MAX_READ_AHEAD: usize = 64 * 1024;
-
-/// Interval between checks whether the caller is still reading a response when the idle time is over.
-const UNSENT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Longest time for which input is read and discarded after the last response. Closing a socket with unread input
 /// resets the connection, and the caller may lose the response that it has not read yet.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -191,85 +177,6 @@
         Ok(ResponseSender { answer, seq, id })
     }
 
-    async fn read_head(&mut self, limits: &CallerLimits) -> Result<RequestHead, ReadEnd> {
-        let mut started: Option<Instant> = None;
-        let waiting_since = self.cfg.entry.clock.now();
-        loop {
-            match parse_request(&mut self.buf, limits.header_bytes) {
-                Ok(Some(head)) => return Ok(head),
-                Ok(None) => {}
-                Err(H1Error::HeadTooLarge) => {
-                    return Err(ReadEnd::Refused(Refusal::HeaderTooLarge));
-                }
-                Err(_) => return Err(ReadEnd::Refused(Refusal::BadRequest)),
-            }
-            let now = self.cfg.entry.clock.now();
-            if started.is_none() && !self.buf.is_empty() {
-                started = Some(now);
-            }
-            let wait = match started {
-                Some(started) => limits
-                    .header_timeout
-                    .saturating_sub(now.saturating_duration_since(started)),
-                None => self
-                    .idle_time_left(limits, waiting_since)
-                    .max(UNSENT_CHECK_INTERVAL),
-            };
-            let shared = Arc::clone(&self.shared);
-            let filled = tokio::select! {
-                biased;
-                filled = timeout(wait, self.fill()) => filled,
-                () = shared.evicted() => {
-                    self.read_available()?;
-                    match self.buf.is_empty() {
-                        true => return Err(ReadEnd::Ended(ConnectionEnd::Idle)),
-                        false => continue,
-                    }
-                }
-            };
-            match filled {
-                Ok(read) => read?,
-                Err(_) if started.is_some() => {
-                    return Err(ReadEnd::Refused(Refusal::HeaderTimeout));
-                }
-                // A caller that waits for a response is not idle.
-                Err(_) if self.shared.pending() > 0 => {}
-                Err(_) if !self.idle_time_left(limits, waiting_since).is_zero() => {}
-                Err(_) if self.is_reading_response(limits, waiting_since) => {}
-                Err(_) => return Err(ReadEnd::Ended(ConnectionEnd::Idle)),
-            }
-        }
-    }
-
-    /// Time until the connection has been idle for too long, by the longer one of the idle timeouts that its caller may
-    /// know.
-    fn idle_time_left(&self, limits: &CallerLimits, waiting_since: Instant) -> Duration {
-        let idle_timeout = self.idle_timeout(limits);
-        if self.shared.pending() > 0 {
-            return idle_timeout;
-        }
-        idle_timeout.saturating_sub(self.idle_time(waiting_since))
-    }
-
-    /// Whether the caller may still be reading the last response. It has another idle timeout for that.
-    fn is_reading_response(&self, limits: &CallerLimits, waiting_since: Instant) -> bool {
-        let is_within_limit = self.idle_time(waiting_since) < self.idle_timeout(limits) * 2;
-        is_within_limit && has_unsent(self.read.as_ref())
-    }
-
-    fn idle_timeout(&self, limits: &CallerLimits) -> Duration {
-        limits
-            .idle_timeout
-            .max(self.cfg.limits.borrow().idle_timeout)
-    }
-
-    /// Time since the last response was written.
-    fn idle_time(&self, waiting_since: Instant) -> Duration {
-        let written_at = self.shared.written_at().unwrap_or(waiting_since);
-        let now = self.cfg.entry.clock.now();
-        now.saturating_duration_since(written_at.max(waiting_since))
-    }
-
     /// Starts a request. It is abandoned and refused when `refused` resolves, because its body is unusable.
     fn spawn_request<F>(
         &self,
@@ -304,48 +211,4 @@
         let _ = tx.answer.send(answer);
         ReadEnd::Closing
     }
-
-    /// Waits for `ready` and reads ahead meanwhile, so that a caller that disconnects is noticed.
-    async fn while_connected<F>(&mut self, mut ready: Pin<&mut F>) -> Result<F::Output, ReadEnd>
-    where
-        F: Future,
-    {
-        while self.buf.len() < MAX_READ_AHEAD {
-            tokio::select! {
-                biased;
-                output = &mut ready => return Ok(output),
-                read = self.fill() => read?,
-            }
-        }
-        Ok(ready.await)
-    }
-
-    /// Reads what the socket holds, without waiting. A request must not start if the close of its caller lies behind
-    /// it, which the runtime reports only with its next event.
-    fn read_available(&mut self) -> Result<(), ReadEnd> {
-        let mut chunk = [0; SMALL_READ];
-        while self.buf.len() < MAX_READ_AHEAD {
-            let read = (&*SockRef::from(self.read.as_ref())).read(&mut chunk);
-            match read {
-                Ok(0) => return Err(caller_left()),
-                Ok(read) => self.buf.extend_from_slice(&chunk[..read]),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
-                Err(_) => return Err(caller_left()),
-            }
-        }
-        Ok(())
-    }
-
-    async fn fill(&mut self) -> Result<(), ReadEnd> {
-        self.buf.reserve(self.next_read);
-        let read = match self.read.read_buf(&mut self.buf).await {
-            Ok(read) if read > 0 => read,
-            _ => return Err(caller_left()),
-        };
-        self.next_read = match read >= self.next_read {
-            true => LARGE_READ,
-            false => SMALL_READ,
-        };
-        Ok(())
-    }
 }
