--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -1,90 +1,17 @@
 //! Admission to the slots of a target, and the queue in front of them.
 
-use std::time::{Duration, Instant};
+mod config;
+mod estimates;
+mod release;
+mod request;
 
+use std::time::Instant;
+
+pub use self::config::GateConfig;
+pub use self::request::{Admission, SlotRequest, Ticket};
 use super::headroom::Headroom;
 use crate::collections::Map;
-use crate::mesh::{
-    Backlog, LevelConfig, LevelControl, RateLimit, RequestKind, ServiceTimes, TargetSilence,
-    TimeLimits,
-};
-
-/// Settings of the queue in front of a target.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct GateConfig {
-    /// Concurrency limit until the published list of instances gives the target's own.
-    pub slots: u32,
-    /// Maximum number of queued requests; bounds memory.
-    pub max_queued: usize,
-    /// Share of the mean service time of its kind that a request must have left to be dispatched; 0 dispatches any
-    /// request before its deadline. A run that is cut off at its deadline has wasted its slot and those of its calls.
-    pub start_share: f64,
-    /// Whether to leave slots free when the target slows down near full concurrency.
-    pub headroom: bool,
-    /// Whether the overload level counts slot time without the time during which runs wait for calls of their own.
-    /// Otherwise slow calls raise the level of every service above them, which could serve other requests.
-    pub level_without_waits: bool,
-    /// Margins that bound how long requests may wait.
-    pub limits: TimeLimits,
-    /// How the overload level follows the load.
-    pub level: LevelConfig,
-}
-
-impl Default for GateConfig {
-    fn default() -> Self {
-        Self {
-            slots: 16,
-            max_queued: 2000,
-            start_share: 0.5,
-            headroom: true,
-            level_without_waits: true,
-            limits: TimeLimits::default(),
-            level: LevelConfig::default(),
-        }
-    }
-}
-
-/// Identifies a request within a gate.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Ticket(u64);
-
-/// A request for a slot.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SlotRequest {
-    /// Urgency of the external request that it belongs to; 0 is served first.
-    pub rank: u8,
-    /// Number of ranks that are shed before its own.
-    pub shed_order: usize,
-    /// Share of similar external requests that the entry node was admitting when it admitted this one.
-    pub admitted: f64,
-    /// Route of the request.
-    pub kind: RequestKind,
-    /// Whether it is a call made during another run. Work upstream has already been done, so it is served before others
-    /// of its rank and refused only if it can't finish in time.
-    pub inner: bool,
-    /// When the external request that it belongs to entered the mesh.
-    pub began: Instant,
-    /// Deadline of the request.
-    pub deadline: Instant,
-    /// Longest expected wait at which it is still queued.
-    pub queue_timeout: Duration,
-}
-
-/// Result of enqueueing a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admission {
-    /// Dispatched immediately.
-    Dispatched(Ticket),
-    /// Queued; [`TargetGate::dispatch_next`] returns its ticket when a slot is free.
-    Queued(Ticket),
-    /// Its expected wait is longer than its queue timeout or its remaining time, or the queue is full.
-    Refused {
-        /// Expected wait for a slot.
-        retry_after: Duration,
-    },
-    /// It can no longer meet its deadline, judging by the mean service time of its kind.
-    DeadlineUnreachable,
-}
+use crate::mesh::{LevelControl, RateLimit, RequestKind, ServiceTimes, TargetSilence};
 
 /// Concurrency slots and queue of one target.
 #[derive(Clone, Debug)]
@@ -139,14 +66,6 @@
     }
 }
 
-/// Share of a request's remaining time within which the queue should drain. Most of that time is needed for its own
-/// run, and it may queue at several targets on its way.
-const DRAIN_SHARE: f64 = 0.25;
-
-/// Bounds of the drain time in seconds: a shorter one would react to every fluctuation, a longer one would let queues
-/// persist.
-const DRAIN_RANGE: (f64, f64) = (0.2, 2.0);
-
 impl TargetGate {
     /// Creates a gate with an empty queue and all slots free.
     pub fn new(cfg: GateConfig, now: Instant) -> Self {
@@ -245,53 +164,6 @@
         Admission::Queued(ticket)
     }
 
-    /// Releases the slot of a request that the target responded to after it held the slot for `held`, and records its
-    /// service time.
-    pub fn release(&mut self, ticket: Ticket, held: Duration, now: Instant) {
-        self.silence.record_response(now);
-        self.record_end(ticket, held, now);
-    }
-
-    /// Like [`TargetGate::release`], for a request whose answer the target is still sending. Its end is recorded by
-    /// [`TargetGate::record_completion`].
-    pub fn release_answering(&mut self, ticket: Ticket, held: Duration, now: Instant) {
-        self.silence.record_response(now);
-        self.record_service(ticket, held, now);
-    }
-
-    /// Records that the answer to a request of a kind has ended, `took` after the request was dispatched.
-    pub fn record_completion(&mut self, kind: RequestKind, took: Duration) {
-        self.completion_times.record(kind, took.as_secs_f64());
-    }
-
-    /// Like [`TargetGate::release`], for a request without a response. `waited` is the time since it was sent, unless
-    /// it was not sent completely.
-    pub fn release_unanswered(
-        &mut self,
-        ticket: Ticket,
-        held: Duration,
-        waited: Option<Duration>,
-        now: Instant,
-    ) {
-        let running = self.running.get(&ticket);
-        if let (Some(running), Some(waited)) = (running, waited) {
-            let expected = self.service_times.expected(running.kind);
-            let expected = Duration::from_secs_f64(expected);
-            self.silence.record_unanswered(waited, expected, now);
-        }
-        self.record_end(ticket, held, now);
-    }
-
-    /// Records how long a run held its slot without waiting for calls of its own.
-    pub fn record_work(&mut self, kind: RequestKind, work: Duration) {
-        self.work_times.record(kind, work.as_secs_f64());
-    }
-
-    /// Mean time for which runs of a kind hold a slot without waiting for calls of their own; `None` without samples.
-    pub fn mean_work(&self, kind: RequestKind) -> Option<Duration> {
-        self.work_times.mean(kind).map(Duration::from_secs_f64)
-    }
-
     /// Records a sign, other than a response, that the target's process reads from its connections.
     pub fn record_activity(&mut self, now: Instant) {
         self.silence.record_response(now);
@@ -308,34 +180,6 @@
         self.silence.is_silent()
     }
 
-    fn record_end(&mut self, ticket: Ticket, held: Duration, now: Instant) {
-        if let Some(kind) = self.record_service(ticket, held, now) {
-            self.record_completion(kind, held);
-        }
-    }
-
-    fn record_service(
-        &mut self,
-        ticket: Ticket,
-        held: Duration,
-        now: Instant,
-    ) -> Option<RequestKind> {
-        let Running { kind, nearly_full } = self.running.remove(&ticket)?;
-        let held = held.as_secs_f64();
-        self.service_times.record(kind, held);
-        self.headroom.record(kind, held, nearly_full, now);
-        Some(kind)
-    }
-
-    /// Releases the slot of a dispatched request that did not run, without recording a service time.
-    pub fn release_unused(&mut self, ticket: Ticket) {
-        self.running.remove(&ticket);
-        self.silence.put_back();
-        if let Some(rate) = &mut self.rate {
-            rate.put_back();
-        }
-    }
-
     /// Removes a request from the queue. Returns `false` if it was not queued.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         let before = self.queue.len();
@@ -416,25 +260,6 @@
         self.queue.len()
     }
 
-    /// Expected time until the answer to a request that is admitted now has ended: its wait for a slot plus the mean
-    /// time of its kind.
-    pub fn expected_completion(&self, request: &SlotRequest) -> Duration {
-        let is_limited = self.rate.is_some_and(|rate| !rate.wait(0).is_zero());
-        let may_start = !is_limited && self.silence.wait().is_zero();
-        let is_free = self.has_free_slot() && self.queue.is_empty() && may_start;
-        let wait = match is_free {
-            true => Duration::ZERO,
-            false => self.expected_wait(request),
-        };
-        wait + self.mean_completion(request.kind)
-    }
-
-    /// Mean time from the dispatch of requests of a kind to the end of their answers; zero without samples.
-    pub fn mean_completion(&self, kind: RequestKind) -> Duration {
-        let mean = self.completion_times.mean(kind);
-        mean.map_or(Duration::ZERO, Duration::from_secs_f64)
-    }
-
     fn has_free_slot(&self) -> bool {
         self.running() < self.usable
     }
@@ -460,47 +285,4 @@
         let nearly_full = Headroom::is_nearly_full(self.running() + 1, self.slots);
         self.running.insert(ticket, Running { kind, nearly_full });
     }
-
-    /// Latest time at which a request may be dispatched, from the mean service time of its kind.
-    fn latest_start(&self, request: &SlotRequest) -> Instant {
-        let mean = self.service_times.mean(request.kind).unwrap_or_default();
-        let needed = Duration::from_secs_f64(mean * self.cfg.start_share);
-        let latest = request.deadline.checked_sub(needed);
-        latest.unwrap_or(request.deadline)
-    }
-
-    /// Load that the queue adds to the arrivals if each queued request is to be dispatched within its drain time.
-    fn backlog(&self, slots: f64) -> Backlog {
-        let mut backlog = Backlog::default();
-        for queued in &self.queue {
-            let time = queued.request.deadline - queued.since;
-            let drain_time = time.as_secs_f64() * DRAIN_SHARE;
-            let load = queued.work / drain_time.clamp(DRAIN_RANGE.0, DRAIN_RANGE.1) / slots;
-            backlog.add(queued.request.shed_order, load);
-        }
-        backlog
-    }
-
-    /// Expected time until a request that is admitted now gets a slot, from the requests running and queued ahead of
-    /// it.
-    fn expected_wait(&self, request: &SlotRequest) -> Duration {
-        let order = (
-            request.rank,
-            !request.inner,
-            request.began,
-            Ticket(u64::MAX),
-        );
-        let ahead = self
-            .queue
-            .partition_point(|other| other.dispatch_order() < order);
-        let running = self.running.values();
-        let turnover = running
-            .map(|run| self.service_times.expected(run.kind))
-            .sum::<f64>()
-            / f64::from(self.usable);
-        let queued_work: f64 = self.queue[..ahead].iter().map(|queued| queued.work).sum();
-        let wait = Duration::from_secs_f64((queued_work + turnover) / f64::from(self.usable));
-        let wait = wait.max(self.silence.wait());
-        self.rate.map_or(wait, |rate| rate.wait(ahead).max(wait))
-    }
 }
