--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -22,6 +22,7 @@
 use crate::mesh::host::Host;
 use crate::mesh::journal::{Journal, RequestSummary};
 use crate::mesh::link::PeerPool;
+use crate::mesh::shutdown::ShutdownWatch;
 
 /// Retry delay that is announced to callers if no better estimate is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -46,12 +47,8 @@
     pub journal: Journal,
     /// Service of the local target, taken from the settings.
     pub service: watch::Receiver<ServiceName>,
-    /// Becomes true when a stopping node gets requests from its own target only.
-    pub closing: watch::Receiver<bool>,
-    /// Becomes true when the grace period of a stopping node is nearly over.
-    pub grace_over: watch::Receiver<bool>,
-    /// Becomes true when the requests of a stopping node no longer wait for slots.
-    pub waiting_over: watch::Receiver<bool>,
+    /// Progress of the node's shutdown.
+    pub shutdown: ShutdownWatch,
     /// Limits on the time that requests wait in the queue of a target.
     pub queue_timeout: QueueTimeoutConfig,
     /// Safety margins subtracted from the time limits of requests.
@@ -72,18 +69,16 @@
         F: Future<Output = ()>,
     {
         let credential = take_credential(&mut req.head.headers, &self.dialect);
-        let id = text_header(&req.head.headers, self.dialect.request_id);
         let time_left_ms = number_header(&req.head.headers, self.dialect.time_left_ms);
         let time_left = time_left_ms.map(Duration::from_millis);
         let admission = AdmissionRequest {
             host: text_header(&req.head.headers, HOST.as_str()),
             path: SmolStr::new(req.head.path()),
-            id: id.clone(),
+            id: req.id.clone(),
             time_left,
             credential,
         };
-        let arrived = req.arrived;
-        let is_late_call = *self.closing.borrow();
+        let is_late_call = self.shutdown.is_closing();
         let admitted = match self.controller.admit(admission).await {
             Ok(admitted) => admitted,
             Err(denial) => {
@@ -91,11 +86,11 @@
                     refusal: denial.refusal,
                     retry_after: denial.retry_after,
                 };
-                self.log_denial(&id, denial, arrived, time_left);
-                return self.refuse(refused, &id, time_left);
+                self.log_denial(&req.id, denial, req.arrived, time_left);
+                return self.refuse(refused, &req.id, time_left);
             }
         };
-        let mut attempts = Attempts::new(self, req, id, admitted, time_left);
+        let mut attempts = Attempts::new(self, req, admitted, time_left);
         let limit = attempts
             .deadline
             .saturating_duration_since(self.clock.now());
@@ -124,7 +119,6 @@
                 status: answer.status,
                 headers: answer.headers,
                 body: answer.body,
-                close: false,
             },
             Err(refused) => CallerAnswer {
                 passed_on,
@@ -143,11 +137,10 @@
     where
         F: Future,
     {
-        let mut grace_over = self.grace_over.clone();
         tokio::select! {
             biased;
             done = &mut served => return done,
-            _ = grace_over.wait_for(|is_over| *is_over) => {}
+            () = self.shutdown.grace_over() => {}
         }
         let left = deadline.saturating_duration_since(self.clock.now());
         self.journal.unfinished(id, "entry", left);
@@ -162,11 +155,7 @@
         if !is_late_call {
             ready_behind.await;
         }
-        let mut grace_over = self.grace_over.clone();
-        if grace_over.wait_for(|is_over| *is_over).await.is_err() {
-            // The sender is dropped only as the process exits.
-            std::future::pending().await
-        }
+        self.shutdown.grace_over().await;
     }
 
     /// Builds the response by which the node itself refuses a request.
@@ -193,7 +182,6 @@
             status: StatusCode::from_u16(rule.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE),
             headers,
             body: Body::empty(),
-            close: false,
         }
     }
 
