A rate limit counts in the overload level while requests queue for it

The overload level compared the arriving work with the slots and did not know the limit.

While three requests or more queue at a limited target, its slots count in the level as those that the limit lets be in use on average.

--- a/crates/core/src/mesh/rate_limit.rs
+++ b/crates/core/src/mesh/rate_limit.rs
@@ -38,6 +38,11 @@
         self.per_second == other.per_second
     }
 
+    /// Average number of slots in use at this rate by requests that hold one for `mean_held` seconds.
+    pub fn slots_in_use(&self, mean_held: f64) -> f64 {
+        self.per_second * mean_held
+    }
+
     /// Adds the starts earned since the last call.
     pub fn refill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.refilled_at);
--- a/crates/core/src/mesh/service_times.rs
+++ b/crates/core/src/mesh/service_times.rs
@@ -44,6 +44,11 @@
         mean.or(self.overall).unwrap_or(DEFAULT_SERVICE_TIME)
     }
 
+    /// Mean service time over all kinds in seconds, or a default without samples.
+    pub fn overall(&self) -> f64 {
+        self.overall.unwrap_or(DEFAULT_SERVICE_TIME)
+    }
+
     /// Mean service time of a kind in seconds, or `None` without samples of that kind.
     pub fn mean(&self, kind: RequestKind) -> Option<f64> {
         self.by_kind.get(&kind).copied()
--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -147,6 +147,10 @@
 /// persist.
 const DRAIN_RANGE: (f64, f64) = (0.2, 2.0);
 
+/// Queue length from which a rate limit counts in the overload level. One or two requests queue at a limited target
+/// even if other instances have room for all others.
+const QUEUED_AT_LIMIT: usize = 3;
+
 impl TargetGate {
     /// Creates a gate with an empty queue and all slots free.
     pub fn new(cfg: GateConfig, now: Instant) -> Self {
@@ -375,10 +379,23 @@
             true => self.headroom.limit(self.slots, now),
             false => self.slots,
         };
-        let slots = f64::from(self.usable);
+        let slots = self.effective_slots();
         self.level.update(slots, &self.backlog(slots), now);
     }
 
+    /// Slots that can be in use on average. A rate limit lowers them while enough requests queue for it.
+    fn effective_slots(&self) -> f64 {
+        let slots = f64::from(self.usable);
+        let work_times = match self.cfg.level_without_waits {
+            true => &self.work_times,
+            false => &self.service_times,
+        };
+        let limit = self.rate.filter(|_| self.queue.len() >= QUEUED_AT_LIMIT);
+        limit.map_or(slots, |rate| {
+            rate.slots_in_use(work_times.overall()).min(slots)
+        })
+    }
+
     /// The overload level; 0 means no overload.
     pub fn level(&self) -> f64 {
         self.level.level()
