--- a/crates/core/src/mesh/target_gate.rs
+++ b/crates/core/src/mesh/target_gate.rs
@@ -219,7 +219,7 @@
             true => self.headroom.limit(self.slots, now),
             false => self.slots,
         };
-        let slots = f64::from(self.usable);
+        let slots = self.effective_slots();
         self.level.update(slots, &self.backlog(slots), now);
     }
 
--- a/crates/core/src/mesh/target_gate/estimates.rs
+++ b/crates/core/src/mesh/target_gate/estimates.rs
@@ -13,6 +13,10 @@
 /// persist.
 const DRAIN_RANGE: (f64, f64) = (0.2, 2.0);
 
+/// Queue length from which a rate limit counts in the overload level. One or two requests queue at a limited target
+/// even if other instances have room for all others.
+const QUEUED_AT_LIMIT: usize = 3;
+
 impl TargetGate {
     /// Expected time until the answer to a request that is admitted now has ended: its wait for a slot plus the mean
     /// time of its kind.
@@ -64,6 +68,19 @@
         latest.unwrap_or(request.deadline)
     }
 
+    /// Slots that can be in use on average. A rate limit lowers them while enough requests queue for it.
+    pub(super) fn effective_slots(&self) -> f64 {
+        let slots = f64::from(self.usable);
+        let work_times = match self.cfg.level_without_waits {
+            true => &self.work_times,
+            false => &self.service_times,
+        };
+        let limit = self.rate.filter(|_| self.queue.len() >= QUEUED_AT_LIMIT);
+        limit.map_or(slots, |rate| {
+            rate.slots_in_use(work_times.overall()).min(slots)
+        })
+    }
+
     /// Load that the queue adds to the arrivals if each queued request is to be dispatched within its drain time.
     pub(super) fn backlog(&self, slots: f64) -> Backlog {
         let mut backlog = Backlog::default();
