Nothing is passed on behind a body that ends with its connection

A caller of HTTP/1.0 that keeps its connection takes no chunks, so a response that its node streams without a length ends with the connection. Requests that the caller had pipelined behind it had been read and passed on by then: they ran, and their callers got no answer.

After a request whose caller keeps the connection and takes no chunks, the reader passes on nothing until the response has been written. What stands behind a body that ends with the connection has not run then, and callers may send it again. The caller is watched meanwhile, as it is while the pipeline is full, so that one that leaves still cancels its request. Callers of HTTP/1.1 are read ahead as before.

Found by reading. nothing_is_passed_on_behind_a_body_that_ends_with_its_connection failed before (1 arrival of the request behind, 0 expected) and passes; pipelined_requests_of_http_1_0_are_answered guards the wait itself, and failed before on a request behind one whose caller left.

--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -166,7 +166,13 @@
             self.shared.close();
         }
         self.read_body(head, framing, arrived, limits, tx, tasks)
-            .await
+            .await?;
+        if form.keep_alive && !form.takes_chunks {
+            // A response of unknown length ends with the connection. Callers resend what was not started behind it.
+            let shared = Arc::clone(&self.shared);
+            self.while_connected(pin!(shared.all_written())).await?;
+        }
+        Ok(())
     }
 
     /// Queues the place of a response. Blocks while the maximum number of pipelined requests is pending.
--- a/crates/node/src/mesh/callers/slot.rs
+++ b/crates/node/src/mesh/callers/slot.rs
@@ -61,6 +61,8 @@
     progress: Mutex<Progress>,
     /// Notified when a response is ready.
     ready: Notify,
+    /// Notified when the last response that was due has been written.
+    all_written: Notify,
     registration: Registration,
 }
 
@@ -81,6 +83,7 @@
         Self {
             progress: Mutex::default(),
             ready: Notify::new(),
+            all_written: Notify::new(),
             registration,
         }
     }
@@ -141,10 +144,24 @@
         let written = progress.open.pop()?;
         if progress.open.is_empty() {
             self.registration.set_idle();
+            self.all_written.notify_waiters();
         }
         Some(written)
     }
 
+    /// Resolves when no response is due.
+    pub async fn all_written(&self) {
+        loop {
+            let mut notified = pin!(self.all_written.notified());
+            // Registers for notifications before the check, so that none is missed.
+            notified.as_mut().enable();
+            if self.pending() == 0 {
+                return;
+            }
+            notified.await;
+        }
+    }
+
     /// Returns the requests that were read and have no complete response yet, oldest first.
     pub fn unanswered(&self) -> Vec<OpenResponse> {
         self.progress().open.to_vec()
