A link that a closing host ends is not kept

A host that closes its links replies to what crosses the close with a refusal, and reads nothing more on that link. For a withdrawal, a quota report or findings the refusal reads as an empty answer (postcard leaves the rest of the frame), so the link went back among the idle ones. Until the close arrives, which may take a retransmission, the next exchange is sent on it and gets no reply; a request that may run at most once then counts as one that may have run.

An answer with more behind it is such a refusal, and its link is dropped now. What the answer means to its reader is unchanged. The acknowledgements and lists themselves leave nothing behind; if a later version adds fields to them, this one opens a new link for each.

Found by reading. A request lost in this way was not seen.

--- a/crates/node/src/mesh/link/rpc.rs
+++ b/crates/node/src/mesh/link/rpc.rs
@@ -35,8 +35,14 @@
                 .map_err(|_| FrameError::Truncated)?,
         };
         link.conn.write(head, &[]).await.map_err(FrameError::from)?;
-        let answer = link.conn.read_head(MAX_HEAD).await?;
-        links.put_idle(node, link);
+        let answer = link.conn.read_chunk(MAX_HEAD).await?;
+        let (answer, rest) =
+            postcard::take_from_bytes(&answer).map_err(|_| FrameError::Malformed)?;
+        // The refusal that a closing host sends in place of an answer is longer than what is read of it. The host reads
+        // no further head from the connection.
+        if rest.is_empty() {
+            links.put_idle(node, link);
+        }
         Ok(answer)
     };
     timeout(ANSWER_TIMEOUT, exchange)
