A failing withdrawal is logged once for each attempt

A stopping entry repeats a withdrawal every 100 ms, and each failure was a line: a host that knows no withdrawals, or is silent, gets up to ten lines for each waiting request, which use up the limit of 40 lines a second that other requests need then.

The loop that repeats the withdrawal logs its first failure only, so withdraw returns the error to it. The repetition itself is unchanged.

--- a/crates/node/src/mesh/entry/attempts/exchange.rs
+++ b/crates/node/src/mesh/entry/attempts/exchange.rs
@@ -11,6 +11,7 @@
 use crate::mesh::controller::InstanceGrant;
 use crate::mesh::entry::Entry;
 use crate::mesh::link::{self, LinkError};
+use crate::wire::FrameError;
 
 /// Interval at which a request is taken back from a host that has not found it.
 const WITHDRAWAL_INTERVAL: Duration = Duration::from_millis(100);
@@ -54,29 +55,36 @@
         if waiting_over.wait_for(|is_over| *is_over).await.is_err() {
             return;
         }
+        let mut is_failure_logged = false;
         // The withdrawal may overtake the request.
-        while !self.withdraw(to, attempt).await {
+        loop {
+            match self.withdraw(to, attempt).await {
+                Ok(true) => return,
+                Ok(false) => {}
+                Err(e) if !is_failure_logged => {
+                    is_failure_logged = true;
+                    let journal = &self.entry.journal;
+                    journal.withdrawal_failed(&self.id, &to.chosen.id, &e.to_string());
+                }
+                // Logged with the first failure of this attempt.
+                Err(_) => {}
+            }
             sleep(WITHDRAWAL_INTERVAL).await;
         }
     }
 
     /// Takes the request back from its host. Returns whether the host has found it.
-    async fn withdraw(&self, to: &InstanceGrant, attempt: AttemptToken) -> bool {
+    async fn withdraw(
+        &self,
+        to: &InstanceGrant,
+        attempt: AttemptToken,
+    ) -> Result<bool, FrameError> {
         let Entry {
-            links,
-            controller,
-            journal,
-            ..
+            links, controller, ..
         } = self.entry;
-        if to.is_local {
-            return controller.withdraw(attempt).await;
-        }
-        match link::withdraw(links, self.peer(to), attempt).await {
-            Ok(is_known) => is_known,
-            Err(e) => {
-                journal.withdrawal_failed(&self.id, &to.chosen.id, &e.to_string());
-                false
-            }
+        match to.is_local {
+            true => Ok(controller.withdraw(attempt).await),
+            false => link::withdraw(links, self.peer(to), attempt).await,
         }
     }
 }
--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -172,7 +172,7 @@
         }
     }
 
-    /// Logs that the host of an instance has not acknowledged the withdrawal of a request.
+    /// Logs that the host of an instance has not acknowledged the withdrawal of a request, which is repeated.
     pub fn withdrawal_failed(&self, id: &str, instance: &str, reason: &str) {
         if let Some(dropped) = self.admit_failure_line() {
             info!(self.log, "withdrawal failed"; "request" => id, "instance" => instance,
