A refused body no longer costs its caller the answer

Callers of the older engine that were still writing a body above the limit got a broken pipe or a reset: the node answered 413 from the announced length and closed the socket with the body unread, which resets the connection. The 413 did not announce the close either, so a client could take the connection for one to reuse.

After the last answer of a connection the node now shuts down its sending side and discards input until the caller closes, for at most 500 ms, as the mesh engine does. An answer to a request that was not read to its end says `connection: close`.

--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -148,7 +148,10 @@
             Ok(inbound) => {
                 Box::pin(self.answer(inbound, identity, connection, listener, started)).await
             }
-            Err(kind) => ClassifiedResponse::unsent(RequestId::random(), kind, identity),
+            Err(kind) => {
+                connection.close_after_answer();
+                ClassifiedResponse::unsent(RequestId::random(), kind, identity)
+            }
         }
     }
 
--- a/crates/node/src/http/connection.rs
+++ b/crates/node/src/http/connection.rs
@@ -4,26 +4,45 @@
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// TCP connection of a caller, shared between hyper and the request handler.
 #[derive(Clone, Debug)]
-pub struct CallerConnection(Arc<TcpStream>);
+pub struct CallerConnection {
+    stream: Arc<TcpStream>,
+    closes: Arc<AtomicBool>,
+}
 
 impl CallerConnection {
     /// Wraps an accepted connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self(Arc::new(stream))
+        Self {
+            stream: Arc::new(stream),
+            closes: Arc::default(),
+        }
+    }
+
+    /// Makes the next answer announce the close of the connection, because the body of its request is not read.
+    pub fn close_after_answer(&self) {
+        self.closes.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the next answer announces the close of the connection.
+    pub fn closes_after_answer(&self) -> bool {
+        self.closes.load(Ordering::Relaxed)
     }
 
     /// Whether the socket's receive buffer holds unread bytes.
     pub fn has_unread(&self) -> bool {
         let mut buf = [MaybeUninit::uninit(); 1];
-        matches!(SockRef::from(&*self.0).peek(&mut buf), Ok(1..))
+        matches!(SockRef::from(&*self.stream).peek(&mut buf), Ok(1..))
     }
 
     /// Whether the caller has closed its side of the connection.
@@ -33,12 +52,21 @@
     /// elsewhere. The check peeks at the socket directly, since the runtime may not have polled it yet after the pause.
     pub fn is_closed(&self) -> bool {
         let mut buf = [MaybeUninit::uninit(); 1];
-        match SockRef::from(&*self.0).peek(&mut buf) {
+        match SockRef::from(&*self.stream).peek(&mut buf) {
             Ok(0) => true,
             Ok(_) => false,
             Err(e) => e.kind() != io::ErrorKind::WouldBlock,
         }
     }
+
+    /// Shuts down the sending side and discards input until the caller closes the connection, for at most `limit`.
+    pub async fn linger(mut self, limit: Duration) {
+        // Fails if the caller has already reset the connection; then there is nothing to discard either.
+        if self.shutdown().await.is_ok() {
+            // The connection is closed in either case.
+            let _ = timeout(limit, tokio::io::copy(&mut self, &mut tokio::io::sink())).await;
+        }
+    }
 }
 
 impl AsyncRead for CallerConnection {
@@ -48,8 +76,8 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
                 Ok(n) => {
                     buf.advance(n);
                     return Poll::Ready(Ok(()));
@@ -68,8 +96,8 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match self.0.try_write(buf) {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 done => return Poll::Ready(done),
             }
@@ -81,6 +109,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
     }
 }
--- a/crates/node/src/http/listener.rs
+++ b/crates/node/src/http/listener.rs
@@ -119,9 +119,18 @@
         H: Fn(Request<Incoming>, CallerConnection) -> F + Clone + Send + 'static,
         F: Future<Output = Response<ResponseBody>> + Send + 'static,
     {
-        let connection = serve(stream, self.limits, self.stage.clone(), handler.clone());
+        let _ = stream.set_nodelay(true);
+        let connection = CallerConnection::new(stream);
+        let serving = serve(
+            connection.clone(),
+            self.limits,
+            self.stage.clone(),
+            handler.clone(),
+        );
         tokio::spawn(async move {
-            connection.await;
+            if serving.await == ConnectionEnd::Completed {
+                connection.linger(LINGER_TIMEOUT).await;
+            }
             drop(permit);
         });
     }
@@ -133,20 +142,32 @@
 /// Time during which an open connection may still deliver a request after its idle timeout or the start of `Closing`.
 const LAST_REQUEST_WAIT: Duration = Duration::from_millis(200);
 
+/// Longest time for which input is read and discarded after the last answer. Closing a socket with unread input resets
+/// the connection, and the caller may lose the answer that it has not read yet.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Minimum read buffer size that hyper accepts.
 pub(super) const MIN_HEADER_BYTES: usize = 8192;
 
+/// How the serving of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// hyper has ended the connection after its last answer or because of an error.
+    Completed,
+    /// The connection was idle, or its caller did not read an answer in time.
+    IdleTimeout,
+}
+
 async fn serve<H, F>(
-    stream: TcpStream,
+    connection: CallerConnection,
     limits: ListenerLimits,
     mut stage: watch::Receiver<ListenerStage>,
     handler: H,
-) where
+) -> ConnectionEnd
+where
     H: Fn(Request<Incoming>, CallerConnection) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
-    let _ = stream.set_nodelay(true);
-    let connection = CallerConnection::new(stream);
     let io = TokioIo::new(connection.clone());
     let caller = connection.clone();
     let current_stage = stage.clone();
@@ -156,11 +177,16 @@
         let answering = answering.clone();
         // Boxed, since hyper reserves the space for the handler's future in every connection, even while it is idle.
         let answer = Box::pin(handler(req, connection.clone()));
-        let current_stage = current_stage.clone();
+        let (current_stage, connection) = (current_stage.clone(), connection.clone());
         async move {
-            let answer = answer.await;
+            let mut answer = answer.await;
             answering.send_replace(true);
-            Ok::<_, Infallible>(close_if_leaving(answer, &current_stage))
+            let leaving = *current_stage.borrow() >= ListenerStage::Leaving;
+            if leaving || connection.closes_after_answer() {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
         }
     });
     let mut builder = http1::Builder::new();
@@ -171,7 +197,7 @@
     let mut serving = pin!(builder.serve_connection(io, service));
     loop {
         tokio::select! {
-            _ = serving.as_mut() => return,
+            _ = serving.as_mut() => return ConnectionEnd::Completed,
             () = idle_timeout(&mut answered, limits) => {}
             () = is_closing(&mut stage) => break,
         }
@@ -181,17 +207,17 @@
         let has_unread = caller.has_unread();
         let starts = async { has_unread && request_starts_soon(&mut answered).await };
         let started = tokio::select! {
-            _ = serving.as_mut() => return,
+            _ = serving.as_mut() => return ConnectionEnd::Completed,
             started = starts => started,
         };
         if !started {
-            return;
+            return ConnectionEnd::IdleTimeout;
         }
     }
     // On shutdown, hyper closes a new connection at once, even if its first request is in transit. The wait lets the
     // request arrive.
     tokio::select! {
-        _ = serving.as_mut() => return,
+        _ = serving.as_mut() => return ConnectionEnd::Completed,
         () = tokio::time::sleep(LAST_REQUEST_WAIT) => {}
     }
     // A request that has arrived but is still unread is served; its answer closes the connection.
@@ -199,6 +225,7 @@
         serving.as_mut().graceful_shutdown();
     }
     let _ = serving.await;
+    ConnectionEnd::Completed
 }
 
 async fn is_closing(stage: &mut watch::Receiver<ListenerStage>) {
@@ -207,18 +234,6 @@
         .await;
 }
 
-/// Marks an answer as the last one of its connection from stage `Leaving` on.
-fn close_if_leaving(
-    mut res: Response<ResponseBody>,
-    stage: &watch::Receiver<ListenerStage>,
-) -> Response<ResponseBody> {
-    if *stage.borrow() >= ListenerStage::Leaving {
-        let close = HeaderValue::from_static("close");
-        res.headers_mut().insert(header::CONNECTION, close);
-    }
-    res
-}
-
 /// Completes when the time since the last answer exceeds the idle timeout.
 ///
 /// hyper limits the time between requests and for reading a head, but not for writing an answer. A caller that never
--- a/crates/rig/tests/whole_answer.rs
+++ b/crates/rig/tests/whole_answer.rs
@@ -3,6 +3,7 @@
 #[path = "common/flow.rs"]
 mod flow;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,8 +15,10 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use flow::{Call, CallResult};
 
@@ -348,3 +351,51 @@
         }
     }
 }
+
+/// Sends the head and the first bytes of a request whose body is above the limit, and returns once its answer has been
+/// sent.
+async fn start_long_body(entry: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(entry).await.expect("a connection");
+    let length = 3 * BODY_LIMIT;
+    let head = format!("PUT /front/sizes HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("a head");
+    stream.write_all(&[0; 1024]).await.expect("a body's start");
+    stream.readable().await.expect("an answer");
+    stream
+}
+
+/// Guards against an answer that is lost because the entry closes the connection of a caller that is still writing its
+/// body.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_still_writing_a_refused_body_reads_its_answer() {
+    let fleet = start().await;
+    for entry in fleet.entries() {
+        let mut stream = start_long_body(entry).await;
+        for part in 0..10 {
+            sleep(Duration::from_millis(10)).await;
+            let written = stream.write_all(&[0; 16 * 1024]).await;
+            written.unwrap_or_else(|e| panic!("part {part}: {e}"));
+        }
+        let mut answer = Vec::new();
+        let read = stream.read_to_end(&mut answer).await;
+        read.expect("an answer and the end of the connection");
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+        assert!(answer.contains("\r\nconnection: close\r\n"), "{answer}");
+        assert!(answer.ends_with("\r\n\r\ntoo-large\n"), "{answer}");
+    }
+}
+
+/// Guards against a caller that holds its connection by writing without end after its request was refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_never_stops_writing_is_cut() {
+    let fleet = start().await;
+    let mut stream = start_long_body(fleet.entries()[0]).await;
+    let writing = async {
+        while stream.write_all(&[0; 1024]).await.is_ok() {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let cut = timeout(flow::EVENT_TIMEOUT, writing).await;
+    cut.expect("the node closes the connection");
+}
