A failed write hides no answer from the rig's client

The rig's client reported "error writing a body to connection" where the server had answered and closed before it had read the whole request: hyper ends the exchange at the first failed write, although the answer is there to be read. A test then saw a broken call in place of 413.

The client's connections discard what is written after the peer has closed, so the read decides: an answer, or the end of the connection, which stays an error.

--- a/crates/rig/src/http.rs
+++ b/crates/rig/src/http.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod answer_body;
 mod client;
+mod connector;
 mod method_path;
 mod query;
 mod server;
--- a/crates/rig/src/http/client.rs
+++ b/crates/rig/src/http/client.rs
@@ -15,6 +15,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
+use super::connector::Connector;
 use crate::error::RigError;
 
 /// Time limit for establishing a TCP connection.
@@ -84,7 +85,7 @@
 /// HTTP client with a connection pool; clones share the pool.
 #[derive(Clone, Debug)]
 pub struct Client {
-    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    inner: legacy::Client<Connector, Full<Bytes>>,
 }
 
 impl Default for Client {
@@ -105,7 +106,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(idle_timeout.min(IDLE_TIMEOUT))
             .retry_canceled_requests(true)
-            .build(connector);
+            .build(Connector(connector));
         Self { inner }
     }
 
