Late calls are given up just before the kill, not half a second earlier

A call of a run that came late in a stop and would have ended between 5.5 and 5.8 s after the signal got 502 at 5.5 s with its target at work: gave all late calls up half a second before the end of the grace period.

--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -62,8 +62,9 @@
 impl Entry {
     /// Serves a caller's request. `ready_behind` resolves when a response is ready that has to wait for this one.
     ///
-    /// When the grace period of a stopping node is nearly over, a request with a response behind it is given up, and so is
-    /// a call that a run of its target made late, so that the run learns that the call may have run.
+    /// When the grace period of a stopping node is nearly over, a request with a response behind it is given up. A call
+    /// that a run of its target made late is given up as the node is about to be killed, so that the run learns that the
+    /// call may have run.
     pub async fn serve<F>(&self, mut req: CallerRequest, ready_behind: F) -> CallerAnswer
     where
         F: Future<Output = ()>,
@@ -147,15 +148,20 @@
         served.await
     }
 
-    /// Resolves when the grace period is nearly over and the request is a late call or `ready_behind` has resolved.
+    /// Resolves when the grace period is nearly over and `ready_behind` has resolved, or when the node is about to be
+    /// killed and the request is a late call.
     async fn wait_until_given_up<F>(&self, ready_behind: F, is_late_call: bool)
     where
         F: Future<Output = ()>,
     {
-        if !is_late_call {
+        let holds_back = async {
             ready_behind.await;
+            self.shutdown.grace_over().await;
+        };
+        tokio::select! {
+            () = holds_back => {}
+            () = self.shutdown.kill_imminent(), if is_late_call => {}
         }
-        self.shutdown.grace_over().await;
     }
 
     /// Builds the response by which the node itself refuses a request.
--- a/crates/node/src/mesh/lifecycle.rs
+++ b/crates/node/src/mesh/lifecycle.rs
@@ -29,6 +29,9 @@
 /// Time before the end of the grace period at which the node stops accepting callers and logs unfinished requests.
 const KILL_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time before the end of the grace period at which late calls of runs are given up: enough to write their refusals.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(200);
+
 /// Time after the end of the grace period at which the node exits although requests are open, in case that no
 /// supervisor kills it. Peers that have failed without closing their connections can keep requests open for longer.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
@@ -130,6 +133,9 @@
             if latest_end.saturating_sub(elapsed) <= KILL_MARGIN && self.shutdown.end_grace() {
                 self.log_unfinished(open, hosted);
             }
+            if latest_end.saturating_sub(elapsed) <= GIVE_UP_MARGIN {
+                self.shutdown.expect_kill();
+            }
             if now.saturating_duration_since(last_signal_at) >= latest_end + EXIT_MARGIN {
                 warn!(self.log, "grace period over"; "open" => open, "hosted" => hosted);
                 return;
--- a/crates/node/src/mesh/shutdown.rs
+++ b/crates/node/src/mesh/shutdown.rs
@@ -9,6 +9,7 @@
     closing: bool,
     waiting_over: bool,
     grace_over: bool,
+    kill_imminent: bool,
 }
 
 /// Creates the two sides of the shutdown of a node.
@@ -43,6 +44,11 @@
         self.reach(|moments| &mut moments.grace_over)
     }
 
+    /// The supervisor is about to kill the process.
+    pub fn expect_kill(&self) {
+        self.reach(|moments| &mut moments.kill_imminent);
+    }
+
     fn reach<F>(&self, moment: F) -> bool
     where
         F: FnOnce(&mut Moments) -> &mut bool,
@@ -93,6 +99,11 @@
         self.reached(|moments| moments.grace_over).await;
     }
 
+    /// Resolves when the supervisor is about to kill the stopping node.
+    pub async fn kill_imminent(&self) {
+        self.reached(|moments| moments.kill_imminent).await;
+    }
+
     async fn reached<F>(&self, has_come: F)
     where
         F: Fn(&Moments) -> bool,
