The last response is sent within the idle time that its caller knows

A caller that reads slowly loses the end of the last response of a stopping node if a configuration shortens the idle time while its request is at work: the writer waited for the receiver by the idle time in force, 0.1 s, while the reader goes by the longer one that the caller may know. 128,940 of 1,500,000 bytes arrived.

--- a/crates/node/src/mesh/callers/connection.rs
+++ b/crates/node/src/mesh/callers/connection.rs
@@ -29,6 +29,7 @@
         write,
         shared: Arc::clone(&shared),
         limits: cfg.limits.clone(),
+        idle_timeout: cfg.limits.borrow().idle_timeout,
         shutdown: cfg.shutdown.clone(),
         open_requests: Arc::clone(&cfg.open_requests),
         clock: Arc::clone(&clock),
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -104,7 +104,7 @@
                 Err(ReadEnd::Refused(refusal)) => {
                     let now = self.cfg.entry.clock.now();
                     let form = ResponseForm::WITHOUT_HEAD;
-                    let queued = self.queue_slot(SmolStr::default(), form, now, slots);
+                    let queued = self.queue_slot(SmolStr::default(), form, now, &limits, slots);
                     return match queued.await {
                         Ok(tx) => self.refuse(refusal, tx),
                         Err(end) => end,
@@ -147,7 +147,7 @@
         }
         let id = text_header(&head.headers, self.cfg.entry.dialect.request_id);
         let form = ResponseForm::from(&head);
-        let tx = self.queue_slot(id, form, arrived, slots).await?;
+        let tx = self.queue_slot(id, form, arrived, limits, slots).await?;
         if !form.keep_alive {
             self.shared.close();
         }
@@ -167,6 +167,7 @@
         id: SmolStr,
         form: ResponseForm,
         now: Instant,
+        limits: &CallerLimits,
         slots: &mpsc::Sender<ResponseSlot>,
     ) -> Result<ResponseSender, ReadEnd> {
         let stopping = self.cfg.shutdown.is_stopping();
@@ -176,6 +177,7 @@
         let slot = ResponseSlot {
             answer: rx,
             form,
+            idle_timeout: limits.idle_timeout,
             open: OpenRequestGuard::new(&self.cfg.open_requests),
         };
         let permit = self.while_connected(pin!(slots.reserve())).await?;
--- a/crates/node/src/mesh/callers/slot.rs
+++ b/crates/node/src/mesh/callers/slot.rs
@@ -2,7 +2,7 @@
 
 use std::pin::pin;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http::Method;
 use smol_str::SmolStr;
@@ -21,6 +21,8 @@
     pub answer: oneshot::Receiver<CallerAnswer>,
     /// How the response is written.
     pub form: ResponseForm,
+    /// Idle timeout that its caller knows.
+    pub idle_timeout: Duration,
     /// Keeps the request counted as open until its response is written.
     pub open: OpenRequestGuard,
 }
--- a/crates/node/src/mesh/callers/writer.rs
+++ b/crates/node/src/mesh/callers/writer.rs
@@ -35,6 +35,8 @@
     pub shared: Arc<ConnectionState>,
     /// Limits on what callers may send and how long they may take.
     pub limits: watch::Receiver<CallerLimits>,
+    /// Idle timeout when the latest request was read.
+    pub idle_timeout: Duration,
     /// Progress of the node's shutdown.
     pub shutdown: ShutdownWatch,
     /// Number of open requests; see [`OpenRequestGuard`].
@@ -67,7 +69,13 @@
     /// Writes responses until the connection's last one, or until one can't be written completely.
     pub async fn run(mut self, mut slots: mpsc::Receiver<ResponseSlot>) -> ConnectionEnd {
         while let Some(slot) = self.next_slot(&mut slots).await {
-            let ResponseSlot { answer, form, open } = slot;
+            let ResponseSlot {
+                answer,
+                form,
+                idle_timeout,
+                open,
+            } = slot;
+            self.idle_timeout = idle_timeout;
             // A request task ends without a response only when the whole connection is being torn down.
             let Ok(answer) = self.wait_for(answer).await else {
                 return ConnectionEnd::TaskFailed;
@@ -144,9 +152,9 @@
         slots.recv().await
     }
 
-    /// Waits until all responses have been sent, for at most the idle timeout of callers.
+    /// Waits until all responses have been sent, for at most the longer one of the idle timeouts that the caller may know.
     async fn finish_sending(&self) {
-        let limit = self.limits.borrow().idle_timeout;
+        let limit = self.idle_timeout.max(self.limits.borrow().idle_timeout);
         // The connection may be closed in either case.
         let _ = timeout(limit, wait_until_sent(self.write.as_ref())).await;
     }
