A connection is not evicted while its caller reads a response

Where callers exhaust the descriptors of a node, the connection that was idle for the longest time is closed.

--- a/crates/node/src/mesh/callers/reader/head.rs
+++ b/crates/node/src/mesh/callers/reader/head.rs
@@ -49,9 +49,13 @@
                 () = shared.evicted() => {
                     self.read_available()?;
                     match self.buf.is_empty() {
+                        true if self.is_reading_response(limits, waiting_since) => {
+                            shared.defer_eviction();
+                        }
                         true => return Err(ReadEnd::Ended(ConnectionEnd::Idle)),
-                        false => continue,
+                        false => {}
                     }
+                    continue;
                 }
             };
             match filled {
--- a/crates/node/src/mesh/callers/slot.rs
+++ b/crates/node/src/mesh/callers/slot.rs
@@ -179,6 +179,11 @@
         self.registration.evicted().await;
     }
 
+    /// Keeps the connection from being closed to make room for others, until it has been idle for longer than they have.
+    pub fn defer_eviction(&self) {
+        self.registration.set_idle();
+    }
+
     /// When the latest response was written, if there was one.
     pub fn written_at(&self) -> Option<Instant> {
         self.progress().written_at
