The end of a long body is not passed on behind its caller's close

The stand-in counts an upload when it has read it whole.

Cause: the reader starts a long body after 64 KiB and streams the rest. Behind the last piece it looked for the caller's close only with its next read, when the piece was already on its way; the runtime learns of a close only with its next event. The host did the same with the close of the entry.

Change: before the last piece, and before the end mark of a chunked body, the entry takes what the socket holds, and the host asks the kernel whether the entry has closed. If so the target gets a truncated body, which it does not run.

--- a/crates/node/src/mesh/callers/reader/body.rs
+++ b/crates/node/src/mesh/callers/reader/body.rs
@@ -113,7 +113,12 @@
     ) -> Result<(), ReadEnd> {
         loop {
             let decoded = decoder.decode_up_to(&mut self.buf, MAX_BODY_CHUNK);
-            match decoded.map_err(|_| ReadEnd::Refused(Refusal::BadRequest))? {
+            let decoded = decoded.map_err(|_| ReadEnd::Refused(Refusal::BadRequest))?;
+            if decoder.is_done() {
+                // The target must not receive the end if the caller's close lies behind it.
+                self.read_available()?;
+            }
+            match decoded {
                 Decoded::End => return Ok(()),
                 Decoded::Data(data) => {
                     *total += data.len() as u64;
--- a/crates/node/src/mesh/link/body_stream.rs
+++ b/crates/node/src/mesh/link/body_stream.rs
@@ -79,27 +79,54 @@
     }
 }
 
-/// Forwards the body of a request to `tx`, sets `is_complete` at its end, and returns when the peer has closed the
-/// connection.
-pub async fn forward_request_body(conn: &mut PeerConn, tx: BodySender, is_complete: &AtomicBool) {
+/// Forwards the body of a request to `tx`, sets `is_read` when all of it has been read, and returns when the peer has
+/// closed the connection. If the peer has closed it right behind the body, the end of the body is not forwarded.
+pub async fn forward_request_body(
+    conn: &mut PeerConn,
+    tx: BodySender,
+    length: Option<u64>,
+    is_read: &AtomicBool,
+) {
+    let mut left = length;
+    // The last chunk of a body of known length, which completes the request at the target.
+    let mut last = None;
     loop {
-        match conn.read_chunk(MAX_BODY_CHUNK).await {
-            Ok(chunk) if chunk.is_empty() => break,
-            Ok(chunk) => {
-                if tx.send(chunk).await.is_err() {
-                    // The target responded without reading the rest; the caller drops this future when it takes the
-                    // reply.
-                    return std::future::pending().await;
-                }
-            }
-            Err(_) => return,
+        let Ok(chunk) = conn.read_chunk(MAX_BODY_CHUNK).await else {
+            return;
+        };
+        if chunk.is_empty() {
+            break;
+        }
+        if last.is_some() {
+            // Longer than announced.
+            return;
         }
+        left = left.map(|left| left.saturating_sub(chunk.len() as u64));
+        if left == Some(0) {
+            last = Some(chunk);
+        } else if tx.send(chunk).await.is_err() {
+            return answered_early().await;
+        }
+    }
+    is_read.store(true, Ordering::Relaxed);
+    if conn.is_closed() {
+        return;
+    }
+    if let Some(chunk) = last
+        && tx.send(chunk).await.is_err()
+    {
+        return answered_early().await;
     }
     tx.finish();
-    is_complete.store(true, Ordering::Relaxed);
     conn.closed().await;
 }
 
+/// Waits until the caller of [`forward_request_body`] takes the reply of a target that has not read the whole body, and
+/// drops the future.
+async fn answered_early() {
+    std::future::pending().await
+}
+
 /// Reads and discards the rest of a body. Returns `false` if the connection can't be reused, because the peer closed it
 /// or took too long.
 ///
--- a/crates/node/src/mesh/link/conn.rs
+++ b/crates/node/src/mesh/link/conn.rs
@@ -1,6 +1,7 @@
 //! A TCP connection between two nodes that carries frames, one request at a time.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
@@ -164,6 +165,14 @@
         }
     }
 
+    /// Whether the peer has closed the connection, or sent something, behind what was read. Asks the kernel, since the
+    /// runtime learns of a close only with its next event.
+    pub fn is_closed(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        !self.buf.is_empty() || !matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Ends the connection after what was written. The peer can still send.
     ///
     /// # Errors
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -225,7 +225,7 @@
             let req = head.into_request(Body::Stream { length, rx }, host.clock.now())?;
             tokio::select! {
                 biased;
-                () = body_stream::forward_request_body(conn, tx, &is_body_read) => None,
+                () = body_stream::forward_request_body(conn, tx, length, &is_body_read) => None,
                 reply = host.run(req) => Some(reply),
             }
         }
