--- a/crates/rig/tests/documents.rs
+++ b/crates/rig/tests/documents.rs
@@ -249,6 +249,46 @@
     }
 }
 
+/// Guards against a started node that stays without documents because its peers send more at once than it accepts.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_started_node_takes_several_megabytes_of_documents_from_its_peers() {
+    let mut fleet = start_fleet().await;
+    let all = running_nodes(&fleet);
+    for number in 0..30 {
+        let service = format!("other-{number}");
+        let document = ServicePlan::document(&service, 1) + &" ".repeat(100_000);
+        fleet
+            .publish(&service, &document)
+            .await
+            .expect("failed to publish the document");
+    }
+    let revision = fleet
+        .publish(SERVICE, &document(3))
+        .await
+        .expect("failed to publish the document");
+    wait_in_force(&fleet, &all, revision, 3 * IN_FORCE_WITHIN).await;
+    fleet
+        .platform_fault(FaultMode::Down, FaultScope::Config)
+        .await
+        .expect("failed to inject the platform fault");
+    let client = fleet.client.clone();
+    let member = fleet.member_mut("bidding-5");
+    member.kill_node().expect("failed to kill the node");
+    member.start_node().expect("failed to start the node");
+    member
+        .ready(&client)
+        .await
+        .expect("node did not become ready");
+    let status = fleet
+        .status("bidding-5")
+        .await
+        .expect("failed to read the node status");
+    let documents = status["documents"].as_array().cloned().unwrap_or_default();
+    let in_force = documents.iter().filter(|d| d["in_force"].is_u64()).count();
+    assert_eq!(in_force, 31, "documents in force once the node is ready");
+    assert_no_breaches(&fleet).await;
+}
+
 // Two operators publish concurrently several times while one failure domain is partitioned, then the partition heals. If each
 // side chose the latest version by its own count, part of the fleet would stay on a different version permanently.
 #[tokio::test(flavor = "multi_thread")]
