--- a/crates/node/src/http/connection.rs
+++ b/crates/node/src/http/connection.rs
@@ -1,7 +1,6 @@
 //! Connection of a caller whose close can be detected before its bytes are read.
 
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -13,6 +12,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::socket_input::SocketInput;
+
 /// TCP connection of a caller, shared between hyper and the request handler.
 #[derive(Clone, Debug)]
 pub struct CallerConnection {
@@ -41,22 +42,16 @@
 
     /// Whether the socket's receive buffer holds unread bytes.
     pub fn has_unread(&self) -> bool {
-        let mut buf = [MaybeUninit::uninit(); 1];
-        matches!(SockRef::from(&*self.stream).peek(&mut buf), Ok(1..))
+        SocketInput::peek(&self.stream) == SocketInput::Unread
     }
 
     /// Whether the caller has closed its side of the connection.
     ///
     /// After a pause of the process, a request and the caller's close may be in the same socket buffer. Without this
     /// check the request would be dispatched for a caller that has already been told another outcome or has retried
-    /// elsewhere. The check peeks at the socket directly, since the runtime may not have polled it yet after the pause.
+    /// elsewhere.
     pub fn is_closed(&self) -> bool {
-        let mut buf = [MaybeUninit::uninit(); 1];
-        match SockRef::from(&*self.stream).peek(&mut buf) {
-            Ok(0) => true,
-            Ok(_) => false,
-            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
-        }
+        SocketInput::peek(&self.stream) == SocketInput::Ended
     }
 
     /// Shuts down the sending side and discards input until the caller closes the connection, for at most `limit`.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod peers;
 pub mod recorder;
 pub mod routes;
+pub mod socket_input;
 pub mod spread;
 pub mod wire;
--- a/crates/node/src/mesh/link/conn.rs
+++ b/crates/node/src/mesh/link/conn.rs
@@ -1,7 +1,6 @@
 //! A TCP connection between two nodes that carries frames, one request at a time.
 
 use std::io;
-use std::mem::MaybeUninit;
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
@@ -11,6 +10,7 @@
 use tokio::net::TcpStream;
 
 use crate::mesh::conn_reuse::is_reusable;
+use crate::socket_input::SocketInput;
 use crate::wire::FrameError;
 
 /// Size of the length prefix of heads and body chunks, in bytes.
@@ -165,12 +165,9 @@
         }
     }
 
-    /// Whether the peer has closed the connection, or sent something, behind what was read. Asks the kernel, since the
-    /// runtime learns of a close only with its next event.
+    /// Whether the peer has closed the connection, or sent something, behind what was read.
     pub fn is_closed(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&self.stream).peek(&mut byte);
-        !self.buf.is_empty() || !matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        !self.buf.is_empty() || SocketInput::peek(&self.stream) != SocketInput::Empty
     }
 
     /// Ends the connection after what was written. The peer can still send.
