A request that enters the gate stays whole

enter_gate took a waiter apart and put it together again in two places; each field that was added had to be named three times. It borrows the request now.

--- a/crates/node/src/mesh/controller/dispatch.rs
+++ b/crates/node/src/mesh/controller/dispatch.rs
@@ -44,7 +44,7 @@
     /// Grants a request a slot, queues it or refuses it, without regard to its suspicion level. Returns its ticket
     /// unless it was refused.
     pub(super) fn enter_gate(&mut self, waiter: Waiter, now: Instant) -> Option<Ticket> {
-        let Waiter { req, reply, since } = waiter;
+        let req = &waiter.req;
         let waiting = coltsfootport_core::mesh::SlotRequest {
             rank: req.rank,
             shed_order: self.shed_order(req.rank),
@@ -56,26 +56,30 @@
             queue_timeout: req.queue_timeout,
         };
         if !self.drain_admits_peer(&waiting, now) {
-            drop(reply.send(Err(self.slot_refusal(Refusal::Stopping, None))));
+            drop(
+                waiter
+                    .reply
+                    .send(Err(self.slot_refusal(Refusal::Stopping, None))),
+            );
             return None;
         }
         match self.gate.admit(waiting, now) {
             Admission::Dispatched(ticket) => {
-                self.grant(ticket, Waiter { req, reply, since }, now);
+                self.grant(ticket, waiter, now);
                 Some(ticket)
             }
             Admission::Queued(ticket) => {
-                self.waiting.insert(ticket, Waiter { req, reply, since });
+                self.waiting.insert(ticket, waiter);
                 Some(ticket)
             }
             Admission::Refused { retry_after } => {
                 let busy = self.slot_refusal(Refusal::Busy, Some(retry_after));
-                drop(reply.send(Err(busy)));
+                drop(waiter.reply.send(Err(busy)));
                 None
             }
             Admission::DeadlineUnreachable => {
                 let refused = self.slot_refusal(Refusal::ExpiredUnsent, None);
-                drop(reply.send(Err(refused)));
+                drop(waiter.reply.send(Err(refused)));
                 None
             }
         }
