--- a/crates/node/src/mesh/callers/slot.rs
+++ b/crates/node/src/mesh/callers/slot.rs
@@ -115,15 +115,8 @@
 
     /// Resolves when the response to a request that was passed on is ready behind the one with this number.
     pub async fn ready_behind(&self, seq: ResponseSeq) {
-        loop {
-            let mut notified = pin!(self.ready.notified());
-            // Registers for notifications before the check, so that none is missed.
-            notified.as_mut().enable();
-            if self.progress().open.is_ready_behind(seq) {
-                return;
-            }
-            notified.await;
-        }
+        let is_ready = || self.progress().open.is_ready_behind(seq);
+        wait_until(&self.ready, is_ready).await;
     }
 
     /// Decides whether the connection closes after the response that is about to be written, which is the oldest one.
@@ -153,15 +146,7 @@
 
     /// Resolves when no response is due.
     pub async fn all_written(&self) {
-        loop {
-            let mut notified = pin!(self.all_written.notified());
-            // Registers for notifications before the check, so that none is missed.
-            notified.as_mut().enable();
-            if self.pending() == 0 {
-                return;
-            }
-            notified.await;
-        }
+        wait_until(&self.all_written, || self.pending() == 0).await;
     }
 
     /// Returns the requests that were read and have no complete response yet, oldest first.
@@ -220,3 +205,19 @@
         self.open.len() > usize::from(self.stays_open)
     }
 }
+
+/// Resolves when `is_reached` holds, which is checked again with each notification.
+async fn wait_until<F>(notify: &Notify, is_reached: F)
+where
+    F: Fn() -> bool,
+{
+    loop {
+        let mut notified = pin!(notify.notified());
+        // Registers for notifications before the check, so that none is missed.
+        notified.as_mut().enable();
+        if is_reached() {
+            return;
+        }
+        notified.await;
+    }
+}
