--- a/crates/rig/src/soak/lost.rs
+++ b/crates/rig/src/soak/lost.rs
@@ -175,10 +175,7 @@
     });
     let from = one.sent.checked_sub(GRACE).unwrap_or(one.sent);
     let strikes = evidence.strikes.iter().filter(|strike| {
-        let concerns = strike.machine.is_none_or(|machine| {
-            machine == one.machine || runs.iter().any(|(host, _)| *host == machine)
-        });
-        concerns && from <= strike.at && strike.at <= one.ended
+        strike.concerns(one.machine, runs) && from <= strike.at && strike.at <= one.ended
     });
     let strikes = strikes.map(|strike| match strike.machine {
         Some(machine) => format!("{} of {machine} {}", strike.kind, ms(strike.at)),
--- a/crates/rig/src/soak/rolls.rs
+++ b/crates/rig/src/soak/rolls.rs
@@ -1,7 +1,7 @@
 //! Runs stops as a supervisor does them, and the load and time limits beside them.
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
 use tokio::task::JoinSet;
@@ -109,19 +109,16 @@
             .work_timeout_s
             .store(timeout_s, Ordering::SeqCst);
         self.shared.idle_s.store(idle_s, Ordering::SeqCst);
-        let mut evidence = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
-        evidence.work_limits.push(WorkLimit {
+        self.evidence().work_limits.push(WorkLimit {
             at: Instant::now(),
             limit: Duration::from_secs(timeout_s),
         });
-        drop(evidence);
         self.publish_config();
     }
 
     /// Records that a fault or planned work strikes now.
     pub(super) fn record_strike(&self, kind: &str, machine: Option<usize>) {
-        let mut evidence = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
-        evidence.strikes.push(Strike {
+        self.evidence().strikes.push(Strike {
             kind: kind.to_owned(),
             machine,
             at: Instant::now(),
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use coltsfootport_stand_ins::{
@@ -125,7 +125,7 @@
     start_times: Vec<AtomicU64>,
     pub(super) nodes: Vec<AsyncMutex<NodeProcess>>,
     pub(super) shared: Arc<LoadState>,
-    pub(super) evidence: Mutex<Evidence>,
+    evidence: Mutex<Evidence>,
 }
 
 /// Runs a plan and checks every guarantee.
@@ -210,25 +210,20 @@
     fn start_load(&self, plan: &SoakPlan) -> JoinSet<()> {
         let mut load = JoinSet::new();
         for (machine, of) in self.machines.iter().enumerate() {
-            for caller in 0..CALLERS_PER_MACHINE {
-                let caller = SoakCaller {
-                    machine,
-                    address: of.callers,
-                    name: format!("s{}m{machine}c{caller}", plan.seed),
-                    seed: plan.seed ^ ((machine * CALLERS_PER_MACHINE + caller) as u64 + 1) << 32,
-                    shared: Arc::clone(&self.shared),
-                };
-                load.spawn(caller.run());
+            let caller = |kind: char, caller: usize, seed: u64| SoakCaller {
+                machine,
+                address: of.callers,
+                name: format!("{kind}{}m{machine}c{caller}", plan.seed),
+                seed: plan.seed ^ seed,
+                shared: Arc::clone(&self.shared),
+            };
+            for n in 0..CALLERS_PER_MACHINE {
+                let number = (machine * CALLERS_PER_MACHINE + n) as u64 + 1;
+                load.spawn(caller('s', n, number << 32).run());
             }
-            for caller in 0..plan.work.pipelining_callers() {
-                let caller = SoakCaller {
-                    machine,
-                    address: of.callers,
-                    name: format!("p{}m{machine}c{caller}", plan.seed),
-                    seed: plan.seed ^ ((machine * MAX_PIPELINING + caller) as u64 + 1) << 40,
-                    shared: Arc::clone(&self.shared),
-                };
-                load.spawn(caller.run_pipelined());
+            for n in 0..plan.work.pipelining_callers() {
+                let number = (machine * MAX_PIPELINING + n) as u64 + 1;
+                load.spawn(caller('p', n, number << 40).run_pipelined());
             }
         }
         load
@@ -403,8 +398,7 @@
             }
             Fault::AnnounceLeaving { machine } => {
                 self.machines[machine].worker.announce_leaving(true);
-                let mut evidence = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
-                evidence.leaving = Some(machine);
+                self.evidence().leaving = Some(machine);
             }
             Fault::StandStill { machine, ms } => {
                 let worker = &self.machines[machine].worker;
@@ -485,13 +479,17 @@
         self.record_span(|e| &mut e.impairments, None, from);
     }
 
+    /// Evidence collected so far.
+    pub(super) fn evidence(&self) -> MutexGuard<'_, Evidence> {
+        self.evidence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records a time span from `from` until now.
     pub(super) fn record_span<F>(&self, which: F, machine: Option<usize>, from: Instant)
     where
         F: FnOnce(&mut Evidence) -> &mut Vec<Span>,
     {
-        let mut spans = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
-        which(&mut spans).push(Span {
+        which(&mut self.evidence()).push(Span {
             machine,
             from,
             to: Instant::now(),
@@ -500,8 +498,7 @@
 
     /// Records a rate limit that a target named from `from` until now.
     fn record_limit(&self, machine: usize, per_second: f64, from: Instant) {
-        let mut evidence = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
-        evidence.limits.push(NamedLimit {
+        self.evidence().limits.push(NamedLimit {
             machine,
             per_second,
             from,
@@ -588,7 +585,7 @@
     }
 
     fn collect_evidence(&self) -> Evidence {
-        let spans = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
+        let spans = self.evidence();
         let records = self.shared.records.lock();
         let kept = self.shared.kept.lock();
         let workers = self.machines.iter().map(|machine| &machine.worker);
--- a/crates/rig/src/soak/strikes.rs
+++ b/crates/rig/src/soak/strikes.rs
@@ -19,6 +19,14 @@
     pub at: Instant,
 }
 
+impl Strike {
+    /// Whether it concerns a request at `machine` with these runs.
+    pub(super) fn concerns(&self, machine: usize, runs: &[Run<'_>]) -> bool {
+        self.machine
+            .is_none_or(|struck| struck == machine || runs.iter().any(|(host, _)| *host == struck))
+    }
+}
+
 /// How often a kind struck, and how many requests in each state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct StrikeCounts {
@@ -141,10 +149,7 @@
 impl Open<'_> {
     /// Returns whether it was open at a machine that was struck, or with a target there.
     fn is_struck_by(&self, strike: &Strike) -> bool {
-        let concerns = strike.machine.is_none_or(|machine| {
-            self.machine == machine || self.runs.iter().any(|(host, _)| *host == machine)
-        });
-        concerns && self.sent <= strike.at && strike.at < self.ended
+        strike.concerns(self.machine, self.runs) && self.sent <= strike.at && strike.at < self.ended
     }
 
     fn count_at(&self, at: Instant, count: &mut StrikeCounts) {
