Tests: one restart of a node, one drain configuration

The new test of documents copied the restart and the reading of a status from its neighbours, and the new cases of drains the configuration of the first. Assertions are as before.

--- a/crates/core/tests/mesh_drain.rs
+++ b/crates/core/tests/mesh_drain.rs
@@ -4,10 +4,18 @@
 
 use coltsfootport_core::mesh::{Drain, DrainConfig};
 
-fn ms(n: u64) -> Duration {
+const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
+/// Configuration of a node with a grace period of 6 s.
+const CFG: DrainConfig = DrainConfig {
+    grace_period: ms(6000),
+    caller_window: ms(2400),
+    margin: ms(500),
+    tail_factor: 2.0,
+};
+
 /// Guards against admitting a request that can't finish before the forced end of the node, which then kills it while it
 /// runs.
 #[test]
@@ -87,14 +95,8 @@
         },
     ];
     let now = Instant::now();
-    let cfg = DrainConfig {
-        grace_period: ms(6000),
-        caller_window: ms(2400),
-        margin: ms(500),
-        tail_factor: 2.0,
-    };
     for case in cases {
-        let drain = Drain::new(cfg, now);
+        let drain = Drain::new(CFG, now);
         let (expected, left) = (ms(case.expected), ms(case.left));
         let at = now + ms(case.elapsed);
         let admits = drain.admits_caller(expected, left, at);
@@ -196,14 +198,8 @@
         },
     ];
     let now = Instant::now();
-    let cfg = DrainConfig {
-        grace_period: ms(6000),
-        caller_window: ms(2400),
-        margin: ms(500),
-        tail_factor: 2.0,
-    };
-    assert_eq!(cfg.waiting_end(), ms(5000));
-    let drain = Drain::new(cfg, now);
+    assert_eq!(CFG.waiting_end(), ms(5000));
+    let drain = Drain::new(CFG, now);
     for case in cases {
         let (expected, left) = (ms(case.expected), ms(case.left));
         let at = now + ms(case.elapsed);
--- a/crates/rig/tests/documents.rs
+++ b/crates/rig/tests/documents.rs
@@ -34,13 +34,30 @@
         .expect("failed to start the fleet")
 }
 
-/// Returns the revision in force at a node, or 0 if there is none.
-async fn revision_in_force(fleet: &Fleet, node: &str) -> u64 {
+/// Returns the documents that a node reports.
+async fn documents(fleet: &Fleet, node: &str) -> Vec<Value> {
     let status = fleet
         .status(node)
         .await
         .expect("failed to read the node status");
-    let documents = status["documents"].as_array().cloned().unwrap_or_default();
+    status["documents"].as_array().cloned().unwrap_or_default()
+}
+
+/// Kills a node, starts it again and waits until it is ready.
+async fn restart(fleet: &mut Fleet, node: &str) {
+    let client = fleet.client.clone();
+    let member = fleet.member_mut(node);
+    member.kill_node().expect("failed to kill the node");
+    member.start_node().expect("failed to start the node");
+    member
+        .ready(&client)
+        .await
+        .expect("node did not become ready");
+}
+
+/// Returns the revision in force at a node, or 0 if there is none.
+async fn revision_in_force(fleet: &Fleet, node: &str) -> u64 {
+    let documents = documents(fleet, node).await;
     let document = documents
         .iter()
         .find(|document| document["service"] == SERVICE);
@@ -232,14 +249,7 @@
             .platform_fault_in("b", FaultMode::Down, FaultScope::Config)
             .await
             .expect("failed to inject the platform fault");
-        let client = fleet.client.clone();
-        let member = fleet.member_mut("bidding-5");
-        member.kill_node().expect("failed to kill the node");
-        member.start_node().expect("failed to start the node");
-        member
-            .ready(&client)
-            .await
-            .expect("node did not become ready");
+        restart(&mut fleet, "bidding-5").await;
         assert_eq!(
             revision_in_force(&fleet, "bidding-5").await,
             revision,
@@ -271,19 +281,8 @@
         .platform_fault(FaultMode::Down, FaultScope::Config)
         .await
         .expect("failed to inject the platform fault");
-    let client = fleet.client.clone();
-    let member = fleet.member_mut("bidding-5");
-    member.kill_node().expect("failed to kill the node");
-    member.start_node().expect("failed to start the node");
-    member
-        .ready(&client)
-        .await
-        .expect("node did not become ready");
-    let status = fleet
-        .status("bidding-5")
-        .await
-        .expect("failed to read the node status");
-    let documents = status["documents"].as_array().cloned().unwrap_or_default();
+    restart(&mut fleet, "bidding-5").await;
+    let documents = documents(&fleet, "bidding-5").await;
     let in_force = documents.iter().filter(|d| d["in_force"].is_u64()).count();
     assert_eq!(in_force, 31, "documents in force once the node is ready");
     assert_no_breaches(&fleet).await;
@@ -358,14 +357,7 @@
         }
         assert_eq!(revision_in_force(&fleet, node).await, good);
     }
-    let client = fleet.client.clone();
-    let member = fleet.member_mut("bidding-4");
-    member.kill_node().expect("failed to kill the node");
-    member.start_node().expect("failed to start the node");
-    member
-        .ready(&client)
-        .await
-        .expect("node did not become ready");
+    restart(&mut fleet, "bidding-4").await;
     assert_eq!(
         revision_in_force(&fleet, "bidding-4").await,
         good,
@@ -373,6 +365,7 @@
     );
     let entry = fleet.member("bidding-4").addresses.callers;
     let call = ClientCall::new(entry, Method::GET, "/bidding/lots/1");
-    assert_eq!(client.send(call).await.expect("call failed").status, 200);
+    let answer = fleet.client.send(call).await.expect("call failed");
+    assert_eq!(answer.status, 200);
     assert_no_breaches(&fleet).await;
 }
