Review: an upload that its worker answers early loses its answer

A worker answers 200 before it has read an upload, with 200 kB. The caller gets the head and a part of the answer, and its connection is closed, or it gets 502. The host of the request takes the rest of the upload for the end of the link between the nodes, and breaks off the reply.

--- /dev/null
+++ b/review/stand-ins-2/src/cases.rs
@@ -0,0 +1,15 @@
+//! The cases.
+
+mod early_answer;
+
+use crate::Verdict;
+use crate::record::Record;
+
+/// Runs the case with this name.
+pub async fn run(case: &str, trouble: bool, record: &Record) -> Verdict {
+    let verdict = match case {
+        "early-answer" => early_answer::run(trouble, record).await,
+        _ => return Verdict::NotRun(format!("no case `{case}`")),
+    };
+    verdict.unwrap_or_else(|e| Verdict::NotRun(e.to_string()))
+}
