Review: an answer that is cut off takes pipelined requests with it

Callers pipeline reads with long answers. Where a faulty worker cuts one off, the node closes the caller's connection, and the requests behind it, which sound workers have got and answered, end without an answer.

--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod early_answer;
+mod pipelined;
 
 use crate::Verdict;
 use crate::record::Record;
@@ -9,6 +10,7 @@
 pub async fn run(case: &str, trouble: bool, record: &Record) -> Verdict {
     let verdict = match case {
         "early-answer" => early_answer::run(trouble, record).await,
+        "pipelined" => pipelined::run(trouble, record).await,
         _ => return Verdict::NotRun(format!("no case `{case}`")),
     };
     verdict.unwrap_or_else(|e| Verdict::NotRun(e.to_string()))
