--- a/review/stand-ins-2/src/site.rs
+++ b/review/stand-ins-2/src/site.rs
@@ -4,10 +4,9 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal, kill_process};
 use tokio::time::sleep;
 
 use crate::client::{Client, Outcome, head};
@@ -18,6 +17,9 @@
 /// Host name of all routes.
 pub const HOST: &str = "mesh.example";
 
+/// Slots that every worker publishes.
+pub const SLOTS: u32 = 20;
+
 /// Time until a started deployment is ready.
 const READY_LIMIT: Duration = Duration::from_secs(15);
 
@@ -139,7 +141,7 @@
             worker, service, ..
         } = &self.machines[at];
         let value = format!(
-            r#"{{"service":"{service}","address":"{}","zone":"z-a","version":"v1","slots":20,"state":"{state}","cold_remaining_s":0,"sequence":1}}"#,
+            r#"{{"service":"{service}","address":"{}","zone":"z-a","version":"v1","slots":{SLOTS},"state":"{state}","cold_remaining_s":0,"sequence":1}}"#,
             worker.addr
         );
         self.store.put(&format!("servers/{}", worker.id), &value);
@@ -232,12 +234,6 @@
         Ok(())
     }
 
-    pub fn signal(&self, signal: Signal) {
-        if let Some(child) = &self.child {
-            let _ = kill_process(Pid::from_child(child), signal);
-        }
-    }
-
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -246,11 +242,6 @@
         }
     }
 
-    /// The status of the process if it has ended.
-    pub fn ended(&mut self) -> Option<ExitStatus> {
-        self.child.as_mut()?.try_wait().ok()?
-    }
-
     pub async fn is_ready(&self) -> bool {
         let path = "/coltsfootport/readiness";
         self.status_page(path).await.status() == Some(200)
