Review: the cases begin when the machines are in touch

A machine is in touch once its processes have run for `stable_window_s`; the load began sooner. Case 4 counts only connections that were closed, and no time-outs.

--- a/review/stand-ins-2/src/cases/early_answer.rs
+++ b/review/stand-ins-2/src/cases/early_answer.rs
@@ -93,7 +93,8 @@
             outcome.describe()
         ));
         let is_answer = matches!(outcome, Outcome::Whole(..));
-        lost += usize::from(arrival.is_some() && !is_answer);
+        let is_closed = matches!(outcome, Outcome::Cut(..) | Outcome::Closed(_));
+        lost += usize::from(arrival.is_some() && is_closed);
         unknown += usize::from(arrival.is_some() && is_answer);
     }
     record.line(format!(
@@ -123,7 +124,11 @@
                     continue;
                 };
                 let read = head("GET", HOST, "/read/x", &format!("c{at}r{n}"), LIMIT, "");
-                client.request(read.as_bytes(), LIMIT).await;
+                // Only a connection that has carried an answer is a kept one.
+                let first = client.request(read.as_bytes(), LIMIT).await;
+                if !matches!(first, Outcome::Whole(..)) {
+                    continue;
+                }
                 client
             }
         };
--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -104,7 +104,9 @@
         };
         match body {
             Ok(Ok(body)) => Outcome::Whole(head, body),
-            Ok(Err(_)) | Err(_) => Outcome::Cut(head, buf.len()),
+            Ok(Err(_)) => Outcome::Cut(head, buf.len()),
+            // The connection is still open.
+            Err(_) => Outcome::Nothing,
         }
     }
 
--- a/review/stand-ins-2/src/site.rs
+++ b/review/stand-ins-2/src/site.rs
@@ -20,6 +20,9 @@
 /// Slots that every worker publishes.
 pub const SLOTS: u32 = 20;
 
+/// `stable_window_s` of the site.
+pub const STABLE_WINDOW: Duration = Duration::from_secs(3);
+
 /// Time until a started deployment is ready.
 const READY_LIMIT: Duration = Duration::from_secs(15);
 
@@ -132,6 +135,8 @@
             site.list(at, "ready");
         }
         site.wait_until_ready().await?;
+        // Machines are in touch once their processes have run for `stable_window_s`.
+        sleep(STABLE_WINDOW + Duration::from_millis(500)).await;
         Ok(site)
     }
 
