Refuse a request only after a probe of it has crashed a target

Cause: five crashes in any company refused a request, and three if it was the only suspect at one of them. An outage is a crash per target for whatever runs everywhere, so for the most popular request first; what targets had answered before counted for nothing.

Change: after two crashes a request is isolated as before, and its isolated runs are probes. It is refused after three crashes of which one ended a probe, or two if targets have answered it within the last minutes; nodes remember that in bounded memory and add it to what they hear. The first refusal lasts 10 s, each further crash in a probe makes it six times as long (up to 1 h), so that a wrong one ends soon and a right one stays below four late probes in two minutes. Nodes of the format before ignore the added fields.

--- a/crates/core/src/quarantine/finding.rs
+++ b/crates/core/src/quarantine/finding.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{CrashId, Fingerprint};
+use super::{CrashSet, Fingerprint};
 
 /// Evidence against or for a request. Merging is commutative, associative and idempotent.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -17,10 +17,12 @@
 /// The crashes in which a request is a suspect.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Crashes {
-    /// Ids of the crashes in descending order, at most [`Crashes::MAX_IDS`].
-    pub ids: Vec<CrashId>,
-    /// Whether the request was the sole suspect in at least one crash.
-    pub sole_suspect: bool,
+    /// All of them.
+    pub ids: CrashSet,
+    /// Those that ended a probe: a run of the request while it was isolated.
+    pub in_probes: CrashSet,
+    /// Whether targets had answered the request recently.
+    pub answered_before: bool,
 }
 
 /// The evidence that a node has about a request.
@@ -35,19 +37,12 @@
 }
 
 impl Crashes {
-    /// Maximum number of distinct crashes recorded for a request.
-    pub const MAX_IDS: usize = 8;
-
     /// Merges other crashes into these; returns whether anything changed.
-    ///
-    /// Keeps the greatest ids, so that all nodes keep the same ones regardless of the order in which they receive them.
     pub fn merge(&mut self, other: &Self) -> bool {
-        let before = (self.ids.clone(), self.sole_suspect);
-        self.ids.extend_from_slice(&other.ids);
-        self.ids.sort_unstable_by(|a, b| b.cmp(a));
-        self.ids.dedup();
-        self.ids.truncate(Self::MAX_IDS);
-        self.sole_suspect |= other.sole_suspect;
-        (&self.ids, self.sole_suspect) != (&before.0, before.1)
+        let mut changed = self.ids.merge(&other.ids);
+        changed |= self.in_probes.merge(&other.in_probes);
+        changed |= other.answered_before && !self.answered_before;
+        self.answered_before |= other.answered_before;
+        changed
     }
 }
--- a/crates/core/src/quarantine/registry.rs
+++ b/crates/core/src/quarantine/registry.rs
@@ -4,7 +4,11 @@
 use std::hash::{Hash, Hasher};
 use std::time::{Duration, Instant};
 
-use super::{CrashId, Crashes, Evidence, Finding, Fingerprint, QuarantineConfig, SuspicionLevel};
+use super::record::Record;
+use super::{
+    CrashId, Crashes, Evidence, Finding, Fingerprint, QuarantineConfig, RecentAnswers,
+    SuspicionLevel,
+};
 use crate::collections::FastHasher;
 
 /// Suspects and the evidence about them, collected from the node's own target and from other nodes.
@@ -13,15 +17,7 @@
     cfg: QuarantineConfig,
     /// An ordered map, because callers control what is fingerprinted and could provoke collisions in a hash table.
     records: BTreeMap<Fingerprint, Record>,
-}
-
-#[derive(Clone, Debug)]
-struct Record {
-    evidence: Evidence,
-    /// Time of the latest crash, or of the answer.
-    at: Instant,
-    /// Since when the evidence has been waiting to be sent to other nodes; `None` once sent.
-    unsent_since: Option<Instant>,
+    answers: RecentAnswers,
 }
 
 impl SuspectRegistry {
@@ -30,6 +26,7 @@
         Self {
             cfg,
             records: BTreeMap::new(),
+            answers: RecentAnswers::new(cfg.remember_answers_for, cfg.max_answers),
         }
     }
 
@@ -37,7 +34,7 @@
     pub fn suspicion_level(&self, fingerprint: Fingerprint, now: Instant) -> SuspicionLevel {
         let record = self.records.get(&fingerprint);
         record.map_or(SuspicionLevel::Unsuspected, |record| {
-            self.level_of(record, now)
+            record.level(&self.cfg, now)
         })
     }
 
@@ -47,18 +44,18 @@
         matches!(record.evidence, Evidence::Crashes(_)).then(|| record.finding(fingerprint, now))
     }
 
-    /// Records that a target crashed while running a request; `sole_suspect` tells whether it was the only suspect
-    /// running there.
+    /// Records that a target crashed while running a request; `is_probe` tells whether the request ran isolated.
     pub fn record_crash(
         &mut self,
         fingerprint: Fingerprint,
         crash: CrashId,
-        sole_suspect: bool,
+        is_probe: bool,
         now: Instant,
     ) -> SuspicionLevel {
         let crashes = Crashes {
-            ids: vec![crash],
-            sole_suspect,
+            ids: [crash].into_iter().collect(),
+            in_probes: is_probe.then_some(crash).into_iter().collect(),
+            answered_before: false,
         };
         let finding = Finding {
             fingerprint,
@@ -71,6 +68,7 @@
 
     /// Records that a target answered a request completely; returns whether the request was a suspect.
     pub fn record_answer(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+        self.answers.insert(fingerprint, now);
         match self.records.get_mut(&fingerprint) {
             Some(record) if record.evidence != Evidence::Answered => {
                 record.evidence = Evidence::Answered;
@@ -85,12 +83,15 @@
     /// Merges a finding; returns whether it added any evidence.
     pub fn merge(&mut self, finding: &Finding, now: Instant) -> bool {
         let at = now.checked_sub(finding.age).unwrap_or(now);
-        let received = Record {
+        let mut received = Record {
             evidence: finding.evidence.clone(),
             at,
             unsent_since: Some(now),
         };
-        if self.is_expired(&received, now) {
+        if let Evidence::Crashes(crashes) = &mut received.evidence {
+            crashes.answered_before |= self.answers.contains(finding.fingerprint);
+        }
+        if received.is_expired(&self.cfg, now) {
             return false;
         }
         let Some(known) = self.records.get_mut(&finding.fingerprint) else {
@@ -127,7 +128,7 @@
                 .map(|since| now.saturating_duration_since(since));
             waited.is_some_and(|waited| {
                 waited >= self.cfg.batch_delay
-                    || self.level_of(record, now) >= SuspicionLevel::Isolated
+                    || record.level(&self.cfg, now) >= SuspicionLevel::Isolated
             })
         };
         if !self.records.values().any(is_due) {
@@ -166,11 +167,12 @@
         digests.fold(0, |all, one| all ^ one)
     }
 
-    /// Removes expired records.
+    /// Removes expired records and answers.
     pub fn tick(&mut self, now: Instant) {
         let cfg = self.cfg;
         self.records
-            .retain(|_, record| !is_expired(&cfg, record, now));
+            .retain(|_, record| !record.is_expired(&cfg, now));
+        self.answers.rotate(now);
     }
 
     /// Returns the number of suspects, refused or not.
@@ -181,23 +183,6 @@
             .count()
     }
 
-    fn level_of(&self, record: &Record, now: Instant) -> SuspicionLevel {
-        let Evidence::Crashes(crashes) = &record.evidence else {
-            return SuspicionLevel::Unsuspected;
-        };
-        let age = now.saturating_duration_since(record.at);
-        match refusal_duration(&self.cfg, crashes) {
-            Some(duration) if age < duration => SuspicionLevel::Refused,
-            Some(_) => SuspicionLevel::Isolated,
-            None if crashes.ids.len() >= self.cfg.isolate_after => SuspicionLevel::Isolated,
-            None => SuspicionLevel::Suspected,
-        }
-    }
-
-    fn is_expired(&self, record: &Record, now: Instant) -> bool {
-        is_expired(&self.cfg, record, now)
-    }
-
     /// If the registry is full, evicts the record with the fewest crashes, or the oldest one among equals. An answered
     /// request counts as having no crashes.
     fn evict_if_full(&mut self) {
@@ -213,41 +198,3 @@
         }
     }
 }
-
-impl Record {
-    fn finding(&self, fingerprint: Fingerprint, now: Instant) -> Finding {
-        Finding {
-            fingerprint,
-            evidence: self.evidence.clone(),
-            age: now.saturating_duration_since(self.at),
-        }
-    }
-
-    fn crash_count(&self) -> usize {
-        match &self.evidence {
-            Evidence::Answered => 0,
-            Evidence::Crashes(crashes) => crashes.ids.len(),
-        }
-    }
-}
-
-/// Returns how long a request is refused after its latest crash, or `None` if it is not refused.
-fn refusal_duration(cfg: &QuarantineConfig, crashes: &Crashes) -> Option<Duration> {
-    let count = crashes.ids.len();
-    let is_refused =
-        (crashes.sole_suspect && count >= cfg.refuse_after) || count >= cfg.refuse_shared_after;
-    is_refused.then(|| {
-        let doublings = count.saturating_sub(cfg.refuse_after).min(Crashes::MAX_IDS);
-        cfg.refuse_for * (1 << doublings)
-    })
-}
-
-fn is_expired(cfg: &QuarantineConfig, record: &Record, now: Instant) -> bool {
-    let lifetime = match &record.evidence {
-        Evidence::Answered => cfg.cleared_for,
-        Evidence::Crashes(crashes) => {
-            refusal_duration(cfg, crashes).unwrap_or_default() + cfg.retention
-        }
-    };
-    now.saturating_duration_since(record.at) >= lifetime
-}
--- a/crates/node/src/mesh/controller/quarantine.rs
+++ b/crates/node/src/mesh/controller/quarantine.rs
@@ -40,25 +40,11 @@
     /// Isolated requests waiting for it, oldest first.
     waiting: VecDeque<Waiter>,
     /// The latest crash of the node's target.
-    last_crash: Option<TargetCrash>,
+    last_crash: Option<CrashId>,
     /// Time of the latest pull.
     last_pull: Option<Instant>,
 }
 
-/// A crash of the node's target.
-struct TargetCrash {
-    id: CrashId,
-    /// Requests running at the time that were suspects already.
-    suspects: Vec<Fingerprint>,
-}
-
-impl TargetCrash {
-    fn is_sole_suspect(&self, fingerprint: Fingerprint) -> bool {
-        self.suspects.contains(&fingerprint)
-            && self.suspects.iter().all(|other| *other == fingerprint)
-    }
-}
-
 impl Quarantine {
     pub fn new(cfg: QuarantineConfig) -> Self {
         Self {
@@ -173,7 +159,8 @@
             RunEnd::Answered => self.record_answer(fingerprint, now),
             // The exit of a target that has announced its shutdown is planned and not a crash.
             RunEnd::Crashed(crash) if !self.is_draining_or_removed(&run.instance) => {
-                return self.record_crash(fingerprint, crash, now);
+                let is_probe = self.quarantine.isolated == Some(ticket);
+                return self.record_crash(fingerprint, crash, is_probe, now);
             }
             RunEnd::Crashed(_) | RunEnd::Other | RunEnd::Unanswered => {}
         }
@@ -204,39 +191,24 @@
         &mut self,
         fingerprint: Fingerprint,
         crash: CrashId,
+        is_probe: bool,
         now: Instant,
     ) -> SuspicionLevel {
-        let known = self.quarantine.last_crash.take();
-        let crash = match known.filter(|known| known.id == crash) {
-            Some(known) => known,
-            None => self.note_target_crash(crash, now),
-        };
-        let sole_suspect = crash.is_sole_suspect(fingerprint);
+        if self.quarantine.last_crash.replace(crash) != Some(crash) {
+            self.metrics.target_crashes.inc();
+            warn!(self.journal.log(), "target's process has ended"; "crash" => crash.to_string(),
+                "at_work" => self.runs.len());
+        }
         let registry = &mut self.quarantine.registry;
         let before = registry.suspicion_level(fingerprint, now);
-        let level = registry.record_crash(fingerprint, crash.id, sole_suspect, now);
-        self.quarantine.last_crash = Some(crash);
+        let level = registry.record_crash(fingerprint, crash, is_probe, now);
         if level != before && level >= SuspicionLevel::Isolated {
             warn!(self.journal.log(), "request suspected"; "fingerprint" => fingerprint.to_string(),
-                "standing" => level.as_str(), "was" => before.as_str(), "alone" => sole_suspect);
+                "standing" => level.as_str(), "was" => before.as_str(), "probe" => is_probe);
         }
         level
     }
 
-    /// Counts and logs a crash of the node's target, and captures the suspects running at the time.
-    fn note_target_crash(&self, id: CrashId, now: Instant) -> TargetCrash {
-        let running = self.runs.iter().map(|run| run.fingerprint);
-        let registry = &self.quarantine.registry;
-        let is_suspect = |other: &Fingerprint| {
-            registry.suspicion_level(*other, now) >= SuspicionLevel::Suspected
-        };
-        let suspects: Vec<Fingerprint> = running.filter(is_suspect).collect();
-        self.metrics.target_crashes.inc();
-        warn!(self.journal.log(), "target's process has ended"; "crash" => id.to_string(),
-            "at_work" => self.runs.len(), "suspects" => suspects.len());
-        TargetCrash { id, suspects }
-    }
-
     /// Merges findings of other nodes.
     pub(super) fn merge_findings(&mut self, findings: &[Finding]) {
         let now = self.clock.now();
--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -217,7 +217,8 @@
         };
         if let Some(dropped) = self.admit_failure_line() {
             info!(self.log, "refused as it crashes targets"; "fingerprint" => finding.fingerprint.to_string(),
-                "crashes" => crashes.ids.len(), "alone" => crashes.sole_suspect,
+                "crashes" => crashes.ids.len(), "in_probes" => crashes.in_probes.len(),
+                "answered_before" => crashes.answered_before,
                 "age_ms" => finding.age.as_millis() as u64, "dropped" => dropped);
         }
     }
--- a/crates/node/src/mesh/link/finding_frames.rs
+++ b/crates/node/src/mesh/link/finding_frames.rs
@@ -5,9 +5,19 @@
 use coltsfootport_core::quarantine::{CrashId, Crashes, Evidence, Finding, Fingerprint};
 use serde::{Deserialize, Serialize};
 
+use super::trailing::Trailing;
+
 /// Maximum number of findings in a message, which keeps its size well below `MAX_HEAD`.
 pub const MAX_FINDINGS: usize = 512;
 
+/// Findings of a node, in the first format followed by what was added to it. Nodes of the first format ignore the rest.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FindingsFrame {
+    findings: Vec<FindingFrame>,
+    /// One for each finding, in the same order.
+    extensions: Trailing<Vec<FindingExtension>>,
+}
+
 /// A finding about one request fingerprint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FindingFrame {
@@ -18,22 +28,52 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum EvidenceFrame {
-    Crashes { ids: Vec<CrashId>, alone: bool },
+    /// `alone` tells whether any of the crashes ended a probe. Nodes of the first format refuse by it.
+    Crashes {
+        ids: Vec<CrashId>,
+        alone: bool,
+    },
     Answered,
 }
 
-/// Reply to a `FindingsPull`; empty as acknowledgement of `Findings`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FindingsFrame(pub Vec<FindingFrame>);
+/// Fields that were added to the first format of a finding.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FindingExtension {
+    in_probes: Vec<CrashId>,
+    answered_before: bool,
+}
+
+/// Acknowledgement of a push.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FindingsAck(Vec<u8>);
+
+impl From<&[Finding]> for FindingsFrame {
+    fn from(findings: &[Finding]) -> Self {
+        Self {
+            findings: findings.iter().map(FindingFrame::from).collect(),
+            extensions: Trailing(findings.iter().map(FindingExtension::from).collect()),
+        }
+    }
+}
+
+impl From<FindingsFrame> for Vec<Finding> {
+    fn from(frame: FindingsFrame) -> Self {
+        let mut findings: Self = frame.findings.into_iter().map(Finding::from).collect();
+        for (finding, extension) in findings.iter_mut().zip(&frame.extensions.0) {
+            extension.add_to(finding);
+        }
+        findings
+    }
+}
 
 impl From<&Finding> for FindingFrame {
     fn from(finding: &Finding) -> Self {
         Self {
             fingerprint: finding.fingerprint,
             evidence: match &finding.evidence {
-                Evidence::Crashes(Crashes { ids, sole_suspect }) => EvidenceFrame::Crashes {
-                    ids: ids.clone(),
-                    alone: *sole_suspect,
+                Evidence::Crashes(crashes) => EvidenceFrame::Crashes {
+                    ids: crashes.ids.as_slice().to_vec(),
+                    alone: !crashes.in_probes.is_empty(),
                 },
                 Evidence::Answered => EvidenceFrame::Answered,
             },
@@ -42,21 +82,41 @@
     }
 }
 
+impl From<&Finding> for FindingExtension {
+    fn from(finding: &Finding) -> Self {
+        match &finding.evidence {
+            Evidence::Crashes(crashes) => Self {
+                in_probes: crashes.in_probes.as_slice().to_vec(),
+                answered_before: crashes.answered_before,
+            },
+            Evidence::Answered => Self::default(),
+        }
+    }
+}
+
 impl From<FindingFrame> for Finding {
+    /// Converts a finding without its extension.
     fn from(frame: FindingFrame) -> Self {
         Self {
             fingerprint: frame.fingerprint,
             evidence: match frame.evidence {
-                EvidenceFrame::Crashes { mut ids, alone } => {
-                    ids.truncate(Crashes::MAX_IDS);
-                    Evidence::Crashes(Crashes {
-                        ids,
-                        sole_suspect: alone,
-                    })
-                }
+                EvidenceFrame::Crashes { ids, .. } => Evidence::Crashes(Crashes {
+                    ids: ids.into_iter().collect(),
+                    ..Crashes::default()
+                }),
                 EvidenceFrame::Answered => Evidence::Answered,
             },
             age: Duration::from_millis(frame.age_ms),
         }
     }
 }
+
+impl FindingExtension {
+    /// Sets the fields of a finding whose other fields have been read.
+    pub fn add_to(&self, finding: &mut Finding) {
+        if let Evidence::Crashes(crashes) = &mut finding.evidence {
+            crashes.in_probes = self.in_probes.iter().copied().collect();
+            crashes.answered_before = self.answered_before;
+        }
+    }
+}
--- a/crates/node/src/mesh/link/findings.rs
+++ b/crates/node/src/mesh/link/findings.rs
@@ -5,7 +5,7 @@
 use coltsfootport_core::quarantine::Finding;
 
 use super::PeerPool;
-use super::finding_frames::{FindingFrame, FindingsFrame};
+use super::finding_frames::{FindingsAck, FindingsFrame};
 use super::frames::StreamHead;
 use super::rpc::call;
 use crate::wire::FrameError;
@@ -20,8 +20,8 @@
     node: SocketAddr,
     findings: &[Finding],
 ) -> Result<(), FrameError> {
-    let frames = findings.iter().map(FindingFrame::from).collect();
-    let FindingsFrame(_) = call(links, node, &StreamHead::Findings(frames)).await?;
+    let frame = FindingsFrame::from(findings);
+    let _: FindingsAck = call(links, node, &StreamHead::Findings(frame)).await?;
     Ok(())
 }
 
@@ -35,6 +35,6 @@
     node: SocketAddr,
     digest: u64,
 ) -> Result<Vec<Finding>, FrameError> {
-    let FindingsFrame(frames) = call(links, node, &StreamHead::FindingsPull(digest)).await?;
-    Ok(frames.into_iter().map(Finding::from).collect())
+    let frame: FindingsFrame = call(links, node, &StreamHead::FindingsPull(digest)).await?;
+    Ok(frame.into())
 }
--- a/crates/node/src/mesh/link/frames.rs
+++ b/crates/node/src/mesh/link/frames.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::finding_frames::FindingFrame;
+use super::finding_frames::{FindingFrame, FindingsFrame};
 use super::quota_frames::{ClaimFrame, NoticeFrame};
 use super::reply_extension::ReplyExtension;
 use super::trailing::Trailing;
@@ -35,7 +35,7 @@
     /// Quota verdicts of the sender, which is a home of these workspaces; answered with an empty acknowledgement.
     QuotaNotices(Vec<NoticeFrame>),
     /// The sender's findings about requests that crash targets; answered with an empty acknowledgement.
-    Findings(Vec<FindingFrame>),
+    Findings(FindingsFrame),
     /// Asks for the receiver's findings, unless they match this digest of the sender's findings.
     FindingsPull(u64),
     /// Takes back a request that the sender has sent on another connection; acknowledged.
--- a/crates/node/src/mesh/link/reply_extension.rs
+++ b/crates/node/src/mesh/link/reply_extension.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::finding_frames::FindingExtension;
+use super::trailing::Trailing;
 use crate::mesh::call::Report;
 
 /// Fields that follow those of the first format. Nodes of that format ignore them.
@@ -13,6 +15,7 @@
     held_us: u32,
     /// Slot time of each of the downstream services, in the order in which the reply lists them.
     work_us: Vec<u32>,
+    finding: Trailing<FindingExtension>,
 }
 
 impl ReplyExtension {
@@ -23,18 +26,23 @@
         for (calls, work) in report.downstream.iter_mut().zip(&self.work_us) {
             calls.work = from_micros(*work).as_secs_f64();
         }
+        if let Some(finding) = &mut report.finding {
+            self.finding.0.add_to(finding);
+        }
     }
 }
 
 impl From<&Report> for ReplyExtension {
     fn from(report: &Report) -> Self {
         let downstream = report.downstream.iter();
+        let finding = report.finding.as_ref();
         Self {
             service_time_us: to_micros(report.service_time),
             held_us: to_micros(report.held),
             work_us: downstream
                 .map(|calls| seconds_to_micros(calls.work))
                 .collect(),
+            finding: Trailing(finding.map(FindingExtension::from).unwrap_or_default()),
         }
     }
 }
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use coltsfootport_core::mesh::Refusal;
-use coltsfootport_core::quarantine::Finding;
 use coltsfootport_core::workspace::{QuotaNotice, QuotaUsage};
 use slog::{Logger, debug};
 use tokio::net::{TcpListener, TcpStream};
@@ -13,7 +12,7 @@
 
 use super::body_stream;
 use super::conn::PeerConn;
-use super::finding_frames::{FindingFrame, FindingsFrame};
+use super::finding_frames::{FindingsAck, FindingsFrame};
 use super::frames::{HelloFrame, MAX_HEAD, ReplyFrame, RequestFrame, StreamHead};
 use super::pool::{self, configure_socket};
 use super::quota_frames::{VerdictFrame, VerdictsFrame};
@@ -171,16 +170,15 @@
             Ok(true)
         }
         StreamHead::Findings(findings) => {
-            let findings = findings.into_iter().map(Finding::from).collect();
-            let event = ControllerEvent::FindingsReceived(findings);
+            let event = ControllerEvent::FindingsReceived(findings.into());
             ctx.host.controller.notify(event);
-            conn.write(&FindingsFrame(Vec::new()), &[]).await?;
+            conn.write(&FindingsAck::default(), &[]).await?;
             Ok(true)
         }
         StreamHead::FindingsPull(digest) => {
             let findings = ctx.host.controller.findings(digest).await;
-            let frames = findings.iter().map(FindingFrame::from).collect();
-            conn.write(&FindingsFrame(frames), &[]).await?;
+            conn.write(&FindingsFrame::from(findings.as_slice()), &[])
+                .await?;
             Ok(true)
         }
         StreamHead::Withdraw(attempt) => {
