A complete long answer clears a suspected request

Cause: only responses held as a whole, up to 64 KiB, counted as answers. A longer one is passed on as it comes, and its end told the quarantine nothing: the request stayed isolated from its second crash on, and a probe of it that met another crash got it refused.

Change: the guard that reports the end of a long answer at host and entry also tells, if the answer is complete, that the request has not harmed the target. Answers that end early, 5xx and those sent in place of a run clear nothing, as before.

--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -139,11 +139,15 @@
 }
 
 impl TargetAnswer {
-    /// Whether the target ran the request to completion and is unharmed by it. A response at the deadline, or one sent
-    /// instead of a run, does not show that.
+    /// Whether the target has run the request to completion and is unharmed by it.
     pub fn completed_normally(&self, not_run: &str) -> bool {
-        let is_whole = matches!(self.body, Body::Whole(_));
-        is_whole && !self.status.is_server_error() && !self.headers.contains_key(not_run)
+        matches!(self.body, Body::Whole(_)) && self.shows_normal_run(not_run)
+    }
+
+    /// Whether the target will have run the request to completion, unharmed by it, once the body is complete. A response
+    /// at the deadline, or one sent instead of a run, does not show that.
+    pub fn shows_normal_run(&self, not_run: &str) -> bool {
+        !self.status.is_server_error() && !self.headers.contains_key(not_run)
     }
 }
 
--- a/crates/node/src/mesh/controller.rs
+++ b/crates/node/src/mesh/controller.rs
@@ -25,7 +25,7 @@
 
 pub use answer_guard::AnswerGuard;
 pub use event::{
-    AcquireSlotRequest, AdmissionRequest, AdmittedRequest, AnswerOf, CompletedSend,
+    AcquireSlotRequest, AdmissionRequest, AdmittedRequest, AnswerEnd, AnswerOf, CompletedSend,
     ControllerEvent, Credential, Denial, InstanceGrant, InstanceRequest, ParentRun, RetryRequest,
     RunOutcome, SlotGrant, SlotRefusal, SlotRelease,
 };
--- a/crates/node/src/mesh/controller/answer_guard.rs
+++ b/crates/node/src/mesh/controller/answer_guard.rs
@@ -2,9 +2,10 @@
 
 use std::time::Instant;
 
+use coltsfootport_core::quarantine::Fingerprint;
 use tokio::sync::mpsc;
 
-use super::{AnswerOf, ControllerEvent};
+use super::{AnswerEnd, AnswerOf, ControllerEvent};
 use crate::clock::SharedClock;
 
 /// Reports the end of a long answer to the controller, also if the task that passes it on is cancelled.
@@ -13,6 +14,8 @@
 /// behalf, and a stopping node must wait for it.
 pub struct AnswerGuard {
     pub(super) of: AnswerOf,
+    /// The request, if a complete answer clears it.
+    pub(super) clears: Option<Fingerprint>,
     pub(super) since: Instant,
     pub(super) clock: SharedClock,
     pub(super) tx: mpsc::UnboundedSender<ControllerEvent>,
@@ -29,8 +32,11 @@
 impl Drop for AnswerGuard {
     fn drop(&mut self) {
         let took = self.clock.now().saturating_duration_since(self.since);
-        let took = self.is_complete.then_some(took);
-        let ended = ControllerEvent::AnswerEnded(self.of.clone(), took);
+        let ended = ControllerEvent::AnswerEnded(AnswerEnd {
+            of: self.of.clone(),
+            took: self.is_complete.then_some(took),
+            cleared: self.clears.filter(|_| self.is_complete),
+        });
         // The controller runs until the process exits, so a failed send can be ignored.
         let _ = self.tx.send(ended);
     }
--- a/crates/node/src/mesh/controller/answers.rs
+++ b/crates/node/src/mesh/controller/answers.rs
@@ -4,11 +4,15 @@
 
 use coltsfootport_core::mesh::Ticket;
 
-use super::{AnswerOf, Controller};
+use super::{AnswerEnd, AnswerOf, Controller};
 
 impl Controller {
-    /// Records that a long answer has ended; `took` is the time from the request to its end if it is complete.
-    pub(super) fn end_answer(&mut self, of: AnswerOf, took: Option<Duration>) {
+    /// Records that a long answer has ended.
+    pub(super) fn end_answer(&mut self, ended: AnswerEnd) {
+        let AnswerEnd { of, took, cleared } = ended;
+        if let Some(fingerprint) = cleared {
+            self.record_answer(fingerprint, self.clock.now());
+        }
         match of {
             AnswerOf::Run(ticket) => self.end_answering_run(ticket, took),
             AnswerOf::Route(name) => {
--- a/crates/node/src/mesh/controller/event.rs
+++ b/crates/node/src/mesh/controller/event.rs
@@ -43,8 +43,8 @@
     Withdraw(AttemptToken, oneshot::Sender<bool>),
     /// A slot of the local target was released; the optional reply carries the outcome of the run.
     SlotReleased(Ticket, SlotRelease, Option<oneshot::Sender<RunOutcome>>),
-    /// A long answer has ended. The time from the request to its end is given if it is complete.
-    AnswerEnded(AnswerOf, Option<Duration>),
+    /// A long answer has ended.
+    AnswerEnded(AnswerEnd),
     /// Incremental updates from the publisher, in order.
     PublisherUpdates(UpdateBatch),
     /// A full listing: everything published at one point in time.
@@ -97,6 +97,17 @@
     Route(SmolStr),
 }
 
+/// The end of a long answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerEnd {
+    /// What the answer belongs to.
+    pub of: AnswerOf,
+    /// Time from the request to the end of the answer; `None` if the answer is incomplete.
+    pub took: Option<Duration>,
+    /// The request, if its complete answer shows that the target is unharmed by it.
+    pub cleared: Option<Fingerprint>,
+}
+
 /// How long a slot was held, and how the run in it ended.
 #[derive(Clone, Copy, Debug)]
 pub struct SlotRelease {
--- a/crates/node/src/mesh/controller/guards.rs
+++ b/crates/node/src/mesh/controller/guards.rs
@@ -43,10 +43,12 @@
         self.target_leaving = true;
     }
 
-    /// Returns a guard that reports when the answer has been passed on to the caller.
-    pub fn answer_guard(&self) -> AnswerGuard {
+    /// Returns a guard that reports when the answer has been passed on to the caller. If `clears` is set, the complete
+    /// answer shows that the target is unharmed by the request.
+    pub fn answer_guard(&self, clears: bool) -> AnswerGuard {
         AnswerGuard {
             of: AnswerOf::Route(self.route.clone()),
+            clears: clears.then_some(self.fingerprint),
             since: self.since,
             clock: self.clock.clone(),
             tx: self.tx.clone(),
@@ -119,15 +121,17 @@
     }
 
     /// Releases the slot while the target is still sending its answer. The run goes on until the returned guard is
-    /// dropped.
+    /// dropped. If `clears` is set, the complete answer shows that the target is unharmed by that request.
     pub async fn release_answering(
         mut self,
         end: RunEnd,
+        clears: Option<Fingerprint>,
         announcement: Option<Announcement>,
     ) -> (RunOutcome, AnswerGuard) {
         // Created first: without it, the run would never end if this future is dropped.
         let guard = AnswerGuard {
             of: AnswerOf::Run(self.ticket),
+            clears,
             since: self.since,
             clock: self.clock.clone(),
             tx: self.tx.clone(),
--- a/crates/node/src/mesh/controller/task.rs
+++ b/crates/node/src/mesh/controller/task.rs
@@ -44,7 +44,7 @@
             ControllerEvent::SlotReleased(ticket, release, tx) => {
                 self.release_slot(ticket, release, tx)
             }
-            ControllerEvent::AnswerEnded(of, took) => self.end_answer(of, took),
+            ControllerEvent::AnswerEnded(ended) => self.end_answer(ended),
             ControllerEvent::PublisherUpdates(batch) => self.apply_changes(batch),
             ControllerEvent::PublisherSnapshot(batch) => self.apply_listing(batch),
             ControllerEvent::PublisherAnswered => self.note_publisher_answer(),
--- a/crates/node/src/mesh/entry/attempts/reply.rs
+++ b/crates/node/src/mesh/entry/attempts/reply.rs
@@ -28,8 +28,9 @@
                 self.retry_after_failure(Ok(answer), true).await
             }
             Ok(mut answer) => {
+                let clears = answer.shows_normal_run(self.entry.dialect.not_run);
                 if let Body::Stream { rx, length } = &mut answer.body {
-                    rx.guard(guard.answer_guard(), *length);
+                    rx.guard(guard.answer_guard(clears), *length);
                 }
                 let outcome = SendOutcome::Answered {
                     relative_latency: 1.0,
--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -130,17 +130,20 @@
         if matches!(req.body, Body::Whole(_)) {
             slot.mark_sent();
         }
+        let fingerprint = req.fingerprint;
         let RunResult {
             mut result,
             end,
             announcement,
         } = self.run_at_target(req, conn, grace).await;
+        let is_normal = |answer: &TargetAnswer| answer.shows_normal_run(self.dialect.not_run);
+        let clears = result.as_ref().is_ok_and(is_normal).then_some(fingerprint);
         let outcome = match &mut result {
             Ok(TargetAnswer {
                 body: Body::Stream { rx, length },
                 ..
             }) => {
-                let (outcome, guard) = slot.release_answering(end, announcement).await;
+                let (outcome, guard) = slot.release_answering(end, clears, announcement).await;
                 rx.guard(guard, *length);
                 outcome
             }
