Bytes without end before a body end their connection to the target

A target that sent interim responses, the body of a stale response, or trailers without end was read at full speed until the request's time limit; its caller got 504, though another target was sound.

Cause: three loops had no bound. next_head skipped interim responses, discard_body the body of a stale response, BodyDecoder trailer lines, each as long as the target sent them.

Change: 32 interim responses, 1 MiB of stale bodies each, 64 KiB of trailers; beyond that the response is invalid, the connection closes and an idempotent request goes to another target.

--- a/crates/node/src/h1/decoder.rs
+++ b/crates/node/src/h1/decoder.rs
@@ -7,6 +7,9 @@
 /// Maximum length in bytes of an incomplete chunk-size line with its extensions, or of an incomplete trailer line.
 const MAX_LINE: usize = 4096;
 
+/// Maximum length in bytes of all trailer lines of a body, which are discarded.
+const MAX_TRAILERS: usize = 64 * 1024;
+
 /// Extracts the data of one body and detects its end.
 #[derive(Clone, Debug)]
 pub struct BodyDecoder {
@@ -19,7 +22,8 @@
     ChunkSize,
     ChunkData(u64),
     ChunkEnd,
-    Trailers,
+    /// Trailer lines with this many bytes consumed so far.
+    Trailers(usize),
     UntilClose,
     Done,
 }
@@ -56,7 +60,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if a chunk is malformed.
+    /// Fails if a chunk is malformed or the trailers are too long.
     pub fn decode(&mut self, buf: &mut BytesMut) -> Result<Decoded, H1Error> {
         self.decode_up_to(buf, usize::MAX)
     }
@@ -65,7 +69,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if a chunk is malformed.
+    /// Fails if a chunk is malformed or the trailers are too long.
     pub fn decode_up_to(&mut self, buf: &mut BytesMut, limit: usize) -> Result<Decoded, H1Error> {
         let limit = limit as u64;
         loop {
@@ -94,7 +98,7 @@
                     };
                     return Ok(Decoded::Data(data));
                 }
-                State::ChunkSize | State::ChunkEnd | State::Trailers => {
+                State::ChunkSize | State::ChunkEnd | State::Trailers(_) => {
                     if !self.consume_line(buf)? {
                         return Ok(Decoded::More);
                     }
@@ -132,13 +136,16 @@
         };
         self.state = match self.state {
             State::ChunkSize => match chunk_size(&line)? {
-                0 => State::Trailers,
+                0 => State::Trailers(0),
                 size => State::ChunkData(size),
             },
             State::ChunkEnd if text.is_empty() => State::ChunkSize,
             State::ChunkEnd => return Err(H1Error::InvalidChunk),
             _ if text.is_empty() => State::Done,
-            other => other,
+            State::Trailers(length) if length + line.len() <= MAX_TRAILERS => {
+                State::Trailers(length + line.len())
+            }
+            _ => return Err(H1Error::InvalidChunk),
         };
         Ok(true)
     }
--- a/crates/node/src/mesh/target/exchange.rs
+++ b/crates/node/src/mesh/target/exchange.rs
@@ -24,6 +24,13 @@
 /// Number of responses to other requests that are discarded before the connection counts as broken.
 const MAX_STALE_RESPONSES: usize = 4;
 
+/// Number of bytes of their bodies that are discarded before the connection counts as broken. A target may send without
+/// end.
+const MAX_STALE_BYTES: usize = 1024 * 1024;
+
+/// Number of interim responses before one response after which the connection counts as broken.
+const MAX_INTERIM_RESPONSES: usize = 32;
+
 /// Why an exchange failed.
 #[derive(Debug, thiserror::Error)]
 pub enum ExchangeError {
@@ -214,10 +221,19 @@
     }
 
     async fn next_head(&mut self) -> Result<ResponseHead, ExchangeError> {
+        for _ in 0..=MAX_INTERIM_RESPONSES {
+            let head = self.any_head().await?;
+            // Interim responses such as 100 say nothing about the outcome.
+            if !head.status.is_informational() {
+                return Ok(head);
+            }
+        }
+        Err(H1Error::InvalidHead.into())
+    }
+
+    async fn any_head(&mut self) -> Result<ResponseHead, ExchangeError> {
         loop {
             match parse_response(self.buf, MAX_HEAD)? {
-                // Interim responses such as 100 say nothing about the outcome.
-                Some(head) if head.status.is_informational() => {}
                 Some(head) => return Ok(head),
                 None => self.fill().await?,
             }
@@ -241,10 +257,14 @@
             return Err(H1Error::AmbiguousFraming.into());
         }
         let mut decoder = BodyDecoder::new(framing);
+        let mut left = MAX_STALE_BYTES;
         loop {
             match decoder.decode(self.buf)? {
                 Decoded::End => return Ok(()),
-                Decoded::Data(_) => {}
+                Decoded::Data(data) => {
+                    let rest = left.checked_sub(data.len());
+                    left = rest.ok_or(H1Error::InvalidHead)?;
+                }
                 Decoded::More => self.fill().await?,
             }
         }
