Probes that end within a second count as one failed probe

Cause: after a return entries avoid different targets, so two hosts may probe one request at once, and one outage ended both probes; two failed probes refuse a request, answered or not.

Change: a count of failed probes replaces the set of crashes in probes. It rises by one for a crash in a probe, unless it rose within the last second; nodes merge it by its maximum, so two hosts that count the same outage agree.

--- a/crates/core/src/quarantine/config.rs
+++ b/crates/core/src/quarantine/config.rs
@@ -11,7 +11,9 @@
     /// Number of crashes from which a request is refused, provided that enough of them ended a probe of it.
     pub refuse_after: usize,
     /// Number of probes that must end in a crash before a request is refused that targets have answered recently.
-    pub refuse_answered_after: usize,
+    pub refuse_answered_after: u32,
+    /// Time within which crashes that end probes of one request count as one.
+    pub probe_spacing: Duration,
     /// How long a request is refused after its first probe that ended in a crash. Afterwards it is probed again.
     pub refuse_for: Duration,
     /// Factor by which each further probe that ends in a crash lengthens the refusal.
@@ -39,6 +41,7 @@
             isolate_after: 2,
             refuse_after: 3,
             refuse_answered_after: 2,
+            probe_spacing: Duration::from_secs(1),
             refuse_for: Duration::from_secs(10),
             refuse_factor: 6,
             max_refusal: Duration::from_secs(3600),
--- a/crates/core/src/quarantine/finding.rs
+++ b/crates/core/src/quarantine/finding.rs
@@ -19,8 +19,9 @@
 pub struct Crashes {
     /// All of them.
     pub ids: CrashSet,
-    /// Those that ended a probe: a run of the request while it was isolated.
-    pub in_probes: CrashSet,
+    /// Number of times that crashes ended probes, which are runs of the request while it was isolated. Probes at several
+    /// targets that end within [`super::QuarantineConfig::probe_spacing`] count once, as one outage may end them all.
+    pub failed_probes: u32,
     /// Whether targets had answered the request recently.
     pub answered_before: bool,
 }
@@ -40,8 +41,9 @@
     /// Merges other crashes into these; returns whether anything changed.
     pub fn merge(&mut self, other: &Self) -> bool {
         let mut changed = self.ids.merge(&other.ids);
-        changed |= self.in_probes.merge(&other.in_probes);
+        changed |= other.failed_probes > self.failed_probes;
         changed |= other.answered_before && !self.answered_before;
+        self.failed_probes = self.failed_probes.max(other.failed_probes);
         self.answered_before |= other.answered_before;
         changed
     }
--- a/crates/core/src/quarantine/registry.rs
+++ b/crates/core/src/quarantine/registry.rs
@@ -52,9 +52,14 @@
         is_probe: bool,
         now: Instant,
     ) -> SuspicionLevel {
+        let known = self.records.get(&fingerprint);
+        let failed_probes = match is_probe {
+            true => known.map_or(1, |record| record.count_failed_probe(&self.cfg, now)),
+            false => 0,
+        };
         let crashes = Crashes {
             ids: [crash].into_iter().collect(),
-            in_probes: is_probe.then_some(crash).into_iter().collect(),
+            failed_probes,
             answered_before: false,
         };
         let finding = Finding {
@@ -86,10 +91,12 @@
         let mut received = Record {
             evidence: finding.evidence.clone(),
             at,
+            probe_failed_at: None,
             unsent_since: Some(now),
         };
         if let Evidence::Crashes(crashes) = &mut received.evidence {
             crashes.answered_before |= self.answers.contains(finding.fingerprint);
+            received.probe_failed_at = (crashes.failed_probes > 0).then_some(at);
         }
         if received.is_expired(&self.cfg, now) {
             return false;
@@ -101,7 +108,12 @@
         };
         let is_new = match (&mut known.evidence, &received.evidence) {
             (Evidence::Answered, _) => false,
-            (Evidence::Crashes(known), Evidence::Crashes(received)) => known.merge(received),
+            (Evidence::Crashes(crashes), Evidence::Crashes(others)) => {
+                if others.failed_probes > crashes.failed_probes {
+                    known.probe_failed_at = received.probe_failed_at;
+                }
+                crashes.merge(others)
+            }
             (known, Evidence::Answered) => {
                 *known = Evidence::Answered;
                 true
--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -217,7 +217,7 @@
         };
         if let Some(dropped) = self.admit_failure_line() {
             info!(self.log, "refused as it crashes targets"; "fingerprint" => finding.fingerprint.to_string(),
-                "crashes" => crashes.ids.len(), "in_probes" => crashes.in_probes.len(),
+                "crashes" => crashes.ids.len(), "failed_probes" => crashes.failed_probes,
                 "answered_before" => crashes.answered_before,
                 "age_ms" => finding.age.as_millis() as u64, "dropped" => dropped);
         }
--- a/crates/node/src/mesh/link/finding_frames.rs
+++ b/crates/node/src/mesh/link/finding_frames.rs
@@ -28,7 +28,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum EvidenceFrame {
-    /// `alone` tells whether any of the crashes ended a probe. Nodes of the first format refuse by it.
+    /// `alone` tells whether a probe has failed. Nodes of the first format refuse by it.
     Crashes {
         ids: Vec<CrashId>,
         alone: bool,
@@ -39,7 +39,7 @@
 /// Fields that were added to the first format of a finding.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FindingExtension {
-    in_probes: Vec<CrashId>,
+    failed_probes: u32,
     answered_before: bool,
 }
 
@@ -73,7 +73,7 @@
             evidence: match &finding.evidence {
                 Evidence::Crashes(crashes) => EvidenceFrame::Crashes {
                     ids: crashes.ids.as_slice().to_vec(),
-                    alone: !crashes.in_probes.is_empty(),
+                    alone: crashes.failed_probes > 0,
                 },
                 Evidence::Answered => EvidenceFrame::Answered,
             },
@@ -86,7 +86,7 @@
     fn from(finding: &Finding) -> Self {
         match &finding.evidence {
             Evidence::Crashes(crashes) => Self {
-                in_probes: crashes.in_probes.as_slice().to_vec(),
+                failed_probes: crashes.failed_probes,
                 answered_before: crashes.answered_before,
             },
             Evidence::Answered => Self::default(),
@@ -115,7 +115,7 @@
     /// Sets the fields of a finding whose other fields have been read.
     pub fn add_to(&self, finding: &mut Finding) {
         if let Evidence::Crashes(crashes) = &mut finding.evidence {
-            crashes.in_probes = self.in_probes.iter().copied().collect();
+            crashes.failed_probes = self.failed_probes;
             crashes.answered_before = self.answered_before;
         }
     }
