--- /dev/null
+++ b/crates/core/src/mesh/byte_budget.rs
@@ -0,0 +1,161 @@
+//! Budget of the bytes that a process holds for its peers.
+
+use slotmap::{SlotMap, new_key_type};
+
+/// Settings of the budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ByteBudgetConfig {
+    /// Bytes that may be held for all connections together.
+    pub limit: usize,
+    /// Share of the limit above which connections that hold more than their part of it are read no further.
+    pub crowded_share: f64,
+    /// Factor by which a connection must hold more than a new request needs, to be closed for it.
+    pub eviction_ratio: usize,
+}
+
+impl Default for ByteBudgetConfig {
+    fn default() -> Self {
+        Self {
+            limit: 32 * 1024 * 1024,
+            crowded_share: 0.5,
+            eviction_ratio: 4,
+        }
+    }
+}
+
+new_key_type! {
+    /// Identifies a connection for which bytes are held.
+    pub struct Holder;
+}
+
+/// What is held for one connection.
+#[derive(Clone, Copy, Debug, Default)]
+struct Holding {
+    bytes: usize,
+    /// Whether the connection has been told to close, so that its bytes are on their way out.
+    evicted: bool,
+}
+
+/// What a process holds for its peers: input, requests, and responses that have not been read.
+///
+/// A bound on each connection bounds nothing where connections are many, and a bound on all of them lets one keep the
+/// others out. So a connection with little is always read on, one with more than its part pauses while the process is
+/// crowded, and at the limit the one with the most is closed.
+#[derive(Debug)]
+pub struct ByteBudget {
+    cfg: ByteBudgetConfig,
+    holders: SlotMap<Holder, Holding>,
+    /// Bytes of all holders that have not been evicted.
+    held: usize,
+    /// Number of these holders that hold anything.
+    active: usize,
+}
+
+impl ByteBudget {
+    /// Creates a budget of which nothing is used.
+    pub fn new(cfg: ByteBudgetConfig) -> Self {
+        Self {
+            cfg,
+            holders: SlotMap::with_key(),
+            held: 0,
+            active: 0,
+        }
+    }
+
+    /// Adds a connection.
+    pub fn open(&mut self) -> Holder {
+        self.holders.insert(Holding::default())
+    }
+
+    /// Removes a connection with all that it holds.
+    pub fn close(&mut self, holder: Holder) {
+        self.set(holder, 0);
+        self.holders.remove(holder);
+    }
+
+    /// Records that further bytes are held for a connection, whether or not there is room for them.
+    pub fn hold(&mut self, holder: Holder, bytes: usize) {
+        self.set(holder, self.held_by(holder).saturating_add(bytes));
+    }
+
+    /// Records that bytes are no longer held for a connection.
+    pub fn release(&mut self, holder: Holder, bytes: usize) {
+        self.set(holder, self.held_by(holder).saturating_sub(bytes));
+    }
+
+    /// Whether a request that needs this many further bytes may start. It may if there is room, or if another connection
+    /// holds so much more than this one that it is closed instead.
+    pub fn admits(&self, holder: Holder, bytes: usize) -> bool {
+        if self.held.saturating_add(bytes) <= self.cfg.limit {
+            return true;
+        }
+        let needed = self.held_by(holder).saturating_add(bytes);
+        let most = self.greediest().map_or(0, |most| self.held_by(most));
+        most > needed.saturating_mul(self.cfg.eviction_ratio)
+    }
+
+    /// Whether more may be read from a connection.
+    pub fn may_read(&self, holder: Holder) -> bool {
+        !self.is_crowded() || self.held_by(holder) < self.fair_part()
+    }
+
+    /// Whether the connections that hold more than their part pause.
+    pub fn is_crowded(&self) -> bool {
+        self.held > self.crowded_limit()
+    }
+
+    /// Evicts the connection that holds the most if the limit is exceeded. To be called until it returns `None`.
+    pub fn evict_excess(&mut self) -> Option<Holder> {
+        if self.held <= self.cfg.limit {
+            return None;
+        }
+        let holder = self.greediest()?;
+        let bytes = self.held_by(holder);
+        self.set(holder, 0);
+        let holding = self.holders.get_mut(holder)?;
+        *holding = Holding {
+            bytes,
+            evicted: true,
+        };
+        Some(holder)
+    }
+
+    /// Bytes held for all connections that have not been evicted.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Bytes held for one connection.
+    pub fn held_by(&self, holder: Holder) -> usize {
+        self.holders.get(holder).map_or(0, |holding| holding.bytes)
+    }
+
+    /// The connection that holds the most and has not been evicted.
+    fn greediest(&self) -> Option<Holder> {
+        let holders = self.holders.iter().filter(|(_, holding)| !holding.evicted);
+        holders
+            .max_by_key(|(_, holding)| holding.bytes)
+            .map(|(holder, _)| holder)
+    }
+
+    /// Bytes that each connection may hold while the process is crowded.
+    fn fair_part(&self) -> usize {
+        self.crowded_limit() / self.active.max(1)
+    }
+
+    fn crowded_limit(&self) -> usize {
+        (self.cfg.limit as f64 * self.cfg.crowded_share) as usize
+    }
+
+    fn set(&mut self, holder: Holder, bytes: usize) {
+        let Some(holding) = self.holders.get_mut(holder) else {
+            return;
+        };
+        let old = std::mem::replace(&mut holding.bytes, bytes);
+        if holding.evicted {
+            return;
+        }
+        self.held = self.held - old + bytes;
+        self.active = self.active + usize::from(bytes > 0) - usize::from(old > 0);
+    }
+}
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -21,7 +21,7 @@
 pub use self::limits::NamedLimit;
 pub use self::long_bodies::{LONG_BODY, LongBodyCounts};
 pub use self::lost::{GRACE, WorkLimit};
-pub use self::machine::{NodeSettings, settings_text};
+pub use self::machine::{NodeLimits, NodeSettings, settings_text};
 pub use self::pipelined::KeptRequest;
 pub use self::plan::{Fault, Link, ScheduledFault, SoakPlan, StopAt, Work};
 pub use self::run::{SoakReport, run};
--- a/crates/rig/src/soak/machine.rs
+++ b/crates/rig/src/soak/machine.rs
@@ -36,15 +36,35 @@
     pub store: SocketAddr,
     /// Additional publisher settings, starting with a comma, or empty.
     pub publisher: &'a str,
+    /// Limits of its machine.
+    pub limits: NodeLimits,
+}
+
+/// Limits of a node's machine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NodeLimits {
     /// Maximum number of open descriptors; `None` leaves it to the limit of the process.
     pub descriptors: Option<u64>,
+    /// Memory of the process in MB; `None` leaves it to the node's default.
+    pub memory_mb: Option<u64>,
 }
 
 /// Formats a settings file. Watches are short, so that nodes detect store outages quickly.
 pub fn settings_text(node: &NodeSettings<'_>) -> String {
-    let load = node
-        .descriptors
-        .map(|limit| format!(r#"  "load": {{ "descriptors": {limit} }},{}"#, '\n'));
+    let limits = [
+        ("descriptors", node.limits.descriptors),
+        ("memory_mb", node.limits.memory_mb),
+    ];
+    let limits = limits
+        .into_iter()
+        .filter_map(|(key, limit)| Some((key, limit?)));
+    let limits: Vec<String> = limits
+        .map(|(key, limit)| format!(r#""{key}": {limit}"#))
+        .collect();
+    let load = match limits.is_empty() {
+        true => String::new(),
+        false => format!("  \"load\": {{ {} }},\n", limits.join(", ")),
+    };
     format!(
         r#"{{
   "node": {{ "name": "{}", "service": "svc", "domain": "{}", "target": "{}",
@@ -61,7 +81,7 @@
         node.peers,
         node.store,
         node.publisher,
-        load.unwrap_or_default(),
+        load,
     )
 }
 
@@ -168,7 +188,7 @@
                 true => SHARED_READS,
                 false => "",
             },
-            descriptors: None,
+            limits: NodeLimits::default(),
         });
         let settings = folder.join(format!("node-{at}.jsonc"));
         fs::write(&settings, text)?;
