A budget for the bytes that a node holds for callers and other nodes

Callers saw a process end: many requests sent ahead on few connections, their answers unread, take it past the memory of its machine. Cause: load.pipelined bounds one connection and nothing bounds all of them together; one request with 90 short header lines takes 49 KB of memory for 1.5 KB on the wire.

A quarter of load.memory_mb (new, from the template, 160 by default) is the budget. Requests, buffered bodies, responses and streams are held in it by what they take in memory, each in the account of its connection, at the entry and at the host. Above half of it a connection with more than its part is read no further, above nine tenths new requests are refused before they start, above it the connection that holds the most is closed. A request counts for its share of the descriptors too, since it takes a link.

--- a/crates/core/src/mesh/byte_budget.rs
+++ b/crates/core/src/mesh/byte_budget.rs
@@ -7,8 +7,14 @@
 pub struct ByteBudgetConfig {
     /// Bytes that may be held for all connections together.
     pub limit: usize,
+    /// Number of requests that take up the limit even if they are small, since each of them needs descriptors as well.
+    pub requests: usize,
     /// Share of the limit above which connections that hold more than their part of it are read no further.
     pub crowded_share: f64,
+    /// Share of the limit that new requests may fill. What the requests at work still need takes the rest.
+    pub admission_share: f64,
+    /// Bytes that a connection may hold in any case while the process is crowded, enough for one request.
+    pub smallest_part: usize,
     /// Factor by which a connection must hold more than a new request needs, to be closed for it.
     pub eviction_ratio: usize,
 }
@@ -17,7 +23,10 @@
     fn default() -> Self {
         Self {
             limit: 32 * 1024 * 1024,
+            requests: 1024,
             crowded_share: 0.5,
+            admission_share: 0.9,
+            smallest_part: 96 * 1024,
             eviction_ratio: 4,
         }
     }
@@ -28,10 +37,15 @@
     pub struct Holder;
 }
 
+/// Position in the order of changes.
+type ChangeOrder = u64;
+
 /// What is held for one connection.
 #[derive(Clone, Copy, Debug, Default)]
 struct Holding {
     bytes: usize,
+    /// When it last changed.
+    changed: ChangeOrder,
     /// Whether the connection has been told to close, so that its bytes are on their way out.
     evicted: bool,
 }
@@ -49,6 +63,7 @@
     held: usize,
     /// Number of these holders that hold anything.
     active: usize,
+    next_change: ChangeOrder,
 }
 
 impl ByteBudget {
@@ -59,6 +74,7 @@
             holders: SlotMap::with_key(),
             held: 0,
             active: 0,
+            next_change: 0,
         }
     }
 
@@ -83,10 +99,15 @@
         self.set(holder, self.held_by(holder).saturating_sub(bytes));
     }
 
+    /// Least number of bytes that count as held for a request.
+    pub fn smallest_request(&self) -> usize {
+        self.cfg.limit / self.cfg.requests.max(1)
+    }
+
     /// Whether a request that needs this many further bytes may start. It may if there is room, or if another connection
     /// holds so much more than this one that it is closed instead.
     pub fn admits(&self, holder: Holder, bytes: usize) -> bool {
-        if self.held.saturating_add(bytes) <= self.cfg.limit {
+        if self.held.saturating_add(bytes) <= self.share_of_limit(self.cfg.admission_share) {
             return true;
         }
         let needed = self.held_by(holder).saturating_add(bytes);
@@ -106,17 +127,21 @@
 
     /// Evicts the connection that holds the most if the limit is exceeded. To be called until it returns `None`.
     pub fn evict_excess(&mut self) -> Option<Holder> {
-        if self.held <= self.cfg.limit {
-            return None;
+        match self.held > self.cfg.limit {
+            true => self.evict_greediest(),
+            false => None,
         }
-        let holder = self.greediest()?;
-        let bytes = self.held_by(holder);
-        self.set(holder, 0);
+    }
+
+    /// Evicts the connection that holds the most.
+    pub fn evict_greediest(&mut self) -> Option<Holder> {
+        let holder = self
+            .greediest()
+            .filter(|holder| self.held_by(*holder) > 0)?;
         let holding = self.holders.get_mut(holder)?;
-        *holding = Holding {
-            bytes,
-            evicted: true,
-        };
+        holding.evicted = true;
+        self.held -= holding.bytes;
+        self.active -= 1;
         Some(holder)
     }
 
@@ -130,21 +155,28 @@
         self.holders.get(holder).map_or(0, |holding| holding.bytes)
     }
 
-    /// The connection that holds the most and has not been evicted.
+    /// The connection to evict next: among those that hold at least half as much as the one with the most, the one for
+    /// which nothing has moved for the longest time.
     fn greediest(&self) -> Option<Holder> {
-        let holders = self.holders.iter().filter(|(_, holding)| !holding.evicted);
-        holders
-            .max_by_key(|(_, holding)| holding.bytes)
+        let kept = || self.holders.iter().filter(|(_, holding)| !holding.evicted);
+        let most = kept().map(|(_, holding)| holding.bytes).max()?;
+        let greedy = kept().filter(|(_, holding)| holding.bytes >= most / 2);
+        greedy
+            .min_by_key(|(_, holding)| holding.changed)
             .map(|(holder, _)| holder)
     }
 
     /// Bytes that each connection may hold while the process is crowded.
     fn fair_part(&self) -> usize {
-        self.crowded_limit() / self.active.max(1)
+        (self.crowded_limit() / self.active.max(1)).max(self.cfg.smallest_part)
     }
 
     fn crowded_limit(&self) -> usize {
-        (self.cfg.limit as f64 * self.cfg.crowded_share) as usize
+        self.share_of_limit(self.cfg.crowded_share)
+    }
+
+    fn share_of_limit(&self, share: f64) -> usize {
+        (self.cfg.limit as f64 * share) as usize
     }
 
     fn set(&mut self, holder: Holder, bytes: usize) {
@@ -152,6 +184,8 @@
             return;
         };
         let old = std::mem::replace(&mut holding.bytes, bytes);
+        holding.changed = self.next_change;
+        self.next_change += 1;
         if holding.evicted {
             return;
         }
--- a/crates/core/src/mesh/refusal.rs
+++ b/crates/core/src/mesh/refusal.rs
@@ -55,6 +55,8 @@
     CallerGone,
     /// The body stopped coming, and no part of it was passed on.
     BodyTimeout,
+    /// The entry node holds too much for other requests.
+    NoMemory,
 }
 
 /// How a refusal is reported to the caller.
@@ -70,7 +72,7 @@
 
 impl Refusal {
     /// All refusals, for tests and printed tables.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::BadRequest,
         Self::HeaderTooLarge,
         Self::BodyTooLarge,
@@ -95,6 +97,7 @@
         Self::Isolated,
         Self::CallerGone,
         Self::BodyTimeout,
+        Self::NoMemory,
     ];
 
     /// How this refusal is reported to the caller.
@@ -110,6 +113,7 @@
             Self::OverQuota => row(429, NotRun, true),
             Self::UnverifiedKey | Self::UnknownRun => row(503, NotRun, true),
             Self::NoConfig | Self::NoInstance | Self::Shed | Self::Busy => row(503, NotRun, true),
+            Self::NoMemory => row(503, NotRun, true),
             Self::Stopping | Self::TargetRefused | Self::WrongInstance => row(503, NotRun, true),
             // The route's timeout has expired, but the caller may have time left to retry.
             Self::ExpiredUnsent => row(503, NotRun, true),
@@ -149,6 +153,7 @@
             Self::Isolated => "isolated",
             Self::CallerGone => "caller-gone",
             Self::BodyTimeout => "body-timeout",
+            Self::NoMemory => "no-memory",
         }
     }
 
--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod feed;
 mod findings;
+mod held_bytes;
 mod host;
 pub mod journal;
 mod lifecycle;
--- a/crates/node/src/mesh/body_channel.rs
+++ b/crates/node/src/mesh/body_channel.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc::error::SendError;
 
 use super::controller::AnswerGuard;
+use super::held_bytes::{Account, Held, STREAM_BYTES};
 
 /// Number of chunks of a streamed body that are queued between two tasks. With chunks of 16 KiB, a body occupies at
 /// most 64 KiB.
@@ -18,8 +19,8 @@
 #[error("the body was truncated")]
 pub struct BodyTruncated;
 
-/// Creates the two ends of a channel for one body.
-pub fn body_channel() -> (BodySender, BodyReceiver) {
+/// Creates the two ends of a channel for one body, which is held for `account`.
+pub fn body_channel(account: &Account) -> (BodySender, BodyReceiver) {
     let (tx, rx) = mpsc::channel(CAPACITY);
     let is_complete = Arc::new(AtomicBool::new(false));
     let sender = BodySender {
@@ -31,6 +32,7 @@
         is_complete,
         guards: Vec::new(),
         left: None,
+        _held: account.hold(STREAM_BYTES),
     };
     (sender, receiver)
 }
@@ -81,6 +83,7 @@
     guards: Vec<AnswerGuard>,
     /// Bytes still to be received; `None` if the length was not announced.
     left: Option<u64>,
+    _held: Held,
 }
 
 impl BodyReceiver {
--- a/crates/node/src/mesh/call.rs
+++ b/crates/node/src/mesh/call.rs
@@ -11,6 +11,7 @@
 use smol_str::SmolStr;
 
 use super::body_channel::BodyReceiver;
+use super::held_bytes::{Account, Held};
 use crate::h1::RequestHead;
 
 /// Largest body, in bytes, that is buffered as a whole. A buffered request can be retried, and a buffered response can
@@ -66,6 +67,8 @@
     pub digest: BodyDigest,
     /// When the complete head had arrived.
     pub arrived: Instant,
+    /// Account of the caller's connection.
+    pub account: Account,
 }
 
 /// Random number that tells an attempt to serve a request from the attempts of all other nodes; zero if it was sent by a
@@ -118,6 +121,8 @@
     pub origin: ServiceName,
     /// Id of the local instance of the sending node, if that node is cut off from the publisher.
     pub cut_off: Option<SmolStr>,
+    /// Account of the connection on which it was received.
+    pub account: Account,
 }
 
 impl HostedRequest {
@@ -136,6 +141,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Body,
+    /// Bytes held for the headers and a buffered body.
+    pub held: Held,
 }
 
 impl TargetAnswer {
@@ -261,4 +268,6 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Body,
+    /// Bytes held for the headers and a buffered body; `None` if the node itself answers.
+    pub held: Option<Held>,
 }
--- a/crates/node/src/mesh/callers/connection.rs
+++ b/crates/node/src/mesh/callers/connection.rs
@@ -6,6 +6,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
+use super::connection_end::ConnectionEnd;
 use super::listener::CallersConfig;
 use super::reader::Reader;
 use super::slot::{ConnectionState, ResponseSlot};
@@ -13,8 +14,8 @@
 
 /// Serves a caller until either side closes the connection.
 ///
-/// When the caller disconnects, its request tasks are dropped with their `JoinSet`: queued requests are cancelled, and
-/// so are requests that may be aborted at their target.
+/// When the caller disconnects, or holds the most bytes when there is no room for more, its request tasks are dropped
+/// with their `JoinSet`: queued requests are cancelled, and so are requests that may be aborted at their target.
 pub async fn serve_connection(stream: TcpStream, cfg: CallersConfig) {
     if stream.set_nodelay(true).is_err() {
         return;
@@ -22,6 +23,7 @@
     let (read, write) = stream.into_split();
     let shared = Arc::new(ConnectionState::new(cfg.connections.register()));
     let (slots, waiting) = mpsc::channel::<ResponseSlot>(cfg.pipelined);
+    let account = cfg.connections.open_account();
     let mut tasks = JoinSet::new();
     let journal = cfg.entry.journal.clone();
     let clock = Arc::clone(&cfg.entry.clock);
@@ -35,7 +37,7 @@
         clock: Arc::clone(&clock),
         journal: journal.clone(),
     };
-    let mut reader = Reader::new(read, Arc::clone(&shared), cfg);
+    let mut reader = Reader::new(read, Arc::clone(&shared), account.clone(), cfg);
     let end = tokio::select! {
         end = reader.run(slots, &mut tasks) => {
             if let Some(oldest) = shared.oldest() {
@@ -49,6 +51,10 @@
             reader.linger().await;
             end
         }
+        () = account.evicted() => ConnectionEnd::Evicted,
     };
+    if end == ConnectionEnd::Evicted {
+        journal.evicted("callers", shared.pending());
+    }
     journal.responses_lost(&shared.unanswered(), end, clock.now());
 }
--- a/crates/node/src/mesh/callers/connection_end.rs
+++ b/crates/node/src/mesh/callers/connection_end.rs
@@ -9,6 +9,8 @@
     CallerLeft,
     /// No request came within the idle time.
     Idle,
+    /// The connection was closed to make room for others.
+    Evicted,
     /// A response ended before its body was complete.
     ResponseTruncated,
     /// A response could not be written.
@@ -24,6 +26,7 @@
             Self::Complete => "complete",
             Self::CallerLeft => "caller-left",
             Self::Idle => "idle",
+            Self::Evicted => "evicted",
             Self::ResponseTruncated => "response-truncated",
             Self::WriteFailed => "write-failed",
             Self::TaskFailed => "task-failed",
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -24,6 +24,7 @@
 use crate::h1::{Framing, request_framing};
 use crate::mesh::call::{CallerAnswer, CallerRequest};
 use crate::mesh::entry::text_header;
+use crate::mesh::held_bytes::{Account, Held};
 use crate::mesh::open_request::OpenRequestGuard;
 
 /// Longest time for which input is read and discarded after the last response. Closing a socket with unread input
@@ -36,6 +37,10 @@
     buf: BytesMut,
     /// Size of the next read in bytes.
     next_read: usize,
+    /// What is held for the connection.
+    account: Account,
+    /// Bytes held for `buf`.
+    input: Held,
     shared: Arc<ConnectionState>,
     cfg: CallersConfig,
 }
@@ -64,11 +69,18 @@
 
 impl Reader {
     /// Creates the reader of a new connection.
-    pub fn new(read: OwnedReadHalf, shared: Arc<ConnectionState>, cfg: CallersConfig) -> Self {
+    pub fn new(
+        read: OwnedReadHalf,
+        shared: Arc<ConnectionState>,
+        account: Account,
+        cfg: CallersConfig,
+    ) -> Self {
         Self {
             read,
             buf: BytesMut::new(),
             next_read: SMALL_READ,
+            input: account.hold(0),
+            account,
             shared,
             cfg,
         }
@@ -138,6 +150,7 @@
         slots: &mpsc::Sender<ResponseSlot>,
         tasks: &mut JoinSet<()>,
     ) -> Result<(), ReadEnd> {
+        self.wait_for_room().await?;
         let head = self.read_head(limits).await?;
         let arrived = self.cfg.entry.clock.now();
         let framing =
@@ -189,6 +202,7 @@
     fn spawn_request<F>(
         &self,
         req: CallerRequest,
+        held: Held,
         tx: ResponseSender,
         refused: F,
         tasks: &mut JoinSet<()>,
@@ -203,6 +217,7 @@
                 refusal = refused => entry.refuse(refusal.into(), &tx.id, None),
                 answer = entry.serve(req, shared.ready_behind(tx.seq)) => answer,
             };
+            drop(held);
             shared.record_ready(tx.seq, answer.passed_on, entry.clock.now());
             // Fails if the caller has disconnected and the writer has stopped.
             let _ = tx.answer.send(answer);
--- a/crates/node/src/mesh/callers/reader/body.rs
+++ b/crates/node/src/mesh/callers/reader/body.rs
@@ -15,6 +15,7 @@
 use crate::h1::{BodyDecoder, Decoded, Framing, RequestHead};
 use crate::mesh::body_channel::{BodySender, body_channel};
 use crate::mesh::call::{Body, CallerRequest, MAX_BODY_CHUNK, MAX_BUFFERED_BODY};
+use crate::mesh::held_bytes::Held;
 
 impl Reader {
     /// Reads the body and starts the request. A short body is buffered first, so that the request can be retried; a
@@ -30,29 +31,36 @@
     ) -> Result<(), ReadEnd> {
         let mut decoder = BodyDecoder::new(framing);
         let mut buffered = BytesMut::new();
-        let is_complete = match self.buffer_body(&mut decoder, &mut buffered, limits).await {
+        let Some(mut held) = self.account.try_hold_request(&head) else {
+            return Err(self.refuse(Refusal::NoMemory, tx));
+        };
+        let buffering = self.buffer_body(&mut decoder, &mut buffered, &mut held, limits);
+        let is_complete = match buffering.await {
             Err(ReadEnd::Refused(refusal)) => return Err(self.refuse(refusal, tx)),
             buffered => buffered?,
         };
         let digest = BodyDigest::of(&buffered);
         let id = tx.id.clone();
+        let account = self.account.clone();
         let req = |body| CallerRequest {
             id,
             head,
             body,
             digest,
             arrived,
+            account,
         };
         self.read_available()?;
         if is_complete {
-            self.spawn_request(req(Body::Whole(buffered.freeze())), tx, pending(), tasks);
+            let req = req(Body::Whole(buffered.freeze()));
+            self.spawn_request(req, held, tx, pending(), tasks);
             return Ok(());
         }
         let length = match framing {
             Framing::Length(length) => Some(length),
             _ => None,
         };
-        let (tx_body, rx) = body_channel();
+        let (tx_body, rx) = body_channel(&self.account);
         let mut total = buffered.len() as u64;
         // Never blocks: the channel is empty and has capacity for several chunks.
         let _ = tx_body.send(buffered.freeze()).await;
@@ -63,7 +71,7 @@
                 Err(_) => pending().await,
             }
         };
-        self.spawn_request(req(Body::Stream { length, rx }), tx, refused, tasks);
+        self.spawn_request(req(Body::Stream { length, rx }), held, tx, refused, tasks);
         // Boxed, since most connections carry short bodies only and would hold the memory for it all the same.
         let streaming = self.stream_body(&mut decoder, &mut total, limits, &tx_body);
         match Box::pin(streaming).await {
@@ -83,9 +91,12 @@
         &mut self,
         decoder: &mut BodyDecoder,
         buffered: &mut BytesMut,
+        held: &mut Held,
         limits: &CallerLimits,
     ) -> Result<bool, ReadEnd> {
+        let head_bytes = held.bytes();
         loop {
+            held.resize(head_bytes + buffered.capacity());
             let limit = MAX_BUFFERED_BODY.saturating_sub(buffered.len());
             let decoded = decoder.decode_up_to(&mut self.buf, limit);
             match decoded.map_err(|_| ReadEnd::Refused(Refusal::BadRequest))? {
@@ -143,7 +154,7 @@
         limits: &CallerLimits,
         refusal: Refusal,
     ) -> Result<(), ReadEnd> {
-        match timeout(limits.idle_timeout, self.fill()).await {
+        match timeout(limits.idle_timeout, self.fill_when_room()).await {
             Ok(read) => read,
             Err(_) => Err(ReadEnd::Refused(refusal)),
         }
--- a/crates/node/src/mesh/callers/reader/head.rs
+++ b/crates/node/src/mesh/callers/reader/head.rs
@@ -45,7 +45,7 @@
             let shared = Arc::clone(&self.shared);
             let filled = tokio::select! {
                 biased;
-                filled = timeout(wait, self.fill()) => filled,
+                filled = timeout(wait, self.fill_when_room()) => filled,
                 () = shared.evicted() => {
                     self.read_available()?;
                     match self.buf.is_empty() {
--- a/crates/node/src/mesh/callers/registry.rs
+++ b/crates/node/src/mesh/callers/registry.rs
@@ -7,6 +7,8 @@
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
 
+use crate::mesh::held_bytes::{Account, ByteLimiter};
+
 /// Idle connections that are closed after `accept` has failed.
 const EVICTED_AFTER_FAILURE: usize = 16;
 
@@ -14,6 +16,7 @@
 #[derive(Clone, Debug)]
 pub struct ConnectionRegistry {
     state: Arc<Mutex<State>>,
+    bytes: ByteLimiter,
     open: IntGauge,
 }
 
@@ -32,18 +35,24 @@
 }
 
 impl ConnectionRegistry {
-    /// Creates an empty registry; `open` follows the number of connections.
-    pub fn new(cfg: CallerConnectionsConfig, open: IntGauge) -> Self {
+    /// Creates an empty registry of connections that are held in `bytes`; `open` follows their number.
+    pub fn new(cfg: CallerConnectionsConfig, bytes: ByteLimiter, open: IntGauge) -> Self {
         let state = State {
             connections: CallerConnections::new(cfg),
             evictions: SecondaryMap::new(),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
+            bytes,
             open,
         }
     }
 
+    /// Opens the account of a connection.
+    pub fn open_account(&self) -> Account {
+        self.bytes.open()
+    }
+
     /// Adds a connection, and evicts others if there are too many.
     pub fn register(&self) -> Registration {
         let eviction = Arc::new(Notify::new());
@@ -62,6 +71,11 @@
         }
     }
 
+    /// Whether there are so many connections that they should be closed after their next response.
+    pub fn is_crowded(&self) -> bool {
+        self.state().connections.is_crowded()
+    }
+
     /// Evicts idle connections because the process has no descriptors left.
     pub fn make_room(&self) {
         let mut state = self.state();
@@ -99,7 +113,7 @@
 
     /// Whether responses should close their connections to make room for others.
     pub fn is_crowded(&self) -> bool {
-        self.registry.state().connections.is_crowded()
+        self.registry.is_crowded()
     }
 
     /// Resolves when the connection should be closed because it has been idle for longer than others.
--- a/crates/node/src/mesh/callers/writer.rs
+++ b/crates/node/src/mesh/callers/writer.rs
@@ -171,28 +171,35 @@
 
     async fn write_answer(
         &mut self,
-        mut answer: CallerAnswer,
+        answer: CallerAnswer,
         framing: Framing,
         last: bool,
         head_only: bool,
     ) -> Result<(), WriteError> {
+        let CallerAnswer {
+            id,
+            deadline,
+            status,
+            mut headers,
+            body,
+            held: _held,
+            ..
+        } = answer;
         if last && framing != Framing::UntilClose {
-            answer
-                .headers
-                .insert(CONNECTION, HeaderValue::from_static("close"));
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        let mut buf = encode_response_head(answer.status, &answer.headers, framing);
-        match answer.body {
+        let mut buf = encode_response_head(status, &headers, framing);
+        match body {
             Body::Whole(bytes) => {
                 if !head_only {
                     buf.extend_from_slice(&bytes);
                 }
+                drop(bytes);
                 self.write.write_all(&buf).await?;
             }
             Body::Stream { rx, .. } => {
                 self.write.write_all(&buf).await?;
-                self.write_stream(rx, framing, &answer.id, answer.deadline)
-                    .await?;
+                self.write_stream(rx, framing, &id, deadline).await?;
             }
         }
         Ok(())
--- a/crates/node/src/mesh/entry.rs
+++ b/crates/node/src/mesh/entry.rs
@@ -120,6 +120,7 @@
                 status: answer.status,
                 headers: answer.headers,
                 body: answer.body,
+                held: Some(answer.held),
             },
             Err(refused) => CallerAnswer {
                 passed_on,
@@ -188,6 +189,7 @@
             status: StatusCode::from_u16(rule.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE),
             headers,
             body: Body::empty(),
+            held: None,
         }
     }
 
--- a/crates/node/src/mesh/entry/attempts.rs
+++ b/crates/node/src/mesh/entry/attempts.rs
@@ -16,6 +16,7 @@
 use crate::h1::{RequestHead, strip_hop_by_hop};
 use crate::mesh::call::{Body, CallerRequest, Refused, TargetAnswer};
 use crate::mesh::controller::{AdmittedRequest, InstanceGrant, InstanceRequest};
+use crate::mesh::held_bytes::Account;
 use crate::mesh::link::LinkError;
 
 /// A request and the state of its attempts.
@@ -38,6 +39,8 @@
     attempt_in_progress: bool,
     /// Result for the caller if no further attempt changes it.
     result_so_far: AttemptResult,
+    /// Account of the caller's connection.
+    account: Account,
 }
 
 /// A target's response, or the reason why there is none.
@@ -90,6 +93,7 @@
             last_instance: SmolStr::default(),
             attempt_in_progress: false,
             result_so_far: Err(Refused::from(Refusal::NoInstance)),
+            account: req.account,
         }
     }
 
--- a/crates/node/src/mesh/entry/attempts/hosted_request.rs
+++ b/crates/node/src/mesh/entry/attempts/hosted_request.rs
@@ -29,6 +29,7 @@
             queue_timeout: self.queue_timeout(),
             origin: self.entry.service.borrow().clone(),
             cut_off: to.cut_off.clone(),
+            account: self.account.clone(),
         }
     }
 
--- a/crates/node/src/mesh/host.rs
+++ b/crates/node/src/mesh/host.rs
@@ -207,7 +207,7 @@
         }
         let body = std::mem::replace(&mut req.body, Body::empty());
         let wire = WireRequest::new(req, left, &self.dialect);
-        let exchanged = exchange(conn, &self.pool, wire, body, &self.dialect);
+        let exchanged = exchange(conn, &self.pool, wire, body, &self.dialect, &req.account);
         match timeout(left + grace, exchanged).await {
             Ok(Ok(exchanged)) => Ok(exchanged),
             Ok(Err(ExchangeError::RequestTruncated)) => Err(Refusal::CallerGone.into()),
--- a/crates/node/src/mesh/journal.rs
+++ b/crates/node/src/mesh/journal.rs
@@ -239,6 +239,15 @@
         }
     }
 
+    /// Logs a connection that was closed to make room for others; `listener` accepted it, and `open` requests were read on
+    /// it and not answered.
+    pub fn evicted(&self, listener: &str, open: usize) {
+        self.metrics.evictions.inc();
+        if let Some(dropped) = self.admit_failure_line() {
+            info!(self.log, "connection evicted"; "listener" => listener, "open" => open, "dropped" => dropped);
+        }
+    }
+
     /// Logs and counts a connection that `listener` failed to accept.
     pub fn accept_failed(&self, listener: &str, error: &io::Error) {
         self.metrics.accept_failed(listener);
--- a/crates/node/src/mesh/link/body_stream.rs
+++ b/crates/node/src/mesh/link/body_stream.rs
@@ -8,6 +8,7 @@
 use super::conn::PeerConn;
 use crate::mesh::body_channel::{BodyReceiver, BodySender, BodyTruncated, body_channel};
 use crate::mesh::call::{Body, MAX_BODY_CHUNK};
+use crate::mesh::held_bytes::Account;
 use crate::wire::FrameError;
 
 /// Longest time for which the rest of an unwanted body is read. Closing with unread input would reset the connection
@@ -145,9 +146,9 @@
     timeout(DRAIN_TIMEOUT, rest).await.unwrap_or(false)
 }
 
-/// Returns the streamed body of a reply. The connection is closed after it.
-pub fn receive_body(conn: PeerConn, length: Option<u64>) -> Body {
-    let (tx, rx) = body_channel();
+/// Returns the streamed body of a reply, which is held for `account`. The connection is closed after it.
+pub fn receive_body(conn: PeerConn, length: Option<u64>, account: &Account) -> Body {
+    let (tx, rx) = body_channel(account);
     tokio::spawn(receive_chunks(conn, tx, length));
     Body::Stream { length, rx }
 }
--- a/crates/node/src/mesh/link/client.rs
+++ b/crates/node/src/mesh/link/client.rs
@@ -99,6 +99,7 @@
     req: HostedRequest,
 ) -> Result<HostReply, LinkError> {
     let Link { mut conn, host } = link;
+    let account = req.account.clone();
     let head = StreamHead::Request(Box::new(RequestFrame::new(&req, links.now())));
     let is_streamed = matches!(req.body, Body::Stream { .. });
     let mut is_sent = true;
@@ -114,6 +115,7 @@
     match head.buffered_length() {
         Some(length) if length > MAX_BUFFERED_BODY => Err(FrameError::TooLarge(length).into()),
         Some(length) => {
+            let _held = account.hold(length);
             let body = conn.read_body(length).await?;
             // A stopping host closes the connection and reads no further request from it.
             let is_reusable = is_sent && !head.is_stopping();
@@ -122,11 +124,12 @@
             if is_reusable && (!is_streamed || conn.set_user_timeout(TCP_USER_TIMEOUT).is_ok()) {
                 links.put_idle(address, Link { conn, host });
             }
-            Ok(head.into_reply(Body::Whole(body))?)
+            Ok(head.into_reply(Body::Whole(body), &account)?)
         }
         None => {
             let length = head.length();
-            Ok(head.into_reply(body_stream::receive_body(conn, length))?)
+            let body = body_stream::receive_body(conn, length, &account);
+            Ok(head.into_reply(body, &account)?)
         }
     }
 }
--- a/crates/node/src/mesh/link/frames.rs
+++ b/crates/node/src/mesh/link/frames.rs
@@ -18,6 +18,7 @@
     AttemptToken, Body, DownstreamCalls, HostReply, HostedRequest, Refused, Report, TargetAnswer,
 };
 use crate::mesh::feed::FollowFrame;
+use crate::mesh::held_bytes::{Account, answer_bytes};
 use crate::wire::{FrameError, HeaderFrame};
 
 /// Maximum size of a request or reply head between nodes, in bytes.
@@ -175,12 +176,17 @@
         buffered_length(self.is_streamed, self.length)
     }
 
-    /// Converts the frame into a request that was received at `now`.
+    /// Converts the frame into a request that was received at `now` on a connection with this account.
     ///
     /// # Errors
     ///
     /// A method or header is invalid in HTTP.
-    pub fn into_request(self, body: Body, now: Instant) -> Result<HostedRequest, FrameError> {
+    pub fn into_request(
+        self,
+        body: Body,
+        now: Instant,
+        account: Account,
+    ) -> Result<HostedRequest, FrameError> {
         let method =
             Method::from_bytes(self.method.as_bytes()).map_err(|_| FrameError::Malformed)?;
         Ok(HostedRequest {
@@ -210,6 +216,7 @@
             queue_timeout: Duration::from_millis(u64::from(self.queue_timeout_ms)),
             origin: self.origin,
             cut_off: self.cut_off,
+            account,
         })
     }
 }
@@ -272,20 +279,24 @@
         }
     }
 
-    /// Converts the frame and the body that followed it into a reply.
+    /// Converts the frame and the body that followed it into a reply, which is held for `account`.
     ///
     /// # Errors
     ///
     /// A status or header is invalid in HTTP.
-    pub fn into_reply(self, body: Body) -> Result<HostReply, FrameError> {
+    pub fn into_reply(self, body: Body, account: &Account) -> Result<HostReply, FrameError> {
         let result = match self.result {
             ResultFrame::Answer {
                 status, headers, ..
-            } => Ok(TargetAnswer {
-                status: StatusCode::from_u16(status).map_err(|_| FrameError::Malformed)?,
-                headers: HeaderFrame::into_map(headers)?,
-                body,
-            }),
+            } => {
+                let headers = HeaderFrame::into_map(headers)?;
+                Ok(TargetAnswer {
+                    status: StatusCode::from_u16(status).map_err(|_| FrameError::Malformed)?,
+                    held: account.hold(answer_bytes(&headers, &body)),
+                    headers,
+                    body,
+                })
+            }
             ResultFrame::Refused {
                 refusal,
                 retry_after_ms,
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -18,9 +18,10 @@
 use super::quota_frames::{VerdictFrame, VerdictsFrame};
 use super::withdrawal::WithdrawalAck;
 use crate::mesh::body_channel::body_channel;
-use crate::mesh::call::{Body, HostReply, MAX_BUFFERED_BODY, Refused, Report};
+use crate::mesh::call::{Body, HostReply, MAX_BUFFERED_BODY, Refused, Report, TargetAnswer};
 use crate::mesh::controller::ControllerEvent;
 use crate::mesh::feed::{FeedServer, serve_feed};
+use crate::mesh::held_bytes::{Account, ByteLimiter};
 use crate::mesh::host::Host;
 use crate::mesh::open_request::OpenRequestGuard;
 use crate::mesh::shutdown::ShutdownWatch;
@@ -44,6 +45,8 @@
     pub host: Host,
     /// Relays the publisher's change feed.
     pub sharing: FeedServer,
+    /// Bytes held for other nodes.
+    pub bytes: ByteLimiter,
     /// Number of open requests, for the shutdown; see [`OpenRequestGuard`].
     pub open_requests: Arc<AtomicUsize>,
     /// Progress of the node's shutdown.
@@ -70,6 +73,16 @@
 }
 
 async fn serve_conn(stream: TcpStream, ctx: ServerContext) {
+    let account = ctx.bytes.open();
+    let journal = ctx.host.journal.clone();
+    tokio::select! {
+        biased;
+        () = account.evicted() => journal.evicted("peers", 1),
+        () = serve_requests(stream, ctx, &account) => {}
+    }
+}
+
+async fn serve_requests(stream: TcpStream, ctx: ServerContext, account: &Account) {
     if let Err(e) = configure_socket(&stream) {
         return debug!(ctx.log, "peer disconnected before hello"; "reason" => e.to_string());
     }
@@ -97,7 +110,7 @@
             return;
         };
         let can_reuse = match head {
-            Ok(head) => handle(&mut conn, head, &ctx).await,
+            Ok(head) => handle(&mut conn, head, &ctx, account).await,
             // The peer closed the connection between two requests.
             Err(FrameError::Truncated) => return,
             Err(e) => Err(e),
@@ -147,16 +160,25 @@
     })
 }
 
+/// Reply to a request for which there is no room in memory.
+fn busy_reply() -> HostReply {
+    HostReply {
+        result: Err(Refused::from(Refusal::Busy)),
+        report: Report::default(),
+    }
+}
+
 /// Handles one exchange. Returns `false` if the connection can't be reused.
 async fn handle(
     conn: &mut PeerConn,
     head: StreamHead,
     ctx: &ServerContext,
+    account: &Account,
 ) -> Result<bool, FrameError> {
     match head {
         StreamHead::Request(head) => {
             let _open = OpenRequestGuard::new(&ctx.open_requests);
-            run_request(conn, *head, &ctx.host).await
+            run_request(conn, *head, &ctx.host, account).await
         }
         StreamHead::Follow(frame) => {
             serve_feed(ctx.sharing.clone(), conn, frame).await?;
@@ -201,13 +223,19 @@
     conn: &mut PeerConn,
     head: RequestFrame,
     host: &Host,
+    account: &Account,
 ) -> Result<bool, FrameError> {
     let is_body_read = AtomicBool::new(true);
     let reply = match head.buffered_length() {
         Some(length) if length > MAX_BUFFERED_BODY => return Err(FrameError::TooLarge(length)),
         Some(length) => {
+            let _body_held = account.hold(length);
             let body = Body::Whole(conn.read_body(length).await?);
-            let req = head.into_request(body, host.clock.now())?;
+            let req = head.into_request(body, host.clock.now(), account.clone())?;
+            let Some(_held) = account.try_hold_request(&req.head) else {
+                write_reply(conn, busy_reply()).await?;
+                return Ok(true);
+            };
             // After its machine was paused, a node finds requests whose senders have disconnected. `biased` detects
             // that before they run.
             tokio::select! {
@@ -218,9 +246,14 @@
         }
         None => {
             is_body_read.store(false, Ordering::Relaxed);
-            let (tx, rx) = body_channel();
+            let (tx, rx) = body_channel(account);
             let length = head.length;
-            let req = head.into_request(Body::Stream { length, rx }, host.clock.now())?;
+            let body = Body::Stream { length, rx };
+            let req = head.into_request(body, host.clock.now(), account.clone())?;
+            let Some(_held) = account.try_hold_request(&req.head) else {
+                write_reply(conn, busy_reply()).await?;
+                return Ok(body_stream::drain_body(conn).await);
+            };
             tokio::select! {
                 biased;
                 () = body_stream::forward_request_body(conn, tx, length, &is_body_read) => None,
@@ -237,12 +270,17 @@
 
 async fn write_reply(conn: &mut PeerConn, reply: HostReply) -> Result<(), FrameError> {
     let head = ReplyFrame::from(&reply);
-    match reply.result.map(|answer| answer.body) {
-        Ok(Body::Whole(bytes)) => Ok(conn.write(&head, &bytes).await?),
-        Ok(Body::Stream { rx, .. }) => {
+    let Ok(TargetAnswer {
+        body, held: _held, ..
+    }) = reply.result
+    else {
+        return Ok(conn.write(&head, &[]).await?);
+    };
+    match body {
+        Body::Whole(bytes) => Ok(conn.write(&head, &bytes).await?),
+        Body::Stream { rx, .. } => {
             conn.write(&head, &[]).await?;
             body_stream::send_reply_body(conn, rx).await
         }
-        Err(_) => Ok(conn.write(&head, &[]).await?),
     }
 }
--- a/crates/node/src/mesh/metrics.rs
+++ b/crates/node/src/mesh/metrics.rs
@@ -36,6 +36,10 @@
     accept_failures: IntCounterVec,
     /// Open connections of callers.
     pub caller_connections: IntGauge,
+    /// Bytes held for callers and other nodes.
+    pub held_bytes: IntGauge,
+    /// Connections that were closed because they held the most bytes.
+    pub evictions: IntCounter,
     /// Requests identified as calls made by a request that is running on the local target.
     pub inner: IntCounter,
     /// Requests shed because of their cost, which would be admitted if all routes of their rank were shed alike.
@@ -145,6 +149,11 @@
                 &["listener"],
             )?,
             caller_connections: gauge("caller_connections", "open connections of callers")?,
+            held_bytes: gauge("held_bytes", "bytes held for callers and other nodes")?,
+            evictions: counter(
+                "evictions_total",
+                "connections closed to make room for others",
+            )?,
             inner: counter("inner_total", "requests of the own target's runs")?,
             shed_by_cost: counter(
                 "shed_by_cost_total",
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use coltsfootport_core::mesh::{
-    CallerConnectionsConfig, CallerLimits, Dialect, DrainConfig, FleetConfig, GateConfig,
-    LevelConfig, Publisher, RetryBudgetConfig, ShedderConfig,
+    ByteBudgetConfig, CallerConnectionsConfig, CallerLimits, Dialect, DrainConfig, FleetConfig,
+    GateConfig, LevelConfig, Publisher, RetryBudgetConfig, ShedderConfig,
 };
 use coltsfootport_core::quarantine::Fingerprinter;
 use coltsfootport_core::workspace::QuotaConfig;
@@ -25,6 +25,7 @@
 use super::entry::Entry;
 use super::feed::{ChangeLog, FeedServer, FeedTask};
 use super::findings::FindingsExchange;
+use super::held_bytes::ByteLimiter;
 use super::host::Host;
 use super::journal::Journal;
 use super::lifecycle::{Lifecycle, Signals};
@@ -52,6 +53,10 @@
 /// Interval at which connections to the target are pruned after being idle for too long.
 const PRUNE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Part of the process's memory, as a divisor, that may be held for callers and other nodes. The rest is for the
+/// program and its state, what sockets have received, and gaps in the heap.
+const HELD_PART: usize = 4;
+
 /// Runs a node until it has shut down.
 ///
 /// `path` and `text` are the path and the content of the settings file, which is reloaded when it changes.
@@ -115,6 +120,15 @@
         fingerprinter: Fingerprinter::new(&settings.quarantine.key),
     };
     let open = Arc::new(AtomicUsize::new(0));
+    let memory = settings.load.memory_mb as usize * 1_000_000;
+    let bytes = ByteLimiter::new(
+        ByteBudgetConfig {
+            limit: memory / HELD_PART,
+            requests: descriptor_limit(settings.load) * 2 / 5,
+            ..Default::default()
+        },
+        metrics.held_bytes.clone(),
+    );
     let callers_config = CallersConfig {
         entry,
         limits,
@@ -126,6 +140,7 @@
                 descriptors: descriptor_limit(settings.load),
                 ..CallerConnectionsConfig::default()
             },
+            bytes.clone(),
             metrics.caller_connections.clone(),
         ),
     };
@@ -167,6 +182,7 @@
     let server_context = ServerContext {
         host: host.clone(),
         sharing,
+        bytes,
         open_requests: Arc::clone(&open),
         shutdown,
         boot: rand::random(),
--- a/crates/node/src/mesh/settings.rs
+++ b/crates/node/src/mesh/settings.rs
@@ -106,6 +106,8 @@
     pub pipelined: u32,
     /// Maximum number of descriptors that the process may have open; 0 takes the limit that the system sets for it.
     pub descriptors: u32,
+    /// Memory that the process may take, in units of 1,000,000 bytes.
+    pub memory_mb: u32,
 }
 
 impl Default for MeshSettings {
@@ -168,6 +170,7 @@
             slots: 16,
             pipelined: 64,
             descriptors: 0,
+            memory_mb: 160,
         }
     }
 }
@@ -206,6 +209,7 @@
                 "load.descriptors",
                 self.load.descriptors != new.load.descriptors,
             ),
+            ("load.memory_mb", self.load.memory_mb != new.load.memory_mb),
             ("policy", self.policy != new.policy),
             ("log_level", self.log_level != new.log_level),
         ];
@@ -329,6 +333,7 @@
             slots: section.integer("slots", 1..=65_535, default.slots),
             pipelined: section.integer("pipelined", 1..=1024, default.pipelined),
             descriptors: section.integer("descriptors", 0..=1_048_576, default.descriptors),
+            memory_mb: section.integer("memory_mb", 32..=1_048_576, default.memory_mb),
         };
         section.finish();
         settings
--- a/crates/node/src/mesh/target/exchange.rs
+++ b/crates/node/src/mesh/target/exchange.rs
@@ -17,6 +17,7 @@
 };
 use crate::mesh::body_channel::{BodySender, BodyTruncated, body_channel};
 use crate::mesh::call::{Body, MAX_BODY_CHUNK, MAX_BUFFERED_BODY, TargetAnswer};
+use crate::mesh::held_bytes::{Account, Held, answer_bytes};
 
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD: usize = 64 * 1024;
@@ -60,7 +61,8 @@
     pub invalid_limit: Option<InvalidRateLimit>,
 }
 
-/// Sends a request and reads its response; returns the connection to the pool if it can be reused.
+/// Sends a request and reads its response, which is held for `account`; returns the connection to the pool if it can be
+/// reused.
 ///
 /// # Errors
 ///
@@ -71,6 +73,7 @@
     req: WireRequest,
     body: Body,
     dialect: &Dialect,
+    account: &Account,
 ) -> Result<CheckedResponse, ExchangeError> {
     let method = req.head.method.clone();
     let (read, write) = conn.stream.split();
@@ -105,7 +108,8 @@
     let reusable =
         reader.reusable && request_complete && head.keep_alive && framing != Framing::UntilClose;
     let mut decoder = BodyDecoder::new(framing);
-    let (buffered, complete) = reader.read_buffered(&mut decoder).await?;
+    let mut held = account.hold(0);
+    let (buffered, complete) = reader.read_buffered(&mut decoder, &mut held).await?;
     let keep_alive = keep_alive_time(&head.headers);
     let not_run = head.headers.contains_key(dialect.not_run);
     let signed = head.headers.contains_key(dialect.signature);
@@ -127,13 +131,16 @@
             reusable,
             keep_alive,
             pool.clone(),
+            account,
         ),
     };
+    held.resize(answer_bytes(&headers, &body));
     Ok(CheckedResponse {
         answer: TargetAnswer {
             status: head.status,
             headers,
             body,
+            held,
         },
         not_run,
         signed,
@@ -274,9 +281,11 @@
     async fn read_buffered(
         &mut self,
         decoder: &mut BodyDecoder,
+        held: &mut Held,
     ) -> Result<(BytesMut, bool), ExchangeError> {
         let mut buffered = BytesMut::new();
         loop {
+            held.resize(buffered.capacity());
             let limit = MAX_BUFFERED_BODY.saturating_sub(buffered.len());
             match decoder.decode_up_to(self.buf, limit)? {
                 Decoded::End => return Ok((buffered, true)),
@@ -326,12 +335,13 @@
     reusable: bool,
     keep_alive: Option<Duration>,
     pool: TargetPool,
+    account: &Account,
 ) -> Body {
     let length = match framing {
         Framing::Length(length) => Some(length),
         _ => None,
     };
-    let (tx, rx) = body_channel();
+    let (tx, rx) = body_channel(account);
     tokio::spawn(async move {
         if tx.send(buffered).await.is_err() {
             return;
--- a/crates/node/src/socket_input.rs
+++ b/crates/node/src/socket_input.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::mem::MaybeUninit;
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
@@ -29,3 +30,10 @@
         }
     }
 }
+
+/// Whether the peer has closed its side or the connection has failed, even if there are unread bytes. Returns `false` if
+/// the system can't tell.
+pub fn has_hung_up(stream: &TcpStream) -> bool {
+    let mut fds = [PollFd::new(stream, PollFlags::RDHUP)];
+    matches!(poll(&mut fds, Some(&Timespec::default())), Ok(ready) if ready > 0)
+}
