Receive buffers have a size of their own

Bytes that a socket has received and the node has not read count as memory of its process on the users' platform, and nothing bounded them: the system lets a receive buffer grow to megabytes while a body is streamed over a link or from the target, and callers that send ahead of a paused reader fill theirs.

Links and connections to the target get 64 KiB. Connections of callers share a sixteenth of load.memory_mb, 4 to 64 KiB each by the number that is open.

--- a/crates/node/src/mesh/callers/connection.rs
+++ b/crates/node/src/mesh/callers/connection.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -17,7 +18,9 @@
 /// When the caller disconnects, or holds the most bytes when there is no room for more, its request tasks are dropped
 /// with their `JoinSet`: queued requests are cancelled, and so are requests that may be aborted at their target.
 pub async fn serve_connection(stream: TcpStream, cfg: CallersConfig) {
-    if stream.set_nodelay(true).is_err() {
+    let buffer = cfg.connections.receive_buffer();
+    let buffered = SockRef::from(&stream).set_recv_buffer_size(buffer);
+    if buffered.is_err() || stream.set_nodelay(true).is_err() {
         return;
     }
     let (read, write) = stream.into_split();
--- a/crates/node/src/mesh/callers/registry.rs
+++ b/crates/node/src/mesh/callers/registry.rs
@@ -12,11 +12,19 @@
 /// Idle connections that are closed after `accept` has failed.
 const EVICTED_AFTER_FAILURE: usize = 16;
 
+/// Smallest receive buffer of a connection, in bytes; enough for the heads of most requests.
+const MIN_RECEIVE_BUFFER: usize = 4 * 1024;
+
+/// Largest receive buffer of a connection, in bytes.
+const MAX_RECEIVE_BUFFER: usize = 64 * 1024;
+
 /// All connections of callers; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct ConnectionRegistry {
     state: Arc<Mutex<State>>,
     bytes: ByteLimiter,
+    /// Bytes that the receive buffers of the connections share.
+    receive_buffers: usize,
     open: IntGauge,
 }
 
@@ -36,7 +44,13 @@
 
 impl ConnectionRegistry {
     /// Creates an empty registry of connections that are held in `bytes`; `open` follows their number.
-    pub fn new(cfg: CallerConnectionsConfig, bytes: ByteLimiter, open: IntGauge) -> Self {
+    /// The receive buffers of new connections are divided from `receive_buffers` bytes.
+    pub fn new(
+        cfg: CallerConnectionsConfig,
+        bytes: ByteLimiter,
+        receive_buffers: usize,
+        open: IntGauge,
+    ) -> Self {
         let state = State {
             connections: CallerConnections::new(cfg),
             evictions: SecondaryMap::new(),
@@ -44,6 +58,7 @@
         Self {
             state: Arc::new(Mutex::new(state)),
             bytes,
+            receive_buffers,
             open,
         }
     }
@@ -76,6 +91,13 @@
         self.state().connections.is_crowded()
     }
 
+    /// Receive buffer of a new connection, in bytes. Together, those of all connections stay within a share of the memory.
+    pub fn receive_buffer(&self) -> usize {
+        let connections = self.state().connections.len().max(1);
+        let part = self.receive_buffers / connections;
+        part.clamp(MIN_RECEIVE_BUFFER, MAX_RECEIVE_BUFFER)
+    }
+
     /// Evicts idle connections because the process has no descriptors left.
     pub fn make_room(&self) {
         let mut state = self.state();
--- a/crates/node/src/mesh/link/pool.rs
+++ b/crates/node/src/mesh/link/pool.rs
@@ -24,6 +24,9 @@
 /// `body_stream`.
 pub const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Receive buffer of a connection in bytes. The system would otherwise grow it to megabytes while a body is streamed.
+const RECEIVE_BUFFER: usize = 64 * 1024;
+
 /// How long an idle connection is kept. The accepting node keeps it longer, so that it never closes a connection on
 /// which a request is in transit.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -187,5 +190,7 @@
 /// The connection is already lost.
 pub fn configure_socket(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+    let socket = SockRef::from(stream);
+    socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
+    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -57,6 +57,9 @@
 /// program and its state, what sockets have received, and gaps in the heap.
 const HELD_PART: usize = 4;
 
+/// Part of the process's memory, as a divisor, from which the receive buffers of callers' connections are taken.
+const RECEIVE_PART: usize = 16;
+
 /// Runs a node until it has shut down.
 ///
 /// `path` and `text` are the path and the content of the settings file, which is reloaded when it changes.
@@ -141,6 +144,7 @@
                 ..CallerConnectionsConfig::default()
             },
             bytes.clone(),
+            memory / RECEIVE_PART,
             metrics.caller_connections.clone(),
         ),
     };
--- a/crates/node/src/mesh/target/pool.rs
+++ b/crates/node/src/mesh/target/pool.rs
@@ -6,6 +6,7 @@
 
 use bytes::BytesMut;
 use coltsfootport_core::quarantine::CrashId;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -16,6 +17,9 @@
 /// Timeout of a new connection; the target runs on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Receive buffer of a connection in bytes. The system would otherwise grow it to megabytes while a body is streamed.
+const RECEIVE_BUFFER: usize = 64 * 1024;
+
 /// Idle timeout of a connection if the target announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -81,6 +85,7 @@
     pub async fn connect(&self) -> std::io::Result<TargetConn> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await??;
         stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER)?;
         self.crash_detector.record_accepted();
         Ok(TargetConn::new(stream))
     }
