Callers that stop within a request are closed to make room for others

Callers' connections may take half of the descriptors, and the longest idle ones are closed beyond that. A connection that had sent part of a head ignored its eviction, one that had sent part of a body counted as busy, one that lingered after its last response was not asked, and one whose caller had not read the end of a response deferred its eviction as often as it was told. So callers that stop at any of these points take as many descriptors as they like, and the next ones can't be accepted.

A connection is busy only while a request on it has been started; a partial head does not keep it, since callers resend a request that was not read; an eviction is deferred once and another connection is evicted in its place; if none is idle the one that holds the most bytes is closed. The listener lets evicted ones close before it accepts the next while there are too many.

--- a/crates/core/src/mesh/caller_connections.rs
+++ b/crates/core/src/mesh/caller_connections.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use slotmap::{SlotMap, new_key_type};
+use slotmap::{SecondaryMap, SlotMap, new_key_type};
 
 /// Settings of the bound.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -35,9 +35,9 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
-    /// Requests are unanswered.
+    /// Requests are at work.
     Busy,
-    /// No request is unanswered; ordered by the time at which that began.
+    /// No request is at work; ordered by the time at which that began, or at which the head of one was read last.
     Idle(IdleOrder),
     /// Told to close.
     Evicted,
@@ -54,6 +54,8 @@
     open: SlotMap<CallerConnection, State>,
     /// Idle connections, the longest idle one first.
     idle: BTreeMap<IdleOrder, CallerConnection>,
+    /// Connections whose eviction was deferred since they became idle.
+    deferred: SecondaryMap<CallerConnection, ()>,
     evicted: usize,
     next_order: IdleOrder,
 }
@@ -67,6 +69,7 @@
             crowded: (max as f64 * cfg.crowded_share) as usize,
             open: SlotMap::with_key(),
             idle: BTreeMap::new(),
+            deferred: SecondaryMap::new(),
             evicted: 0,
             next_order: 0,
         }
@@ -79,36 +82,48 @@
         conn
     }
 
-    /// Records that a request was read.
+    /// Records that a request was started.
     pub fn set_busy(&mut self, conn: CallerConnection) {
         self.replace(conn, State::Busy);
     }
 
-    /// Records that all requests have been answered.
+    /// Records that all requests that were started have been answered, or that the head of another one was read.
     pub fn set_idle(&mut self, conn: CallerConnection) {
-        let order = self.next_order;
-        self.next_order += 1;
-        self.replace(conn, State::Idle(order));
-        if self.open.contains_key(conn) {
-            self.idle.insert(order, conn);
+        self.deferred.remove(conn);
+        self.insert_idle(conn);
+    }
+
+    /// Defers an eviction until the connection has been idle for longer than others. Returns `false` if it was deferred
+    /// before, or is not evicted.
+    pub fn defer_eviction(&mut self, conn: CallerConnection) -> bool {
+        if !self.is_evicted(conn) || self.deferred.insert(conn, ()).is_some() {
+            return false;
         }
+        self.insert_idle(conn);
+        true
     }
 
     /// Removes a closed connection.
     pub fn close(&mut self, conn: CallerConnection) {
         self.replace(conn, State::Busy);
+        self.deferred.remove(conn);
         self.open.remove(conn);
     }
 
     /// Returns the connection to close next if there are more than the bound allows. To be called until it returns
     /// `None`.
     pub fn evict_excess(&mut self) -> Option<CallerConnection> {
-        match self.open.len() - self.evicted > self.max {
+        match self.has_excess() {
             true => self.evict_longest_idle(),
             false => None,
         }
     }
 
+    /// Whether there are more connections than the bound allows, besides those that are being closed.
+    pub fn has_excess(&self) -> bool {
+        self.open.len() - self.evicted > self.max
+    }
+
     /// Returns the longest idle connection, which is to be closed.
     pub fn evict_longest_idle(&mut self) -> Option<CallerConnection> {
         let (_, conn) = self.idle.pop_first()?;
@@ -116,7 +131,7 @@
         Some(conn)
     }
 
-    /// Whether a connection is still to be closed: no request was read since it was evicted.
+    /// Whether a connection is still to be closed: no request was started since it was evicted.
     pub fn is_evicted(&self, conn: CallerConnection) -> bool {
         self.open.get(conn) == Some(&State::Evicted)
     }
@@ -136,6 +151,15 @@
         self.open.is_empty()
     }
 
+    fn insert_idle(&mut self, conn: CallerConnection) {
+        let order = self.next_order;
+        self.next_order += 1;
+        self.replace(conn, State::Idle(order));
+        if self.open.contains_key(conn) {
+            self.idle.insert(order, conn);
+        }
+    }
+
     fn replace(&mut self, conn: CallerConnection, new: State) {
         let Some(state) = self.open.get_mut(conn) else {
             return;
--- a/crates/core/tests/caller_connections.rs
+++ b/crates/core/tests/caller_connections.rs
@@ -45,6 +45,25 @@
     assert_eq!(connections.evict_excess(), Some(conns[1]));
 }
 
+/// A connection may defer its eviction once, and another one makes room in its place. It may again after a request.
+#[test]
+fn an_eviction_is_deferred_once() {
+    let mut connections = connections();
+    let conns = open(&mut connections, MAX + 1);
+    assert_eq!(connections.evict_excess(), Some(conns[0]));
+    assert!(connections.defer_eviction(conns[0]));
+    for conn in &conns[1..] {
+        assert_eq!(connections.evict_excess(), Some(*conn));
+        assert!(connections.defer_eviction(*conn));
+    }
+    assert_eq!(connections.evict_excess(), Some(conns[0]));
+    assert!(!connections.defer_eviction(conns[0]));
+    connections.set_busy(conns[0]);
+    connections.set_idle(conns[0]);
+    assert_eq!(connections.evict_excess(), Some(conns[1]));
+    assert!(!connections.defer_eviction(conns[1]));
+}
+
 /// Nothing is closed that has a request at work, however many there are.
 #[test]
 fn busy_connections_are_never_closed() {
--- a/crates/node/src/mesh/callers/listener.rs
+++ b/crates/node/src/mesh/callers/listener.rs
@@ -7,6 +7,7 @@
 use coltsfootport_core::mesh::CallerLimits;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::yield_now;
 
 use super::connection::serve_connection;
 use super::registry::ConnectionRegistry;
@@ -44,6 +45,10 @@
         match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(serve_connection(stream, cfg.clone()));
+                if cfg.connections.is_crowded() {
+                    // Lets the connections that this one replaces close before the next is accepted.
+                    yield_now().await;
+                }
             }
             Err(e) => {
                 cfg.entry.journal.accept_failed("callers", &e);
--- a/crates/node/src/mesh/callers/open_response.rs
+++ b/crates/node/src/mesh/callers/open_response.rs
@@ -20,6 +20,8 @@
     pub ahead: usize,
     /// When its response was ready to be written.
     pub ready_at: Option<Instant>,
+    /// Whether the request was started.
+    started: bool,
     /// Whether the request was passed on to a target.
     passed_on: bool,
 }
@@ -49,16 +51,27 @@
             read_at: now,
             ahead,
             ready_at: None,
+            started: false,
             passed_on: false,
         });
         ResponseSeq(self.first + ahead as u64)
     }
 
+    /// Records that a request was started.
+    pub fn set_started(&mut self, seq: ResponseSeq) {
+        if let Some(open) = self.get_mut(seq) {
+            open.started = true;
+        }
+    }
+
+    /// Whether a request was started.
+    pub fn has_started(&self) -> bool {
+        self.open.iter().any(|open| open.started)
+    }
+
     /// Records that a response is ready, and whether its request was passed on to a target.
     pub fn set_ready(&mut self, seq: ResponseSeq, passed_on: bool, now: Instant) {
-        let index = seq.0.checked_sub(self.first);
-        let index = index.and_then(|index| usize::try_from(index).ok());
-        if let Some(open) = index.and_then(|index| self.open.get_mut(index)) {
+        if let Some(open) = self.get_mut(seq) {
             open.ready_at = Some(now);
             open.passed_on = passed_on;
         }
@@ -98,4 +111,9 @@
     pub fn to_vec(&self) -> Vec<OpenResponse> {
         self.open.iter().cloned().collect()
     }
+
+    fn get_mut(&mut self, seq: ResponseSeq) -> Option<&mut OpenResponse> {
+        let index = seq.0.checked_sub(self.first)?;
+        self.open.get_mut(usize::try_from(index).ok()?)
+    }
 }
--- a/crates/node/src/mesh/callers/reader.rs
+++ b/crates/node/src/mesh/callers/reader.rs
@@ -127,11 +127,15 @@
         }
     }
 
-    /// Discards input after the last response, for at most [`LINGER_TIMEOUT`].
+    /// Discards input after the last response, for at most [`LINGER_TIMEOUT`], or until the connection is evicted.
     pub async fn linger(&mut self) {
         let _guard = OpenRequestGuard::new(&self.cfg.open_requests);
-        // The connection is closed in either case.
-        let _ = timeout(LINGER_TIMEOUT, self.drain()).await;
+        let shared = Arc::clone(&self.shared);
+        // The connection is closed in any case.
+        tokio::select! {
+            _ = timeout(LINGER_TIMEOUT, self.drain()) => {}
+            () = shared.evicted() => {}
+        }
     }
 
     /// Discards input until the caller closes the connection.
@@ -211,6 +215,7 @@
     {
         let entry = self.cfg.entry.clone();
         let shared = Arc::clone(&self.shared);
+        shared.record_started(tx.seq);
         tasks.spawn(async move {
             let answer = tokio::select! {
                 biased;
--- a/crates/node/src/mesh/callers/reader/body.rs
+++ b/crates/node/src/mesh/callers/reader/body.rs
@@ -2,6 +2,7 @@
 
 use std::future::pending;
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::BytesMut;
@@ -15,6 +16,7 @@
 use crate::h1::{BodyDecoder, Decoded, Framing, RequestHead};
 use crate::mesh::body_channel::{BodySender, body_channel};
 use crate::mesh::call::{Body, CallerRequest, MAX_BODY_CHUNK, MAX_BUFFERED_BODY};
+use crate::mesh::callers::connection_end::ConnectionEnd;
 use crate::mesh::held_bytes::Held;
 
 impl Reader {
@@ -154,9 +156,14 @@
         limits: &CallerLimits,
         refusal: Refusal,
     ) -> Result<(), ReadEnd> {
-        match timeout(limits.idle_timeout, self.fill_when_room()).await {
-            Ok(read) => read,
-            Err(_) => Err(ReadEnd::Refused(refusal)),
+        let shared = Arc::clone(&self.shared);
+        tokio::select! {
+            biased;
+            filled = timeout(limits.idle_timeout, self.fill_when_room()) => match filled {
+                Ok(read) => read,
+                Err(_) => Err(ReadEnd::Refused(refusal)),
+            },
+            () = shared.evicted() => Err(ReadEnd::Ended(ConnectionEnd::Evicted)),
         }
     }
 }
--- a/crates/node/src/mesh/callers/reader/head.rs
+++ b/crates/node/src/mesh/callers/reader/head.rs
@@ -21,9 +21,12 @@
     ) -> Result<RequestHead, ReadEnd> {
         let mut started: Option<Instant> = None;
         let waiting_since = self.cfg.entry.clock.now();
+        let mut is_evicted = false;
         loop {
             match parse_request(&mut self.buf, limits.header_bytes) {
                 Ok(Some(head)) => return Ok(head),
+                // Callers resend a request whose head was not read.
+                Ok(None) if is_evicted => return Err(ReadEnd::Ended(ConnectionEnd::Evicted)),
                 Ok(None) => {}
                 Err(H1Error::HeadTooLarge) => {
                     return Err(ReadEnd::Refused(Refusal::HeaderTooLarge));
@@ -49,11 +52,10 @@
                 () = shared.evicted() => {
                     self.read_available()?;
                     match self.buf.is_empty() {
-                        true if self.is_reading_response(limits, waiting_since) => {
-                            shared.defer_eviction();
-                        }
-                        true => return Err(ReadEnd::Ended(ConnectionEnd::Idle)),
-                        false => {}
+                        true if self.is_reading_response(limits, waiting_since)
+                            && shared.defer_eviction() => {}
+                        true => return Err(ReadEnd::Ended(ConnectionEnd::Evicted)),
+                        false => is_evicted = true,
                     }
                     continue;
                 }
--- a/crates/node/src/mesh/callers/registry.rs
+++ b/crates/node/src/mesh/callers/registry.rs
@@ -68,17 +68,19 @@
         self.bytes.open()
     }
 
-    /// Adds a connection, and evicts others if there are too many.
+    /// Adds a connection, and evicts others if there are too many: idle ones, or else the one that holds the most.
     pub fn register(&self) -> Registration {
         let eviction = Arc::new(Notify::new());
         let mut state = self.state();
         let conn = state.connections.open();
         state.evictions.insert(conn, Arc::clone(&eviction));
-        while let Some(excess) = state.connections.evict_excess() {
-            state.notify(excess);
+        state.evict_excess();
+        let has_excess = state.connections.has_excess();
+        drop(state);
+        if has_excess {
+            self.bytes.evict_greediest();
         }
         self.open.inc();
-        drop(state);
         Registration {
             registry: self.clone(),
             conn,
@@ -115,6 +117,12 @@
 }
 
 impl State {
+    fn evict_excess(&mut self) {
+        while let Some(excess) = self.connections.evict_excess() {
+            self.notify(excess);
+        }
+    }
+
     fn notify(&self, conn: CallerConnection) {
         if let Some(eviction) = self.evictions.get(conn) {
             eviction.notify_one();
@@ -123,16 +131,24 @@
 }
 
 impl Registration {
-    /// Records that a request was read.
+    /// Records that a request was started.
     pub fn set_busy(&self) {
         self.registry.state().connections.set_busy(self.conn);
     }
 
-    /// Records that all requests have been answered.
+    /// Records that all requests that were started have been answered, or that the head of another one was read.
     pub fn set_idle(&self) {
         self.registry.state().connections.set_idle(self.conn);
     }
 
+    /// Evicts another connection in place of this one, if that is possible. Returns `false` if this one has to be closed.
+    pub fn defer_eviction(&self) -> bool {
+        let mut state = self.registry.state();
+        let is_deferred = state.connections.defer_eviction(self.conn);
+        state.evict_excess();
+        is_deferred
+    }
+
     /// Whether responses should close their connections to make room for others.
     pub fn is_crowded(&self) -> bool {
         self.registry.is_crowded()
@@ -142,7 +158,7 @@
     pub async fn evicted(&self) {
         loop {
             self.eviction.notified().await;
-            // A request may have been read since the notification.
+            // A request may have been started since the notification.
             if self.registry.state().connections.is_evicted(self.conn) {
                 return;
             }
--- a/crates/node/src/mesh/callers/slot.rs
+++ b/crates/node/src/mesh/callers/slot.rs
@@ -100,12 +100,22 @@
         if progress.closing {
             return None;
         }
-        if progress.open.is_empty() {
-            self.registration.set_busy();
+        if !progress.open.has_started() {
+            // Requests that have not been started don't keep the connection from being evicted.
+            self.registration.set_idle();
         }
         Some(progress.open.push(id, now))
     }
 
+    /// Records that a request was started.
+    pub fn record_started(&self, seq: ResponseSeq) {
+        let mut progress = self.progress();
+        if !progress.open.has_started() {
+            self.registration.set_busy();
+        }
+        progress.open.set_started(seq);
+    }
+
     /// Records that a response may be written as soon as those before it have been, and whether its request
     /// was passed on to a target.
     pub fn record_ready(&self, seq: ResponseSeq, passed_on: bool, now: Instant) {
@@ -137,8 +147,10 @@
         progress.stays_open = false;
         progress.written_at = Some(now);
         let written = progress.open.pop()?;
-        if progress.open.is_empty() {
+        if !progress.open.has_started() {
             self.registration.set_idle();
+        }
+        if progress.open.is_empty() {
             self.all_written.notify_waiters();
         }
         Some(written)
@@ -165,8 +177,9 @@
     }
 
     /// Keeps the connection from being closed to make room for others, until it has been idle for longer than they have.
-    pub fn defer_eviction(&self) {
-        self.registration.set_idle();
+    /// Returns `false` if it has to be closed.
+    pub fn defer_eviction(&self) -> bool {
+        self.registration.defer_eviction()
     }
 
     /// When the latest response was written, if there was one.
--- a/crates/node/src/mesh/held_bytes.rs
+++ b/crates/node/src/mesh/held_bytes.rs
@@ -81,6 +81,14 @@
         }))
     }
 
+    /// Evicts the connection that holds the most.
+    pub fn evict_greediest(&self) {
+        let mut state = self.state();
+        if let Some(holder) = state.budget.evict_greediest() {
+            state.notify_evicted(holder);
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
