Connections for status checks are bounded

The listeners of the readiness check and the metrics accepted any number of connections, kept each for as long as its client liked and let hyper buffer heads of up to 400 KB; when accept failed for lack of descriptors they asked again at once, without a pause or a log line, for as long as that lasted.

Each has 32 connections, the oldest makes room for a new one, heads are bounded by 16 KiB, and a failed accept is logged and tried again after 20 ms.

--- a/crates/node/src/mesh/ready.rs
+++ b/crates/node/src/mesh/ready.rs
@@ -1,7 +1,9 @@
 //! HTTP server for the readiness check and metrics.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use coltsfootport_core::mesh::Dialect;
@@ -12,8 +14,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, yield_now};
+use tokio::time::sleep;
 
 use crate::mesh::controller::ControllerHandle;
+use crate::mesh::journal::Journal;
 use crate::mesh::metrics::MeshMetrics;
 use crate::mesh::shutdown::ShutdownWatch;
 
@@ -27,17 +32,43 @@
     pub controller: ControllerHandle,
     /// HTTP dialect, which defines the path of the readiness check.
     pub dialect: Arc<Dialect>,
+    /// Journal in which failures are logged.
+    pub journal: Journal,
     /// Metrics to serve.
     pub metrics: MeshMetrics,
     /// Progress of the node's shutdown; the readiness check fails from its start on.
     pub shutdown: ShutdownWatch,
 }
 
+/// Maximum number of open connections of a listener. Beyond it, the oldest one is closed.
+const MAX_CONNECTIONS: usize = 32;
+
+/// Maximum size of a connection's read buffer in bytes, and so of a request's head.
+const MAX_BUFFER: usize = 16 * 1024;
+
+/// Delay after `accept` fails, for example for lack of file descriptors, to avoid a busy loop.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Accepts connections until the process exits.
 pub async fn serve(listener: TcpListener, server: StatusServer) {
+    let mut open = VecDeque::new();
     loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve_connection(stream, server.clone()));
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                open.retain(|conn: &JoinHandle<()>| !conn.is_finished());
+                if open.len() >= MAX_CONNECTIONS
+                    && let Some(oldest) = open.pop_front()
+                {
+                    oldest.abort();
+                    // Lets it close its socket before the next one is accepted.
+                    yield_now().await;
+                }
+                open.push_back(tokio::spawn(serve_connection(stream, server.clone())));
+            }
+            Err(e) => {
+                server.journal.accept_failed("status", &e);
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
         }
     }
 }
@@ -49,6 +80,7 @@
     });
     // An error closes only this connection; the client can retry.
     let _ = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER)
         .serve_connection(TokioIo::new(stream), service)
         .await;
 }
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -151,6 +151,7 @@
     let status_server = StatusServer {
         controller: controller.clone(),
         dialect,
+        journal: journal.clone(),
         metrics: metrics.clone(),
         shutdown: shutdown.clone(),
     };
