A status that HTTP does not define is not passed on

Here 000, 00 and 099 ended as 502 already, but 600 to 999 were passed on as they came, also over a link: the http crate takes 100 to 999.

A response whose status is not below 600 is invalid like one that can't be parsed, so its caller gets 502 or another target.

--- a/crates/node/src/h1.rs
+++ b/crates/node/src/h1.rs
@@ -13,7 +13,7 @@
 pub use decoder::{BodyDecoder, Decoded};
 pub use encode::{LAST_CHUNK, encode_chunk, encode_request_head, encode_response_head};
 pub use framing::{Framing, request_framing, response_framing};
-pub use head::{RequestHead, ResponseHead, parse_request, parse_response};
+pub use head::{RequestHead, ResponseHead, parse_request, parse_response, valid_status};
 pub use hop::{is_hop_by_hop, named_by_connection, strip_hop_by_hop};
 
 /// Error for input that is not valid HTTP/1.1 or not safe to forward.
--- a/crates/node/src/h1/head.rs
+++ b/crates/node/src/h1/head.rs
@@ -96,7 +96,7 @@
     let is_http_1_1 = parsed.version == Some(1);
     let headers = header_map(parsed.headers)?;
     let head = ResponseHead {
-        status: StatusCode::from_u16(status).map_err(|_| H1Error::InvalidHead)?,
+        status: valid_status(status).ok_or(H1Error::InvalidHead)?,
         keep_alive: keeps_alive(&headers, is_http_1_1),
         headers,
     };
@@ -104,6 +104,13 @@
     Ok(Some(head))
 }
 
+/// Returns the status with this code if HTTP defines its class (RFC 9110, section 15). Callers could take another one for
+/// anything.
+pub fn valid_status(code: u16) -> Option<StatusCode> {
+    let status = StatusCode::from_u16(code).ok();
+    status.filter(|status| status.as_u16() < 600)
+}
+
 /// Removes blank lines before a request line, which some clients send after a body.
 fn skip_blank_lines(buf: &mut BytesMut) {
     while buf.first().is_some_and(|b| *b == b'\r' || *b == b'\n') {
--- a/crates/node/src/mesh/link/frames.rs
+++ b/crates/node/src/mesh/link/frames.rs
@@ -5,7 +5,7 @@
 use coltsfootport_core::id::ServiceName;
 use coltsfootport_core::mesh::{Idempotency, Refusal, RequestKind};
 use coltsfootport_core::quarantine::{Finding, Fingerprint};
-use http::{Method, StatusCode};
+use http::Method;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -13,7 +13,7 @@
 use super::quota_frames::{ClaimFrame, NoticeFrame};
 use super::reply_extension::ReplyExtension;
 use super::trailing::Trailing;
-use crate::h1::RequestHead;
+use crate::h1::{RequestHead, valid_status};
 use crate::mesh::call::{
     AttemptToken, Body, DownstreamCalls, HostReply, HostedRequest, Refused, Report, TargetAnswer,
 };
@@ -291,7 +291,7 @@
             } => {
                 let headers = HeaderFrame::into_map(headers)?;
                 Ok(TargetAnswer {
-                    status: StatusCode::from_u16(status).map_err(|_| FrameError::Malformed)?,
+                    status: valid_status(status).ok_or(FrameError::Malformed)?,
                     held: account.hold(answer_bytes(&headers, &body)),
                     headers,
                     body,
