Connections of other nodes are bounded, and a listener's registry serves both

Nothing that comes over that port has to be a node.

The registry of callers' connections is that of a listener now (core's connection_limit, before caller_connections) and bounds idle connections of other nodes at 15 in 100 of the descriptors. One that has carried requests is answered with busy before it is closed, so that a request that crosses the close is known not to have run. Requests at work take a third of the descriptors in place of two fifths, so that the parts add up.

--- a/crates/core/src/mesh/caller_connections.rs
+++ b/crates/core/src/mesh/connection_limit.rs
@@ -1,4 +1,4 @@
-//! Bound on the connections that callers keep open.
+//! Bound on the open connections of a listener.
 
 use std::collections::BTreeMap;
 
@@ -6,20 +6,20 @@
 
 /// Settings of the bound.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct CallerConnectionsConfig {
+pub struct ConnectionLimitConfig {
     /// Number of descriptors that the process may have open.
     pub descriptors: usize,
-    /// Share of the descriptors that connections of callers may take; links, the target and the publisher need the rest.
-    pub callers_share: f64,
-    /// Share of the bound on callers' connections above which responses close theirs.
+    /// Share of the descriptors that the connections of this listener may take; others need the rest.
+    pub share: f64,
+    /// Share of the bound above which responses close theirs.
     pub crowded_share: f64,
 }
 
-impl Default for CallerConnectionsConfig {
+impl Default for ConnectionLimitConfig {
     fn default() -> Self {
         Self {
             descriptors: 1024,
-            callers_share: 0.5,
+            share: 0.5,
             crowded_share: 0.75,
         }
     }
@@ -27,7 +27,7 @@
 
 new_key_type! {
     /// Identifies an open connection.
-    pub struct CallerConnection;
+    pub struct ConnectionKey;
 }
 
 /// Position in the order in which connections became idle.
@@ -43,27 +43,27 @@
     Evicted,
 }
 
-/// The open connections of callers.
+/// The open connections of a listener.
 ///
 /// A connection that waits to be accepted for lack of descriptors is invisible: neither the age of its request nor the
 /// departure of its caller is known. So idle connections are closed before that happens, the longest idle ones first.
 #[derive(Debug)]
-pub struct CallerConnections {
+pub struct ConnectionLimit {
     max: usize,
     crowded: usize,
-    open: SlotMap<CallerConnection, State>,
+    open: SlotMap<ConnectionKey, State>,
     /// Idle connections, the longest idle one first.
-    idle: BTreeMap<IdleOrder, CallerConnection>,
+    idle: BTreeMap<IdleOrder, ConnectionKey>,
     /// Connections whose eviction was deferred since they became idle.
-    deferred: SecondaryMap<CallerConnection, ()>,
+    deferred: SecondaryMap<ConnectionKey, ()>,
     evicted: usize,
     next_order: IdleOrder,
 }
 
-impl CallerConnections {
+impl ConnectionLimit {
     /// Creates an empty set.
-    pub fn new(cfg: CallerConnectionsConfig) -> Self {
-        let max = (cfg.descriptors as f64 * cfg.callers_share) as usize;
+    pub fn new(cfg: ConnectionLimitConfig) -> Self {
+        let max = (cfg.descriptors as f64 * cfg.share) as usize;
         Self {
             max,
             crowded: (max as f64 * cfg.crowded_share) as usize,
@@ -76,26 +76,26 @@
     }
 
     /// Adds a new connection, which is idle.
-    pub fn open(&mut self) -> CallerConnection {
+    pub fn open(&mut self) -> ConnectionKey {
         let conn = self.open.insert(State::Busy);
         self.set_idle(conn);
         conn
     }
 
     /// Records that a request was started.
-    pub fn set_busy(&mut self, conn: CallerConnection) {
+    pub fn set_busy(&mut self, conn: ConnectionKey) {
         self.replace(conn, State::Busy);
     }
 
     /// Records that all requests that were started have been answered, or that the head of another one was read.
-    pub fn set_idle(&mut self, conn: CallerConnection) {
+    pub fn set_idle(&mut self, conn: ConnectionKey) {
         self.deferred.remove(conn);
         self.insert_idle(conn);
     }
 
     /// Defers an eviction until the connection has been idle for longer than others. Returns `false` if it was deferred
     /// before, or is not evicted.
-    pub fn defer_eviction(&mut self, conn: CallerConnection) -> bool {
+    pub fn defer_eviction(&mut self, conn: ConnectionKey) -> bool {
         if !self.is_evicted(conn) || self.deferred.insert(conn, ()).is_some() {
             return false;
         }
@@ -104,7 +104,7 @@
     }
 
     /// Removes a closed connection.
-    pub fn close(&mut self, conn: CallerConnection) {
+    pub fn close(&mut self, conn: ConnectionKey) {
         self.replace(conn, State::Busy);
         self.deferred.remove(conn);
         self.open.remove(conn);
@@ -112,7 +112,7 @@
 
     /// Returns the connection to close next if there are more than the bound allows. To be called until it returns
     /// `None`.
-    pub fn evict_excess(&mut self) -> Option<CallerConnection> {
+    pub fn evict_excess(&mut self) -> Option<ConnectionKey> {
         match self.has_excess() {
             true => self.evict_longest_idle(),
             false => None,
@@ -125,14 +125,14 @@
     }
 
     /// Returns the longest idle connection, which is to be closed.
-    pub fn evict_longest_idle(&mut self) -> Option<CallerConnection> {
+    pub fn evict_longest_idle(&mut self) -> Option<ConnectionKey> {
         let (_, conn) = self.idle.pop_first()?;
         self.replace(conn, State::Evicted);
         Some(conn)
     }
 
     /// Whether a connection is still to be closed: no request was started since it was evicted.
-    pub fn is_evicted(&self, conn: CallerConnection) -> bool {
+    pub fn is_evicted(&self, conn: ConnectionKey) -> bool {
         self.open.get(conn) == Some(&State::Evicted)
     }
 
@@ -151,7 +151,7 @@
         self.open.is_empty()
     }
 
-    fn insert_idle(&mut self, conn: CallerConnection) {
+    fn insert_idle(&mut self, conn: ConnectionKey) {
         let order = self.next_order;
         self.next_order += 1;
         self.replace(conn, State::Idle(order));
@@ -160,7 +160,7 @@
         }
     }
 
-    fn replace(&mut self, conn: CallerConnection, new: State) {
+    fn replace(&mut self, conn: ConnectionKey, new: State) {
         let Some(state) = self.open.get_mut(conn) else {
             return;
         };
--- a/crates/core/tests/caller_connections.rs
+++ b/crates/core/tests/connection_limit.rs
@@ -1,20 +1,20 @@
 //! Which connections of callers are closed when there are too many.
 
-use coltsfootport_core::mesh::{CallerConnection, CallerConnections, CallerConnectionsConfig};
+use coltsfootport_core::mesh::{ConnectionKey, ConnectionLimit, ConnectionLimitConfig};
 use proptest::collection::vec;
 use proptest::prelude::*;
 
 /// Bound of these tests.
 const MAX: usize = 10;
 
-fn connections() -> CallerConnections {
-    CallerConnections::new(CallerConnectionsConfig {
+fn connections() -> ConnectionLimit {
+    ConnectionLimit::new(ConnectionLimitConfig {
         descriptors: 2 * MAX,
-        ..CallerConnectionsConfig::default()
+        ..ConnectionLimitConfig::default()
     })
 }
 
-fn open(connections: &mut CallerConnections, count: usize) -> Vec<CallerConnection> {
+fn open(connections: &mut ConnectionLimit, count: usize) -> Vec<ConnectionKey> {
     (0..count).map(|_| connections.open()).collect()
 }
 
@@ -101,7 +101,7 @@
     #[test]
     fn the_bound_holds_for_what_is_not_busy(steps in steps()) {
         let mut connections = connections();
-        let mut open: Vec<(CallerConnection, bool)> = Vec::new();
+        let mut open: Vec<(ConnectionKey, bool)> = Vec::new();
         for step in steps {
             match step {
                 Step::Open => open.push((connections.open(), false)),
--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -5,6 +5,7 @@
 mod call;
 mod callers;
 mod conn_reuse;
+mod connection_registry;
 mod controller;
 mod entry;
 mod feed;
--- a/crates/node/src/mesh/callers/connection.rs
+++ b/crates/node/src/mesh/callers/connection.rs
@@ -1,5 +1,6 @@
 //! Serves a single caller connection.
 
+use std::io;
 use std::sync::Arc;
 
 use socket2::SockRef;
@@ -13,20 +14,28 @@
 use super::slot::{ConnectionState, ResponseSlot};
 use super::writer::Writer;
 
+/// Smallest receive buffer of a connection, in bytes; enough for the heads of most requests.
+const MIN_RECEIVE_BUFFER: usize = 4 * 1024;
+
+/// Largest receive buffer of a connection, in bytes.
+const MAX_RECEIVE_BUFFER: usize = 64 * 1024;
+
 /// Serves a caller until either side closes the connection.
 ///
 /// When the caller disconnects, or holds the most bytes when there is no room for more, its request tasks are dropped
 /// with their `JoinSet`: queued requests are cancelled, and so are requests that may be aborted at their target.
 pub async fn serve_connection(stream: TcpStream, cfg: CallersConfig) {
-    let buffer = cfg.connections.receive_buffer();
-    let buffered = SockRef::from(&stream).set_recv_buffer_size(buffer);
-    if buffered.is_err() || stream.set_nodelay(true).is_err() {
+    let registration = cfg.connections.register();
+    if cfg.connections.has_excess() {
+        cfg.bytes.evict_greediest();
+    }
+    if configure_socket(&stream, &cfg).is_err() {
         return;
     }
     let (read, write) = stream.into_split();
-    let shared = Arc::new(ConnectionState::new(cfg.connections.register()));
+    let shared = Arc::new(ConnectionState::new(registration));
     let (slots, waiting) = mpsc::channel::<ResponseSlot>(cfg.pipelined);
-    let account = cfg.connections.open_account();
+    let account = cfg.bytes.open();
     let mut tasks = JoinSet::new();
     let journal = cfg.entry.journal.clone();
     let clock = Arc::clone(&cfg.entry.clock);
@@ -61,3 +70,11 @@
     }
     journal.responses_lost(&shared.unanswered(), end, clock.now());
 }
+
+/// Sets the options of a caller's socket. What the system receives for all callers stays within a share of the memory.
+fn configure_socket(stream: &TcpStream, cfg: &CallersConfig) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let part = cfg.receive_buffers / cfg.connections.len().max(1);
+    let buffer = part.clamp(MIN_RECEIVE_BUFFER, MAX_RECEIVE_BUFFER);
+    SockRef::from(stream).set_recv_buffer_size(buffer)
+}
--- a/crates/node/src/mesh/callers/listener.rs
+++ b/crates/node/src/mesh/callers/listener.rs
@@ -10,8 +10,9 @@
 use tokio::task::yield_now;
 
 use super::connection::serve_connection;
-use super::registry::ConnectionRegistry;
+use crate::mesh::connection_registry::ConnectionRegistry;
 use crate::mesh::entry::Entry;
+use crate::mesh::held_bytes::ByteLimiter;
 use crate::mesh::shutdown::ShutdownWatch;
 
 /// Configuration and shared state of the caller-facing server.
@@ -29,6 +30,10 @@
     pub open_requests: Arc<AtomicUsize>,
     /// All open connections.
     pub connections: ConnectionRegistry,
+    /// Bytes held for them.
+    pub bytes: ByteLimiter,
+    /// Bytes that their receive buffers share.
+    pub receive_buffers: usize,
 }
 
 /// Delay after `accept` fails, for example for lack of file descriptors, to avoid a busy loop.
@@ -52,7 +57,9 @@
             }
             Err(e) => {
                 cfg.entry.journal.accept_failed("callers", &e);
-                cfg.connections.make_room();
+                if !cfg.connections.make_room() {
+                    cfg.bytes.evict_greediest();
+                }
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- a/crates/node/src/mesh/callers/slot.rs
+++ b/crates/node/src/mesh/callers/slot.rs
@@ -9,9 +9,9 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::open_response::{OpenResponse, OpenResponses, ResponseSeq};
-use super::registry::Registration;
 use crate::h1::RequestHead;
 use crate::mesh::call::CallerAnswer;
+use crate::mesh::connection_registry::Registration;
 use crate::mesh::open_request::OpenRequestGuard;
 
 /// A pending response, queued for writing in the order of the requests.
--- a/crates/node/src/mesh/callers/registry.rs
+++ b/crates/node/src/mesh/connection_registry.rs
@@ -1,86 +1,58 @@
-//! Registry of the connections of callers, which closes idle ones when there are too many.
+//! Registry of the connections of a listener, which closes idle ones when there are too many.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use coltsfootport_core::mesh::{CallerConnection, CallerConnections, CallerConnectionsConfig};
+use coltsfootport_core::mesh::{ConnectionKey, ConnectionLimit, ConnectionLimitConfig};
 use prometheus::IntGauge;
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
 
-use crate::mesh::held_bytes::{Account, ByteLimiter};
-
 /// Idle connections that are closed after `accept` has failed.
 const EVICTED_AFTER_FAILURE: usize = 16;
 
-/// Smallest receive buffer of a connection, in bytes; enough for the heads of most requests.
-const MIN_RECEIVE_BUFFER: usize = 4 * 1024;
-
-/// Largest receive buffer of a connection, in bytes.
-const MAX_RECEIVE_BUFFER: usize = 64 * 1024;
-
-/// All connections of callers; cheap to clone.
+/// All connections of a listener; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct ConnectionRegistry {
     state: Arc<Mutex<State>>,
-    bytes: ByteLimiter,
-    /// Bytes that the receive buffers of the connections share.
-    receive_buffers: usize,
     open: IntGauge,
 }
 
 #[derive(Debug)]
 struct State {
-    connections: CallerConnections,
-    evictions: SecondaryMap<CallerConnection, Arc<Notify>>,
+    connections: ConnectionLimit,
+    evictions: SecondaryMap<ConnectionKey, Arc<Notify>>,
 }
 
 /// A connection in the registry; dropping it removes the connection.
 #[derive(Debug)]
 pub struct Registration {
     registry: ConnectionRegistry,
-    conn: CallerConnection,
+    conn: ConnectionKey,
     eviction: Arc<Notify>,
 }
 
 impl ConnectionRegistry {
-    /// Creates an empty registry of connections that are held in `bytes`; `open` follows their number.
-    /// The receive buffers of new connections are divided from `receive_buffers` bytes.
-    pub fn new(
-        cfg: CallerConnectionsConfig,
-        bytes: ByteLimiter,
-        receive_buffers: usize,
-        open: IntGauge,
-    ) -> Self {
+    /// Creates an empty registry; `open` follows the number of connections.
+    pub fn new(cfg: ConnectionLimitConfig, open: IntGauge) -> Self {
         let state = State {
-            connections: CallerConnections::new(cfg),
+            connections: ConnectionLimit::new(cfg),
             evictions: SecondaryMap::new(),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
-            bytes,
-            receive_buffers,
             open,
         }
     }
 
-    /// Opens the account of a connection.
-    pub fn open_account(&self) -> Account {
-        self.bytes.open()
-    }
-
-    /// Adds a connection, and evicts others if there are too many: idle ones, or else the one that holds the most.
+    /// Adds a connection, and evicts idle ones if there are too many.
     pub fn register(&self) -> Registration {
         let eviction = Arc::new(Notify::new());
         let mut state = self.state();
         let conn = state.connections.open();
         state.evictions.insert(conn, Arc::clone(&eviction));
         state.evict_excess();
-        let has_excess = state.connections.has_excess();
-        drop(state);
-        if has_excess {
-            self.bytes.evict_greediest();
-        }
         self.open.inc();
+        drop(state);
         Registration {
             registry: self.clone(),
             conn,
@@ -93,22 +65,28 @@
         self.state().connections.is_crowded()
     }
 
-    /// Receive buffer of a new connection, in bytes. Together, those of all connections stay within a share of the memory.
-    pub fn receive_buffer(&self) -> usize {
-        let connections = self.state().connections.len().max(1);
-        let part = self.receive_buffers / connections;
-        part.clamp(MIN_RECEIVE_BUFFER, MAX_RECEIVE_BUFFER)
+    /// Whether there are too many connections, and none of them is idle.
+    pub fn has_excess(&self) -> bool {
+        self.state().connections.has_excess()
     }
 
-    /// Evicts idle connections because the process has no descriptors left.
-    pub fn make_room(&self) {
+    /// Number of open connections.
+    pub fn len(&self) -> usize {
+        self.state().connections.len()
+    }
+
+    /// Evicts idle connections because the process has no descriptors left. Returns `false` if there are none.
+    pub fn make_room(&self) -> bool {
         let mut state = self.state();
+        let mut has_evicted = false;
         for _ in 0..EVICTED_AFTER_FAILURE {
-            match state.connections.evict_longest_idle() {
-                Some(conn) => state.notify(conn),
-                None => return,
-            }
+            let Some(conn) = state.connections.evict_longest_idle() else {
+                break;
+            };
+            state.notify(conn);
+            has_evicted = true;
         }
+        has_evicted
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -123,7 +101,7 @@
         }
     }
 
-    fn notify(&self, conn: CallerConnection) {
+    fn notify(&self, conn: ConnectionKey) {
         if let Some(eviction) = self.evictions.get(conn) {
             eviction.notify_one();
         }
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -19,6 +19,7 @@
 use super::withdrawal::WithdrawalAck;
 use crate::mesh::body_channel::body_channel;
 use crate::mesh::call::{Body, HostReply, MAX_BUFFERED_BODY, Refused, Report, TargetAnswer};
+use crate::mesh::connection_registry::ConnectionRegistry;
 use crate::mesh::controller::ControllerEvent;
 use crate::mesh::feed::{FeedServer, serve_feed};
 use crate::mesh::held_bytes::{Account, ByteLimiter};
@@ -45,7 +46,9 @@
     pub host: Host,
     /// Relays the publisher's change feed.
     pub sharing: FeedServer,
-    /// Bytes held for other nodes.
+    /// All open connections.
+    pub connections: ConnectionRegistry,
+    /// Bytes held for them.
     pub bytes: ByteLimiter,
     /// Number of open requests, for the shutdown; see [`OpenRequestGuard`].
     pub open_requests: Arc<AtomicUsize>,
@@ -66,6 +69,7 @@
             }
             Err(e) => {
                 ctx.host.journal.accept_failed("peers", &e);
+                ctx.connections.make_room();
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
@@ -86,6 +90,7 @@
     if let Err(e) = configure_socket(&stream) {
         return debug!(ctx.log, "peer disconnected before hello"; "reason" => e.to_string());
     }
+    let registration = ctx.connections.register();
     let mut conn = PeerConn::new(stream);
     let hello = HelloFrame { boot: ctx.boot };
     let is_closing = ctx.shutdown.is_closing();
@@ -100,15 +105,25 @@
     if is_closing {
         return close(conn, &ctx).await;
     }
+    let mut is_used = false;
     loop {
         let head = tokio::select! {
             biased;
             head = timeout(IDLE_TIMEOUT, conn.read_head(MAX_HEAD)) => head,
-            () = ctx.shutdown.closing() => return refuse_next(conn, &ctx).await,
+            () = ctx.shutdown.closing() => return refuse_next(conn, &stopping_reply(), &ctx).await,
+            () = registration.evicted() => {
+                ctx.host.journal.evicted("peers", 0);
+                if is_used {
+                    refuse_next(conn, &ReplyFrame::from(&busy_reply()), &ctx).await;
+                }
+                return;
+            }
         };
         let Ok(head) = head else {
             return;
         };
+        registration.set_busy();
+        is_used = true;
         let can_reuse = match head {
             Ok(head) => handle(&mut conn, head, &ctx, account).await,
             // The peer closed the connection between two requests.
@@ -116,7 +131,10 @@
             Err(e) => Err(e),
         };
         match can_reuse {
-            Ok(true) => conn.release_buffer(),
+            Ok(true) => {
+                conn.release_buffer();
+                registration.set_idle();
+            }
             Ok(false) => return,
             Err(e) => {
                 return debug!(ctx.log, "exchange with peer failed"; "reason" => e.to_string());
@@ -127,9 +145,9 @@
 
 /// Closes a connection on which no request has been read, and answers the one that may be on its way: it does not run.
 /// Without this answer its sender could not tell, and would not send a request elsewhere that may run at most once.
-async fn refuse_next(mut conn: PeerConn, ctx: &ServerContext) {
+async fn refuse_next(mut conn: PeerConn, reply: &ReplyFrame, ctx: &ServerContext) {
     // The peer may have closed the connection as well.
-    if conn.write(&stopping_reply(), &[]).await.is_ok() {
+    if conn.write(reply, &[]).await.is_ok() {
         close(conn, ctx).await;
     }
 }
--- a/crates/node/src/mesh/metrics.rs
+++ b/crates/node/src/mesh/metrics.rs
@@ -36,6 +36,8 @@
     accept_failures: IntCounterVec,
     /// Open connections of callers.
     pub caller_connections: IntGauge,
+    /// Open connections of other nodes.
+    pub peer_connections: IntGauge,
     /// Bytes held for callers and other nodes.
     pub held_bytes: IntGauge,
     /// Connections that were closed because they held the most bytes.
@@ -149,6 +151,7 @@
                 &["listener"],
             )?,
             caller_connections: gauge("caller_connections", "open connections of callers")?,
+            peer_connections: gauge("peer_connections", "open connections of other nodes")?,
             held_bytes: gauge("held_bytes", "bytes held for callers and other nodes")?,
             evictions: counter(
                 "evictions_total",
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use coltsfootport_core::mesh::{
-    ByteBudgetConfig, CallerConnectionsConfig, CallerLimits, Dialect, DrainConfig, FleetConfig,
+    ByteBudgetConfig, CallerLimits, ConnectionLimitConfig, Dialect, DrainConfig, FleetConfig,
     GateConfig, LevelConfig, Publisher, RetryBudgetConfig, ShedderConfig,
 };
 use coltsfootport_core::quarantine::Fingerprinter;
@@ -17,7 +17,8 @@
 use tokio::sync::{mpsc, watch};
 
 use super::boot_clock::BootClock;
-use super::callers::{self, CallersConfig, ConnectionRegistry};
+use super::callers::{self, CallersConfig};
+use super::connection_registry::ConnectionRegistry;
 use super::controller::{
     Controller, ControllerChannels, ControllerConfig, ControllerEvent, ControllerHandle,
     run_controller,
@@ -57,6 +58,12 @@
 /// program and its state, what sockets have received, and gaps in the heap.
 const HELD_PART: usize = 4;
 
+/// Part of the process's descriptors, as a divisor, that may be taken by links of requests.
+const REQUESTS_PART: usize = 3;
+
+/// Share of the process's descriptors that idle connections of other nodes may take.
+const PEERS_SHARE: f64 = 0.15;
+
 /// Part of the process's memory, as a divisor, from which the receive buffers of callers' connections are taken.
 const RECEIVE_PART: usize = 16;
 
@@ -123,11 +130,12 @@
         fingerprinter: Fingerprinter::new(&settings.quarantine.key),
     };
     let open = Arc::new(AtomicUsize::new(0));
+    let descriptors = descriptor_limit(settings.load);
     let memory = settings.load.memory_mb as usize * 1_000_000;
     let bytes = ByteLimiter::new(
         ByteBudgetConfig {
             limit: memory / HELD_PART,
-            requests: descriptor_limit(settings.load) * 2 / 5,
+            requests: descriptors / REQUESTS_PART,
             ..Default::default()
         },
         metrics.held_bytes.clone(),
@@ -139,14 +147,14 @@
         pipelined: settings.load.pipelined as usize,
         open_requests: Arc::clone(&open),
         connections: ConnectionRegistry::new(
-            CallerConnectionsConfig {
-                descriptors: descriptor_limit(settings.load),
-                ..CallerConnectionsConfig::default()
+            ConnectionLimitConfig {
+                descriptors,
+                ..ConnectionLimitConfig::default()
             },
-            bytes.clone(),
-            memory / RECEIVE_PART,
             metrics.caller_connections.clone(),
         ),
+        bytes: bytes.clone(),
+        receive_buffers: memory / RECEIVE_PART,
     };
     let status_server = StatusServer {
         controller: controller.clone(),
@@ -168,7 +176,7 @@
         peers_port: settings.node.peers.port(),
         change_log: change_log_tx,
         followers: Arc::clone(&sharing.followers),
-        metrics,
+        metrics: metrics.clone(),
         clock: Arc::clone(&clock),
         log: log.clone(),
     };
@@ -187,6 +195,14 @@
     let server_context = ServerContext {
         host: host.clone(),
         sharing,
+        connections: ConnectionRegistry::new(
+            ConnectionLimitConfig {
+                descriptors,
+                share: PEERS_SHARE,
+                ..ConnectionLimitConfig::default()
+            },
+            metrics.peer_connections.clone(),
+        ),
         bytes,
         open_requests: Arc::clone(&open),
         shutdown,
--- a/crates/node/src/mesh/target/exchange.rs
+++ b/crates/node/src/mesh/target/exchange.rs
@@ -128,9 +128,10 @@
             decoder,
             framing,
             buffered.freeze(),
-            reusable,
-            keep_alive,
-            pool.clone(),
+            reusable.then(|| Reuse {
+                pool: pool.clone(),
+                idle_timeout: keep_alive,
+            }),
             account,
         ),
     };
@@ -326,15 +327,19 @@
     }
 }
 
+/// Where a connection goes after a complete response.
+struct Reuse {
+    pool: TargetPool,
+    idle_timeout: Option<Duration>,
+}
+
 /// Streams the rest of a long body from a separate task.
 fn stream_rest(
     mut conn: TargetConn,
     mut decoder: BodyDecoder,
     framing: Framing,
     buffered: Bytes,
-    reusable: bool,
-    keep_alive: Option<Duration>,
-    pool: TargetPool,
+    reuse: Option<Reuse>,
     account: &Account,
 ) -> Body {
     let length = match framing {
@@ -349,8 +354,10 @@
         // Dropping the sender without finishing truncates the body.
         if let Ok(true) = forward_body(&mut conn, &mut decoder, &tx).await {
             tx.finish();
-            if reusable && conn.buf.is_empty() {
-                pool.put(conn, keep_alive);
+            if let Some(reuse) = reuse
+                && conn.buf.is_empty()
+            {
+                reuse.pool.put(conn, reuse.idle_timeout);
             }
         }
     });
