A connection that is being closed leaves no room until it is gone

A connection that is told to close is closed after others have been read, and what it held no longer counted from then on.

What is held counts until it is released, for the pause and for the refusal; only the choice of the connection to close leaves out those that are being closed. A host that refuses for lack of room reports its load and level, since a report of none would draw more requests to it. A reader that does not read ahead still asks whether its caller has left before a request starts.

--- a/crates/core/src/mesh/byte_budget.rs
+++ b/crates/core/src/mesh/byte_budget.rs
@@ -59,8 +59,9 @@
 pub struct ByteBudget {
     cfg: ByteBudgetConfig,
     holders: SlotMap<Holder, Holding>,
-    /// Bytes of all holders that have not been evicted.
+    /// Bytes of all holders, and of those that have not been evicted.
     held: usize,
+    kept: usize,
     /// Number of these holders that hold anything.
     active: usize,
     next_change: ChangeOrder,
@@ -73,6 +74,7 @@
             cfg,
             holders: SlotMap::with_key(),
             held: 0,
+            kept: 0,
             active: 0,
             next_change: 0,
         }
@@ -127,7 +129,7 @@
 
     /// Evicts the connection that holds the most if the limit is exceeded. To be called until it returns `None`.
     pub fn evict_excess(&mut self) -> Option<Holder> {
-        match self.held > self.cfg.limit {
+        match self.kept > self.cfg.limit {
             true => self.evict_greediest(),
             false => None,
         }
@@ -140,16 +142,21 @@
             .filter(|holder| self.held_by(*holder) > 0)?;
         let holding = self.holders.get_mut(holder)?;
         holding.evicted = true;
-        self.held -= holding.bytes;
+        self.kept -= holding.bytes;
         self.active -= 1;
         Some(holder)
     }
 
-    /// Bytes held for all connections that have not been evicted.
+    /// Bytes held for all connections, including those that have been told to close.
     pub fn held(&self) -> usize {
         self.held
     }
 
+    /// Bytes held for the connections that have not been told to close.
+    pub fn kept(&self) -> usize {
+        self.kept
+    }
+
     /// Bytes held for one connection.
     pub fn held_by(&self, holder: Holder) -> usize {
         self.holders.get(holder).map_or(0, |holding| holding.bytes)
@@ -186,10 +193,11 @@
         let old = std::mem::replace(&mut holding.bytes, bytes);
         holding.changed = self.next_change;
         self.next_change += 1;
+        self.held = self.held - old + bytes;
         if holding.evicted {
             return;
         }
-        self.held = self.held - old + bytes;
+        self.kept = self.kept - old + bytes;
         self.active = self.active + usize::from(bytes > 0) - usize::from(old > 0);
     }
 }
--- a/crates/core/tests/byte_budget.rs
+++ b/crates/core/tests/byte_budget.rs
@@ -153,7 +153,7 @@
     budget.hold(holders[0], 101);
     assert_eq!(budget.evict_excess(), Some(holders[1]));
     assert_eq!(budget.evict_excess(), None);
-    assert_eq!(budget.held(), 5_001);
+    assert_eq!((budget.kept(), budget.held()), (5_001, 10_001));
 }
 
 /// Among connections that hold about as much, the one that makes progress stays.
@@ -167,7 +167,7 @@
     assert_eq!(budget.evict_excess(), Some(holders[2]));
 }
 
-/// What an evicted connection still holds is on its way out and evicts no other one.
+/// What an evicted connection still holds evicts no other one, and leaves no room for new requests until it is gone.
 #[test]
 fn an_evicted_connection_does_not_count() {
     let mut budget = budget();
@@ -175,8 +175,10 @@
     assert_eq!(budget.evict_excess(), Some(holders[0]));
     budget.hold(holders[0], 5_000);
     assert_eq!(budget.evict_excess(), None);
+    assert!(!budget.admits(holders[1], 100));
     budget.close(holders[0]);
-    assert_eq!(budget.held(), 1_500);
+    assert!(budget.admits(holders[1], 100));
+    assert_eq!((budget.kept(), budget.held()), (1_500, 1_500));
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -185,6 +187,7 @@
     Hold(usize, usize),
     Release(usize, usize),
     Close(usize),
+    CloseEvicted,
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
@@ -193,31 +196,38 @@
         5 => (0..20usize, 0..3_000usize).prop_map(|(n, bytes)| Step::Hold(n, bytes)),
         3 => (0..20usize, 0..3_000usize).prop_map(|(n, bytes)| Step::Release(n, bytes)),
         1 => (0..20usize).prop_map(Step::Close),
+        1 => Just(Step::CloseEvicted),
     ];
     vec(step, 0..200)
 }
 
 proptest! {
-    /// After evictions no more than the limit is held, and the sum is that of all connections that stay.
+    /// After evictions no more than the limit is held for the connections that stay, and the sums are right.
     #[test]
     fn the_limit_holds_in_any_order(steps in steps()) {
         let mut budget = budget();
         let mut kept: Vec<Holder> = Vec::new();
+        let mut evicted: Vec<Holder> = Vec::new();
         for step in steps {
             match step {
                 Step::Open => kept.push(budget.open()),
                 Step::Hold(n, bytes) if n < kept.len() => budget.hold(kept[n], bytes),
                 Step::Release(n, bytes) if n < kept.len() => budget.release(kept[n], bytes),
                 Step::Close(n) if n < kept.len() => budget.close(kept.swap_remove(n)),
+                Step::CloseEvicted => evicted.drain(..).for_each(|holder| budget.close(holder)),
                 _ => {}
             }
-            while let Some(evicted) = budget.evict_excess() {
-                prop_assert!(kept.contains(&evicted));
-                kept.retain(|holder| *holder != evicted);
+            while let Some(excess) = budget.evict_excess() {
+                prop_assert!(kept.contains(&excess));
+                kept.retain(|holder| *holder != excess);
+                evicted.push(excess);
             }
-            prop_assert!(budget.held() <= LIMIT);
-            let sum: usize = kept.iter().map(|holder| budget.held_by(*holder)).sum();
-            prop_assert_eq!(budget.held(), sum);
+            prop_assert!(budget.kept() <= LIMIT);
+            let sum = |holders: &[Holder]| -> usize {
+                holders.iter().map(|holder| budget.held_by(*holder)).sum()
+            };
+            prop_assert_eq!(budget.kept(), sum(&kept));
+            prop_assert_eq!(budget.held(), sum(&kept) + sum(&evicted));
         }
     }
 }
--- a/crates/node/src/mesh/callers/listener.rs
+++ b/crates/node/src/mesh/callers/listener.rs
@@ -57,9 +57,7 @@
             }
             Err(e) => {
                 cfg.entry.journal.accept_failed("callers", &e);
-                if !cfg.connections.make_room() {
-                    cfg.bytes.evict_greediest();
-                }
+                cfg.connections.make_room();
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- a/crates/node/src/mesh/callers/reader/input.rs
+++ b/crates/node/src/mesh/callers/reader/input.rs
@@ -86,7 +86,7 @@
                 Err(_) => return Err(caller_left()),
             }
         }
-        Ok(())
+        self.check_connected()
     }
 
     pub(super) async fn fill_when_room(&mut self) -> Result<(), ReadEnd> {
--- a/crates/node/src/mesh/connection_registry.rs
+++ b/crates/node/src/mesh/connection_registry.rs
@@ -75,18 +75,15 @@
         self.state().connections.len()
     }
 
-    /// Evicts idle connections because the process has no descriptors left. Returns `false` if there are none.
-    pub fn make_room(&self) -> bool {
+    /// Evicts idle connections because the process has no descriptors left.
+    pub fn make_room(&self) {
         let mut state = self.state();
-        let mut has_evicted = false;
         for _ in 0..EVICTED_AFTER_FAILURE {
-            let Some(conn) = state.connections.evict_longest_idle() else {
-                break;
-            };
-            state.notify(conn);
-            has_evicted = true;
+            match state.connections.evict_longest_idle() {
+                Some(conn) => state.notify(conn),
+                None => return,
+            }
         }
-        has_evicted
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/crates/node/src/mesh/controller/dispatch.rs
+++ b/crates/node/src/mesh/controller/dispatch.rs
@@ -223,7 +223,7 @@
         }
     }
 
-    fn report(&self) -> Report {
+    pub(super) fn report(&self) -> Report {
         Report {
             busy: self.gate.reported_load(),
             level: self.gate.level(),
--- a/crates/node/src/mesh/controller/event.rs
+++ b/crates/node/src/mesh/controller/event.rs
@@ -86,6 +86,8 @@
     TargetReads,
     /// Asks for the number of requests from other nodes that wait or run here.
     HostedRequests(oneshot::Sender<usize>),
+    /// Asks for the status report of this host.
+    Report(oneshot::Sender<Report>),
 }
 
 /// What a long answer belongs to.
--- a/crates/node/src/mesh/controller/handle.rs
+++ b/crates/node/src/mesh/controller/handle.rs
@@ -111,6 +111,13 @@
             .unwrap_or(0)
     }
 
+    /// Status report of this host.
+    pub async fn report(&self) -> Report {
+        self.request(ControllerEvent::Report)
+            .await
+            .unwrap_or_default()
+    }
+
     async fn request<T, F>(&self, event: F) -> Option<T>
     where
         F: FnOnce(oneshot::Sender<T>) -> ControllerEvent,
--- a/crates/node/src/mesh/controller/task.rs
+++ b/crates/node/src/mesh/controller/task.rs
@@ -68,6 +68,7 @@
             }
             ControllerEvent::TargetReads => self.note_target_reads(),
             ControllerEvent::HostedRequests(tx) => drop(tx.send(self.hosted_count())),
+            ControllerEvent::Report(tx) => drop(tx.send(self.report())),
         }
     }
 
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -114,7 +114,8 @@
             () = registration.evicted() => {
                 ctx.host.journal.evicted("peers", 0);
                 if is_used {
-                    refuse_next(conn, &ReplyFrame::from(&busy_reply()), &ctx).await;
+                    let reply = ReplyFrame::from(&busy_reply(&ctx.host).await);
+                    refuse_next(conn, &reply, &ctx).await;
                 }
                 return;
             }
@@ -178,11 +179,11 @@
     })
 }
 
-/// Reply to a request for which there is no room in memory.
-fn busy_reply() -> HostReply {
+/// Reply to a request for which there is no room.
+async fn busy_reply(host: &Host) -> HostReply {
     HostReply {
         result: Err(Refused::from(Refusal::Busy)),
-        report: Report::default(),
+        report: host.controller.report().await,
     }
 }
 
@@ -251,7 +252,7 @@
             let body = Body::Whole(conn.read_body(length).await?);
             let req = head.into_request(body, host.clock.now(), account.clone())?;
             let Some(_held) = account.try_hold_request(&req.head) else {
-                write_reply(conn, busy_reply()).await?;
+                write_reply(conn, busy_reply(host).await).await?;
                 return Ok(true);
             };
             // After its machine was paused, a node finds requests whose senders have disconnected. `biased` detects
@@ -269,7 +270,7 @@
             let body = Body::Stream { length, rx };
             let req = head.into_request(body, host.clock.now(), account.clone())?;
             let Some(_held) = account.try_hold_request(&req.head) else {
-                write_reply(conn, busy_reply()).await?;
+                write_reply(conn, busy_reply(host).await).await?;
                 return Ok(body_stream::drain_body(conn).await);
             };
             tokio::select! {
