Shares of memory and descriptors in one place; replies of the link server apart

The parts that callers, other nodes and requests may take of the process's memory and descriptors are in resource_shares.rs, replies without a run in link/server/replies.rs. No change of behaviour.

--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -20,6 +20,7 @@
 mod policy;
 mod quotas;
 mod ready;
+mod resource_shares;
 mod run;
 mod settings;
 mod settings_file;
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -1,15 +1,17 @@
 //! Serves requests from other nodes.
 
+mod replies;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use coltsfootport_core::mesh::Refusal;
 use coltsfootport_core::workspace::{QuotaNotice, QuotaUsage};
 use slog::{Logger, debug};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
+use self::replies::{busy_reply, stopping_reply};
 use super::body_stream;
 use super::conn::PeerConn;
 use super::finding_frames::{FindingsAck, FindingsFrame};
@@ -18,7 +20,7 @@
 use super::quota_frames::{VerdictFrame, VerdictsFrame};
 use super::withdrawal::WithdrawalAck;
 use crate::mesh::body_channel::body_channel;
-use crate::mesh::call::{Body, HostReply, MAX_BUFFERED_BODY, Refused, Report, TargetAnswer};
+use crate::mesh::call::{Body, HostReply, MAX_BUFFERED_BODY, TargetAnswer};
 use crate::mesh::connection_registry::ConnectionRegistry;
 use crate::mesh::controller::ControllerEvent;
 use crate::mesh::feed::{FeedServer, serve_feed};
@@ -169,24 +171,6 @@
     let _ = timeout(CLOSE_LINGER, rest).await;
 }
 
-fn stopping_reply() -> ReplyFrame {
-    ReplyFrame::from(&HostReply {
-        result: Err(Refused::from(Refusal::Stopping)),
-        report: Report {
-            stopping: true,
-            ..Default::default()
-        },
-    })
-}
-
-/// Reply to a request for which there is no room.
-async fn busy_reply(host: &Host) -> HostReply {
-    HostReply {
-        result: Err(Refused::from(Refusal::Busy)),
-        report: host.controller.report().await,
-    }
-}
-
 /// Handles one exchange. Returns `false` if the connection can't be reused.
 async fn handle(
     conn: &mut PeerConn,
--- a/crates/node/src/mesh/run.rs
+++ b/crates/node/src/mesh/run.rs
@@ -6,12 +6,11 @@
 use std::time::Duration;
 
 use coltsfootport_core::mesh::{
-    ByteBudgetConfig, CallerLimits, ConnectionLimitConfig, Dialect, DrainConfig, FleetConfig,
-    GateConfig, LevelConfig, Publisher, RetryBudgetConfig, ShedderConfig,
+    CallerLimits, Dialect, DrainConfig, FleetConfig, GateConfig, LevelConfig, Publisher,
+    RetryBudgetConfig, ShedderConfig,
 };
 use coltsfootport_core::quarantine::Fingerprinter;
 use coltsfootport_core::workspace::QuotaConfig;
-use rustix::process::{Resource, getrlimit};
 use slog::{Logger, info};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -34,7 +33,8 @@
 use super::metrics::MeshMetrics;
 use super::quotas::QuotaSender;
 use super::ready::{self, StatusServer};
-use super::settings::{LoadSettings, MeshSettings, PublisherKind};
+use super::resource_shares::ResourceShares;
+use super::settings::{MeshSettings, PublisherKind};
 use super::settings_file::SettingsFile;
 use super::shutdown::shutdown;
 use super::target::TargetPool;
@@ -54,19 +54,6 @@
 /// Interval at which connections to the target are pruned after being idle for too long.
 const PRUNE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Part of the process's memory, as a divisor, that may be held for callers and other nodes. The rest is for the
-/// program and its state, what sockets have received, and gaps in the heap.
-const HELD_PART: usize = 4;
-
-/// Part of the process's descriptors, as a divisor, that may be taken by links of requests.
-const REQUESTS_PART: usize = 3;
-
-/// Share of the process's descriptors that idle connections of other nodes may take.
-const PEERS_SHARE: f64 = 0.15;
-
-/// Part of the process's memory, as a divisor, from which the receive buffers of callers' connections are taken.
-const RECEIVE_PART: usize = 16;
-
 /// Runs a node until it has shut down.
 ///
 /// `path` and `text` are the path and the content of the settings file, which is reloaded when it changes.
@@ -130,31 +117,17 @@
         fingerprinter: Fingerprinter::new(&settings.quarantine.key),
     };
     let open = Arc::new(AtomicUsize::new(0));
-    let descriptors = descriptor_limit(settings.load);
-    let memory = settings.load.memory_mb as usize * 1_000_000;
-    let bytes = ByteLimiter::new(
-        ByteBudgetConfig {
-            limit: memory / HELD_PART,
-            requests: descriptors / REQUESTS_PART,
-            ..Default::default()
-        },
-        metrics.held_bytes.clone(),
-    );
+    let shares = ResourceShares::from(settings.load);
+    let bytes = ByteLimiter::new(shares.held_bytes(), metrics.held_bytes.clone());
     let callers_config = CallersConfig {
         entry,
         limits,
         shutdown: shutdown.clone(),
         pipelined: settings.load.pipelined as usize,
         open_requests: Arc::clone(&open),
-        connections: ConnectionRegistry::new(
-            ConnectionLimitConfig {
-                descriptors,
-                ..ConnectionLimitConfig::default()
-            },
-            metrics.caller_connections.clone(),
-        ),
+        connections: ConnectionRegistry::new(shares.callers(), metrics.caller_connections.clone()),
         bytes: bytes.clone(),
-        receive_buffers: memory / RECEIVE_PART,
+        receive_buffers: shares.receive_buffers(),
     };
     let status_server = StatusServer {
         controller: controller.clone(),
@@ -195,14 +168,7 @@
     let server_context = ServerContext {
         host: host.clone(),
         sharing,
-        connections: ConnectionRegistry::new(
-            ConnectionLimitConfig {
-                descriptors,
-                share: PEERS_SHARE,
-                ..ConnectionLimitConfig::default()
-            },
-            metrics.peer_connections.clone(),
-        ),
+        connections: ConnectionRegistry::new(shares.peers(), metrics.peer_connections.clone()),
         bytes,
         open_requests: Arc::clone(&open),
         shutdown,
@@ -265,16 +231,6 @@
     }
 }
 
-/// Number of descriptors that the process may have open.
-fn descriptor_limit(load: LoadSettings) -> usize {
-    let limit = match load.descriptors {
-        0 => getrlimit(Resource::Nofile).current,
-        set => Some(u64::from(set)),
-    };
-    let limit = limit.unwrap_or(u64::from(u32::MAX));
-    usize::try_from(limit).unwrap_or(usize::MAX)
-}
-
 /// Returns the HTTP dialect and the [`Publisher`] implementation for `kind`.
 fn dialect_and_publisher(kind: PublisherKind) -> (Arc<Dialect>, Arc<dyn Publisher>) {
     match kind {
