--- a/crates/core/src/mesh/byte_budget.rs
+++ b/crates/core/src/mesh/byte_budget.rs
@@ -59,10 +59,11 @@
 pub struct ByteBudget {
     cfg: ByteBudgetConfig,
     holders: SlotMap<Holder, Holding>,
-    /// Bytes of all holders, and of those that have not been evicted.
+    /// Bytes of all holders.
     held: usize,
+    /// Bytes of the holders that have not been evicted.
     kept: usize,
-    /// Number of these holders that hold anything.
+    /// Number of the holders that hold anything and have not been evicted.
     active: usize,
     next_change: ChangeOrder,
 }
