Idle links hold no memory for a request

The task of a connection from another node had grown from 8,272 to 11,440 bytes by the budget's waits, and a node has hundreds of them, nearly all idle.

The exchange on a link is boxed, as long bodies of callers are, and the context is borrowed: 2,480 bytes. A caller's connection takes 8,224 (7,504 before), a request 14,016 (13,328). Sizes of futures, debug build.

--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -80,15 +80,14 @@
 
 async fn serve_conn(stream: TcpStream, ctx: ServerContext) {
     let account = ctx.bytes.open();
-    let journal = ctx.host.journal.clone();
     tokio::select! {
         biased;
-        () = account.evicted() => journal.evicted("peers", 1),
-        () = serve_requests(stream, ctx, &account) => {}
+        () = account.evicted() => ctx.host.journal.evicted("peers", 1),
+        () = serve_requests(stream, &ctx, &account) => {}
     }
 }
 
-async fn serve_requests(stream: TcpStream, ctx: ServerContext, account: &Account) {
+async fn serve_requests(stream: TcpStream, ctx: &ServerContext, account: &Account) {
     if let Err(e) = configure_socket(&stream) {
         return debug!(ctx.log, "peer disconnected before hello"; "reason" => e.to_string());
     }
@@ -105,19 +104,19 @@
         return debug!(ctx.log, "peer disconnected before hello"; "reason" => e.to_string());
     }
     if is_closing {
-        return close(conn, &ctx).await;
+        return close(conn, ctx).await;
     }
     let mut is_used = false;
     loop {
         let head = tokio::select! {
             biased;
             head = timeout(IDLE_TIMEOUT, conn.read_head(MAX_HEAD)) => head,
-            () = ctx.shutdown.closing() => return refuse_next(conn, &stopping_reply(), &ctx).await,
+            () = ctx.shutdown.closing() => return refuse_next(conn, &stopping_reply(), ctx).await,
             () = registration.evicted() => {
                 ctx.host.journal.evicted("peers", 0);
                 if is_used {
                     let reply = ReplyFrame::from(&busy_reply(&ctx.host).await);
-                    refuse_next(conn, &reply, &ctx).await;
+                    refuse_next(conn, &reply, ctx).await;
                 }
                 return;
             }
@@ -128,7 +127,8 @@
         registration.set_busy();
         is_used = true;
         let can_reuse = match head {
-            Ok(head) => handle(&mut conn, head, &ctx, account).await,
+            // Boxed, since most connections are idle and would hold the memory for a request all the same.
+            Ok(head) => Box::pin(handle(&mut conn, head, ctx, account)).await,
             // The peer closed the connection between two requests.
             Err(FrameError::Truncated) => return,
             Err(e) => Err(e),
