A caller that reads a response stays while others are idle

Cause: let a connection defer its eviction once, whatever else was idle, so one whose caller reads a response was closed at its second turn although 64 idle ones were there. It shows only where the connections are opened fast enough for two turns.

--- a/crates/core/src/mesh/connection_limit.rs
+++ b/crates/core/src/mesh/connection_limit.rs
@@ -56,6 +56,8 @@
     idle: BTreeMap<IdleOrder, ConnectionKey>,
     /// Connections whose eviction was deferred since they became idle.
     deferred: SecondaryMap<ConnectionKey, ()>,
+    /// Connections that were evicted although they had deferred it, since no others were left.
+    last_choices: SecondaryMap<ConnectionKey, ()>,
     evicted: usize,
     next_order: IdleOrder,
 }
@@ -70,6 +72,7 @@
             open: SlotMap::with_key(),
             idle: BTreeMap::new(),
             deferred: SecondaryMap::new(),
+            last_choices: SecondaryMap::new(),
             evicted: 0,
             next_order: 0,
         }
@@ -90,15 +93,17 @@
     /// Records that all requests that were started have been answered, or that the head of another one was read.
     pub fn set_idle(&mut self, conn: ConnectionKey) {
         self.deferred.remove(conn);
+        self.last_choices.remove(conn);
         self.insert_idle(conn);
     }
 
-    /// Defers an eviction until the connection has been idle for longer than others. Returns `false` if it was deferred
-    /// before, or is not evicted.
+    /// Defers an eviction as long as others can be evicted in its place. Returns `false` if there were none left, or if
+    /// the connection is not evicted.
     pub fn defer_eviction(&mut self, conn: ConnectionKey) -> bool {
-        if !self.is_evicted(conn) || self.deferred.insert(conn, ()).is_some() {
+        if !self.is_evicted(conn) || self.last_choices.contains_key(conn) {
             return false;
         }
+        self.deferred.insert(conn, ());
         self.insert_idle(conn);
         true
     }
@@ -107,6 +112,7 @@
     pub fn close(&mut self, conn: ConnectionKey) {
         self.replace(conn, State::Busy);
         self.deferred.remove(conn);
+        self.last_choices.remove(conn);
         self.open.remove(conn);
     }
 
@@ -126,7 +132,17 @@
 
     /// Returns the longest idle connection, which is to be closed.
     pub fn evict_longest_idle(&mut self) -> Option<ConnectionKey> {
-        let (_, conn) = self.idle.pop_first()?;
+        let mut idle = self.idle.values().copied();
+        let conn = idle.find(|conn| !self.deferred.contains_key(*conn));
+        let conn = match conn {
+            Some(conn) => conn,
+            // The last choice, which may not be deferred again.
+            None => {
+                let (_, conn) = self.idle.first_key_value()?;
+                self.last_choices.insert(*conn, ());
+                *conn
+            }
+        };
         self.replace(conn, State::Evicted);
         Some(conn)
     }
--- a/crates/core/tests/connection_limit.rs
+++ b/crates/core/tests/connection_limit.rs
@@ -60,10 +60,27 @@
     assert!(!connections.defer_eviction(conns[0]));
     connections.set_busy(conns[0]);
     connections.set_idle(conns[0]);
+    assert_eq!(connections.evict_excess(), Some(conns[0]));
+    assert!(connections.defer_eviction(conns[0]));
     assert_eq!(connections.evict_excess(), Some(conns[1]));
     assert!(!connections.defer_eviction(conns[1]));
 }
 
+/// A connection that has deferred its eviction stays while another one is idle, however many come.
+#[test]
+fn others_are_evicted_before_one_that_has_deferred_it() {
+    let mut connections = connections();
+    let reading = open(&mut connections, MAX + 1)[0];
+    assert_eq!(connections.evict_excess(), Some(reading));
+    assert!(connections.defer_eviction(reading));
+    for _ in 0..3 * MAX {
+        open(&mut connections, 1);
+        let evicted = connections.evict_excess().expect("one too many");
+        assert_ne!(evicted, reading);
+        connections.close(evicted);
+    }
+}
+
 /// Nothing is closed that has a request at work, however many there are.
 #[test]
 fn busy_connections_are_never_closed() {
