One delay after a failed accept

The delay after a failed accept stood in three listeners, the third added with the bound on status checks; it is next to the registry of connections now. A pinned future that need not be is awaited as it is.

--- a/crates/node/src/mesh/callers/listener.rs
+++ b/crates/node/src/mesh/callers/listener.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
-use std::time::Duration;
 
 use coltsfootport_core::mesh::CallerLimits;
 use tokio::net::TcpListener;
@@ -10,7 +9,7 @@
 use tokio::task::yield_now;
 
 use super::connection::serve_connection;
-use crate::mesh::connection_registry::ConnectionRegistry;
+use crate::mesh::connection_registry::{ACCEPT_RETRY_DELAY, ConnectionRegistry};
 use crate::mesh::entry::Entry;
 use crate::mesh::held_bytes::ByteLimiter;
 use crate::mesh::shutdown::ShutdownWatch;
@@ -36,9 +35,6 @@
     pub receive_buffers: usize,
 }
 
-/// Delay after `accept` fails, for example for lack of file descriptors, to avoid a busy loop.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-
 /// Accepts callers until the grace period of a stopping node is nearly over. Later requests are never read, so callers
 /// can safely resend them.
 pub async fn listen(listener: TcpListener, cfg: CallersConfig) {
--- a/crates/node/src/mesh/connection_registry.rs
+++ b/crates/node/src/mesh/connection_registry.rs
@@ -1,12 +1,16 @@
 //! Registry of the connections of a listener, which closes idle ones when there are too many.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use coltsfootport_core::mesh::{ConnectionKey, ConnectionLimit, ConnectionLimitConfig};
 use prometheus::IntGauge;
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
 
+/// Delay after `accept` fails, for example for lack of file descriptors, to avoid a busy loop.
+pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Idle connections that are closed after `accept` has failed.
 const EVICTED_AFTER_FAILURE: usize = 16;
 
--- a/crates/node/src/mesh/held_bytes.rs
+++ b/crates/node/src/mesh/held_bytes.rs
@@ -3,7 +3,6 @@
 mod cost;
 
 use std::fmt;
-use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -147,7 +146,7 @@
 
     /// Resolves when the connection should be closed because it holds more than others.
     pub async fn evicted(&self) {
-        pin!(self.0.signals.evicted.notified()).await;
+        self.0.signals.evicted.notified().await;
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/crates/node/src/mesh/link/server.rs
+++ b/crates/node/src/mesh/link/server.rs
@@ -21,7 +21,7 @@
 use super::withdrawal::WithdrawalAck;
 use crate::mesh::body_channel::body_channel;
 use crate::mesh::call::{Body, HostReply, MAX_BUFFERED_BODY, TargetAnswer};
-use crate::mesh::connection_registry::ConnectionRegistry;
+use crate::mesh::connection_registry::{ACCEPT_RETRY_DELAY, ConnectionRegistry};
 use crate::mesh::controller::ControllerEvent;
 use crate::mesh::feed::{FeedServer, serve_feed};
 use crate::mesh::held_bytes::{Account, ByteLimiter};
@@ -38,9 +38,6 @@
 /// written last.
 pub const CLOSE_LINGER: Duration = Duration::from_millis(200);
 
-/// Delay after `accept` fails, for example for lack of file descriptors, to avoid a busy loop.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-
 /// Shared state of the server for peers; cheap to clone.
 #[derive(Clone)]
 pub struct ServerContext {
--- a/crates/node/src/mesh/ready.rs
+++ b/crates/node/src/mesh/ready.rs
@@ -3,7 +3,6 @@
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use coltsfootport_core::mesh::Dialect;
@@ -17,6 +16,7 @@
 use tokio::task::{JoinHandle, yield_now};
 use tokio::time::sleep;
 
+use crate::mesh::connection_registry::ACCEPT_RETRY_DELAY;
 use crate::mesh::controller::ControllerHandle;
 use crate::mesh::journal::Journal;
 use crate::mesh::metrics::MeshMetrics;
@@ -46,9 +46,6 @@
 /// Maximum size of a connection's read buffer in bytes, and so of a request's head.
 const MAX_BUFFER: usize = 16 * 1024;
 
-/// Delay after `accept` fails, for example for lack of file descriptors, to avoid a busy loop.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-
 /// Accepts connections until the process exits.
 pub async fn serve(listener: TcpListener, server: StatusServer) {
     let mut open = VecDeque::new();
